--- /dev/null
+++ b/cuminstile/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the callers over HTTP."""
--- /dev/null
+++ b/cuminstile/clock.py
@@ -0,0 +1,77 @@
+"""Tell and wait for time in milliseconds, really or virtually."""
+
+import heapq
+import itertools
+import time
+from dataclasses import dataclass, field
+
+import anyio
+
+
+class Clock:
+    """Tell and wait for the time of the machine."""
+
+    def now_ms(self) -> float:
+        """Return the monotonic time in ms; it goes on while the process is stopped."""
+        return time.monotonic() * 1000.0
+
+    def wall_ms(self) -> int:
+        """Return the time of day in ms since 1970 UTC."""
+        return int(time.time() * 1000)
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Wait for `duration_ms`; a negative duration only yields."""
+        await anyio.sleep(max(0.0, duration_ms) / 1000.0)
+
+
+@dataclass
+class VirtualClock(Clock):
+    """Tell a time that moves only when a test advances it.
+
+    Parameters
+    ----------
+    at_ms : float
+        The monotonic time at the start, in ms.
+    epoch_ms : int
+        The time of day at monotonic time zero, in ms since 1970 UTC.
+    """
+
+    at_ms: float = 0.0
+    epoch_ms: int = 1_700_000_000_000
+    sleepers: list[tuple[float, int, anyio.Event]] = field(default_factory=list)
+    order: "itertools.count[int]" = field(default_factory=itertools.count)
+
+    def now_ms(self) -> float:
+        """Return the virtual monotonic time in ms."""
+        return self.at_ms
+
+    def wall_ms(self) -> int:
+        """Return the virtual time of day in ms since 1970 UTC."""
+        return self.epoch_ms + int(self.at_ms)
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Wait until a test has advanced the clock by `duration_ms`."""
+        if duration_ms <= 0:
+            await anyio.lowlevel.checkpoint()
+            return
+        event = anyio.Event()
+        entry = (self.at_ms + duration_ms, next(self.order), event)
+        heapq.heappush(self.sleepers, entry)
+        await event.wait()
+
+    async def advance_ms(self, duration_ms: float) -> None:
+        """Move the time on, waking each sleeper at its own moment."""
+        end_ms = self.at_ms + duration_ms
+        while self.sleepers and self.sleepers[0][0] <= end_ms:
+            due_ms, _, event = heapq.heappop(self.sleepers)
+            self.at_ms = max(self.at_ms, due_ms)
+            event.set()
+            await settle()
+        self.at_ms = end_ms
+        await settle()
+
+
+async def settle(rounds: int = 20) -> None:
+    """Let every other task run until it waits again."""
+    for _ in range(rounds):
+        await anyio.lowlevel.checkpoint()
--- /dev/null
+++ b/cuminstile/events.py
@@ -0,0 +1,119 @@
+"""Number the events of the daemon and record them for logs and the time line."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import TextIO
+
+import eliot
+
+from .clock import Clock
+from .const import EVENT_RING_SIZE
+
+Value = str | int | float | bool | None
+
+
+class Event(IntEnum):
+    """Enumerate the events; docs/EVENTS.md explains each."""
+
+    VM_STARTED = 1001
+    VM_READY = 1002
+    VM_LEAVING = 1003
+    VM_STOPPED = 1004
+    SETTINGS_REFUSED = 1005
+    PEER_CONNECTED = 1101
+    PEER_LOST = 1102
+    PEER_REFUSED = 1103
+    PEER_MESSAGE_REFUSED = 1104
+    PLATFORM_LOST = 1201
+    PLATFORM_BACK = 1202
+    CONFIG_IN_FORCE = 1301
+    CONFIG_RECORD_REFUSED = 1302
+    CONFIG_PUBLISHED = 1303
+    REQUEST_STARTED = 2001
+    REQUEST_ANSWERED = 2002
+    REQUEST_REFUSED = 2003
+    REQUEST_CANCELLED = 2004
+    STAGE_STARTED = 2101
+    STAGE_ANSWERED = 2102
+    STAGE_FAILED = 2103
+    STAGE_FORWARDED = 2104
+    ANSWER_DROPPED = 2105
+    STAGE_RETRIED = 2106
+
+
+@dataclass(frozen=True, order=True)
+class Stamp:
+    """Order events over processes: a hybrid logical time.
+
+    Parameters
+    ----------
+    wall_ms : int
+        The largest time of day seen, in ms since 1970 UTC.
+    count : int
+        Tells apart the events of one millisecond.
+    """
+
+    wall_ms: int
+    count: int
+
+
+@dataclass(frozen=True)
+class EventRecord:
+    """Hold one event of one process."""
+
+    stamp: Stamp
+    vm: str
+    event: Event
+    fields: Mapping[str, Value]
+
+
+@dataclass
+class Journal:
+    """Record events in the log and in a bounded ring for the time line.
+
+    Parameters
+    ----------
+    vm : str
+        The name of the process's VM.
+    clock : Clock
+        Gives the time of day.
+    """
+
+    vm: str
+    clock: Clock
+    ring: deque[EventRecord] = field(
+        default_factory=lambda: deque(maxlen=EVENT_RING_SIZE)
+    )
+    last: Stamp = Stamp(0, 0)
+
+    def stamp(self) -> Stamp:
+        """Return a stamp later than every stamp given or seen before."""
+        wall_ms = self.clock.wall_ms()
+        if wall_ms > self.last.wall_ms:
+            self.last = Stamp(wall_ms, 0)
+        else:
+            self.last = Stamp(self.last.wall_ms, self.last.count + 1)
+        return self.last
+
+    def see(self, stamp: Stamp) -> None:
+        """Make later stamps later than one that another process sent."""
+        self.last = max(self.last, stamp)
+
+    def record(self, event: Event, **fields: Value) -> None:
+        """Record one event with its fields."""
+        entry = EventRecord(self.stamp(), self.vm, event, fields)
+        self.ring.append(entry)
+        eliot.log_message(
+            message_type=f"cuminstile:{event.value}",
+            event=event.name.lower(),
+            vm=self.vm,
+            stamp=[entry.stamp.wall_ms, entry.stamp.count],
+            **fields,
+        )
+
+
+def log_to(target: TextIO) -> None:
+    """Send every event to `target` as one line of JSON each."""
+    eliot.to_file(target)
--- /dev/null
+++ b/cuminstile/objects/collection.py
@@ -0,0 +1,67 @@
+"""Index a whole set of operators' objects by kind and name."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from .model import (
+    AnyObject,
+    DataCentre,
+    Organisation,
+    Pipeline,
+    Stage,
+    TrafficMove,
+    Upstream,
+    UpstreamVersion,
+)
+
+
+@dataclass(frozen=True)
+class ObjectSet:
+    """Hold the objects of one configuration by kind and name."""
+
+    data_centres: Mapping[str, DataCentre] = field(default_factory=dict)
+    stages: Mapping[str, Stage] = field(default_factory=dict)
+    versions: Mapping[str, UpstreamVersion] = field(default_factory=dict)
+    upstreams: Mapping[str, Upstream] = field(default_factory=dict)
+    pipelines: Mapping[str, Pipeline] = field(default_factory=dict)
+    organisations: Mapping[str, Organisation] = field(default_factory=dict)
+    moves: Mapping[str, TrafficMove] = field(default_factory=dict)
+    by_digest: Mapping[str, Organisation] = field(default_factory=dict)
+    by_version: Mapping[str, tuple[Upstream, ...]] = field(default_factory=dict)
+    by_stage: Mapping[str, tuple[UpstreamVersion, ...]] = field(default_factory=dict)
+
+
+def of_kind(objects: Iterable[AnyObject], kind: type) -> dict:
+    """Return the objects of one class by name."""
+    return {item.name: item for item in objects if isinstance(item, kind)}
+
+
+def collect(objects: Iterable[AnyObject]) -> ObjectSet:
+    """Return the index of a checked set of objects."""
+    every = tuple(objects)
+    organisations = of_kind(every, Organisation)
+    upstreams = of_kind(every, Upstream)
+    versions = of_kind(every, UpstreamVersion)
+    by_version: dict[str, tuple[Upstream, ...]] = {}
+    for upstream in upstreams.values():
+        for version in upstream.versions:
+            by_version[version] = (*by_version.get(version, ()), upstream)
+    by_stage: dict[str, tuple[UpstreamVersion, ...]] = {}
+    for version in versions.values():
+        by_stage[version.stage] = (*by_stage.get(version.stage, ()), version)
+    return ObjectSet(
+        data_centres=of_kind(every, DataCentre),
+        stages=of_kind(every, Stage),
+        versions=versions,
+        upstreams=upstreams,
+        pipelines=of_kind(every, Pipeline),
+        organisations=organisations,
+        moves=of_kind(every, TrafficMove),
+        by_digest={
+            digest: organisation
+            for organisation in organisations.values()
+            for digest in organisation.key_digests
+        },
+        by_version=by_version,
+        by_stage=by_stage,
+    )
--- /dev/null
+++ b/cuminstile/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the operators over HTTP."""
--- /dev/null
+++ b/cuminstile/settings.py
@@ -0,0 +1,116 @@
+"""Read and check the settings of a VM."""
+
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import ConfigDict, Field, TypeAdapter, with_config
+
+from .exceptions import CuminstileError, ErrorCode, Finding
+from .objects.model import Name
+from .validation import validate
+
+STRICT = ConfigDict(extra="forbid")
+Port = Annotated[int, Field(ge=0, le=65_535)]
+Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:\d{1,5}$")]
+Key = Annotated[str, Field(min_length=16, max_length=256)]
+
+
+@with_config(STRICT)
+@dataclass(frozen=True)
+class TlsSettings:
+    """Name the files for TLS: this VM's certificate and key, and the authority."""
+
+    certificate: Path
+    key: Path
+    authority: Path
+
+
+@with_config(STRICT)
+@dataclass(frozen=True)
+class PeerSettings:
+    """Name a VM that may be asked for the configuration when the platform is away."""
+
+    name: Name
+    data_centre: Name
+    address: Address
+
+
+@with_config(STRICT)
+@dataclass(frozen=True)
+class LimitSettings:
+    """Hold the policy of limits, choice and retries; the defaults are the advice."""
+
+    choice: Annotated[str, Field(pattern=r"^[a-z_]+$")] = "least_loaded"
+    retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
+    queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
+
+
+@with_config(STRICT)
+@dataclass(frozen=True)
+class Settings:
+    """Hold the settings of one VM.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        This VM and its data centre.
+    host : str
+        The IP number on which the VM listens.
+    caller_port, operator_port, vm_port : int
+        TCP ports for callers, operators and other VMs.
+    platform : str
+        `host:port` of the platform.
+    operator_keys, vm_keys : tuple of str
+        Up to two keys each, so that they can be rolled; the first is shown to others.
+    log_file : str
+        Where the log goes; `-` is the standard error.
+    shutdown_linger_ms : int
+        How long a leaving VM still takes requests that the balancer sends.
+    """
+
+    name: Name
+    data_centre: Name
+    host: Annotated[str, Field(pattern=r"^[0-9a-f.:]+$")]
+    caller_port: Port
+    operator_port: Port
+    vm_port: Port
+    platform: Address
+    operator_keys: Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
+    vm_keys: Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
+    platform_key: str = ""
+    peers: tuple[PeerSettings, ...] = ()
+    tls: TlsSettings | None = None
+    log_file: str = "-"
+    shutdown_linger_ms: Annotated[int, Field(ge=0, le=60_000)] = 3_000
+    limits: LimitSettings = field(default_factory=LimitSettings)
+
+
+SETTINGS: TypeAdapter[Settings] = TypeAdapter(Settings)
+
+
+def load_settings(path: Path) -> Settings:
+    """Return the settings in a JSON file.
+
+    Raises
+    ------
+    CuminstileError
+        With `BAD_SETTINGS` and every finding.
+    """
+    try:
+        data: Any = json.loads(path.read_text("utf-8"))
+    except (OSError, ValueError) as error:
+        finding = Finding(str(path), "", "unreadable", str(error))
+        raise bad_settings((finding,)) from error
+    checked = validate(SETTINGS, data, str(path))
+    if checked.value is None:
+        raise bad_settings(checked.findings)
+    return checked.value
+
+
+def bad_settings(findings: tuple[Finding, ...]) -> CuminstileError:
+    """Return the error that carries every finding about the settings."""
+    return CuminstileError(
+        ErrorCode.BAD_SETTINGS, "the settings are not usable", findings=findings
+    )
--- /dev/null
+++ b/cuminstile/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the upstreams."""
--- /dev/null
+++ b/cuminstile/vm/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the other VMs."""
--- /dev/null
+++ b/cuminstile/wire.py
@@ -0,0 +1,93 @@
+"""Encode typed messages as CBOR arrays and check them while decoding."""
+
+import dataclasses
+from collections.abc import Iterable
+from enum import Enum
+from typing import Any
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError, model_validator
+from pydantic.dataclasses import dataclass
+from pydantic_core import ArgsKwargs
+
+from .exceptions import CuminstileError, ErrorCode
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class Message:
+    """Be the base of every message; fields travel as an array in their order."""
+
+    @model_validator(mode="before")
+    @classmethod
+    def from_array(cls, value: Any) -> Any:
+        """Accept the array form that `to_array` gives."""
+        if isinstance(value, list | tuple):
+            return ArgsKwargs(tuple(value))
+        return value
+
+
+def to_array(value: Any) -> Any:
+    """Return a message as nested arrays of CBOR's own types."""
+    if dataclasses.is_dataclass(value):
+        names = (field.name for field in dataclasses.fields(value))
+        return [to_array(getattr(value, name)) for name in names]
+    if isinstance(value, tuple | list):
+        return [to_array(item) for item in value]
+    if isinstance(value, Enum):
+        return value.value
+    return value
+
+
+@dataclasses.dataclass(frozen=True)
+class Codec:
+    """Encode and decode a closed set of message types by their numbers.
+
+    Parameters
+    ----------
+    numbers : dict of type to int
+        The number that stands for each message type on the wire.
+    adapters : dict of int to TypeAdapter
+        The checker for each number.
+    """
+
+    numbers: dict[type[Message], int]
+    adapters: dict[int, TypeAdapter[Any]]
+
+    def encode(self, message: Message) -> bytes:
+        """Return `[number, field, ...]` in CBOR."""
+        number = self.numbers[type(message)]
+        return cbor2.dumps([number, *to_array(message)])
+
+    def decode(self, data: bytes) -> Any:
+        """Return the typed message.
+
+        Raises
+        ------
+        CuminstileError
+            With `BAD_MESSAGE` if the bytes are not one whole known message.
+        """
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise bad_message("the message is too large")
+        try:
+            number, *fields = cbor2.loads(data)
+            return self.adapters[number].validate_python(fields)
+        except ValidationError as error:
+            raise bad_message(f"{error.error_count()} fields are wrong") from error
+        except Exception as error:
+            raise bad_message(f"{type(error).__name__} while decoding") from error
+
+
+def make_codec(types: Iterable[tuple[int, type[Message]]]) -> Codec:
+    """Return a codec for pairs of number and message type."""
+    pairs = tuple(types)
+    return Codec(
+        {message: number for number, message in pairs},
+        {number: TypeAdapter(message) for number, message in pairs},
+    )
+
+
+def bad_message(text: str) -> CuminstileError:
+    """Return the error for bytes that are no message."""
+    return CuminstileError(ErrorCode.BAD_MESSAGE, text)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and the upstreams, in small programs."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package; the folders mirror it."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,32 @@
+"""Share fixtures, and leave out the tests that KNOWN-RED.txt names."""
+
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run asynchronous tests on asyncio alone, as the daemon does."""
+    return "asyncio"
+
+
+def known_red() -> tuple[str, ...]:
+    """Return the ids of the tests whose failure is known and listed."""
+    if not KNOWN_RED.exists():
+        return ()
+    lines = KNOWN_RED.read_text("utf-8").splitlines()
+    return tuple(
+        line.removeprefix("test: ") for line in lines if line.startswith("test: ")
+    )
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list) -> None:
+    """Pass over the listed tests and count them as deselected."""
+    listed = known_red()
+    red = [item for item in items if item.nodeid.startswith(listed)] if listed else []
+    if red:
+        config.hook.pytest_deselected(items=red)
+        items[:] = [item for item in items if item not in red]
--- /dev/null
+++ b/tests/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Test cuminstile.operator."""
