Run a pipeline over entry VMs: callers, platform, peers, upstreams

The thin whole path of the daemon: HTTP callers, a pipeline's steps as tasks, one websocket session for each pair of VMs with CBOR messages, work for another data centre handed VM to VM, upstreams over HTTP with the attempt's id checked, the configuration folded from the platform's log, a graceful shutdown.

--- /dev/null
+++ b/cuminstile/caller/app.py
@@ -0,0 +1,139 @@
+"""Answer the callers' HTTP requests."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from aioprometheus.renderer import render
+from starlette.applications import Starlette
+from starlette.requests import Request as HttpRequest
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from ..const import MAX_BODY_BYTES
+from ..events import Event
+from ..exceptions import HTTP_STATUS, CuminstileError, ErrorCode
+from ..objects.model import Organisation, Pipeline
+from ..pipeline import Request
+from .bodies import RunBody, error_body, parse_run_body
+from .serving import answer_stream, answer_whole
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+Endpoint = Callable[[HttpRequest], Awaitable[Response]]
+
+
+def make_app(vm: Vm) -> Starlette:
+    """Return the application for the callers' port."""
+
+    async def run(http: HttpRequest) -> Response:
+        try:
+            request = await admit(vm, http)
+            if request.stream:
+                return answer_stream(vm, request)
+            return await answer_whole(vm, request, http)
+        except CuminstileError as error:
+            vm.journal.record(Event.REQUEST_REFUSED, code=error.code.value)
+            return refuse(error)
+
+    async def healthz(http: HttpRequest) -> Response:
+        return PlainTextResponse("ok")
+
+    async def readyz(http: HttpRequest) -> Response:
+        if vm.leaving:
+            return PlainTextResponse("leaving", 503)
+        if vm.configuration.current is None:
+            return PlainTextResponse("no configuration", 503)
+        return PlainTextResponse("ready")
+
+    async def metrics(http: HttpRequest) -> Response:
+        content, headers = render(vm.metrics.registry, [http.headers.get("accept", "")])
+        return Response(content, headers=dict(headers))
+
+    return Starlette(
+        routes=[
+            Route("/v1/pipelines/{name}", run, methods=["POST"]),
+            Route("/healthz", healthz),
+            Route("/readyz", readyz),
+            Route("/metrics", metrics),
+        ],
+        exception_handlers={404: unknown_path, 405: unknown_path},
+    )
+
+
+async def unknown_path(http: HttpRequest, error: Exception) -> Response:
+    """Answer a path or method that there is not."""
+    return refuse(CuminstileError(ErrorCode.UNKNOWN_PATH, "there is nothing here"))
+
+
+def refuse(error: CuminstileError) -> Response:
+    """Return the HTTP answer for an error."""
+    return JSONResponse(error_body(error), HTTP_STATUS[error.code])
+
+
+async def admit(vm: Vm, http: HttpRequest) -> Request:
+    """Check one HTTP request and return the caller's request."""
+    arrived_ms = vm.clock.now_ms()
+    organisation = authenticate(vm, http.headers.get("authorization", ""))
+    pipeline = vm.objects.pipelines.get(http.path_params["name"])
+    if pipeline is None:
+        raise CuminstileError(ErrorCode.UNKNOWN_PIPELINE, "there is no such pipeline")
+    body = parse_run_body(await read_body(http))
+    check_key(vm, pipeline, body)
+    request = Request(
+        name=secrets.token_hex(8),
+        organisation=organisation.name,
+        pipeline=pipeline,
+        input=body.input,
+        stream=body.stream,
+        deadline_ms=arrived_ms + (body.deadline_ms or pipeline.deadline_ms),
+        idempotency_key=body.idempotency_key,
+        issued_at_ms=body.issued_at_ms,
+    )
+    vm.journal.record(
+        Event.REQUEST_STARTED,
+        request=request.name,
+        organisation=organisation.name,
+        pipeline=pipeline.name,
+    )
+    return request
+
+
+def authenticate(vm: Vm, header: str) -> Organisation:
+    """Return the organisation whose key the caller shows.
+
+    The digest is looked up, so the time tells nothing about any valid key.
+    """
+    scheme, _, key = header.partition(" ")
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    organisation = vm.objects.by_digest.get(digest)
+    if scheme.lower() != "bearer" or organisation is None:
+        raise CuminstileError(ErrorCode.UNAUTHENTICATED, "the key is not known")
+    return organisation
+
+
+async def read_body(http: HttpRequest) -> bytes:
+    """Return the body, which may not be too large."""
+    data = b""
+    async for part in http.stream():
+        data += part
+        if len(data) > MAX_BODY_BYTES:
+            raise CuminstileError(
+                ErrorCode.BODY_TOO_LARGE, f"a body has at most {MAX_BODY_BYTES} bytes"
+            )
+    return data
+
+
+def check_key(vm: Vm, pipeline: Pipeline, body: RunBody) -> None:
+    """Require an idempotency key where a stage may not be repeated."""
+    stages = vm.objects.stages
+    if all(stages[step.stage].repeatable for step in pipeline.steps):
+        return
+    if not body.idempotency_key or not body.issued_at_ms:
+        raise CuminstileError(
+            ErrorCode.KEY_REQUIRED, "idempotency_key and issued_at_ms are required"
+        )
--- /dev/null
+++ b/cuminstile/caller/bodies.py
@@ -0,0 +1,92 @@
+"""Check the bodies that callers send and shape those that they get."""
+
+import json
+from dataclasses import asdict, dataclass
+from typing import Annotated, Any
+
+from pydantic import ConfigDict, Field, TypeAdapter, with_config
+
+from ..calls import StageOutcome
+from ..const import MAX_DEADLINE_MS
+from ..exceptions import CuminstileError, ErrorCode, Finding
+from ..pipeline import Progress, Request
+from ..validation import validate
+
+
+@with_config(ConfigDict(extra="forbid"))
+@dataclass(frozen=True)
+class RunBody:
+    """Hold the body of a request to run a pipeline.
+
+    Parameters
+    ----------
+    deadline_ms : int or None
+        How long the caller waits; the pipeline's own deadline by default.
+    issued_at_ms : int
+        When the caller issued its idempotency key, in ms since 1970 UTC.
+    """
+
+    input: Any
+    deadline_ms: Annotated[int, Field(ge=1, le=MAX_DEADLINE_MS)] | None = None
+    stream: bool = False
+    idempotency_key: Annotated[str, Field(max_length=200)] = ""
+    issued_at_ms: Annotated[int, Field(ge=0, le=2**53)] = 0
+
+
+RUN_BODY: TypeAdapter[RunBody] = TypeAdapter(RunBody)
+
+
+def parse_run_body(data: bytes) -> RunBody:
+    """Return the checked body.
+
+    Raises
+    ------
+    CuminstileError
+        With `MALFORMED_BODY` and every finding.
+    """
+    try:
+        raw = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise malformed((Finding("", "", "json", str(error)),)) from error
+    checked = validate(RUN_BODY, raw)
+    if checked.value is None:
+        raise malformed(checked.findings)
+    return checked.value
+
+
+def malformed(findings: tuple[Finding, ...]) -> CuminstileError:
+    """Return the error for a body that is not usable."""
+    return CuminstileError(
+        ErrorCode.MALFORMED_BODY, "the body is not usable", findings=findings
+    )
+
+
+def answer_body(request: Request, progress: Progress) -> dict[str, Any]:
+    """Return the body of a whole answer."""
+    last = request.pipeline.steps[-1].name
+    steps = [
+        step_body(step.name, step.stage, progress.outcomes[step.name])
+        for step in request.pipeline.steps
+    ]
+    output = progress.outcomes[last].output
+    return {"request": request.name, "output": output, "steps": steps}
+
+
+def step_body(step: str, stage: str, outcome: StageOutcome) -> dict[str, Any]:
+    """Return what an answer tells about one step."""
+    body = asdict(outcome)
+    del body["output"]
+    body["elapsed_ms"] = round(outcome.elapsed_ms, 1)
+    return {"step": step, "stage": stage, **body}
+
+
+def error_body(error: CuminstileError) -> dict[str, Any]:
+    """Return the body of a refusal."""
+    return {
+        "error": {
+            "code": error.code.value,
+            "message": error.message,
+            "ran": error.ran.value,
+            "findings": [asdict(finding) for finding in error.findings],
+        }
+    }
--- /dev/null
+++ b/cuminstile/caller/serving.py
@@ -0,0 +1,147 @@
+"""Run a caller's request and answer it, whole or as a stream."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from starlette.requests import Request as HttpRequest
+from starlette.responses import JSONResponse, Response, StreamingResponse
+
+from ..calls import TokenSink, drop_tokens
+from ..events import Event
+from ..exceptions import CuminstileError, ErrorCode, Ran
+from ..pipeline import Progress, Request, run_pipeline
+from .bodies import answer_body, error_body
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+STREAM_BUFFER_EVENTS = 64
+
+
+async def run_request(
+    vm: Vm, request: Request, progress: Progress, on_tokens: TokenSink
+) -> None:
+    """Run a request within its deadline and record how it ended.
+
+    Raises
+    ------
+    CuminstileError
+        The refusal, with what is known about the run.
+    """
+    started_ms = vm.clock.now_ms()
+    vm.activity.requests += 1
+    try:
+        with anyio.move_on_after((request.deadline_ms - started_ms) / 1000.0) as scope:
+            await run_pipeline(vm, request, progress, on_tokens)
+        if scope.cancelled_caught:
+            raise CuminstileError(ErrorCode.DEADLINE_PASSED, "the deadline has passed")
+    except CuminstileError as error:
+        error = with_truth(error, progress)
+        note_end(vm, request, error.code.value, started_ms)
+        raise error from error
+    except anyio.get_cancelled_exc_class():
+        note_end(vm, request, "cancelled", started_ms)
+        raise
+    finally:
+        vm.activity.requests -= 1
+    note_end(vm, request, "answered", started_ms)
+
+
+def with_truth(error: CuminstileError, progress: Progress) -> CuminstileError:
+    """Return the error with what all steps together know about the run."""
+    ran = Ran.UNKNOWN if progress.maybe_ran() else error.ran
+    return CuminstileError(error.code, error.message, ran, error.findings)
+
+
+def note_end(vm: Vm, request: Request, result: str, started_ms: float) -> None:
+    """Record the end of a request."""
+    elapsed_ms = vm.clock.now_ms() - started_ms
+    pipeline = request.pipeline.name
+    vm.metrics.requests_total.inc({"pipeline": pipeline, "result": result})
+    if result == "answered":
+        vm.metrics.request_ms.observe({"pipeline": pipeline}, elapsed_ms)
+        event = Event.REQUEST_ANSWERED
+    elif result == "cancelled":
+        event = Event.REQUEST_CANCELLED
+    else:
+        event = Event.REQUEST_REFUSED
+    vm.journal.record(
+        event, request=request.name, result=result, elapsed_ms=round(elapsed_ms, 1)
+    )
+
+
+async def answer_whole(vm: Vm, request: Request, http: HttpRequest) -> Response:
+    """Run a request and return its whole answer.
+
+    A request whose steps may all be repeated is cancelled when its caller leaves.
+    """
+    progress = Progress()
+    error: CuminstileError | None = None
+    async with anyio.create_task_group() as tasks:
+        if not has_unrepeatable(vm, request):
+            tasks.start_soon(cancel_when_gone, http, tasks.cancel_scope)
+        try:
+            await run_request(vm, request, progress, drop_tokens)
+        except CuminstileError as caught:
+            error = caught
+        tasks.cancel_scope.cancel()
+    if error is not None:
+        raise error
+    if len(progress.outcomes) < len(request.pipeline.steps):
+        raise CuminstileError(ErrorCode.DEADLINE_PASSED, "the caller has left")
+    return JSONResponse(answer_body(request, progress))
+
+
+def has_unrepeatable(vm: Vm, request: Request) -> bool:
+    """Return whether a step of the request may not be repeated."""
+    stages = vm.objects.stages
+    return any(not stages[step.stage].repeatable for step in request.pipeline.steps)
+
+
+async def cancel_when_gone(http: HttpRequest, scope: anyio.CancelScope) -> None:
+    """Cancel the work when the caller closes its connection."""
+    while (await http.receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+def answer_stream(vm: Vm, request: Request) -> Response:
+    """Return an answer that streams tokens as server-sent events."""
+    return StreamingResponse(
+        stream_events(vm, request),
+        media_type="text/event-stream",
+        headers={"cache-control": "no-store"},
+    )
+
+
+async def stream_events(vm: Vm, request: Request) -> AsyncIterator[bytes]:
+    """Run a request and give its events."""
+    send, receive = anyio.create_memory_object_stream[bytes](STREAM_BUFFER_EVENTS)
+
+    async def on_tokens(index: int, tokens: tuple[str, ...]) -> None:
+        await send.send(sse("tokens", {"index": index, "tokens": tokens}))
+
+    async def run() -> None:
+        progress = Progress()
+        async with send:
+            try:
+                await run_request(vm, request, progress, on_tokens)
+                last = sse("done", answer_body(request, progress))
+            except CuminstileError as error:
+                last = sse("error", error_body(error))
+            await send.send(last)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        async with receive:
+            async for event in receive:
+                yield event
+
+
+def sse(event: str, data: dict[str, Any]) -> bytes:
+    """Return one server-sent event."""
+    return f"event: {event}\ndata: {json.dumps(data)}\n\n".encode()
--- /dev/null
+++ b/cuminstile/calls.py
@@ -0,0 +1,70 @@
+"""Define a call of one stage and its outcome."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+TokenSink = Callable[[int, tuple[str, ...]], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class StageCall:
+    """Hold what one stage has to do for one request.
+
+    Parameters
+    ----------
+    version : str
+        The upstream version to use; empty while none is chosen.
+    deadline_ms : float
+        Monotonic time of this VM by which the whole request must be answered.
+    resume_at : int
+        The index of the first token still wanted.
+    idempotency_key : str
+        Empty for a request without one.
+    issued_at_ms : int
+        When the caller issued its key, in ms since 1970 UTC.
+    """
+
+    request: str
+    organisation: str
+    pipeline: str
+    step: str
+    stage: str
+    version: str
+    input: Any
+    stream: bool
+    priority: int
+    deadline_ms: float
+    resume_at: int = 0
+    idempotency_key: str = ""
+    issued_at_ms: int = 0
+
+
+@dataclass(frozen=True)
+class StageOutcome:
+    """Hold the output of one stage and where it ran.
+
+    Parameters
+    ----------
+    elapsed_ms : float
+        From the moment the stage could start to its output.
+    """
+
+    output: Any
+    version: str
+    upstream: str
+    data_centre: str
+    vm: str
+    attempts: int
+    elapsed_ms: float
+
+
+@dataclass
+class RunTrace:
+    """Note whether a byte of a call that may not be repeated may have left."""
+
+    maybe_ran: bool = False
+
+
+async def drop_tokens(index: int, tokens: tuple[str, ...]) -> None:
+    """Take tokens that nobody waits for."""
--- /dev/null
+++ b/cuminstile/daemon.py
@@ -0,0 +1,154 @@
+"""Run one VM of the system: the program `cuminstiled`."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import anyio
+import fire
+import uvicorn
+from anyio.abc import TaskGroup
+from starlette.applications import Starlette
+
+from .caller.app import make_app
+from .clock import Clock
+from .events import Event, Journal, log_to
+from .exceptions import CuminstileError
+from .platform.client import make_platform_client
+from .platform.follow import follow_configuration, follow_vm_list
+from .runtime import Vm
+from .settings import Settings, load_settings
+from .stages import run_stage
+from .tls import client_context, server_context
+from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
+from .vm.membership import Members
+from .vm.messages import (
+    Heartbeat,
+    RunStage,
+    StageCancel,
+    StageDone,
+    StageRefused,
+    StageTokens,
+)
+from .vm.sessions import keep_dialling, listen, on_heartbeat
+from .vm.shutdown import drain
+
+EXIT_BAD_INPUT = 2
+
+
+class QuietServer(uvicorn.Server):
+    """Serve HTTP without taking over the process's signals."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signals to the daemon."""
+        yield
+
+
+def make_vm(settings: Settings) -> Vm:
+    """Return the state of a VM that has not started yet."""
+    clock = Clock()
+    members = Members(settings.name)
+    for peer in settings.peers:
+        members.add(peer.name, peer.data_centre, peer.address)
+    return Vm(
+        settings=settings,
+        clock=clock,
+        journal=Journal(settings.name, clock),
+        platform=make_platform_client(settings.platform, settings.platform_key),
+        run_stage=run_stage,
+        handlers={
+            Heartbeat: on_heartbeat,
+            RunStage: on_run_stage,
+            StageTokens: on_answer,
+            StageDone: on_answer,
+            StageRefused: on_answer,
+            StageCancel: on_stage_cancel,
+        },
+        members=members,
+        server_tls=server_context(settings.tls),
+        client_tls=client_context(settings.tls),
+    )
+
+
+def make_server(settings: Settings, app: Starlette, port: int) -> QuietServer:
+    """Return the HTTP server for one of the VM's ports."""
+    tls = settings.tls
+    config = uvicorn.Config(
+        app,
+        host=settings.host,
+        port=port,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        backlog=2048,
+        ssl_certfile=tls.certificate if tls else None,
+        ssl_keyfile=str(tls.key) if tls else None,
+    )
+    return QuietServer(config)
+
+
+async def serve(vm: Vm) -> None:
+    """Run a VM until it is asked to stop and has finished its work."""
+    vm.journal.record(
+        Event.VM_STARTED,
+        incarnation=vm.incarnation,
+        data_centre=vm.settings.data_centre,
+    )
+    servers = [make_server(vm.settings, make_app(vm), vm.settings.caller_port)]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stop_on_signal, vm, tasks, servers)
+        tasks.start_soon(listen, vm)
+        tasks.start_soon(keep_dialling, vm)
+        tasks.start_soon(follow_configuration, vm)
+        tasks.start_soon(follow_vm_list, vm)
+        for server in servers:
+            tasks.start_soon(server.serve)
+    vm.journal.record(Event.VM_STOPPED)
+
+
+async def stop_on_signal(vm: Vm, tasks: TaskGroup, servers: list[QuietServer]) -> None:
+    """Shut down gracefully on SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            break
+    await drain(vm, servers)
+    tasks.cancel_scope.cancel()
+
+
+def run(settings: str) -> None:
+    """Run one VM of the system until SIGTERM.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the JSON file with the VM's settings.
+    """
+    try:
+        checked = load_settings(Path(settings))
+    except CuminstileError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    with contextlib.ExitStack() as stack:
+        target = sys.stderr
+        if checked.log_file != "-":
+            target = stack.enter_context(open(checked.log_file, "a", buffering=1))
+        log_to(target)
+        anyio.run(serve, make_vm(checked))
+
+
+def main() -> None:
+    """Start the program."""
+    fire.Fire(run, name="cuminstiled")
+
+
+if __name__ == "__main__":
+    main()
--- a/cuminstile/objects/collection.py
+++ b/cuminstile/objects/collection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from .model import (
     AnyObject,
@@ -14,6 +15,17 @@
     UpstreamVersion,
 )
 
+T = TypeVar(
+    "T",
+    DataCentre,
+    Stage,
+    UpstreamVersion,
+    Upstream,
+    Pipeline,
+    Organisation,
+    TrafficMove,
+)
+
 
 @dataclass(frozen=True)
 class ObjectSet:
@@ -31,7 +43,7 @@
     by_stage: Mapping[str, tuple[UpstreamVersion, ...]] = field(default_factory=dict)
 
 
-def of_kind(objects: Iterable[AnyObject], kind: type) -> dict:
+def of_kind(objects: Iterable[AnyObject], kind: type[T]) -> dict[str, T]:
     """Return the objects of one class by name."""
     return {item.name: item for item in objects if isinstance(item, kind)}
 
@@ -44,8 +56,8 @@
     versions = of_kind(every, UpstreamVersion)
     by_version: dict[str, tuple[Upstream, ...]] = {}
     for upstream in upstreams.values():
-        for version in upstream.versions:
-            by_version[version] = (*by_version.get(version, ()), upstream)
+        for name in upstream.versions:
+            by_version[name] = (*by_version.get(name, ()), upstream)
     by_stage: dict[str, tuple[UpstreamVersion, ...]] = {}
     for version in versions.values():
         by_stage[version.stage] = (*by_stage.get(version.stage, ()), version)
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -1,13 +1,47 @@
-"""Hold the state of one VM and run its tasks."""
+"""Hold the state of one VM."""
 
+from __future__ import annotations
+
+import random
 import secrets
+import ssl
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
+
+import httpcore
 
+from .calls import RunTrace, StageCall, StageOutcome, TokenSink
 from .clock import Clock
 from .events import Journal
+from .exceptions import CuminstileError, ErrorCode
+from .metrics import Metrics, make_metrics
+from .objects.collection import ObjectSet
 from .platform.client import PlatformClient
 from .platform.configuration import ConfigurationState
 from .settings import Settings
+from .upstream.client import make_pool
+from .upstream.table import UpstreamTable
+from .vm.membership import Members
+from .vm.sessions import Session, Sessions
+from .wire import Message
+
+Handler = Callable[["Vm", Session, Any], Awaitable[None]]
+StageRunner = Callable[
+    ["Vm", StageCall, RunTrace, TokenSink, bool], Awaitable[StageOutcome]
+]
+
+
+@dataclass
+class Activity:
+    """Count the work in progress, so that a shutdown can wait for it."""
+
+    requests: int = 0
+    forwarded: int = 0
+
+    def total(self) -> int:
+        """Return how many pieces of work are in progress."""
+        return self.requests + self.forwarded
 
 
 @dataclass
@@ -16,16 +50,54 @@
 
     Parameters
     ----------
+    run_stage : StageRunner
+        Runs one stage here or, if its last argument allows it, on another VM.
+    handlers : dict of type to Handler
+        What to do with each kind of message from another VM.
     incarnation : str
         New at every start, so that a replaced VM is told apart.
     leaving : bool
         Whether a graceful shutdown has begun.
+    platform_away_since_ms : float or None
+        Monotonic time since which the platform has not answered.
     """
 
     settings: Settings
     clock: Clock
     journal: Journal
     platform: PlatformClient
+    run_stage: StageRunner
+    handlers: dict[type[Message], Handler]
+    members: Members
+    random: random.Random = field(default_factory=random.Random)
     incarnation: str = field(default_factory=lambda: secrets.token_hex(6))
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    sessions: Sessions = field(default_factory=Sessions)
+    upstreams: UpstreamTable = field(default_factory=UpstreamTable)
+    upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+    activity: Activity = field(default_factory=Activity)
+    metrics: Metrics = field(default_factory=make_metrics)
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
     leaving: bool = False
+    platform_away_since_ms: float | None = None
+
+    @property
+    def objects(self) -> ObjectSet:
+        """Return the objects in force.
+
+        Raises
+        ------
+        CuminstileError
+            With `NO_CONFIGURATION` while there are none.
+        """
+        if self.configuration.current is None:
+            raise CuminstileError(
+                ErrorCode.NO_CONFIGURATION, "no configuration is in force yet"
+            )
+        return self.configuration.current.objects
+
+    @property
+    def own_address(self) -> str:
+        """Return `host:port` of this VM's port for other VMs."""
+        return f"{self.settings.host}:{self.settings.vm_port}"
--- /dev/null
+++ b/cuminstile/upstream/client.py
@@ -0,0 +1,251 @@
+"""Call one upstream over HTTP and check that the answer is the right one."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any
+
+import httpcore
+
+from ..calls import RunTrace, StageCall, TokenSink
+from ..const import CONNECT_TIMEOUT_MS, MAX_ANSWER_BYTES
+from ..exceptions import CuminstileError, ErrorCode, Ran
+
+
+@dataclass(frozen=True)
+class UpstreamAnswer:
+    """Hold the whole answer of an upstream.
+
+    Parameters
+    ----------
+    state : str
+        `cold` or `warm`, as the upstream says of itself.
+    work_ms : float
+        What the upstream says the work took.
+    """
+
+    incarnation: str
+    state: str
+    output: Any
+    work_ms: float
+
+
+class UpstreamError(Exception):
+    """Tell that an upstream gave no good answer.
+
+    Parameters
+    ----------
+    reason : str
+        `connect`, `refused`, `failed`, `crossed`, `truncated` or `malformed`.
+    left : bool
+        Whether a byte of the call may have left this VM and may have run.
+    """
+
+    def __init__(
+        self, reason: str, left: bool, state: str = "", incarnation: str = ""
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.left = left
+        self.state = state
+        self.incarnation = incarnation
+
+
+@dataclass
+class Sending:
+    """Note whether the first byte of a call may have left this VM."""
+
+    left: bool = False
+
+    async def trace(self, name: str, info: dict[str, Any]) -> None:
+        """Take the events of the HTTP library."""
+        if name.endswith("send_request_headers.started"):
+            self.left = True
+
+
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return the connection pool for all upstreams of a VM."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=10_000, max_keepalive_connections=1_000, keepalive_expiry=30.0
+    )
+
+
+def body_of(call: StageCall, attempt: str, remaining_ms: float) -> bytes:
+    """Return the JSON body of one call."""
+    return json.dumps(
+        {
+            "attempt": attempt,
+            "stage": call.stage,
+            "version": call.version,
+            "organisation": call.organisation,
+            "input": call.input,
+            "stream": call.stream,
+            "priority": call.priority,
+            "remaining_ms": remaining_ms,
+            "resume_at": call.resume_at,
+            "idempotency_key": call.idempotency_key or None,
+        }
+    ).encode()
+
+
+async def call_upstream(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    call: StageCall,
+    attempt: str,
+    remaining_ms: float,
+    trace: RunTrace | None,
+    on_tokens: TokenSink,
+) -> UpstreamAnswer:
+    """Send one call and return its whole answer.
+
+    `trace` is set for a call that may not be repeated.
+
+    Raises
+    ------
+    UpstreamError
+        If the upstream gave no good answer.
+    """
+    sending = Sending()
+
+    async def note(name: str, info: dict[str, Any]) -> None:
+        await sending.trace(name, info)
+        if sending.left and trace is not None:
+            trace.maybe_ran = True
+
+    try:
+        async with pool.stream(
+            "POST",
+            f"http://{address}/run",
+            headers=[("content-type", "application/json")],
+            content=body_of(call, attempt, remaining_ms),
+            extensions={
+                "trace": note,
+                "timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0},
+            },
+        ) as response:
+            return await read_answer(response, call, attempt, on_tokens)
+    except UpstreamError as error:
+        if not error.left and trace is not None:
+            trace.maybe_ran = False
+        raise
+    except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        raise UpstreamError("connect", sending.left) from error
+    except (
+        OSError,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ) as error:
+        raise UpstreamError("truncated", sending.left) from error
+
+
+async def read_answer(
+    response: httpcore.Response, call: StageCall, attempt: str, on_tokens: TokenSink
+) -> UpstreamAnswer:
+    """Read the answer to one call, whole or streamed."""
+    if response.status == 200 and call.stream:
+        return await read_stream(response, call, attempt, on_tokens)
+    body = await read_body(response)
+    check_attempt(body, attempt)
+    if response.status == 429:
+        raise UpstreamError(
+            str(body.get("code", "refused")),
+            False,
+            str(body.get("state", "")),
+            str(body.get("incarnation", "")),
+        )
+    if response.status != 200:
+        raise UpstreamError("failed", True)
+    return answer_of(body)
+
+
+async def read_body(response: httpcore.Response) -> dict[str, Any]:
+    """Return the JSON object in a body of limited size."""
+    data = b""
+    async for part in response.aiter_stream():
+        data += part
+        if len(data) > MAX_ANSWER_BYTES:
+            raise UpstreamError("too large", True)
+    return object_of(data)
+
+
+def object_of(data: bytes | str) -> dict[str, Any]:
+    """Return the JSON object in `data`."""
+    try:
+        body = json.loads(data)
+    except ValueError as error:
+        raise UpstreamError("malformed", True) from error
+    if not isinstance(body, dict):
+        raise UpstreamError("malformed", True)
+    return body
+
+
+def check_attempt(body: dict[str, Any], attempt: str) -> None:
+    """Refuse an answer to another attempt."""
+    if body.get("attempt") != attempt:
+        raise UpstreamError("crossed", True)
+
+
+def answer_of(body: dict[str, Any]) -> UpstreamAnswer:
+    """Return the typed answer in a checked body."""
+    if "output" not in body:
+        raise UpstreamError("malformed", True)
+    work_ms = body.get("work_ms", 0.0)
+    return UpstreamAnswer(
+        str(body.get("incarnation", "")),
+        str(body.get("state", "")),
+        body["output"],
+        float(work_ms) if isinstance(work_ms, int | float) else 0.0,
+    )
+
+
+async def read_stream(
+    response: httpcore.Response, call: StageCall, attempt: str, on_tokens: TokenSink
+) -> UpstreamAnswer:
+    """Pass on the tokens of a stream, each index once and in order."""
+    wanted = call.resume_at
+    async for body in events_of(response):
+        check_attempt(body, attempt)
+        if body.get("done"):
+            if body.get("count") != wanted:
+                raise UpstreamError("truncated", True)
+            return answer_of(body)
+        index, tokens = tokens_of(body)
+        if index > wanted:
+            raise UpstreamError("truncated", True)
+        fresh = tokens[wanted - index :]
+        if fresh:
+            await on_tokens(wanted, fresh)
+            wanted += len(fresh)
+    raise UpstreamError("truncated", True)
+
+
+def tokens_of(body: dict[str, Any]) -> tuple[int, tuple[str, ...]]:
+    """Return the index and the tokens of one event."""
+    index = body.get("index")
+    tokens = body.get("tokens")
+    if not isinstance(index, int) or not isinstance(tokens, list):
+        raise UpstreamError("malformed", True)
+    return index, tuple(str(token) for token in tokens)
+
+
+async def events_of(response: httpcore.Response) -> AsyncIterator[dict[str, Any]]:
+    """Give the JSON object of each server-sent event."""
+    rest = b""
+    async for part in response.aiter_stream():
+        *lines, rest = (rest + part).split(b"\n")
+        if len(rest) > MAX_ANSWER_BYTES:
+            raise UpstreamError("too large", True)
+        for line in lines:
+            if line.startswith(b"data:"):
+                yield object_of(line[5:])
+
+
+def refusal(error: UpstreamError, ran: Ran) -> CuminstileError:
+    """Return the error that a caller sees for a failed upstream."""
+    return CuminstileError(
+        ErrorCode.UPSTREAM_FAILED, f"the upstream's answer: {error.reason}", ran
+    )
--- /dev/null
+++ b/cuminstile/vm/forwarding.py
@@ -0,0 +1,189 @@
+"""Run stages on other VMs, and other VMs' stages here."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from ..calls import RunTrace, StageCall, StageOutcome, TokenSink
+from ..events import Event
+from ..exceptions import CuminstileError, ErrorCode, Ran
+from ..wire import Message
+from .messages import (
+    RunStage,
+    StageCancel,
+    StageDone,
+    StageRefused,
+    StageTokens,
+)
+from .sessions import Session, peer_lost
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+
+async def run_on_peer(
+    vm: Vm, session: Session, call: StageCall, trace: RunTrace, on_tokens: TokenSink
+) -> StageOutcome:
+    """Run one stage on another VM.
+
+    Raises
+    ------
+    CuminstileError
+        The other VM's refusal, or `PEER_LOST` if the session broke.
+    """
+    number = next(session.numbers)
+    answers, incoming = anyio.create_memory_object_stream[Message](math.inf)
+    session.calls[number] = answers
+    repeatable = vm.objects.stages[call.stage].repeatable
+    finished = False
+    try:
+        if not repeatable:
+            trace.maybe_ran = True
+        await session.send(make_run_stage(vm, number, call))
+        async for message in incoming:
+            if isinstance(message, StageTokens):
+                await on_tokens(message.index, message.tokens)
+                continue
+            finished = True
+            return outcome_of(message, trace, repeatable)
+        raise peer_lost(session.name)
+    finally:
+        session.calls.pop(number, None)
+        if not finished:
+            with anyio.CancelScope(shield=True):
+                await cancel_on_peer(session, number)
+
+
+async def cancel_on_peer(session: Session, number: int) -> None:
+    """Tell the other VM that nobody waits any more, if it can be told."""
+    try:
+        with anyio.move_on_after(1.0):
+            await session.send(StageCancel(number))
+    except CuminstileError:
+        return
+
+
+def make_run_stage(vm: Vm, number: int, call: StageCall) -> RunStage:
+    """Return the message that asks for one call."""
+    return RunStage(
+        call=number,
+        request=call.request,
+        organisation=call.organisation,
+        pipeline=call.pipeline,
+        step=call.step,
+        stage=call.stage,
+        version=call.version,
+        input=call.input,
+        stream=call.stream,
+        priority=call.priority,
+        remaining_ms=call.deadline_ms - vm.clock.now_ms(),
+        resume_at=call.resume_at,
+        idempotency_key=call.idempotency_key,
+        issued_at_ms=call.issued_at_ms,
+    )
+
+
+def outcome_of(message: Any, trace: RunTrace, repeatable: bool) -> StageOutcome:
+    """Return the outcome that the other VM gave, or raise its refusal."""
+    if isinstance(message, StageDone):
+        return StageOutcome(
+            message.output,
+            message.version,
+            message.upstream,
+            message.data_centre,
+            message.vm,
+            message.attempts,
+            message.elapsed_ms,
+        )
+    if message.ran is Ran.NOT_RUN and not repeatable:
+        trace.maybe_ran = False
+    raise CuminstileError(message.code, message.message, message.ran)
+
+
+async def on_answer(
+    vm: Vm, session: Session, message: StageTokens | StageDone | StageRefused
+) -> None:
+    """Hand an answer to the call that waits for it; drop one nobody waits for."""
+    answers = session.calls.get(message.call)
+    if answers is None:
+        vm.journal.record(
+            Event.ANSWER_DROPPED, source=session.name, reason="no call waits"
+        )
+        return
+    await answers.send(message)
+
+
+async def on_run_stage(vm: Vm, session: Session, message: RunStage) -> None:
+    """Start a task for another VM's stage."""
+    session.tasks.start_soon(serve_stage, vm, session, message)
+
+
+async def on_stage_cancel(vm: Vm, session: Session, message: StageCancel) -> None:
+    """Stop a stage that nobody waits for."""
+    scope = session.serving.get(message.call)
+    if scope is not None:
+        scope.cancel()
+
+
+async def serve_stage(vm: Vm, session: Session, message: RunStage) -> None:
+    """Run another VM's stage here and send the answer."""
+    call = StageCall(
+        request=message.request,
+        organisation=message.organisation,
+        pipeline=message.pipeline,
+        step=message.step,
+        stage=message.stage,
+        version=message.version,
+        input=message.input,
+        stream=message.stream,
+        priority=message.priority,
+        deadline_ms=vm.clock.now_ms() + message.remaining_ms,
+        resume_at=message.resume_at,
+        idempotency_key=message.idempotency_key,
+        issued_at_ms=message.issued_at_ms,
+    )
+
+    async def on_tokens(index: int, tokens: tuple[str, ...]) -> None:
+        await session.send(StageTokens(message.call, index, tokens))
+
+    with anyio.CancelScope() as scope:
+        session.serving[message.call] = scope
+        vm.activity.forwarded += 1
+        try:
+            answer = await answer_stage(vm, call, message.call, on_tokens)
+            await session.send(answer)
+        except CuminstileError:
+            # The session broke: the other VM sees that itself.
+            return
+        finally:
+            vm.activity.forwarded -= 1
+            session.serving.pop(message.call, None)
+
+
+async def answer_stage(
+    vm: Vm, call: StageCall, number: int, on_tokens: TokenSink
+) -> StageDone | StageRefused:
+    """Run a stage here and return the answer or the refusal."""
+    trace = RunTrace()
+    try:
+        outcome = await vm.run_stage(vm, call, trace, on_tokens, False)
+    except CuminstileError as error:
+        ran = Ran.UNKNOWN if trace.maybe_ran else error.ran
+        return StageRefused(number, error.code, error.message, ran)
+    except Exception as error:
+        vm.journal.record(Event.STAGE_FAILED, reason=repr(error), stage=call.stage)
+        ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
+        return StageRefused(number, ErrorCode.INTERNAL, "internal error", ran)
+    return StageDone(
+        number,
+        outcome.output,
+        outcome.version,
+        outcome.upstream,
+        outcome.data_centre,
+        outcome.vm,
+        outcome.attempts,
+        outcome.elapsed_ms,
+    )
--- /dev/null
+++ b/cuminstile/vm/membership.py
@@ -0,0 +1,94 @@
+"""Know which VMs there are, which live and which leave."""
+
+from dataclasses import dataclass, field
+
+from ..const import HEARTBEAT_INTERVAL_MS
+from ..platform.client import ListedVm
+
+SILENCE_LIMIT_MS = 4 * HEARTBEAT_INTERVAL_MS
+
+
+@dataclass
+class Member:
+    """Hold what is known about one other VM.
+
+    Parameters
+    ----------
+    address : str
+        `host:port` of its VM port.
+    incarnation : str
+        Empty until the VM has introduced itself.
+    heard_ms : float
+        Monotonic time of its last message; minus infinity for never.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    listed: bool = True
+    leaving: bool = False
+    incarnation: str = ""
+    heard_ms: float = float("-inf")
+    config_version: int = -1
+
+
+@dataclass
+class Members:
+    """Hold the other VMs by name.
+
+    Parameters
+    ----------
+    own_name : str
+        This VM, which is never a member of its own list.
+    """
+
+    own_name: str
+    by_name: dict[str, Member] = field(default_factory=dict)
+    listed_ms: float = float("-inf")
+
+    def take_list(self, listed: tuple[ListedVm, ...], now_ms: float) -> None:
+        """Take over the platform's list.
+
+        A VM that is not on it any more stays known while it is heard.
+        """
+        self.listed_ms = now_ms
+        names = {entry.name for entry in listed}
+        for entry in listed:
+            self.add(entry.name, entry.data_centre, entry.address)
+            if entry.state == "leaving" and entry.name in self.by_name:
+                self.by_name[entry.name].leaving = True
+        for member in tuple(self.by_name.values()):
+            member.listed = member.name in names
+            if not member.listed and not self.is_alive(member.name, now_ms):
+                del self.by_name[member.name]
+
+    def add(self, name: str, data_centre: str, address: str) -> None:
+        """Learn of a VM, or of its new address."""
+        if name == self.own_name:
+            return
+        member = self.by_name.get(name)
+        if member is None:
+            self.by_name[name] = Member(name, data_centre, address)
+            return
+        member.address = address
+        member.data_centre = data_centre
+
+    def hear(self, name: str, now_ms: float) -> None:
+        """Note that a message of the VM has come."""
+        member = self.by_name.get(name)
+        if member is not None:
+            member.heard_ms = now_ms
+
+    def is_alive(self, name: str, now_ms: float) -> bool:
+        """Return whether the VM was heard lately."""
+        member = self.by_name.get(name)
+        if member is None:
+            return False
+        return now_ms - member.heard_ms <= SILENCE_LIMIT_MS
+
+    def alive(self, now_ms: float) -> tuple[Member, ...]:
+        """Return the VMs heard lately, in the order of their names."""
+        names = sorted(self.by_name)
+        return tuple(
+            self.by_name[name] for name in names if self.is_alive(name, now_ms)
+        )
--- /dev/null
+++ b/cuminstile/vm/sessions.py
@@ -0,0 +1,339 @@
+"""Keep one websocket session with each other VM."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import secrets
+import ssl
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import websockets
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import serve
+
+from ..const import (
+    CONNECT_TIMEOUT_MS,
+    HEARTBEAT_INTERVAL_MS,
+    RECONNECT_MAX_MS,
+    RECONNECT_MIN_MS,
+)
+from ..events import Event, Stamp
+from ..exceptions import CuminstileError, ErrorCode
+from ..wire import MAX_MESSAGE_BYTES, Message
+from .authentication import is_proved, prove
+from .membership import SILENCE_LIMIT_MS, Member
+from .messages import CODEC, Challenge, Heartbeat, Hello, Welcome
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+HANDSHAKE_TIMEOUT_MS = 2_000
+
+
+@dataclass
+class Session:
+    """Hold one open session with another VM.
+
+    Parameters
+    ----------
+    calls : dict of int to stream
+        Where the answers to this VM's own calls go, by call number.
+    serving : dict of int to CancelScope
+        The other VM's calls that run here, by call number.
+    """
+
+    name: str
+    data_centre: str
+    incarnation: str
+    connection: Connection
+    tasks: TaskGroup
+    heard_ms: float
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+    calls: dict[int, MemoryObjectSendStream[Message]] = field(default_factory=dict)
+    serving: dict[int, anyio.CancelScope] = field(default_factory=dict)
+
+    async def send(self, message: Message) -> None:
+        """Send one message.
+
+        Raises
+        ------
+        CuminstileError
+            With `PEER_LOST` if the session is closed.
+        """
+        try:
+            await self.connection.send(CODEC.encode(message))
+        except websockets.ConnectionClosed as error:
+            raise peer_lost(self.name) from error
+
+
+@dataclass
+class Sessions:
+    """Hold the open sessions by the name of the other VM."""
+
+    by_name: dict[str, Session] = field(default_factory=dict)
+    dialling: set[str] = field(default_factory=set)
+
+    def of_data_centre(self, data_centre: str) -> tuple[Session, ...]:
+        """Return the open sessions with VMs of a data centre."""
+        every = self.by_name.values()
+        return tuple(item for item in every if item.data_centre == data_centre)
+
+
+def peer_lost(name: str) -> CuminstileError:
+    """Return the error for a session that broke."""
+    return CuminstileError(ErrorCode.PEER_LOST, f"the session with {name} broke")
+
+
+async def listen(vm: Vm) -> None:
+    """Accept the sessions of other VMs, for ever."""
+
+    async def accept(connection: Connection) -> None:
+        await serve_connection(vm, connection)
+
+    async with serve(
+        accept,
+        vm.settings.host,
+        vm.settings.vm_port,
+        ssl=vm.server_tls,
+        max_size=MAX_MESSAGE_BYTES,
+        compression=None,
+        ping_interval=None,
+        open_timeout=HANDSHAKE_TIMEOUT_MS / 1000.0,
+    ):
+        await anyio.sleep(math.inf)
+
+
+async def serve_connection(vm: Vm, connection: Connection) -> None:
+    """Run one accepted session until it ends."""
+    try:
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_MS / 1000.0):
+            hello = await accept_hello(vm, connection)
+    except (CuminstileError, TimeoutError, websockets.ConnectionClosed) as error:
+        vm.journal.record(Event.PEER_REFUSED, reason=str(error))
+        await connection.close(4001, "refused")
+        return
+    vm.members.add(hello.name, hello.data_centre, hello.address)
+    await run_session(vm, connection, hello)
+
+
+async def accept_hello(vm: Vm, connection: Connection) -> Hello:
+    """Challenge the connecting VM, check its proof and prove this VM's own key."""
+    nonce = secrets.token_hex(16)
+    await connection.send(CODEC.encode(Challenge(nonce)))
+    hello: Hello = await receive(connection, Hello)
+    keys = vm.settings.vm_keys
+    if not is_proved(keys, hello.proof, "connect", hello.name, nonce):
+        raise unauthenticated(hello.name)
+    own = vm.settings.name
+    proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
+    welcome = Welcome(own, vm.settings.data_centre, vm.incarnation, proof)
+    await connection.send(CODEC.encode(welcome))
+    return hello
+
+
+def key_of(keys: tuple[str, ...], hello: Hello, nonce: str) -> str:
+    """Return the key that the connecting VM has proved; it knows that one for sure."""
+    proved = (
+        key
+        for key in keys
+        if is_proved((key,), hello.proof, "connect", hello.name, nonce)
+    )
+    return next(proved)
+
+
+def unauthenticated(name: str) -> CuminstileError:
+    """Return the error for a VM that proved no valid key."""
+    return CuminstileError(
+        ErrorCode.UNAUTHENTICATED, f"{name!r} showed no valid VM key"
+    )
+
+
+async def receive(connection: Connection, kind: type[Any]) -> Any:
+    """Return the next message, which must be of one kind."""
+    data = await connection.recv()
+    message = CODEC.decode(data if isinstance(data, bytes) else b"")
+    if not isinstance(message, kind):
+        raise CuminstileError(ErrorCode.BAD_MESSAGE, f"expected {kind.__name__}")
+    return message
+
+
+async def keep_dialling(vm: Vm) -> None:
+    """Start one dialling task for each VM that this one connects to, for ever.
+
+    Of two VMs the one whose name comes first connects.
+    """
+    async with anyio.create_task_group() as tasks:
+        while True:
+            for name in tuple(vm.members.by_name):
+                if name <= vm.settings.name or name in vm.sessions.dialling:
+                    continue
+                vm.sessions.dialling.add(name)
+                tasks.start_soon(dial, vm, name)
+            await vm.clock.sleep_ms(HEARTBEAT_INTERVAL_MS)
+
+
+async def dial(vm: Vm, name: str) -> None:
+    """Keep a session with one VM while it is known."""
+    backoff_ms = float(RECONNECT_MIN_MS)
+    while (member := vm.members.by_name.get(name)) is not None:
+        started_ms = vm.clock.now_ms()
+        await dial_once(vm, member)
+        if vm.clock.now_ms() - started_ms > RECONNECT_MAX_MS:
+            backoff_ms = float(RECONNECT_MIN_MS)
+        await vm.clock.sleep_ms(backoff_ms * (0.5 + vm.random.random()))
+        backoff_ms = min(backoff_ms * 2, RECONNECT_MAX_MS)
+    vm.sessions.dialling.discard(name)
+
+
+async def dial_once(vm: Vm, member: Member) -> None:
+    """Connect once and run the session until it ends."""
+    scheme = "wss" if vm.client_tls else "ws"
+    try:
+        async with connect(
+            f"{scheme}://{member.address}",
+            ssl=vm.client_tls,
+            server_hostname=member.name if vm.client_tls else None,
+            max_size=MAX_MESSAGE_BYTES,
+            compression=None,
+            ping_interval=None,
+            proxy=None,
+            open_timeout=CONNECT_TIMEOUT_MS / 1000.0,
+        ) as connection:
+            with anyio.fail_after(HANDSHAKE_TIMEOUT_MS / 1000.0):
+                welcome = await greet(vm, connection, member)
+            await run_session(vm, connection, welcome)
+    except CuminstileError as error:
+        vm.journal.record(Event.PEER_REFUSED, peer=member.name, reason=error.message)
+    except (OSError, TimeoutError, ssl.SSLError, websockets.WebSocketException):
+        return
+
+
+async def greet(vm: Vm, connection: Connection, member: Member) -> Welcome:
+    """Answer the challenge and check the accepting VM's proof."""
+    challenge = await receive(connection, Challenge)
+    own = vm.settings
+    nonce = secrets.token_hex(16)
+    hello = Hello(
+        own.name,
+        own.data_centre,
+        vm.incarnation,
+        vm.own_address,
+        nonce,
+        prove(own.vm_keys[0], "connect", own.name, challenge.nonce),
+    )
+    await connection.send(CODEC.encode(hello))
+    welcome: Welcome = await receive(connection, Welcome)
+    if not is_proved(own.vm_keys, welcome.proof, "accept", welcome.name, nonce):
+        raise unauthenticated(welcome.name)
+    if welcome.name != member.name:
+        raise CuminstileError(ErrorCode.BAD_MESSAGE, "another VM answers there")
+    return welcome
+
+
+async def run_session(vm: Vm, connection: Connection, peer: Hello | Welcome) -> None:
+    """Run an authenticated session until it closes or falls silent."""
+    async with anyio.create_task_group() as tasks:
+        session = Session(
+            peer.name,
+            peer.data_centre,
+            peer.incarnation,
+            connection,
+            tasks,
+            vm.clock.now_ms(),
+        )
+        async with registered(vm, session):
+            tasks.start_soon(send_heartbeats, vm, session)
+            await receive_messages(vm, session)
+            tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def registered(vm: Vm, session: Session) -> AsyncIterator[None]:
+    """Make the session known while it is open; a newer one takes its place."""
+    old = vm.sessions.by_name.get(session.name)
+    vm.sessions.by_name[session.name] = session
+    if old is not None:
+        old.tasks.cancel_scope.cancel()
+    member = vm.members.by_name.get(session.name)
+    if member is not None:
+        if member.incarnation != session.incarnation:
+            member.leaving = False
+        member.incarnation = session.incarnation
+    vm.members.hear(session.name, vm.clock.now_ms())
+    vm.journal.record(
+        Event.PEER_CONNECTED, peer=session.name, incarnation=session.incarnation
+    )
+    try:
+        yield
+    finally:
+        if vm.sessions.by_name.get(session.name) is session:
+            del vm.sessions.by_name[session.name]
+        for answers in session.calls.values():
+            answers.close()
+        vm.journal.record(Event.PEER_LOST, peer=session.name)
+
+
+async def send_heartbeats(vm: Vm, session: Session) -> None:
+    """Send heartbeats, and close the session when the other VM is silent."""
+    while True:
+        if vm.clock.now_ms() - session.heard_ms > SILENCE_LIMIT_MS:
+            session.tasks.cancel_scope.cancel()
+            return
+        try:
+            await session.send(heartbeat(vm))
+        except CuminstileError:
+            session.tasks.cancel_scope.cancel()
+            return
+        await vm.clock.sleep_ms(HEARTBEAT_INTERVAL_MS)
+
+
+def heartbeat(vm: Vm) -> Heartbeat:
+    """Return this VM's present heartbeat."""
+    stamp = vm.journal.stamp()
+    current = vm.configuration.current
+    version = current.version if current else -1
+    return Heartbeat(stamp.wall_ms, stamp.count, version, vm.leaving)
+
+
+async def receive_messages(vm: Vm, session: Session) -> None:
+    """Hand each message to its handler until the connection closes."""
+    try:
+        async for data in session.connection:
+            session.heard_ms = vm.clock.now_ms()
+            vm.members.hear(session.name, session.heard_ms)
+            await receive_one(vm, session, data)
+    except websockets.ConnectionClosed:
+        return
+
+
+async def receive_one(vm: Vm, session: Session, data: bytes | str) -> None:
+    """Decode and handle one message; a bad one is recorded and left out."""
+    try:
+        message = CODEC.decode(data if isinstance(data, bytes) else b"")
+        handler = vm.handlers.get(type(message))
+        if handler is None:
+            raise CuminstileError(ErrorCode.BAD_MESSAGE, "out of turn")
+    except CuminstileError as error:
+        vm.journal.record(
+            Event.PEER_MESSAGE_REFUSED, peer=session.name, reason=error.message
+        )
+        return
+    await handler(vm, session, message)
+
+
+async def on_heartbeat(vm: Vm, session: Session, message: Heartbeat) -> None:
+    """Take over what a heartbeat tells about its sender."""
+    vm.journal.see(Stamp(message.wall_ms, message.count))
+    member = vm.members.by_name.get(session.name)
+    if member is None:
+        return
+    member.config_version = message.config_version
+    member.leaving = message.leaving
