--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Share small fakes at the interfaces of the package."""
--- /dev/null
+++ b/tests/fakes/upstreams.py
@@ -0,0 +1,76 @@
+"""Serve scripted answers of an upstream on a loopback port."""
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+Answer = Callable[[dict[str, Any], SocketStream], Awaitable[None]]
+
+
+@dataclass
+class FakeUpstream:
+    """Hold where a fake upstream listens and the calls that reached it."""
+
+    address: str = ""
+    calls: list[dict[str, Any]] = field(default_factory=list)
+
+
+@asynccontextmanager
+async def upstream(answer: Answer) -> AsyncIterator[FakeUpstream]:
+    """Run a fake upstream that lets `answer` write the bytes of each answer."""
+    fake = FakeUpstream()
+
+    async def handle(stream: SocketStream) -> None:
+        async with stream:
+            with_body = await read_call(stream)
+            if with_body is None:
+                return
+            fake.calls.append(with_body)
+            await answer(with_body, stream)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+    fake.address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, handle)
+        yield fake
+        tasks.cancel_scope.cancel()
+
+
+async def read_call(stream: SocketStream) -> dict[str, Any] | None:
+    """Return the JSON body of one HTTP request, or nothing if it never came."""
+    data = b""
+    try:
+        while b"\r\n\r\n" not in data:
+            data += await stream.receive()
+        head, body = data.split(b"\r\n\r\n", 1)
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        while len(body) < length:
+            body += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return None
+    return json.loads(body)
+
+
+async def send_json(stream: SocketStream, status: int, body: dict[str, Any]) -> None:
+    """Write one whole JSON answer and close the connection after it."""
+    content = json.dumps(body).encode()
+    head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(content)}\r\n"
+    await stream.send(f"{head}connection: close\r\n\r\n".encode() + content)
+
+
+async def send_event_head(stream: SocketStream) -> None:
+    """Write the head of a stream of server-sent events."""
+    await stream.send(
+        b"HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\n"
+        b"connection: close\r\n\r\n"
+    )
+
+
+async def send_event(stream: SocketStream, body: dict[str, Any]) -> None:
+    """Write one server-sent event."""
+    await stream.send(f"data: {json.dumps(body)}\n\n".encode())
--- /dev/null
+++ b/tests/fakes/vms.py
@@ -0,0 +1,75 @@
+"""Make VMs that run in the test's own process."""
+
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from cuminstile.daemon import make_vm
+from cuminstile.objects.collection import collect
+from cuminstile.objects.model import AnyObject
+from cuminstile.platform.configuration import Configuration, make_record
+from cuminstile.runtime import Vm
+from cuminstile.settings import Settings
+from cuminstile.vm.sessions import keep_dialling, listen
+
+VM_KEY = "a-key-for-the-vms-1"
+OPERATOR_KEY = "a-key-for-operators-1"
+
+
+def free_port() -> int:
+    """Return a TCP port of the loopback that nothing uses now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def make_settings(name: str, data_centre: str, **fields: object) -> Settings:
+    """Return settings on free ports, with a platform that nobody runs."""
+    values: dict[str, object] = {
+        "host": "127.0.0.1",
+        "caller_port": free_port(),
+        "operator_port": free_port(),
+        "vm_port": free_port(),
+        "platform": f"127.0.0.1:{free_port()}",
+        "operator_keys": (OPERATOR_KEY,),
+        "vm_keys": (VM_KEY,),
+        "shutdown_linger_ms": 0,
+        **fields,
+    }
+    return Settings(name=name, data_centre=data_centre, **values)  # type: ignore
+
+
+def put_in_force(vm: Vm, objects: tuple[AnyObject, ...], version: int = 0) -> None:
+    """Put objects in force on a VM without any log."""
+    record = make_record(-1, "test", objects)
+    vm.configuration.current = Configuration(version, collect(objects), record)
+
+
+def introduce(*vms: Vm) -> None:
+    """Let every VM know every other one."""
+    for vm in vms:
+        for other in vms:
+            own = other.settings
+            vm.members.add(own.name, own.data_centre, other.own_address)
+
+
+@asynccontextmanager
+async def connected(*vms: Vm) -> AsyncIterator[None]:
+    """Run the sessions of VMs that know each other, until the block ends."""
+    introduce(*vms)
+    async with anyio.create_task_group() as tasks:
+        for vm in vms:
+            tasks.start_soon(listen, vm)
+            tasks.start_soon(keep_dialling, vm)
+        with anyio.fail_after(5.0):
+            while not all(len(vm.sessions.by_name) == len(vms) - 1 for vm in vms):
+                await anyio.sleep(0.01)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+def make_test_vm(name: str, data_centre: str, **fields: object) -> Vm:
+    """Return a VM on free ports that has not started anything."""
+    return make_vm(make_settings(name, data_centre, **fields))
