Stand in for the platform as a small program

The VMs need a log, a list of VMs and a weight store that fail in the ways the platform does. Lost answers close or hold the connection after the append took effect; a slow append takes effect late, so that a record that was given up still surfaces; an outage ends the reads that wait.

uvicorn hides the connection from the application, and an application that returns no answer makes it send a 500, which a lost answer is not. The protocol class therefore hands the transport to the request. Sending half a header by hand was ruled out: it would need a parser of our own.

--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,106 @@
+"""Serve a stand-in over HTTP on the loopback address."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+from starlette.types import Lifespan, Receive, Scope, Send
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+HOST = "127.0.0.1"
+BACKLOG = 1024
+KEEP_ALIVE_S = 300
+SHUTDOWN_S = 1
+
+
+class ClosableProtocol(HttpToolsProtocol):
+    """Let a request reach its own connection, so that a fault can close it."""
+
+    def on_headers_complete(self) -> None:
+        """Put the connection into the state of the request."""
+        cast(dict[str, Any], self.scope)["state"]["transport"] = self.transport
+        super().on_headers_complete()
+
+
+class ClosedResponse(Response):
+    """Close the connection after a part of the answer, or after none of it.
+
+    Parameters
+    ----------
+    part : bytes
+        What still goes out as the body of an answer that promises more.
+    """
+
+    def __init__(self, part: bytes = b"") -> None:
+        super().__init__()
+        self.part = part
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send the part and close."""
+        if self.part:
+            promised = str(len(self.part) + 1).encode()
+            headers = [(b"content-length", promised)]
+            await send(
+                {"type": "http.response.start", "status": 200, "headers": headers}
+            )
+            body = {"type": "http.response.body", "body": self.part}
+            await send({**body, "more_body": True})
+        await close_connection(Request(scope))
+
+
+async def close_connection(request: Request) -> None:
+    """Close the connection of a request after what was written to it."""
+    transport: asyncio.Transport = request.state.transport
+    transport.close()
+    await asyncio.sleep(0.001)
+
+
+async def wait_for_disconnect(request: Request) -> None:
+    """Wait until the client has given up."""
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+def listen(port: int) -> socket.socket:
+    """Return a listening socket; port 0 takes a free one."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((HOST, port))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def serve(
+    routes: list[Route],
+    port: int,
+    lifespan: Lifespan[Starlette] | None = None,
+    ready: Callable[[int], None] | None = None,
+) -> None:
+    """Serve until SIGTERM; print `ready PORT` when connections are accepted."""
+    app = Starlette(routes=routes, lifespan=lifespan)
+    config = uvicorn.Config(
+        app,
+        loop="asyncio",
+        http=ClosableProtocol,
+        ws="none",
+        lifespan="on",
+        log_level="warning",
+        access_log=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=SHUTDOWN_S,
+    )
+    listener = listen(port)
+    actual_port = listener.getsockname()[1]
+    if ready is not None:
+        ready(actual_port)
+    print(f"ready {actual_port}", flush=True)
+    uvicorn.Server(config).run(sockets=[listener])
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Test standins."""
--- /dev/null
+++ b/tests/standins/programs.py
@@ -0,0 +1,78 @@
+"""Start one stand-in as a process and talk to it over HTTP."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import cbor2
+import httpcore
+
+
+@dataclass
+class Program:
+    """Hold a running stand-in and a client of its own."""
+
+    process: subprocess.Popen
+    port: int
+    http: httpcore.ConnectionPool
+
+    def request(
+        self, method: str, path: str, content: bytes = b""
+    ) -> httpcore.Response:
+        """Send one request."""
+        url = f"http://127.0.0.1:{self.port}{path}"
+        return self.http.request(
+            method, url, content=content, extensions={"timeout": {"read": 5.0}}
+        )
+
+    def json(self, method: str, path: str, body: object = None) -> dict:
+        """Send and receive JSON."""
+        content = b"" if body is None else json.dumps(body).encode()
+        return json.loads(self.request(method, path, content).content)
+
+    def cbor(self, method: str, path: str, content: bytes = b"") -> dict:
+        """Send bytes and receive CBOR."""
+        return cbor2.loads(self.request(method, path, content).content)
+
+    def run(self, attempt: str, stream: bool = False, **fields: object) -> dict:
+        """Run one call and return its last JSON object."""
+        response = self.request("POST", "/run", call(attempt, stream, **fields))
+        text = response.content.decode()
+        return events_of(text)[-1] if stream else json.loads(text)
+
+
+def call(attempt: str, stream: bool = False, **fields: object) -> bytes:
+    """Return the body of a call."""
+    body = {"attempt": attempt, "stage": "s", "version": "v", "input": {}}
+    return json.dumps({**body, "stream": stream, **fields}).encode()
+
+
+def events_of(text: str) -> list[dict]:
+    """Return the JSON object of each server-sent event."""
+    return [
+        json.loads(line.removeprefix("data: "))
+        for line in text.splitlines()
+        if line.startswith("data: ")
+    ]
+
+
+@contextmanager
+def started(module: str, **control: object) -> Iterator[Program]:
+    """Run `python -m standins.MODULE` until the block ends."""
+    command = [sys.executable, "-m", f"standins.{module}", "--port", "0"]
+    process = subprocess.Popen(
+        [*command, "--control", json.dumps(control)], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        assert process.stdout is not None
+        word, port = process.stdout.readline().split()
+        assert word == "ready"
+        with httpcore.ConnectionPool(max_connections=64) as http:
+            yield Program(process, int(port), http)
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
