Stand in for engines, pools and services

Each is a program of its own over one common part: admission, places by priority, cold and warm, the record of runs, the faults of an answer drawn by seed. Tokens and outputs depend on the input alone, so that a stream resumed elsewhere and a crossed answer can be told; marks in the input travel to the last output.

--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,138 @@
+"""Stand in for a model engine that batches continuously and streams tokens."""
+
+import hashlib
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import fire
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .calls import Active, Call, RunLog, marks_of, values_under
+from .control import UPSTREAM, read_control
+from .prefix_cache import PrefixCache
+from .upstream import Upstream, make_upstream, now_ms, wait_ms
+from .upstream_http import serve_upstream
+
+WORDS = (
+    "panel",
+    "depot",
+    "crew",
+    "hire",
+    "quote",
+    "terms",
+    "branch",
+    "foreman",
+    "van",
+    "stock",
+    "hive",
+    "roof",
+    "keeper",
+    "swarm",
+    "frame",
+    "honey",
+)
+DEFAULT_SLOWDOWN = 0.05
+MAX_TOKENS = 100_000
+
+
+def prompt_of(value: Any) -> str:
+    """Return the prompt in an input: what stands under `prompt`, or all of it."""
+    for prompt in values_under(value, "prompt"):
+        return str(prompt)
+    return json.dumps(value, sort_keys=True)
+
+
+def token_count(call: Call, default: int) -> int:
+    """Return how many tokens the whole answer has."""
+    for count in values_under(call.input, "max_tokens"):
+        return max(1, min(int(count), MAX_TOKENS))
+    return default
+
+
+def tokens_of(call: Call, count: int) -> list[str]:
+    """Return the whole answer, the same on every engine for the same input."""
+    text = json.dumps([call.stage, call.version, call.input], sort_keys=True)
+    draws = random.Random(hashlib.sha256(text.encode()).digest())
+    return [draws.choice(WORDS) for _ in range(count)]
+
+
+async def generate(upstream: Upstream, active: Active, cache: PrefixCache) -> None:
+    """Read the prompt, then give a token at a time; more calls slow each other."""
+    call, values = active.call, upstream.values
+    tokens = tokens_of(call, token_count(call, values.tokens))
+    prompt = prompt_of(call.input)
+    missing = cache.use(prompt, values.cache_blocks, now_ms())
+    prefill_ms = missing * values.prefill_ms * upstream.slowness()
+    await wait_ms(upstream.work_time_ms(call.version) + prefill_ms)
+    due_ms = now_ms()
+    for token in tokens[call.resume_at :]:
+        due_ms += token_time_ms(upstream, call)
+        await wait_ms(due_ms - now_ms())
+        active.tokens.append(token)
+        active.wake()
+    active.output = {"text": " ".join(tokens), "marks": marks_of(call.input)}
+
+
+def token_time_ms(upstream: Upstream, call: Call) -> float:
+    """Return the time of the next token at the present load."""
+    fault_ms = upstream.version_fault(call.version).token_ms
+    usual_ms = upstream.values.token_ms if fault_ms is None else fault_ms
+    return usual_ms * upstream.slowness()
+
+
+def cache_route(upstream: Upstream, cache: PrefixCache) -> Route:
+    """Return the route of the cache events, late and with gaps."""
+
+    async def cache_events(request: Request) -> Response:
+        after = int(request.query_params.get("after", "0"))
+        values = upstream.values
+        events = cache.told(after, now_ms() - values.cache_lag_ms)
+        kept = [
+            {"seq": event.seq, "prefix": event.prefix, "added": event.added}
+            for event in events
+            if not left_out(event.seq, values.seed, values.cache_gap_fraction)
+        ]
+        following = events[-1].seq if events else after
+        return JSONResponse({"next": following, "events": kept})
+
+    return Route("/cache-events", cache_events, methods=["GET"])
+
+
+def left_out(seq: int, seed: int, fraction: float) -> bool:
+    """Return whether an event is left out, the same for every reader."""
+    return random.Random(seed * 1_000_003 + seq).random() < fraction
+
+
+def main(
+    port: int = 0, control: str = "{}", name: str = "engine", runs: str = ""
+) -> None:
+    """Serve an engine until SIGTERM.
+
+    Parameters
+    ----------
+    port : int
+        TCP port; 0 takes a free one, which the line `ready PORT` tells.
+    control : str
+        Control values at the start, as JSON.
+    name : str
+        Name of the engine.
+    runs : str
+        File that keeps the runs over restarts; empty for none.
+    """
+    values = read_control(UPSTREAM, control, slowdown=DEFAULT_SLOWDOWN)
+    cache = PrefixCache()
+
+    async def perform(upstream: Upstream, active: Active) -> None:
+        await generate(upstream, active, cache)
+
+    log = RunLog(Path(runs) if runs else None)
+    upstream = make_upstream(name, values, perform, log)
+    serve_upstream(upstream, port, [cache_route(upstream, cache)])
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
