Drain a VM without cutting a request, its peers' work included

Cause, found by the new test: a request that the balancer sent while the only VM of a data centre was leaving was refused (no_upstream), since peers never gave work to a leaving VM. A leaving VM is now the last choice instead of none, refuses what comes after its linger as not run, and peers try elsewhere. Peers are told at once and not with the next heartbeat; callers' connections end with their answers while the VM leaves, so that none is cut when the port closes.

--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -5,13 +5,17 @@
 import hashlib
 import secrets
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from aioprometheus.renderer import render
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import Request as HttpRequest
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Receive, Scope, Send
+from starlette.types import Message as ASGIMessage
 
 from ..const import MAX_BODY_BYTES
 from ..events import Event
@@ -62,9 +66,32 @@
             Route("/metrics", metrics),
         ],
         exception_handlers={404: unknown_path, 405: unknown_path},
+        middleware=[Middleware(CloseWhenLeaving, vm=vm)],
     )
 
 
+@dataclass(frozen=True)
+class CloseWhenLeaving:
+    """End each connection with its answer while the VM is leaving.
+
+    So the balancer's idle connections are gone before the port is closed, and no
+    request meets a connection that is being closed.
+    """
+
+    app: ASGIApp
+    vm: Vm
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Pass a request on and mark its answer."""
+
+        async def marked(message: ASGIMessage) -> None:
+            if self.vm.leaving and message["type"] == "http.response.start":
+                message["headers"] = [*message["headers"], (b"connection", b"close")]
+            await send(message)
+
+        await self.app(scope, receive, marked)
+
+
 async def unknown_path(http: HttpRequest, error: Exception) -> Response:
     """Answer a path or method that there is not."""
     return refuse(CuminstileError(ErrorCode.UNKNOWN_PATH, "there is nothing here"))
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -102,25 +102,31 @@
         incarnation=vm.incarnation,
         data_centre=vm.settings.data_centre,
     )
-    servers = [make_server(vm.settings, make_app(vm), vm.settings.caller_port)]
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(stop_on_signal, vm, tasks, servers)
-        tasks.start_soon(listen, vm)
-        tasks.start_soon(keep_dialling, vm)
-        tasks.start_soon(follow_configuration, vm)
-        tasks.start_soon(follow_vm_list, vm)
-        for server in servers:
-            tasks.start_soon(server.serve)
+        servers = start(vm, tasks)
+        await wait_for_signal()
+        await drain(vm, servers)
+        tasks.cancel_scope.cancel()
     vm.journal.record(Event.VM_STOPPED)
 
 
-async def stop_on_signal(vm: Vm, tasks: TaskGroup, servers: list[QuietServer]) -> None:
-    """Shut down gracefully on SIGTERM or SIGINT."""
+def start(vm: Vm, tasks: TaskGroup) -> list[QuietServer]:
+    """Start every task of a VM and return its HTTP servers."""
+    servers = [make_server(vm.settings, make_app(vm), vm.settings.caller_port)]
+    tasks.start_soon(listen, vm)
+    tasks.start_soon(keep_dialling, vm)
+    tasks.start_soon(follow_configuration, vm)
+    tasks.start_soon(follow_vm_list, vm)
+    for server in servers:
+        tasks.start_soon(server.serve)
+    return servers
+
+
+async def wait_for_signal() -> None:
+    """Wait for SIGTERM or SIGINT."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            break
-    await drain(vm, servers)
-    tasks.cancel_scope.cancel()
+            return
 
 
 def run(settings: str) -> None:
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -58,6 +58,8 @@
         New at every start, so that a replaced VM is told apart.
     leaving : bool
         Whether a graceful shutdown has begun.
+    closing : bool
+        Whether no new work is taken any more, not even from other VMs.
     platform_away_since_ms : float or None
         Monotonic time since which the platform has not answered.
     """
@@ -80,6 +82,7 @@
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
     leaving: bool = False
+    closing: bool = False
     platform_away_since_ms: float | None = None
 
     @property
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -86,7 +86,11 @@
     vm: Vm, call: StageCall, trace: RunTrace, error: CuminstileError, attempts: int
 ) -> bool:
     """Return whether another attempt is allowed and makes sense."""
-    retryable = (ErrorCode.UPSTREAM_FAILED, ErrorCode.PEER_LOST)
+    retryable = (
+        ErrorCode.UPSTREAM_FAILED,
+        ErrorCode.PEER_LOST,
+        ErrorCode.SHUTTING_DOWN,
+    )
     if error.code not in retryable or attempts >= MAX_ATTEMPTS:
         return False
     if trace.maybe_ran and not vm.objects.stages[call.stage].repeatable:
@@ -150,19 +154,20 @@
     sessions = [
         session
         for session in vm.sessions.by_name.values()
-        if session.data_centre in centres
-        and session.name not in tried
-        and may_receive(vm, session)
+        if session.data_centre in centres and session.name not in tried
     ]
-    if not sessions:
+    staying = [session for session in sessions if not is_leaving(vm, session)]
+    # A VM that leaves still works for a while: better than refusing.
+    candidates = staying or sessions
+    if not candidates:
         return None
-    return vm.random.choice(sessions)
+    return vm.random.choice(candidates)
 
 
-def may_receive(vm: Vm, session: Session) -> bool:
-    """Return whether the other VM lives and is not shutting down."""
+def is_leaving(vm: Vm, session: Session) -> bool:
+    """Return whether the other VM is shutting down."""
     member = vm.members.by_name.get(session.name)
-    return member is not None and not member.leaving
+    return member is None or member.leaving
 
 
 async def run_here(
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -168,6 +168,9 @@
 ) -> StageDone | StageRefused:
     """Run a stage here and return the answer or the refusal."""
     trace = RunTrace()
+    if vm.closing:
+        text = f"{vm.settings.name} is shutting down"
+        return StageRefused(number, ErrorCode.SHUTTING_DOWN, text, Ran.NOT_RUN)
     try:
         outcome = await vm.run_stage(vm, call, trace, on_tokens, False)
     except CuminstileError as error:
--- a/cuminstile/vm/shutdown.py
+++ b/cuminstile/vm/shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -9,11 +10,14 @@
 
 from ..const import SHUTDOWN_LIMIT_MS
 from ..events import Event
+from ..exceptions import CuminstileError
+from .sessions import heartbeat
 
 if TYPE_CHECKING:
     from ..runtime import Vm
 
 POLL_INTERVAL_MS = 20
+CLOSING_GRACE_MS = 200
 
 
 async def drain(vm: Vm, servers: Sequence[uvicorn.Server]) -> None:
@@ -24,9 +28,13 @@
     """
     vm.leaving = True
     vm.journal.record(Event.VM_LEAVING, in_progress=vm.activity.total())
+    await tell_leaving(vm)
     await vm.clock.sleep_ms(vm.settings.shutdown_linger_ms)
+    vm.closing = True
     for server in servers:
         server.should_exit = True
+    # Work that other VMs have sent already still gets a refusal that it may repeat.
+    await vm.clock.sleep_ms(CLOSING_GRACE_MS)
     limit_ms = vm.clock.now_ms() + SHUTDOWN_LIMIT_MS
     while vm.activity.total() and vm.clock.now_ms() < limit_ms:
         await vm.clock.sleep_ms(POLL_INTERVAL_MS)
@@ -36,6 +44,13 @@
         await vm.clock.sleep_ms(POLL_INTERVAL_MS)
 
 
+async def tell_leaving(vm: Vm) -> None:
+    """Tell every other VM at once, without waiting for the next heartbeat."""
+    for session in tuple(vm.sessions.by_name.values()):
+        with contextlib.suppress(CuminstileError):
+            await session.send(heartbeat(vm))
+
+
 def is_closed(server: uvicorn.Server) -> bool:
     """Return whether every connection of a server has ended."""
     return not server.server_state.connections and not server.server_state.tasks
--- /dev/null
+++ b/tests/vm/test_shutdown.py
@@ -0,0 +1,129 @@
+"""Test cuminstile.vm.shutdown on whole VMs in one process."""
+
+import hashlib
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+
+import anyio
+import httpcore
+import pytest
+from anyio.abc import SocketStream
+
+from cuminstile.daemon import QuietServer, start
+from cuminstile.objects.model import AnyObject, Organisation
+from cuminstile.runtime import Vm
+from cuminstile.vm.shutdown import drain
+
+from ..fakes.objects import small_set
+from ..fakes.upstreams import send_event, send_event_head, upstream
+from ..fakes.vms import introduce, make_test_vm, put_in_force
+
+KEY = "a-key-of-the-callers"
+TOKENS = tuple(f"t{index}" for index in range(6))
+
+
+@dataclass
+class Running:
+    """Hold a VM that runs and its servers."""
+
+    vm: Vm
+    servers: list[QuietServer]
+
+
+def objects_with_key(address: str) -> tuple[AnyObject, ...]:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    return tuple(
+        replace(item, key_digests=(digest,)) if isinstance(item, Organisation) else item
+        for item in small_set({"gen-b": address})
+    )
+
+
+@asynccontextmanager
+async def running(*vms: Vm) -> AsyncIterator[list[Running]]:
+    """Run whole VMs that know each other, until the block ends."""
+    introduce(*vms)
+    async with anyio.create_task_group() as tasks:
+        started = [Running(vm, start(vm, tasks)) for vm in vms]
+        with anyio.fail_after(5.0):
+            while not all(is_up(item, len(vms) - 1) for item in started):
+                await anyio.sleep(0.01)
+        yield started
+        for item in started:
+            for server in item.servers:
+                server.should_exit = True
+        await anyio.sleep(0.15)
+        tasks.cancel_scope.cancel()
+
+
+def is_up(item: Running, peers: int) -> bool:
+    listening = all(server.started for server in item.servers)
+    return listening and len(item.vm.sessions.by_name) == peers
+
+
+async def ask(vm: Vm, stream: bool) -> bytes:
+    """Run the pipeline through one VM and return the body of a whole answer."""
+    url = f"http://127.0.0.1:{vm.settings.caller_port}/v1/pipelines/chat"
+    content = json.dumps({"input": {}, "stream": stream, "deadline_ms": 4000}).encode()
+    headers = [("authorization", f"Bearer {KEY}")]
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request("POST", url, headers=headers, content=content)
+    assert response.status == 200, response.content
+    return response.content
+
+
+@pytest.mark.parametrize("leaving", ["near", "far"])
+async def test_drain_cuts_no_stream(leaving: str) -> None:
+    near = make_test_vm("vm-a1", "a", shutdown_linger_ms=300)
+    far = make_test_vm("vm-b1", "b", shutdown_linger_ms=300)
+    half = anyio.Event()
+    gate = anyio.Event()
+
+    async def slow(body: dict[str, Any], stream: SocketStream) -> None:
+        await send_event_head(stream)
+        attempt = body["attempt"]
+        for index, token in enumerate(TOKENS):
+            if index == 3:
+                half.set()
+                await gate.wait()
+            event = {"attempt": attempt, "index": index, "tokens": [token]}
+            await send_event(stream, event)
+        await send_event(
+            stream, {"attempt": attempt, "done": True, "count": 6, "output": "whole"}
+        )
+
+    answers: list[bytes] = []
+    async with upstream(slow) as fake, running(near, far) as started:
+        for vm in (near, far):
+            put_in_force(vm, objects_with_key(fake.address))
+
+        async def ask_once() -> None:
+            answers.append(await ask(near, True))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_once)
+            await half.wait()
+            item = started[0] if leaving == "near" else started[1]
+            tasks.start_soon(drain, item.vm, item.servers)
+            # The balancer still sends while the VM lingers.
+            await anyio.sleep(0.1)
+            tasks.start_soon(ask_once)
+            await anyio.sleep(0.5)
+            assert item.vm.activity.total() > 0
+            gate.set()
+    assert len(answers) == 2
+    for answer in answers:
+        assert answer.count(b"event: tokens") == len(TOKENS)
+        assert b'"output": "whole"' in answer
+
+
+async def test_leaving_vm_is_told_apart_at_once() -> None:
+    near = make_test_vm("vm-a1", "a")
+    far = make_test_vm("vm-b1", "b", shutdown_linger_ms=100)
+    async with running(near, far) as started, anyio.create_task_group() as tasks:
+        tasks.start_soon(drain, far, started[1].servers)
+        with anyio.fail_after(0.5):
+            while not near.members.by_name["vm-b1"].leaving:
+                await anyio.sleep(0.01)
