--- a/tests/vm/test_shutdown.py
+++ b/tests/vm/test_shutdown.py
@@ -3,14 +3,14 @@
 import hashlib
 import json
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, replace
 from typing import Any
 
 import anyio
 import httpcore
 import pytest
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 
 from cuminstile.daemon import QuietServer, start
 from cuminstile.objects.model import AnyObject, Organisation
@@ -31,6 +31,12 @@
 
     vm: Vm
     servers: list[QuietServer]
+    tasks: TaskGroup
+
+    async def leave(self) -> None:
+        """Drain the VM and end its tasks, as the daemon does."""
+        await drain(self.vm, self.servers)
+        self.tasks.cancel_scope.cancel()
 
 
 def objects_with_key(address: str) -> tuple[AnyObject, ...]:
@@ -45,8 +51,11 @@
 async def running(*vms: Vm) -> AsyncIterator[list[Running]]:
     """Run whole VMs that know each other, until the block ends."""
     introduce(*vms)
-    async with anyio.create_task_group() as tasks:
-        started = [Running(vm, start(vm, tasks)) for vm in vms]
+    async with AsyncExitStack() as stack:
+        started = []
+        for vm in vms:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            started.append(Running(vm, start(vm, tasks), tasks))
         with anyio.fail_after(5.0):
             while not all(is_up(item, len(vms) - 1) for item in started):
                 await anyio.sleep(0.01)
@@ -55,7 +64,8 @@
             for server in item.servers:
                 server.should_exit = True
         await anyio.sleep(0.15)
-        tasks.cancel_scope.cancel()
+        for item in started:
+            item.tasks.cancel_scope.cancel()
 
 
 def is_up(item: Running, peers: int) -> bool:
@@ -106,7 +116,7 @@
             tasks.start_soon(ask_once)
             await half.wait()
             item = started[0] if leaving == "near" else started[1]
-            tasks.start_soon(drain, item.vm, item.servers)
+            tasks.start_soon(item.leave)
             # The balancer still sends while the VM lingers.
             await anyio.sleep(0.1)
             tasks.start_soon(ask_once)
@@ -123,7 +133,7 @@
     near = make_test_vm("vm-a1", "a")
     far = make_test_vm("vm-b1", "b", shutdown_linger_ms=100)
     async with running(near, far) as started, anyio.create_task_group() as tasks:
-        tasks.start_soon(drain, far, started[1].servers)
+        tasks.start_soon(started[1].leave)
         with anyio.fail_after(0.5):
             while not near.members.by_name["vm-b1"].leaving:
                 await anyio.sleep(0.01)
