--- a/tests/vm/test_shutdown.py
+++ b/tests/vm/test_shutdown.py
@@ -3,14 +3,14 @@
 import hashlib
 import json
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, replace
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
 import httpcore
 import pytest
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import SocketStream
 
 from cuminstile.daemon import QuietServer, start
 from cuminstile.objects.model import AnyObject, Organisation
@@ -27,16 +27,22 @@
 
 @dataclass
 class Running:
-    """Hold a VM that runs and its servers."""
+    """Hold a VM that runs, its servers and what ends its tasks."""
 
     vm: Vm
-    servers: list[QuietServer]
-    tasks: TaskGroup
+    servers: list[QuietServer] = field(default_factory=list)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    async def run(self) -> None:
+        """Run every task of the VM until it has left."""
+        async with anyio.create_task_group() as tasks:
+            self.scope = tasks.cancel_scope
+            self.servers = start(self.vm, tasks)
 
     async def leave(self) -> None:
         """Drain the VM and end its tasks, as the daemon does."""
         await drain(self.vm, self.servers)
-        self.tasks.cancel_scope.cancel()
+        self.scope.cancel()
 
 
 def objects_with_key(address: str) -> tuple[AnyObject, ...]:
@@ -51,11 +57,10 @@
 async def running(*vms: Vm) -> AsyncIterator[list[Running]]:
     """Run whole VMs that know each other, until the block ends."""
     introduce(*vms)
-    async with AsyncExitStack() as stack:
-        started = []
-        for vm in vms:
-            tasks = await stack.enter_async_context(anyio.create_task_group())
-            started.append(Running(vm, start(vm, tasks), tasks))
+    started = [Running(vm) for vm in vms]
+    async with anyio.create_task_group() as tasks:
+        for item in started:
+            tasks.start_soon(item.run)
         with anyio.fail_after(5.0):
             while not all(is_up(item, len(vms) - 1) for item in started):
                 await anyio.sleep(0.01)
@@ -65,12 +70,13 @@
                 server.should_exit = True
         await anyio.sleep(0.15)
         for item in started:
-            item.tasks.cancel_scope.cancel()
+            item.scope.cancel()
 
 
 def is_up(item: Running, peers: int) -> bool:
-    listening = all(server.started for server in item.servers)
-    return listening and len(item.vm.sessions.by_name) == peers
+    if not item.servers or not all(server.started for server in item.servers):
+        return False
+    return len(item.vm.sessions.by_name) == peers
 
 
 async def ask(vm: Vm, stream: bool) -> bytes:
