Check whole sets of operators' objects

Every mistake of a set is found in one pass, each with its file, its place, a code and what would be right, so that an operator mends a set in one go. An object that is invalid by itself still counts for references to it; otherwise one typing error would give a finding at each object that refers to it. A JSON key that stands twice is refused, since JSON drops the first silently.

--- /dev/null
+++ b/cuminstile/objects/files.py
@@ -0,0 +1,72 @@
+"""Read a directory of operators' objects."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ..exceptions import Finding
+from .parse import RawObject
+
+
+@dataclass(frozen=True)
+class LoadedFiles:
+    """Hold what the files of a directory give, and the files that give nothing."""
+
+    raws: tuple[RawObject, ...] = ()
+    findings: tuple[Finding, ...] = ()
+
+
+def load_directory(directory: Path) -> LoadedFiles:
+    """Read every `*.json` file under a directory, in the order of their names.
+
+    Each file holds one object or a list of objects.
+    """
+    if not directory.is_dir():
+        return failed(directory, "no_directory", "a directory is expected here")
+    paths = sorted(directory.rglob("*.json"))
+    if not paths:
+        return failed(directory, "no_files", "at least one *.json file is expected")
+    files = tuple(load_file(path) for path in paths)
+    return LoadedFiles(
+        tuple(raw for loaded in files for raw in loaded.raws),
+        tuple(finding for loaded in files for finding in loaded.findings),
+    )
+
+
+def load_file(path: Path) -> LoadedFiles:
+    """Read the objects of one file."""
+    try:
+        data = json.loads(path.read_text("utf-8"), object_pairs_hook=unique_keys)
+    except (OSError, ValueError, RecursionError) as error:
+        return failed(path, "unreadable", f"JSON in UTF-8 is expected: {error}")
+    return LoadedFiles(raw_objects(data, str(path)))
+
+
+def raw_objects(data: Any, file: str = "") -> tuple[RawObject, ...]:
+    """Return the objects in the content of a file, or in a list of objects."""
+    if not isinstance(data, list):
+        return (RawObject(file, "", data),)
+    return tuple(RawObject(file, f"[{index}]", item) for index, item in enumerate(data))
+
+
+def failed(path: Path, code: str, message: str) -> LoadedFiles:
+    """Return one finding about a whole file or directory."""
+    return LoadedFiles(findings=(Finding(str(path), "", code, message),))
+
+
+def unique_keys(pairs: Iterable[tuple[str, Any]]) -> dict[str, Any]:
+    """Return a JSON object whose keys differ.
+
+    Raises
+    ------
+    ValueError
+        If a key stands twice; JSON itself would drop the first value silently.
+    """
+    result: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in result:
+            raise ValueError(f"the key {key!r} stands twice in one object")
+        result[key] = value
+    return result
--- /dev/null
+++ b/tests/objects/test_checks.py
@@ -0,0 +1,133 @@
+"""Test cuminstile.objects.checks, cuminstile.objects.files and their parts."""
+
+import copy
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cuminstile.objects.checks import check_directory, check_objects
+from cuminstile.objects.files import raw_objects
+from tests.objects.examples import GOOD_SET
+
+Edit = Callable[[dict[str, Any]], object]
+
+
+def found(objects: list[Any]) -> set[tuple[str, str]]:
+    findings = check_objects(raw_objects(objects)).findings
+    assert all(finding.message for finding in findings)
+    return {(finding.path, finding.code) for finding in findings}
+
+
+def edited(name: str, edit: Edit) -> list[Any]:
+    objects = copy.deepcopy(GOOD_SET)
+    edit(next(item for item in objects if item["name"] == name))
+    return objects
+
+
+def index_of(name: str) -> int:
+    return next(i for i, item in enumerate(GOOD_SET) if item["name"] == name)
+
+
+def test_the_good_set_has_no_findings() -> None:
+    checked = check_objects(raw_objects(GOOD_SET))
+    assert checked.findings == ()
+    assert len(checked.objects) == len(GOOD_SET)
+
+
+@pytest.mark.parametrize(
+    ("name", "edit", "path", "code"),
+    [
+        ("dc1", lambda o: o.update(state="gone"), "state", "enum"),
+        ("dc1", lambda o: o.update(x=1), "x", "unexpected_keyword_argument"),
+        ("dc1", lambda o: o.pop("kind"), "kind", "union_tag_not_found"),
+        ("dc1", lambda o: o.update(kind="zone"), "kind", "union_tag_invalid"),
+        ("dc1", lambda o: o.update(state="out"), "state", "all_out"),
+        ("draft", lambda o: o.update(streams=False), "streams", "engine_streams"),
+        ("draft-2", lambda o: o.update(stage="x"), "stage", "unknown_reference"),
+        ("engine1", lambda o: o.update(data_centre="x"), "data_centre",
+         "unknown_reference"),
+        ("engine1", lambda o: o.update(versions=["draft-1", "x"]), "versions[1]",
+         "unknown_reference"),
+        ("engine1", lambda o: o.update(versions=["draft-1"] * 2), "versions[1]",
+         "duplicate_version"),
+        ("engine1", lambda o: o.update(cold_capacity=9), "cold_capacity",
+         "cold_capacity"),
+        ("engine1", lambda o: o.update(address="127.0.0.1:0"), "address", "bad_port"),
+        ("engine2", lambda o: o.update(address="127.0.0.1:9001"), "address",
+         "duplicate_address"),
+        ("contract", lambda o: o["steps"][1].update(stage="x"), "steps[1].stage",
+         "unknown_reference"),
+        ("contract", lambda o: o["steps"][1].update(needs=["x"]), "steps[1].needs[0]",
+         "unknown_reference"),
+        ("contract", lambda o: o["steps"][0].update(needs=["write"]), "steps", "cycle"),
+        ("contract", lambda o: o["steps"][1].update(name="embed"), "steps[1].name",
+         "duplicate_name"),
+        ("contract", lambda o: o.update(deadline_ms=1), "deadline_ms",
+         "impossible_deadline"),
+        ("contract", lambda o: o.update(deadline_ms=700_000), "deadline_ms",
+         "impossible_deadline"),
+        ("north", lambda o: o.update(key_digests=["b" * 64]), "key_digests[0]",
+         "shared_key"),
+        ("to-2", lambda o: o.update(stage="x"), "stage", "unknown_reference"),
+        ("to-2", lambda o: o.update(to_version="x"), "to_version",
+         "unknown_reference"),
+        ("to-2", lambda o: o.update(to_version="embed-1"), "to_version",
+         "wrong_stage"),
+        ("to-2", lambda o: o.update(to_version="draft-1"), "to_version",
+         "same_version"),
+        ("to-2", lambda o: o.update(finish_by_ms=1_000), "finish_by_ms", "no_time"),
+        ("back", lambda o: o.update(start_at_ms=1_500), "start_at_ms",
+         "overlapping_moves"),
+    ],
+)  # fmt: skip
+def test_each_mistake_is_found_at_its_place(
+    name: str, edit: Edit, path: str, code: str
+) -> None:
+    assert (f"[{index_of(name)}].{path}", code) in found(edited(name, edit))
+
+
+def test_unserved_stages_and_versions_are_found() -> None:
+    objects = [item for item in GOOD_SET if item["kind"] != "upstream"]
+    assert (f"[{index_of('draft-1')}].name", "no_upstream") in found(objects)
+    objects = [item for item in GOOD_SET if item["kind"] != "upstream_version"]
+    assert (f"[{index_of('draft')}].name", "no_version") in found(objects)
+
+
+def test_a_name_stands_once_within_its_kind() -> None:
+    objects = [*GOOD_SET, GOOD_SET[0]]
+    assert found(objects) == {(f"[{len(GOOD_SET)}].name", "duplicate_name")}
+
+
+def test_an_invalid_object_gives_no_findings_elsewhere() -> None:
+    objects = edited("draft", lambda item: item.update(role="x"))
+    assert found(objects) == {(f"[{index_of('draft')}].role", "enum")}
+
+
+def test_an_empty_set_is_refused() -> None:
+    assert found([]) == {("", "empty_set")}
+
+
+def test_all_findings_of_all_files_come_together(tmp_path: Path) -> None:
+    (tmp_path / "sub").mkdir()
+    (tmp_path / "a.json").write_text(json.dumps(GOOD_SET[0] | {"state": 3}))
+    (tmp_path / "b.json").write_text("[{")
+    (tmp_path / "c.json").write_bytes(b"\xff")
+    (tmp_path / "d.json").write_text('{"kind": "stage", "kind": "stage"}')
+    (tmp_path / "sub" / "e.json").write_text(json.dumps(GOOD_SET[1:]))
+    findings = check_directory(tmp_path).findings
+    assert [(Path(item.file).name, item.path, item.code) for item in findings] == [
+        ("b.json", "", "unreadable"),
+        ("c.json", "", "unreadable"),
+        ("d.json", "", "unreadable"),
+        ("a.json", "state", "enum"),
+    ]
+    assert str(findings[-1]).startswith(f"{tmp_path}/a.json:state: ")
+
+
+def test_a_directory_without_files_is_refused(tmp_path: Path) -> None:
+    assert [item.code for item in check_directory(tmp_path).findings] == ["no_files"]
+    missing = check_directory(tmp_path / "x").findings
+    assert [item.code for item in missing] == ["no_directory"]
