--- /dev/null
+++ b/cuminstile/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Do the work of the command-line tool."""
