Serve the operators: publish, status, moves, events and objects

A publication is checked whole, compared with the version in force, appended with its nonce and read back from the log before it is answered. An append whose answer is lost is looked for in the log before it is made again; the first record of a nonce counts. A conflict names each object that was added, changed or removed since the base.

--- a/cuminstile/commands/client.py
+++ b/cuminstile/commands/client.py
@@ -89,17 +89,16 @@
 
 def read_key(key_file: str, key_variable: str) -> str:
     """Return the key in a file, or else in an environment variable."""
-    if not key_file:
-        key = os.environ.get(key_variable, "")
-        if not key:
-            raise UsageError(f"no key: set {key_variable} or give --key_file FILE")
-        return key
+    place = f"--key_file {key_file}" if key_file else key_variable
     try:
-        key = Path(key_file).read_text("utf-8").strip()
+        text = Path(key_file).read_text("utf-8") if key_file else ""
     except (OSError, ValueError) as error:
-        raise UsageError(f"--key_file: {error}") from error
+        raise UsageError(f"{place}: {error}") from error
+    key = text.strip() if key_file else os.environ.get(key_variable, "").strip()
     if not key:
-        raise UsageError(f"--key_file: {key_file} is empty")
+        raise UsageError(f"no key in {place}; set {key_variable} or give --key_file")
+    if not key.isascii() or not key.isprintable():
+        raise UsageError(f"{place}: a key has printable ASCII characters only")
     return key
 
 
--- a/cuminstile/commands/publish.py
+++ b/cuminstile/commands/publish.py
@@ -13,9 +13,8 @@
 from ..exceptions import CuminstileError, ErrorCode, Ran
 from ..objects.checks import check_directory
 from ..objects.model import AnyObject
-from ..operator.report import VmState
 from .client import Target, UnreachableError, call, call_any, checked
-from .survey import Survey, merge, survey
+from .survey import SPEAKING, Survey, merge, survey
 
 POLL_INTERVAL_MS = 200
 PUBLISH_TIMEOUT_MS = 15_000
@@ -149,9 +148,7 @@
         found = await survey(target)
         behind = lagging(found, version)
         merged = merge(found)
-        live = (
-            [vm for vm in merged.vms if vm.state != VmState.MISSING] if merged else []
-        )
+        live = [vm for vm in merged.vms if vm.state in SPEAKING] if merged else []
         total = len(live) + len(found.failures)
         progress(f"version {version} is in force on {total - len(behind)} of {total}")
         if not behind or clock.now_ms() >= end_ms:
@@ -163,9 +160,7 @@
     """Return the VMs below a version, and the addresses that gave no answer."""
     merged = merge(found)
     vms = merged.vms if merged else ()
-    behind = [
-        vm.name for vm in vms if vm.version < version and vm.state != VmState.MISSING
-    ]
+    behind = [vm.name for vm in vms if vm.version < version and vm.state in SPEAKING]
     return (*behind, *sorted(found.failures))
 
 
--- a/cuminstile/commands/survey.py
+++ b/cuminstile/commands/survey.py
@@ -19,6 +19,7 @@
 from .client import Target, UnreachableError, call, checked
 
 SURVEY_TIMEOUT_MS = 3_000
+SPEAKING = (VmState.LIVE, VmState.LEAVING)
 STATUS: TypeAdapter[StatusReport] = TypeAdapter(StatusReport)
 
 
@@ -90,7 +91,7 @@
         if not outdated(problem, own, version)
     }
     for vm in vms:
-        if vm.version < version and vm.state != VmState.MISSING:
+        if vm.version < version and vm.state in SPEAKING:
             problem = lagging(vm, version)
             problems[problem.code, problem.subject] = problem
     for address, reason in sorted(found.failures.items()):
--- /dev/null
+++ b/cuminstile/operator/changes.py
@@ -0,0 +1,52 @@
+"""Tell what changed between two configurations."""
+
+from collections.abc import Iterable
+
+from ..exceptions import CuminstileError, ErrorCode, Finding
+from ..objects.model import AnyObject
+from ..platform.configuration import NO_VERSION, ConfigurationState
+
+Keyed = dict[tuple[str, str], AnyObject]
+
+
+def by_key(objects: Iterable[AnyObject]) -> Keyed:
+    """Return objects by kind and name."""
+    return {(item.kind, item.name): item for item in objects}
+
+
+def changes(
+    before: Iterable[AnyObject], after: Iterable[AnyObject]
+) -> tuple[Finding, ...]:
+    """Return one finding for each object that was added, changed or removed."""
+    old, new = by_key(before), by_key(after)
+    findings = []
+    for key in sorted(old.keys() | new.keys()):
+        if key not in old:
+            findings.append(change(key, "added"))
+        elif key not in new:
+            findings.append(change(key, "removed"))
+        elif old[key] != new[key]:
+            findings.append(change(key, "changed"))
+    return tuple(findings)
+
+
+def change(key: tuple[str, str], code: str) -> Finding:
+    """Return the finding for one object."""
+    kind, name = key
+    return Finding("", f"{kind} {name}", code, f"{code} since the base")
+
+
+def conflict(state: ConfigurationState, base: int) -> CuminstileError:
+    """Return the error for a publication whose base is not in force any more."""
+    head = state.head
+    message = f"version {head} is in force, not {base}"
+    if head == NO_VERSION:
+        message = f"no version is in force yet; the base is -1, not {base}"
+    new = state.history.get(head)
+    old = state.history.get(base)
+    if new is None and head != NO_VERSION:
+        message += "; this VM's release can't read its objects"
+    if new is None or (old is None and base != NO_VERSION):
+        return CuminstileError(ErrorCode.PUBLISH_CONFLICT, message)
+    found = changes(old.items if old else (), new.items)
+    return CuminstileError(ErrorCode.PUBLISH_CONFLICT, message, findings=found)
--- /dev/null
+++ b/cuminstile/operator/publish.py
@@ -0,0 +1,155 @@
+"""Publish whole sets of objects through the platform's log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..const import CONFIG_POLL_WAIT_MS, CONFIG_STREAM, RECONNECT_MIN_MS
+from ..events import Event
+from ..exceptions import CuminstileError, ErrorCode, PlatformAwayError, Ran
+from ..objects.checks import check_objects
+from ..objects.files import raw_objects
+from ..objects.model import AnyObject
+from ..platform.configuration import (
+    ANY_BASE,
+    NO_VERSION,
+    RECORDS,
+    ConfigRecord,
+    Outcome,
+    make_record,
+)
+from ..platform.follow import note_platform, read_configuration
+from .bodies import PublishBody
+from .changes import conflict
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+PUBLISH_LIMIT_MS = 10_000
+
+
+async def publish(vm: Vm, body: PublishBody) -> int:
+    """Publish a set of objects and return its version.
+
+    Raises
+    ------
+    CuminstileError
+        With `BAD_OBJECTS` and every finding, with `PUBLISH_CONFLICT` and what has
+        changed since the base, or with `PLATFORM_AWAY`: then `ran` tells whether
+        the publication may still come into force.
+    """
+    objects = checked_objects(body)
+    await catch_up(vm)
+    known = vm.configuration.outcomes.get(body.nonce)
+    if known is not None:
+        return version_of(vm, body, known)
+    if not vm.configuration.anchored and body.base != ANY_BASE:
+        raise CuminstileError(
+            ErrorCode.NO_CONFIGURATION,
+            "this VM can't tell yet which version is in force",
+        )
+    if body.base not in (ANY_BASE, vm.configuration.head):
+        raise conflict(vm.configuration, body.base)
+    record = make_record(body.base, body.nonce, objects)
+    outcome = await append_once(vm, record)
+    version = version_of(vm, body, outcome)
+    vm.journal.record(
+        Event.CONFIG_PUBLISHED, version=version, base=body.base, objects=len(objects)
+    )
+    return version
+
+
+def checked_objects(body: PublishBody) -> tuple[AnyObject, ...]:
+    """Return the objects of a publication if the whole set is good."""
+    checked = check_objects(raw_objects(body.objects))
+    if checked.findings:
+        message = f"{len(checked.findings)} findings"
+        raise CuminstileError(ErrorCode.BAD_OBJECTS, message, findings=checked.findings)
+    return checked.objects
+
+
+async def catch_up(vm: Vm) -> None:
+    """Read the stream to its present end.
+
+    Raises
+    ------
+    PlatformAwayError
+        If the platform doesn't answer; nothing has been published then.
+    """
+    while True:
+        before = vm.configuration.next_offset
+        await read_configuration(vm, 0)
+        if vm.configuration.next_offset == before and vm.configuration.caught_up:
+            return
+
+
+async def append_once(vm: Vm, record: ConfigRecord) -> Outcome:
+    """Append a record until it is found in the stream; return what came of it.
+
+    An append whose answer is lost may have taken effect, so the stream is read
+    before the record is appended again. Its nonce makes the first one count.
+
+    Raises
+    ------
+    PlatformAwayError
+        If the platform stays away too long, with `UNKNOWN` after an append.
+    """
+    payload = RECORDS.encode(record)
+    end_ms = vm.clock.now_ms() + PUBLISH_LIMIT_MS
+    offset = NO_VERSION
+    ran = Ran.NOT_RUN
+    while vm.clock.now_ms() < end_ms:
+        try:
+            outcome = await find_outcome(vm, record.nonce, offset)
+            if outcome is not None:
+                return outcome
+            if offset == NO_VERSION:
+                ran = Ran.UNKNOWN
+                offset = await vm.platform.append(CONFIG_STREAM, payload)
+                continue
+        except PlatformAwayError as error:
+            note_platform(vm, error.message)
+        await vm.clock.sleep_ms(RECONNECT_MIN_MS)
+    message = "the platform went away during the publication"
+    if ran == Ran.UNKNOWN:
+        message += "; the objects may still come into force, so publish them again"
+    raise PlatformAwayError(message, ran)
+
+
+async def find_outcome(vm: Vm, nonce: str, offset: int) -> Outcome | None:
+    """Read on until a publication's outcome is known, or to the present end.
+
+    Parameters
+    ----------
+    offset : int
+        Where the record is for sure, -1 if that isn't known.
+
+    Raises
+    ------
+    PlatformAwayError
+        If the platform doesn't answer.
+    """
+    state = vm.configuration
+    while nonce not in state.outcomes:
+        before = state.next_offset
+        expected = state.next_offset <= offset
+        await read_configuration(vm, CONFIG_POLL_WAIT_MS if expected else 0)
+        if state.next_offset == before and not expected:
+            break
+    taken = state.history.get(offset)
+    if taken is not None and taken.record.nonce == nonce:
+        return Outcome(offset, True)
+    return state.outcomes.get(nonce)
+
+
+def version_of(vm: Vm, body: PublishBody, outcome: Outcome) -> int:
+    """Return the version of an accepted publication.
+
+    Raises
+    ------
+    CuminstileError
+        With `PUBLISH_CONFLICT` if another one came first.
+    """
+    if outcome.accepted:
+        return outcome.offset
+    raise conflict(vm.configuration, body.base)
--- a/cuminstile/operator/report.py
+++ b/cuminstile/operator/report.py
@@ -6,9 +6,14 @@
 
 
 class VmState(StrEnum):
-    """Tell how a VM stands, as another VM or a command sees it."""
+    """Tell how a VM stands, as another VM or a command sees it.
+
+    A `LISTED` VM is one of another data centre with which the reporting VM keeps
+    no session; its version is not known there. A `MISSING` one should be heard.
+    """
 
     LIVE = "live"
+    LISTED = "listed"
     LEAVING = "leaving"
     MISSING = "missing"
 
@@ -20,7 +25,6 @@
     PLATFORM_AWAY = "platform_away"
     VM_MISSING = "vm_missing"
     VM_LAGGING = "vm_lagging"
-    VM_LEAVING = "vm_leaving"
     VM_UNREACHABLE = "vm_unreachable"
     RECORD_REFUSED = "record_refused"
     DATA_CENTRE_OUT = "data_centre_out"
--- /dev/null
+++ b/cuminstile/operator/status.py
@@ -0,0 +1,162 @@
+"""Report what one VM sees of the whole system."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING
+
+from ..objects.model import DataCentreState
+from ..vm.membership import Member
+from ..vm.topology import linked
+from .report import (
+    MoveReport,
+    PartReport,
+    Problem,
+    ProblemCode,
+    Reporter,
+    StatusReport,
+    VmReport,
+    VmState,
+)
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+
+def make_status(vm: Vm, reporters: Iterable[Reporter] = ()) -> StatusReport:
+    """Return this VM's report, with the share of every part of the daemon."""
+    parts = [reporter() for reporter in reporters]
+    own = own_report(vm)
+    others = (other_report(vm, member) for member in members_of(vm))
+    vms = (own, *others)
+    problems = [
+        *configuration_problems(vm),
+        *platform_problems(vm),
+        *vm_problems(vms),
+        *data_centre_problems(vm),
+        *(problem for part in parts for problem in part.problems),
+    ]
+    return StatusReport(
+        ok=not problems,
+        version=own.version,
+        problems=tuple(problems),
+        vm=own,
+        vms=vms,
+        upstreams=tuple(item for part in parts for item in part.upstreams),
+        moves=moves_of(vm, parts),
+    )
+
+
+def own_report(vm: Vm) -> VmReport:
+    """Return the report on this VM itself."""
+    settings = vm.settings
+    return VmReport(
+        settings.name,
+        settings.data_centre,
+        vm.incarnation,
+        VmState.LEAVING if vm.leaving else VmState.LIVE,
+        vm.configuration.version,
+        f"{settings.host}:{settings.operator_port}",
+    )
+
+
+def members_of(vm: Vm) -> tuple[Member, ...]:
+    """Return the other VMs in the order of their names."""
+    return tuple(vm.members.by_name[name] for name in sorted(vm.members.by_name))
+
+
+def other_report(vm: Vm, member: Member) -> VmReport:
+    """Return the report on another VM, as far as it is heard here."""
+    silent_ms = vm.clock.now_ms() - member.heard_ms
+    return VmReport(
+        member.name,
+        member.data_centre,
+        member.incarnation,
+        state_of(vm, member),
+        member.config_version,
+        silent_ms=int(min(silent_ms, 2**53)),
+    )
+
+
+def state_of(vm: Vm, member: Member) -> VmState:
+    """Return how another VM stands."""
+    if vm.members.is_alive(member.name, vm.clock.now_ms()):
+        return VmState.LEAVING if member.leaving else VmState.LIVE
+    own = vm.settings
+    every = vm.members.by_name.values()
+    if not linked(own.name, own.data_centre, member, every):
+        return VmState.LISTED
+    return VmState.MISSING
+
+
+def configuration_problems(vm: Vm) -> Iterator[Problem]:
+    """Yield what is wrong with the configuration on this VM."""
+    state = vm.configuration
+    name = vm.settings.name
+    if state.current is None:
+        yield Problem(
+            ProblemCode.NO_CONFIGURATION, name, "has no configuration in force"
+        )
+    elif state.head > state.current.version:
+        yield Problem(
+            ProblemCode.RECORD_REFUSED,
+            name,
+            f"can't read version {state.head}, which is in force, and goes on with"
+            f" {state.current.version}; it needs a newer release",
+        )
+
+
+def platform_problems(vm: Vm) -> Iterator[Problem]:
+    """Yield a problem while the platform is away."""
+    since_ms = vm.platform_away_since_ms
+    if since_ms is not None:
+        away_s = (vm.clock.now_ms() - since_ms) / 1000.0
+        yield Problem(
+            ProblemCode.PLATFORM_AWAY,
+            vm.settings.name,
+            f"gets no answer from the platform for {away_s:.0f} s",
+        )
+
+
+def vm_problems(vms: tuple[VmReport, ...]) -> Iterator[Problem]:
+    """Yield the VMs that are missing or lag behind."""
+    newest = max(item.version for item in vms)
+    for item in vms:
+        if item.state == VmState.MISSING:
+            yield Problem(ProblemCode.VM_MISSING, item.name, "isn't heard")
+        elif item.state != VmState.LISTED and item.version < newest:
+            yield Problem(
+                ProblemCode.VM_LAGGING,
+                item.name,
+                f"has version {item.version}, not {newest}",
+            )
+
+
+def data_centre_problems(vm: Vm) -> Iterator[Problem]:
+    """Yield the data centres that operators have taken out."""
+    current = vm.configuration.current
+    for item in current.objects.data_centres.values() if current else ():
+        if item.state == DataCentreState.OUT:
+            yield Problem(
+                ProblemCode.DATA_CENTRE_OUT, item.name, "is taken out by operators"
+            )
+
+
+def moves_of(vm: Vm, parts: Iterable[PartReport]) -> tuple[MoveReport, ...]:
+    """Return every traffic move, with what a part knows about it if any does."""
+    reported = {move.name: move for part in parts for move in part.moves}
+    current = vm.configuration.current
+    published = current.objects.moves.values() if current else ()
+    missing = tuple(
+        MoveReport(
+            move.name,
+            move.stage,
+            move.from_version,
+            move.to_version,
+            move.start_at_ms,
+            move.finish_by_ms,
+        )
+        for move in published
+        if move.name not in reported
+    )
+    return (*reported.values(), *missing)
--- /dev/null
+++ b/cuminstile/platform/renewal.py
@@ -0,0 +1,72 @@
+"""Write the configuration again in full before the log trims it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..const import (
+    CONFIG_RENEWAL_CHECK_MS,
+    CONFIG_RENEWAL_GRACE_MS,
+    CONFIG_RENEWAL_INTERVAL_MS,
+    CONFIG_RENEWAL_RECORDS,
+    CONFIG_STREAM,
+)
+from ..events import Event
+from ..exceptions import PlatformAwayError
+from ..rendezvous import rank
+from .configuration import RECORDS, ConfigurationState, make_copy
+from .follow import read_configuration
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+
+async def renew_configuration(vm: Vm) -> None:
+    """Append a copy of the version in force whenever one is due, for ever."""
+    due_since_ms: float | None = None
+    while True:
+        await vm.clock.sleep_ms(CONFIG_RENEWAL_CHECK_MS)
+        now_ms = vm.clock.now_ms()
+        if not is_due(vm.configuration, vm.clock.wall_ms()):
+            due_since_ms = None
+            continue
+        due_since_ms = now_ms if due_since_ms is None else due_since_ms
+        if is_chosen(vm) or now_ms - due_since_ms > CONFIG_RENEWAL_GRACE_MS:
+            await append_copy(vm)
+
+
+def is_due(state: ConfigurationState, wall_ms: int) -> bool:
+    """Return whether a new reader may soon find nothing to start from."""
+    if state.head_record is None or not state.anchored:
+        return False
+    return (
+        state.trimmed_to > state.anchor_offset
+        or state.next_offset - state.anchor_offset > CONFIG_RENEWAL_RECORDS
+        or wall_ms - state.anchor_time_ms > CONFIG_RENEWAL_INTERVAL_MS
+    )
+
+
+def is_chosen(vm: Vm) -> bool:
+    """Return whether this VM is the one to write, as far as it knows.
+
+    VMs whose lists differ may both write; a second copy does no harm.
+    """
+    alive = vm.members.alive(vm.clock.now_ms())
+    names = [member.name for member in alive if not member.leaving]
+    if not vm.leaving:
+        names.append(vm.settings.name)
+    return rank(CONFIG_STREAM, names)[:1] == (vm.settings.name,)
+
+
+async def append_copy(vm: Vm) -> None:
+    """Append a copy of the newest version unless the log has a fresh one."""
+    state = vm.configuration
+    try:
+        await read_configuration(vm, 0)
+        copy = make_copy(state)
+        if copy is None or not is_due(state, vm.clock.wall_ms()):
+            return
+        offset = await vm.platform.append(CONFIG_STREAM, RECORDS.encode(copy))
+        vm.journal.record(Event.CONFIG_COPIED, version=copy.version, offset=offset)
+    except PlatformAwayError:
+        return  # The next round tries again; a copy that got through twice is fine.
