--- a/cuminstile/commands/survey.py
+++ b/cuminstile/commands/survey.py
@@ -67,12 +67,18 @@
 
 
 def known_addresses(reports: Mapping[str, StatusReport]) -> set[str]:
-    """Return the operator addresses of VMs that others report as not missing."""
+    """Return the addresses of VMs that others name and that have not reported.
+
+    A VM that was reached at another address than its own counts as reported.
+    """
+    reported = {report.vm.name for report in reports.values()}
     return {
         vm.operator_address
         for report in reports.values()
         for vm in report.vms
-        if vm.operator_address and vm.state != VmState.MISSING
+        if vm.operator_address
+        and vm.name not in reported
+        and vm.state != VmState.MISSING
     }
 
 
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -18,15 +18,20 @@
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
+from .operator.app import make_app as make_operator_app
 from .platform.client import make_platform_client
 from .platform.follow import follow_configuration, follow_vm_list
+from .platform.renewal import renew_configuration
 from .runtime import Vm
 from .settings import Settings, load_settings
 from .stages import run_stage
 from .tls import client_context, server_context
+from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
+    ConfigAsk,
+    ConfigGive,
     Heartbeat,
     RunStage,
     StageCancel,
@@ -68,6 +73,8 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            ConfigAsk: on_config_ask,
+            ConfigGive: on_config_give,
         },
         members=members,
         server_tls=server_context(settings.tls),
@@ -102,12 +109,16 @@
         incarnation=vm.incarnation,
         data_centre=vm.settings.data_centre,
     )
-    servers = [make_server(vm.settings, make_app(vm), vm.settings.caller_port)]
+    servers = [
+        make_server(vm.settings, make_app(vm), vm.settings.caller_port),
+        make_server(vm.settings, make_operator_app(vm), vm.settings.operator_port),
+    ]
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(stop_on_signal, vm, tasks, servers)
         tasks.start_soon(listen, vm)
         tasks.start_soon(keep_dialling, vm)
         tasks.start_soon(follow_configuration, vm)
+        tasks.start_soon(renew_configuration, vm)
         tasks.start_soon(follow_vm_list, vm)
         for server in servers:
             tasks.start_soon(server.serve)
--- a/tests/operator/test_app.py
+++ b/tests/operator/test_app.py
@@ -20,9 +20,9 @@
 from cuminstile.platform.follow import read_configuration
 from cuminstile.runtime import Vm
 from tests.fakes.asgi import Reply, ask
-from tests.objects.examples import GOOD_SET
 from tests.fakes.platform import FakePlatform
 from tests.fakes.virtual import OPERATOR_KEYS, VM_KEYS, make_platform, make_test_vm
+from tests.objects.examples import GOOD_SET
 
 KEY = OPERATOR_KEYS[0]
 
