Start whole arrangements of stand-ins and VMs as processes

Scenarios, measures and the demo need the same thing: the programs of a set of operators' objects on free ports, with paths between them that can be cut. The relay passes bytes in one process for all paths; a platform that shows each data centre its own addresses takes the place of network address translation, so that the path between two data centres can be cut without touching the VMs.

--- a/standins/control.py
+++ b/standins/control.py
@@ -55,6 +55,9 @@
         Records kept for each stream.
     retain_ms : float or None
         Time for which records are kept.
+    seen_addresses : mapping
+        For a reader that shows the key `K`, `seen_addresses[K][NAME]` stands in for
+        the address of the VM NAME, as behind a network that translates addresses.
     """
 
     outage: bool | Literal["refuse", "hang"] = False
@@ -68,6 +71,7 @@
     retain_ms: Duration | None = None
     vm_lag_ms: Duration = 0.0
     vms: tuple[ListedVm, ...] = ()
+    seen_addresses: Mapping[str, Mapping[str, str]] = field(default_factory=dict)
     weights_per_s: Annotated[float, Field(gt=0.0)] = 1.0
     key: str = ""
     seed: int = 0
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,149 @@
+"""Hold a running arrangement of processes and change it while it runs."""
+
+import json
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpcore
+
+from cuminstile.objects.model import OBJECT, AnyObject
+
+from .arrangement import Arrangement
+from .http import exchange, make_pool
+from .processes import NotReadyError, Ports, Program, Programs, wait_until_ready
+from .serving import HOST
+
+ROOT = Path(__file__).parent.parent
+PLATFORM = "platform"
+LINK = "link"
+POLL_INTERVAL_MS = 50
+READY_LIMIT_MS = 15_000
+UPSTREAMS = "upstreams"
+
+
+@dataclass(frozen=True)
+class VmPorts:
+    """Hold the TCP ports of a VM."""
+
+    caller: int
+    operator: int
+    vm: int
+
+
+@dataclass
+class Fleet:
+    """Hold a running arrangement.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings, logs, outputs and objects are kept.
+    objects : tuple
+        The operators' objects with the addresses that hold here.
+    upstream_ports : dict of str to int
+        The own port of each upstream, beside any relay.
+    """
+
+    arrangement: Arrangement
+    folder: Path
+    objects: tuple[AnyObject, ...] = ()
+    programs: Programs = field(default_factory=Programs)
+    ports: Ports = field(default_factory=Ports)
+    platform_port: int = 0
+    link_port: int = 0
+    upstream_ports: dict[str, int] = field(default_factory=dict)
+    vms: dict[str, VmPorts] = field(default_factory=dict)
+    seen: dict[str, dict[str, str]] = field(default_factory=dict)
+    pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+
+    @property
+    def objects_folder(self) -> Path:
+        """Return the folder that an operator publishes."""
+        return self.folder / "objects"
+
+    def logs(self) -> list[Path]:
+        """Return the log of each VM."""
+        return [self.folder / f"{name}.log" for name in self.vms]
+
+    def environment(self) -> dict[str, str]:
+        """Return the environment of every program."""
+        return {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+
+    def launch(self, name: str, *arguments: str) -> Program:
+        """Start a program for the first time."""
+        output = self.folder / f"{name}.out"
+        program = self.programs.add(Program(name, arguments, output))
+        program.start(self.environment())
+        return program
+
+    async def ask(self, method: str, port: int, path: str, body: Any = None) -> Any:
+        """Exchange JSON with one of the programs."""
+        return await exchange(self.pool, method, port, path, body)
+
+    async def control(self, name: str, **values: Any) -> Any:
+        """Change control values of the platform or of an upstream."""
+        port = self.upstream_ports.get(name, self.platform_port)
+        return await self.ask("POST", port, "/control", values)
+
+    async def set_path(self, path: str, state: str, delay_ms: float = 0.0) -> None:
+        """Cut, close, delay or open a path: `A:B`, `A:platform` or `A:upstreams`."""
+        body = {"path": path, "state": state, "delay_ms": delay_ms}
+        await self.ask("POST", self.link_port, "/paths", body)
+
+    async def restart(self, name: str) -> None:
+        """Start a program again that has ended, and wait until it is ready."""
+        program = self.programs.by_name[name]
+        program.start(self.environment())
+        if name in self.vms:
+            await wait_until_healthy(self, name)
+        else:
+            await wait_until_ready(program)
+
+    def write_objects(self) -> None:
+        """Write the objects, one file for each kind, in place of what was there."""
+        self.objects_folder.mkdir(exist_ok=True)
+        for old in self.objects_folder.glob("*.json"):
+            old.unlink()
+        kinds: dict[str, list[Any]] = {}
+        for item in self.objects:
+            row = OBJECT.dump_python(item, mode="json")
+            kinds.setdefault(item.kind, []).append(row)
+        for kind, rows in kinds.items():
+            path = self.objects_folder / f"{kind}.json"
+            path.write_text(json.dumps(rows, indent=2) + "\n")
+
+
+def path_name(one: str, other: str) -> str:
+    """Return the name of the path between two data centres."""
+    return ":".join(sorted((one, other)))
+
+
+async def is_good(fleet: Fleet, name: str, path: str) -> bool:
+    """Return whether a VM answers a path of its caller port with 200."""
+    url = f"http://{HOST}:{fleet.vms[name].caller}{path}"
+    timeout = {"timeout": {"connect": 0.5, "read": 0.5}}
+    try:
+        response = await fleet.pool.request("GET", url, extensions=timeout)
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+        return False
+    return response.status == 200
+
+
+async def wait_until_healthy(fleet: Fleet, name: str, path: str = "/healthz") -> None:
+    """Wait until a VM answers well.
+
+    Raises
+    ------
+    NotReadyError
+        If it ends, or does not answer in time.
+    """
+    program = fleet.programs.by_name[name]
+    with anyio.move_on_after(READY_LIMIT_MS / 1000.0):
+        while program.runs():
+            if await is_good(fleet, name, path):
+                return
+            await anyio.sleep(POLL_INTERVAL_MS / 1000.0)
+    raise NotReadyError(f"{name} is not ready: {program.text()[-2000:]}")
--- /dev/null
+++ b/standins/http.py
@@ -0,0 +1,48 @@
+"""Exchange JSON over HTTP with the programs of a test arrangement."""
+
+import json
+from typing import Any
+
+import httpcore
+
+from .serving import HOST
+
+TIMEOUT_S = 10.0
+HTTP_OK = 200
+
+
+class ControlError(Exception):
+    """Tell that a program refused a control request."""
+
+
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return a pool of connections for many callers at once."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=None, max_keepalive_connections=256, keepalive_expiry=2.0
+    )
+
+
+async def exchange(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    port: int,
+    path: str,
+    body: Any = None,
+) -> Any:
+    """Send JSON to a program and return its JSON.
+
+    Raises
+    ------
+    ControlError
+        If the answer is no good one.
+    """
+    response = await pool.request(
+        method,
+        f"http://{HOST}:{port}{path}",
+        content=b"" if body is None else json.dumps(body).encode(),
+        headers=[("content-type", "application/json")],
+        extensions={"timeout": dict.fromkeys(("connect", "read", "pool"), TIMEOUT_S)},
+    )
+    if response.status != HTTP_OK:
+        raise ControlError(response.content.decode("utf-8", "replace"))
+    return json.loads(response.content)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -211,11 +211,13 @@
     async def list_vms(request: Request) -> Response:
         values = platform.control.values
         await wait_ms(values.read_delay_ms)
+        key = request.headers.get("authorization", "").removeprefix("Bearer ")
+        seen = values.seen_addresses.get(key, {})
         vms = [
             {
                 "name": vm.name,
                 "data_centre": vm.data_centre,
-                "address": vm.address,
+                "address": seen.get(vm.name, vm.address),
                 "state": vm.state,
                 "age_ms": round(values.vm_lag_ms),
             }
--- /dev/null
+++ b/standins/startup.py
@@ -0,0 +1,180 @@
+"""Start the processes of an arrangement, and end them all in any case."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+
+from cuminstile.objects.collection import collect
+
+from .arrangement import (
+    MODULES,
+    OPERATOR_KEY,
+    VM_KEY,
+    Arrangement,
+    VmPlan,
+    controls_of,
+    role_of,
+    with_address,
+)
+from .fleet import (
+    LINK,
+    PLATFORM,
+    UPSTREAMS,
+    Fleet,
+    VmPorts,
+    path_name,
+    wait_until_healthy,
+)
+from .processes import Program, wait_until_ready
+from .serving import HOST
+
+
+@asynccontextmanager
+async def running(arrangement: Arrangement, folder: Path) -> AsyncIterator[Fleet]:
+    """Run an arrangement until the block ends, in whatever way it ends.
+
+    Raises
+    ------
+    NotReadyError
+        If a program does not become ready.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(arrangement, folder)
+    try:
+        await start_platform(fleet)
+        await start_upstreams(fleet)
+        await start_vms(fleet)
+        yield fleet
+    finally:
+        fleet.programs.end_all()
+        with anyio.CancelScope(shield=True):
+            await fleet.pool.aclose()
+
+
+async def start_platform(fleet: Fleet) -> None:
+    """Start the platform and, where paths are to be cut, the relay."""
+    fleet.platform_port = fleet.ports.take()
+    control = json.dumps(dict(fleet.arrangement.platform))
+    port = str(fleet.platform_port)
+    platform = fleet.launch(
+        PLATFORM, "-m", "standins.platform", "--port", port, "--control", control
+    )
+    if fleet.arrangement.linked:
+        fleet.link_port = fleet.ports.take()
+        port = str(fleet.link_port)
+        await wait_until_ready(
+            fleet.launch(LINK, "-m", "standins.link", "--port", port)
+        )
+    await wait_until_ready(platform)
+
+
+async def add_relay(fleet: Fleet, path: str, port: int) -> int:
+    """Return the port at which a relay stands before another port."""
+    body = {"path": path, "to": f"{HOST}:{port}", "port": fleet.ports.take()}
+    answer = await fleet.ask("POST", fleet.link_port, "/relays", body)
+    return int(answer["port"])
+
+
+async def start_upstreams(fleet: Fleet) -> None:
+    """Start the stand-in of each upstream and fill in its address."""
+    objects = collect(fleet.arrangement.objects)
+    started: list[Program] = []
+    reached: dict[str, int] = {}
+    for name, upstream in objects.upstreams.items():
+        port = fleet.upstream_ports[name] = reached[name] = fleet.ports.take()
+        control = json.dumps(controls_of(fleet.arrangement, upstream))
+        module = MODULES[role_of(objects, upstream)]
+        runs = str(fleet.folder / f"{name}.runs")
+        flags = ("--port", str(port), "--control", control)
+        more = ("--name", name, "--runs", runs)
+        started.append(fleet.launch(name, "-m", module, *flags, *more))
+        if fleet.arrangement.linked:
+            path = f"{upstream.data_centre}:{UPSTREAMS}"
+            reached[name] = await add_relay(fleet, path, port)
+    for program in started:
+        await wait_until_ready(program)
+    fleet.objects = tuple(
+        with_address(item, reached, HOST) for item in fleet.arrangement.objects
+    )
+    fleet.write_objects()
+
+
+async def start_vms(fleet: Fleet) -> None:
+    """Start every VM and tell the platform of them."""
+    for plan in fleet.arrangement.vms:
+        ports = (fleet.ports.take(), fleet.ports.take(), fleet.ports.take())
+        fleet.vms[plan.name] = VmPorts(*ports)
+    centres = sorted({plan.data_centre for plan in fleet.arrangement.vms})
+    platforms = dict.fromkeys(centres, fleet.platform_port)
+    if fleet.arrangement.linked:
+        fleet.seen = {centre: await seen_from(fleet, centre) for centre in centres}
+        for centre in centres:
+            path = f"{centre}:{PLATFORM}"
+            platforms[centre] = await add_relay(fleet, path, fleet.platform_port)
+    await list_vms(fleet)
+    for plan in fleet.arrangement.vms:
+        path = write_settings(fleet, plan, platforms[plan.data_centre])
+        fleet.launch(plan.name, "-m", "cuminstile.daemon", "--settings", str(path))
+    for name in fleet.vms:
+        await wait_until_healthy(fleet, name)
+
+
+async def seen_from(fleet: Fleet, centre: str) -> dict[str, str]:
+    """Return the address at which a data centre reaches each VM."""
+    seen: dict[str, str] = {}
+    for plan in fleet.arrangement.vms:
+        port = fleet.vms[plan.name].vm
+        if plan.data_centre != centre:
+            port = await add_relay(fleet, path_name(centre, plan.data_centre), port)
+        seen[plan.name] = f"{HOST}:{port}"
+    return seen
+
+
+async def list_vms(fleet: Fleet, leaving: frozenset[str] = frozenset()) -> None:
+    """Give the platform its list of VMs."""
+    rows = [
+        {
+            "name": plan.name,
+            "data_centre": plan.data_centre,
+            "address": f"{HOST}:{fleet.vms[plan.name].vm}",
+            "state": "leaving" if plan.name in leaving else "live",
+        }
+        for plan in fleet.arrangement.vms
+    ]
+    await fleet.control(PLATFORM, vms=rows, seen_addresses=fleet.seen)
+
+
+def write_settings(fleet: Fleet, plan: VmPlan, platform_port: int) -> Path:
+    """Write the settings of a VM and return their file."""
+    ports = fleet.vms[plan.name]
+    seen = fleet.seen.get(plan.data_centre, {})
+    peers = [
+        {
+            "name": other.name,
+            "data_centre": other.data_centre,
+            "address": seen.get(other.name, f"{HOST}:{fleet.vms[other.name].vm}"),
+        }
+        for other in fleet.arrangement.vms
+        if other != plan
+    ]
+    settings = {
+        "name": plan.name,
+        "data_centre": plan.data_centre,
+        "host": HOST,
+        "caller_port": ports.caller,
+        "operator_port": ports.operator,
+        "vm_port": ports.vm,
+        "platform": f"{HOST}:{platform_port}",
+        "platform_key": plan.data_centre,
+        "operator_keys": [OPERATOR_KEY],
+        "vm_keys": [VM_KEY],
+        "peers": peers,
+        "log_file": str(fleet.folder / f"{plan.name}.log"),
+        **fleet.arrangement.settings,
+    }
+    path = fleet.folder / f"{plan.name}.json"
+    path.write_text(json.dumps(settings, indent=2) + "\n")
+    return path
