Call the VMs under load, keep example objects of both firms, show a demo

The caller records what became of each request and checks its mark and the indexes of its tokens; the load generator sends in an open loop with seeded arrivals. Both firms' objects stand under examples/ with the sizes of today; a fleet fills in the addresses. script/demo runs them with the command-line tool.

--- a/standins/link.py
+++ b/standins/link.py
@@ -119,10 +119,10 @@
     if path.state == "close":
         return
     await path.passing.wait()
-    async with await anyio.connect_tcp(host, port) as server:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(pump, path, client, server, scope)
-            tasks.start_soon(pump, path, server, client, scope)
+    server = await anyio.connect_tcp(host, port)
+    async with server, anyio.create_task_group() as tasks:
+        tasks.start_soon(pump, path, client, server, scope)
+        tasks.start_soon(pump, path, server, client, scope)
 
 
 async def pump(
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,159 @@
+"""Generate requests in an open loop: arrivals do not wait for answers."""
+
+import math
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+
+from .arrangement import caller_key
+from .balancer import Balancer
+from .caller import Ask, Reply, Result, now_ms, wall_ms
+
+PROMPT_REPEATS = 20
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Describe one kind of request.
+
+    Parameters
+    ----------
+    weight : float
+        Its part of the requests, against the other kinds.
+    unrepeatable : bool
+        Whether the caller gives an idempotency key.
+    max_tokens : int
+        Tokens that an engine is asked for; 0 leaves that to the engine.
+    """
+
+    pipeline: str
+    deadline_ms: int
+    weight: float = 1.0
+    stream: bool = False
+    unrepeatable: bool = False
+    max_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class Burst:
+    """Multiply the rate from a moment on, for a while (ms from the start)."""
+
+    at_ms: float
+    for_ms: float
+    factor: float
+
+
+@dataclass(frozen=True)
+class Load:
+    """Describe a load.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Mean arrivals a second outside bursts.
+    organisations : tuple of (str, float)
+        The part of each organisation, against the others.
+    """
+
+    kinds: tuple[Kind, ...]
+    organisations: tuple[tuple[str, float], ...]
+    rate_per_s: float
+    duration_ms: float
+    seed: int
+    bursts: tuple[Burst, ...] = ()
+    name: str = "load"
+
+
+@dataclass
+class Record:
+    """Hold the replies of a load in the order of their arrival.
+
+    Parameters
+    ----------
+    sent_ms : list of float
+        When each request was sent, ms from the start of the load.
+    """
+
+    replies: list[Reply] = field(default_factory=list)
+    sent_ms: list[float] = field(default_factory=list)
+
+
+def rate_at(load: Load, at_ms: float) -> float:
+    """Return the mean arrivals a second at a moment."""
+    rate = load.rate_per_s
+    for burst in load.bursts:
+        if burst.at_ms <= at_ms < burst.at_ms + burst.for_ms:
+            rate *= burst.factor
+    return rate
+
+
+def arrivals(load: Load, draws: random.Random) -> Iterator[float]:
+    """Yield the moments of seeded Poisson arrivals, ms from the start.
+
+    Draws at the highest rate and keeps the part that the present rate wants.
+    """
+    highest = max([load.rate_per_s] + [rate_at(load, b.at_ms) for b in load.bursts])
+    at_ms = 0.0
+    while True:
+        at_ms += draws.expovariate(highest) * 1000.0
+        if at_ms >= load.duration_ms:
+            return
+        if draws.random() * highest < rate_at(load, at_ms):
+            yield at_ms
+
+
+def draw_ask(load: Load, number: int, draws: random.Random) -> Ask:
+    """Return the request with a number."""
+    kind = pick(load.kinds, [item.weight for item in load.kinds], draws)
+    names = [name for name, _ in load.organisations]
+    organisation = pick(names, [part for _, part in load.organisations], draws)
+    mark = f"{load.name}-{load.seed}-{number}"
+    body: dict[str, Any] = {"prompt": prompt(organisation, draws)}
+    if kind.max_tokens:
+        body["max_tokens"] = kind.max_tokens
+    return Ask(
+        pipeline=kind.pipeline,
+        key=caller_key(organisation),
+        mark=mark,
+        deadline_ms=kind.deadline_ms,
+        stream=kind.stream,
+        idempotency_key=mark if kind.unrepeatable else "",
+        issued_at_ms=wall_ms() if kind.unrepeatable else 0,
+        input=body,
+    )
+
+
+def pick(items: Sequence[Any], weights: Sequence[float], draws: random.Random) -> Any:
+    """Return one item, drawn by weight."""
+    return draws.choices(items, weights)[0]
+
+
+def prompt(organisation: str, draws: random.Random) -> str:
+    """Return a prompt that begins with the organisation's standard terms."""
+    terms = f"Standard terms of {organisation}. " * PROMPT_REPEATS
+    return f"{terms}Question {draws.randrange(10_000)}."
+
+
+async def run_load(load: Load, balancer: Balancer, record: Record) -> None:
+    """Send the requests of a load and wait for the end of each."""
+    draws = random.Random(load.seed)
+    began_ms = now_ms()
+
+    async def send_one(index: int, ask: Ask) -> None:
+        record.replies[index] = await balancer.send(ask)
+
+    async with anyio.create_task_group() as tasks:
+        for number, at_ms in enumerate(arrivals(load, draws)):
+            ask = draw_ask(load, number, draws)
+            await anyio.sleep(max(0.0, began_ms + at_ms - now_ms()) / 1000.0)
+            record.sent_ms.append(now_ms() - began_ms)
+            record.replies.append(lost_so_far(ask))
+            tasks.start_soon(send_one, len(record.replies) - 1, ask)
+
+
+def lost_so_far(ask: Ask) -> Reply:
+    """Return the record of a request that has no answer yet."""
+    return Reply(ask, "", Result.LOST, ran="unknown", latency_ms=math.inf)
--- a/tests/standins/programs.py
+++ b/tests/standins/programs.py
@@ -62,10 +62,22 @@
 @contextmanager
 def started(module: str, **control: object) -> Iterator[Program]:
     """Run `python -m standins.MODULE` until the block ends."""
-    command = [sys.executable, "-m", f"standins.{module}", "--port", "0"]
-    process = subprocess.Popen(
-        [*command, "--control", json.dumps(control)], stdout=subprocess.PIPE, text=True
-    )
+    with running(module, "--control", json.dumps(control)) as program:
+        yield program
+
+
+@contextmanager
+def started_link() -> Iterator[Program]:
+    """Run a relay without any path until the block ends."""
+    with running("link") as program:
+        yield program
+
+
+@contextmanager
+def running(module: str, *flags: str) -> Iterator[Program]:
+    """Run a program with some flags until the block ends."""
+    command = [sys.executable, "-m", f"standins.{module}", "--port", "0", *flags]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     try:
         assert process.stdout is not None
         word, port = process.stdout.readline().split()
--- /dev/null
+++ b/tests/standins/test_caller.py
@@ -0,0 +1,42 @@
+"""Check that the caller sees what is wrong with an answer."""
+
+from standins.caller import Ask, Result, StreamCheck, reply_of
+
+ASK = Ask("chat", "key", "mine", 1_000)
+
+
+def answer(*marks: str) -> dict:
+    """Return the body of a whole answer with some marks."""
+    return {"request": "r", "output": {"marks": list(marks)}, "steps": []}
+
+
+def test_a_stream_that_skips_or_repeats_is_told() -> None:
+    check = StreamCheck()
+    check.take(0, ["a", "b"])
+    check.take(2, ["c"])
+    assert not check.faults
+    check.take(2, ["c"])
+    check.take(9, ["d"])
+    assert len(check.faults) == 2
+
+
+def test_an_answer_with_another_callers_mark_is_wrong() -> None:
+    assert reply_of(ASK, "vm", answer("mine"), 5.0).result is Result.ANSWERED
+    assert reply_of(ASK, "vm", answer("other"), 5.0).result is Result.WRONG
+    assert reply_of(ASK, "vm", answer("mine", "other"), 5.0).result is Result.WRONG
+    assert reply_of(ASK, "vm", answer(), 5.0).result is Result.WRONG
+
+
+def test_a_late_answer_is_not_good() -> None:
+    assert reply_of(ASK, "vm", answer("mine"), 999.0).good
+    assert not reply_of(ASK, "vm", answer("mine"), 1_001.0).good
+
+
+def test_a_refusal_keeps_its_code_and_truth() -> None:
+    body = {"error": {"code": "overloaded", "message": "m", "ran": "not_run"}}
+    reply = reply_of(ASK, "vm", body, 5.0)
+    assert (reply.result, reply.code, reply.ran) == (
+        Result.REFUSED,
+        "overloaded",
+        "not_run",
+    )
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,37 @@
+"""Check the example objects of both firms as an operator would."""
+
+import hashlib
+from pathlib import Path
+
+import pytest
+
+from cuminstile.objects.checks import check_directory
+from cuminstile.objects.collection import collect
+from standins.arrangement import caller_key, load_objects, within
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+FIRMS = ("falrendszer", "inzuki")
+
+
+@pytest.mark.parametrize("firm", FIRMS)
+def test_an_example_set_has_no_findings(firm: str) -> None:
+    found = check_directory(EXAMPLES / firm)
+    assert found.findings == ()
+    objects = collect(found.objects)
+    assert len(objects.organisations) == 5
+    assert any(len(item.steps) == 4 for item in objects.pipelines.values())
+
+
+def test_the_example_keys_are_those_of_their_organisations() -> None:
+    for firm in FIRMS:
+        objects = collect(load_objects(EXAMPLES / firm))
+        for name in objects.organisations:
+            digest = hashlib.sha256(caller_key(name).encode()).hexdigest()
+            assert objects.by_digest[digest].name == name
+
+
+def test_two_data_centres_of_an_example_serve_every_stage() -> None:
+    kept = within(load_objects(EXAMPLES / "falrendszer"), {"budapest", "budaors"})
+    objects = collect(kept)
+    assert set(objects.by_stage) == set(objects.stages)
+    assert set(objects.data_centres) == {"budapest", "budaors"}
