--- a/standins/startup.py
+++ b/standins/startup.py
@@ -116,8 +116,9 @@
             platforms[centre] = await add_relay(fleet, path, fleet.platform_port)
     await list_vms(fleet)
     for plan in fleet.arrangement.vms:
-        path = write_settings(fleet, plan, platforms[plan.data_centre])
-        fleet.launch(plan.name, "-m", "cuminstile.daemon", "--settings", str(path))
+        settings = write_settings(fleet, plan, platforms[plan.data_centre])
+        flags = ("--settings", str(settings))
+        fleet.launch(plan.name, "-m", "cuminstile.daemon", *flags)
     for name in fleet.vms:
         await wait_until_healthy(fleet, name)
 
