Never forget the VMs that the settings name

The platform's list took the place of the VMs from the settings at once, so a VM whose platform lists nobody knew no peer to ask for the configuration. Test seen red first.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -59,7 +59,7 @@
     clock = Clock()
     members = Members(settings.name, settings.data_centre)
     for peer in settings.peers:
-        members.add(peer.name, peer.data_centre, peer.address)
+        members.add(peer.name, peer.data_centre, peer.address, in_settings=True)
     return Vm(
         settings=settings,
         clock=clock,
--- a/cuminstile/vm/membership.py
+++ b/cuminstile/vm/membership.py
@@ -18,6 +18,10 @@
     ----------
     address : str
         `host:port` of its VM port.
+    listed : bool
+        Whether the platform's list had it last.
+    in_settings : bool
+        Whether this VM's settings name it; it is then never forgotten.
     incarnation : str
         Empty until the VM has introduced itself.
     heard_ms : float
@@ -28,6 +32,7 @@
     data_centre: str
     address: str
     listed: bool = True
+    in_settings: bool = False
     leaving: bool = False
     incarnation: str = ""
     heard_ms: float = float("-inf")
@@ -62,16 +67,22 @@
                 self.by_name[entry.name].leaving = True
         for member in tuple(self.by_name.values()):
             member.listed = member.name in names
-            if not member.listed and not self.is_alive(member.name, now_ms):
+            if member.listed or member.in_settings:
+                continue
+            if not self.is_alive(member.name, now_ms):
                 del self.by_name[member.name]
 
-    def add(self, name: str, data_centre: str, address: str) -> None:
+    def add(
+        self, name: str, data_centre: str, address: str, in_settings: bool = False
+    ) -> None:
         """Learn of a VM, or of its new address."""
         if name == self.own_name:
             return
         member = self.by_name.get(name)
         if member is None:
-            self.by_name[name] = Member(name, data_centre, address)
+            self.by_name[name] = Member(
+                name, data_centre, address, in_settings=in_settings
+            )
             return
         member.address = address
         member.data_centre = data_centre
