Keep background tasks running after an unexpected error

Cause: an exception in one peer's message handler or in a follower of the platform ended the task group of the whole VM. Ports that cannot be had are findings about the settings before anything starts, since a listener that failed later would only be retried.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -23,8 +23,9 @@
 from .platform.follow import follow_configuration, follow_vm_list
 from .platform.renewal import renew_configuration
 from .runtime import Vm
-from .settings import Settings, load_settings
+from .settings import Settings, check_ports, load_settings
 from .stages import run_stage
+from .supervision import Background, keep_running
 from .tls import client_context, server_context
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
@@ -43,6 +44,13 @@
 from .vm.shutdown import drain
 
 EXIT_BAD_INPUT = 2
+BACKGROUND: tuple[Background, ...] = (
+    listen,
+    keep_dialling,
+    follow_configuration,
+    renew_configuration,
+    follow_vm_list,
+)
 
 
 class QuietServer(uvicorn.Server):
@@ -123,11 +131,8 @@
         make_server(vm.settings, make_app(vm), vm.settings.caller_port),
         make_server(vm.settings, make_operator_app(vm), vm.settings.operator_port),
     ]
-    tasks.start_soon(listen, vm)
-    tasks.start_soon(keep_dialling, vm)
-    tasks.start_soon(follow_configuration, vm)
-    tasks.start_soon(renew_configuration, vm)
-    tasks.start_soon(follow_vm_list, vm)
+    for task in BACKGROUND:
+        tasks.start_soon(keep_running, vm, task)
     for server in servers:
         tasks.start_soon(server.serve)
     return servers
@@ -150,6 +155,7 @@
     """
     try:
         checked = load_settings(Path(settings))
+        check_ports(checked)
     except CuminstileError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -1,6 +1,7 @@
 """Read and check the settings of a VM."""
 
 import json
+import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated, Any
@@ -109,6 +110,37 @@
     return checked.value
 
 
+def check_ports(settings: Settings) -> None:
+    """Check that the VM can listen where its settings say.
+
+    Raises
+    ------
+    CuminstileError
+        With `BAD_SETTINGS` and a finding for each port that cannot be had.
+    """
+    names = ("caller_port", "operator_port", "vm_port")
+    findings = [port_finding(settings, name) for name in names]
+    present = tuple(finding for finding in findings if finding is not None)
+    if present:
+        raise bad_settings(present)
+
+
+def port_finding(settings: Settings, name: str) -> Finding | None:
+    """Return what speaks against listening on one of the ports."""
+    port = getattr(settings, name)
+    try:
+        with socket.create_server((settings.host, port), family=family_of(settings)):
+            return None
+    except OSError as error:
+        text = f"cannot listen on {settings.host}:{port}: {error.strerror}"
+        return Finding("", name, "port", text)
+
+
+def family_of(settings: Settings) -> socket.AddressFamily:
+    """Return the address family of the settings' host."""
+    return socket.AF_INET6 if ":" in settings.host else socket.AF_INET
+
+
 def bad_settings(findings: tuple[Finding, ...]) -> CuminstileError:
     """Return the error that carries every finding about the settings."""
     return CuminstileError(
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -29,6 +29,7 @@
 )
 from ..events import Event, Stamp
 from ..exceptions import CuminstileError, ErrorCode
+from ..pipeline import internal_error
 from ..wire import MAX_MESSAGE_BYTES, Message
 from .authentication import is_proved, prove
 from .membership import Member
@@ -136,9 +137,10 @@
     await connection.send(CODEC.encode(Challenge(nonce)))
     hello: Hello = await receive(connection, Hello)
     keys = vm.settings.vm_keys
-    if not is_proved(keys, hello.proof, "connect", hello.name, nonce):
-        raise unauthenticated(hello.name)
     own = vm.settings.name
+    is_valid = is_proved(keys, hello.proof, "connect", hello.name, nonce)
+    if not is_valid or hello.name == own:
+        raise unauthenticated(hello.name)
     proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
     welcome = Welcome(own, vm.settings.data_centre, vm.incarnation, proof)
     await connection.send(CODEC.encode(welcome))
@@ -201,7 +203,10 @@
     while dials(vm, name):
         member = vm.members.by_name[name]
         started_ms = vm.clock.now_ms()
-        await dial_once(vm, member)
+        try:
+            await dial_once(vm, member)
+        except Exception as error:
+            internal_error(vm, error)
         if vm.clock.now_ms() - started_ms > RECONNECT_MAX_MS:
             backoff_ms = float(RECONNECT_MIN_MS)
         await vm.clock.sleep_ms(backoff_ms * (0.5 + vm.random.random()))
@@ -369,7 +374,13 @@
             Event.PEER_MESSAGE_REFUSED, peer=session.name, reason=error.message
         )
         return
-    await handler(vm, session, message)
+    try:
+        await handler(vm, session, message)
+    except CuminstileError:
+        # The answer could not be sent: the session is closing.
+        return
+    except Exception as error:
+        internal_error(vm, error)
 
 
 async def on_heartbeat(vm: Vm, session: Session, message: Heartbeat) -> None:
