--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -168,6 +168,7 @@
         scope.cancel()
         await settle()
         await bench.clock.advance_ms(10.0)
+        tasks.cancel_scope.cancel()
     assert bench.served == ["next"]
     assert bench.free == 1
 
