--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -37,6 +37,7 @@
         self.line = WaitingLine(self.clock, self.max_length, self.give_back, self.order)
 
     def try_take(self) -> str | None:
+        """Return a slot while one is free."""
         self.tries += 1
         if not self.free:
             return None
@@ -44,10 +45,12 @@
         return "slot"
 
     def give_back(self, slot: str) -> None:
+        """Take a slot back and wake the line."""
         self.free += 1
         self.line.notify()
 
     async def call(self, name: str, ticket: Ticket) -> None:
+        """Wait for a slot, hold it for the ticket's work and note the end."""
         try:
             slot = await self.line.acquire(ticket, self.try_take)
         except CuminstileError as error:
