--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -199,6 +199,14 @@
 
 async def dial(vm: Vm, name: str) -> None:
     """Keep a session with one VM while this VM is to connect to it."""
+    try:
+        await dial_again_and_again(vm, name)
+    finally:
+        vm.sessions.dialling.discard(name)
+
+
+async def dial_again_and_again(vm: Vm, name: str) -> None:
+    """Connect, and connect again after each end, with a growing delay."""
     backoff_ms = float(RECONNECT_MIN_MS)
     while dials(vm, name):
         member = vm.members.by_name[name]
@@ -211,7 +219,6 @@
             backoff_ms = float(RECONNECT_MIN_MS)
         await vm.clock.sleep_ms(backoff_ms * (0.5 + vm.random.random()))
         backoff_ms = min(backoff_ms * 2, RECONNECT_MAX_MS)
-    vm.sessions.dialling.discard(name)
 
 
 async def dial_once(vm: Vm, member: Member) -> None:
