Make the session tests fail for the faults they name

Seen red now: the incarnation not taken over, the heartbeat's mark not taken over, this VM's own name let in.

--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -292,8 +292,6 @@
         old.tasks.cancel_scope.cancel()
     member = vm.members.by_name.get(session.name)
     if member is not None:
-        if member.incarnation != session.incarnation:
-            member.leaving = False
         member.incarnation = session.incarnation
     vm.members.hear(session.name, vm.clock.now_ms())
     vm.journal.record(
--- a/tests/vm/test_sessions.py
+++ b/tests/vm/test_sessions.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from cuminstile.events import Event
 from cuminstile.runtime import Vm
 from cuminstile.vm.sessions import Session, dials, keep_dialling, listen
 
@@ -40,7 +41,10 @@
     async with connected(one, heir):
         session = one.sessions.by_name["vm-a2"]
         assert session.incarnation == heir.incarnation != old.incarnation
-        assert not one.members.by_name["vm-a2"].leaving
+        member = one.members.by_name["vm-a2"]
+        with anyio.fail_after(BACK_WITHIN_S):
+            while member.leaving or member.incarnation != heir.incarnation:
+                await anyio.sleep(0.01)
 
 
 async def test_only_one_of_two_vms_connects() -> None:
@@ -63,5 +67,7 @@
         tasks.start_soon(listen, two)
         tasks.start_soon(keep_dialling, two)
         await anyio.sleep(1.0)
-        assert not one.sessions.by_name and not two.sessions.by_name
+        events = {record.event for record in one.journal.ring}
+        assert Event.PEER_REFUSED in events
+        assert Event.PEER_CONNECTED not in events
         tasks.cancel_scope.cancel()
