Follow the configuration in time when only the platform is cut off; close two holes

Causes, each found by the failure test that comes with this change: - A VM whose platform hangs learnt of a newer version from a peer's heartbeat, but asked for it only after its next failed read (3 s) and pause (2 s): with heartbeats every 5 s between data centres that is over the 7 s. A heartbeat with a newer version now asks at once, at most every 0.5 s; the newest of several peers is asked, not any. - A copy taken from a peer during a long read moved the reader back; the answer of that read was then applied past the hole. Records now count only at the offset where the reader stands. - A publication over any version (base -2) counted wherever it landed, so an append that was delayed and repeated took back the version of another operator. The VM now writes the base that it knows; after a gap it writes a base that counts at one offset alone. - A copy that names an offset after itself is refused.

Ruled out: remembering nonces for this, since readers that start from a copy do not know them and would fold otherwise than the rest.

Red before green, by the old code or with the fault put in: asking only after a failed read, any helpful peer, no asking after a gap, acceptance without base, an append without reading first, copies from a VM across a gap, a copy under a new version, no second writer, a copy that brings back an older version, no checksum, unknown format read, in force before the end of the stream, outage not noted. The hypothesis property (all readers fold to the same versions in the same order) was red for publications that count twice, a gap that is not noted, and copies that go back; it does not find the hole during a read, which has a test of its own.

--- a/cuminstile/operator/changes.py
+++ b/cuminstile/operator/changes.py
@@ -4,7 +4,8 @@
 
 from ..exceptions import CuminstileError, ErrorCode, Finding
 from ..objects.model import AnyObject
-from ..platform.configuration import NO_VERSION, ConfigurationState
+from ..platform.config_record import NO_VERSION
+from ..platform.configuration import ConfigurationState
 
 Keyed = dict[tuple[str, str], AnyObject]
 
--- a/cuminstile/operator/publish.py
+++ b/cuminstile/operator/publish.py
@@ -10,14 +10,15 @@
 from ..objects.checks import check_objects
 from ..objects.files import raw_objects
 from ..objects.model import AnyObject
-from ..platform.configuration import (
+from ..platform.config_record import (
     ANY_BASE,
     NO_VERSION,
     RECORDS,
     ConfigRecord,
-    Outcome,
     make_record,
+    reset_base,
 )
+from ..platform.configuration import Outcome
 from ..platform.follow import note_platform, read_configuration
 from .bodies import PublishBody
 from .changes import conflict
@@ -43,14 +44,7 @@
     known = vm.configuration.outcomes.get(body.nonce)
     if known is not None:
         return version_of(vm, body, known)
-    if not vm.configuration.anchored and body.base != ANY_BASE:
-        raise CuminstileError(
-            ErrorCode.NO_CONFIGURATION,
-            "this VM can't tell yet which version is in force",
-        )
-    if body.base not in (ANY_BASE, vm.configuration.head):
-        raise conflict(vm.configuration, body.base)
-    record = make_record(body.base, body.nonce, objects)
+    record = make_record(base_of(vm, body.base), body.nonce, objects)
     outcome = await append_once(vm, record)
     version = version_of(vm, body, outcome)
     vm.journal.record(
@@ -59,6 +53,27 @@
     return version
 
 
+def base_of(vm: Vm, base: int) -> int:
+    """Return the base for the record of a publication.
+
+    Raises
+    ------
+    CuminstileError
+        With `PUBLISH_CONFLICT` if another version is in force than the one that the
+        operator names, or `NO_CONFIGURATION` if this VM can't tell.
+    """
+    state = vm.configuration
+    if state.anchored:
+        if base not in (ANY_BASE, state.head):
+            raise conflict(state, base)
+        return state.head
+    if base == ANY_BASE:
+        return reset_base(state.next_offset)
+    raise CuminstileError(
+        ErrorCode.NO_CONFIGURATION, "this VM can't tell yet which version is in force"
+    )
+
+
 def checked_objects(body: PublishBody) -> tuple[AnyObject, ...]:
     """Return the objects of a publication if the whole set is good."""
     checked = check_objects(raw_objects(body.objects))
--- a/cuminstile/platform/configuration.py
+++ b/cuminstile/platform/configuration.py
@@ -1,61 +1,24 @@
 """Fold the platform's `config` stream into the configuration in force."""
 
-import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-import cbor2
-from pydantic import TypeAdapter
-from pydantic.dataclasses import dataclass as wire_dataclass
-
-from ..const import FORMAT
-from ..exceptions import CuminstileError, ErrorCode
+from ..exceptions import CuminstileError
 from ..objects.collection import ObjectSet, collect
 from ..objects.model import AnyObject
-from ..wire import Message, bad_message, make_codec
+from ..wire import bad_message
+from .config_record import (
+    ANY_BASE,
+    NO_VERSION,
+    ConfigRecord,
+    decode,
+    read_objects,
+    reset_base,
+)
 
-NO_VERSION = -1
-ANY_BASE = -2
 KEPT_OUTCOMES = 256
 KEPT_VERSIONS = 16
-OBJECTS: TypeAdapter[tuple[AnyObject, ...]] = TypeAdapter(tuple[AnyObject, ...])
-
-
-@wire_dataclass(frozen=True)
-class ConfigRecord(Message):
-    """Hold one publication, or one copy of it, as it stands in the log.
-
-    These fields are the same in every release, so that all releases accept the
-    same records; what a newer release changes is `format` and with it `objects`.
-
-    Parameters
-    ----------
-    format : int
-        The format of `objects`; a reader that does not know it keeps what it has.
-    version : int
-        -1 for a publication; in a copy the version that it copies.
-    base : int
-        For a publication the version that it replaces: -1 for none, -2 for
-        whichever is in force. For a copy the offset up to which its writer had read
-        when `version` was in force; -1 if the writer had not read without a gap.
-    nonce : str
-        The same in every append of one publication.
-    checksum : str
-        SHA-256 of `objects`, in hexadecimal.
-    objects : bytes
-        The objects as CBOR.
-    """
-
-    format: int
-    version: int
-    base: int
-    nonce: str
-    checksum: str
-    objects: bytes
-
-
-RECORDS = make_codec(((1, ConfigRecord),))
 
 
 class Effect(StrEnum):
@@ -127,6 +90,8 @@
         What came of the latest publications, by nonce.
     history : dict of int to Configuration
         The latest versions, to tell what has changed since.
+    asked_ms : float
+        Monotonic time at which another VM was asked for its version.
     """
 
     current: Configuration | None = None
@@ -142,6 +107,7 @@
     trimmed_to: int = 0
     outcomes: "OrderedDict[str, Outcome]" = field(default_factory=OrderedDict)
     history: "OrderedDict[int, Configuration]" = field(default_factory=OrderedDict)
+    asked_ms: float = float("-inf")
 
     @property
     def version(self) -> int:
@@ -149,17 +115,6 @@
         return self.current.version if self.current else NO_VERSION
 
 
-def make_record(base: int, nonce: str, objects: tuple[AnyObject, ...]) -> ConfigRecord:
-    """Return the record that publishes `objects` over version `base`."""
-    body = cbor2.dumps(OBJECTS.dump_python(objects, mode="json"), canonical=True)
-    return ConfigRecord(FORMAT, NO_VERSION, base, nonce, checksum_of(body), body)
-
-
-def checksum_of(body: bytes) -> str:
-    """Return the SHA-256 of encoded objects, in hexadecimal."""
-    return hashlib.sha256(body).hexdigest()
-
-
 def make_copy(state: ConfigurationState) -> ConfigRecord | None:
     """Return a copy of the version accepted last, `None` if there is none."""
     record = state.head_record
@@ -178,9 +133,11 @@
 
 def note_gap(state: ConfigurationState, first_offset: int) -> None:
     """Go on reading at `first_offset`: what was before it has been trimmed."""
+    state.trimmed_to = max(state.trimmed_to, first_offset)
+    if first_offset <= state.next_offset:
+        return  # Another read or another VM has brought this one past the gap.
     state.next_offset = first_offset
     state.first_offset = first_offset
-    state.trimmed_to = first_offset
     state.anchored = state.head + 1 >= first_offset
 
 
@@ -202,13 +159,16 @@
     CuminstileError
         With `BAD_MESSAGE` if it is no whole record; no reader accepts it.
     """
-    if offset < state.next_offset:
+    if offset != state.next_offset:
+        # Another read came first, or a copy has asked for another place to read on.
         return Effect.NOTHING
     state.next_offset = offset + 1
     if offset == 0:
         state.anchor_time_ms = time_ms
     record = decode(payload)
     if record.version > NO_VERSION:
+        if record.version >= offset or record.base > offset:
+            raise bad_message("a copy of what comes after it")
         if record.base > NO_VERSION:
             state.anchor_offset = record.base
             state.anchor_time_ms = time_ms
@@ -218,27 +178,14 @@
     return take_publication(state, offset, record)
 
 
-def decode(payload: bytes) -> ConfigRecord:
-    """Return the record in a payload.
-
-    Raises
-    ------
-    CuminstileError
-        With `BAD_MESSAGE` if it is malformed or its checksum is wrong.
-    """
-    record: ConfigRecord = RECORDS.decode(payload)
-    if checksum_of(record.objects) != record.checksum:
-        raise bad_message("the checksum is wrong")
-    return record
-
-
 def take_publication(
     state: ConfigurationState, offset: int, record: ConfigRecord
 ) -> Effect:
     """Accept or reject one publication."""
-    if record.base != ANY_BASE and not state.anchored:
+    is_reset = record.base <= ANY_BASE
+    if not is_reset and not state.anchored:
         return Effect.UNDECIDED
-    accepted = record.base in (ANY_BASE, state.head)
+    accepted = record.base in (reset_base(offset), state.head)
     state.outcomes.setdefault(record.nonce, Outcome(offset, accepted))
     while len(state.outcomes) > KEPT_OUTCOMES:
         state.outcomes.popitem(last=False)
@@ -288,21 +235,3 @@
     while len(state.history) > KEPT_VERSIONS:
         state.history.popitem(last=False)
     return Effect.IN_FORCE
-
-
-def read_objects(record: ConfigRecord) -> tuple[AnyObject, ...]:
-    """Return the objects of a record.
-
-    Raises
-    ------
-    CuminstileError
-        With `BAD_MESSAGE` if this release can't read them.
-    """
-    if record.format != FORMAT:
-        raise bad_message(f"format {record.format} is not known, only {FORMAT}")
-    try:
-        return OBJECTS.validate_python(cbor2.loads(record.objects))
-    except Exception as error:
-        raise CuminstileError(
-            ErrorCode.BAD_MESSAGE, f"{type(error).__name__} in the objects"
-        ) from error
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -16,7 +16,12 @@
 from ..exceptions import CuminstileError, PlatformAwayError, TrimmedError
 from ..vm.configuration import ask_peer
 from .client import Record
-from .configuration import Effect, accept, finish_catching_up, note_gap
+from .configuration import (
+    Effect,
+    accept,
+    finish_catching_up,
+    note_gap,
+)
 
 if TYPE_CHECKING:
     from ..runtime import Vm
--- a/cuminstile/platform/renewal.py
+++ b/cuminstile/platform/renewal.py
@@ -14,7 +14,8 @@
 from ..events import Event
 from ..exceptions import PlatformAwayError
 from ..rendezvous import rank
-from .configuration import RECORDS, ConfigurationState, make_copy
+from .config_record import RECORDS
+from .configuration import ConfigurationState, make_copy
 from .follow import read_configuration
 
 if TYPE_CHECKING:
--- a/cuminstile/vm/configuration.py
+++ b/cuminstile/vm/configuration.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from ..const import CONFIG_ASK_INTERVAL_MS
 from ..events import Event
 from ..exceptions import CuminstileError
+from ..platform.config_record import NO_VERSION, RECORDS, decode
 from ..platform.configuration import (
-    NO_VERSION,
-    RECORDS,
+    ConfigurationState,
     Effect,
-    decode,
     finish_catching_up,
     make_copy,
     take_copy,
@@ -23,27 +23,45 @@
 
 
 async def ask_peer(vm: Vm) -> None:
-    """Ask one other VM for its configuration if it may help this one.
+    """Ask one of the VMs with the newest configuration if it may help this one.
 
     Used while the platform is away, and after a gap in the stream.
     """
-    state = vm.configuration
-    least = state.head + 1 if state.anchored else max(0, state.head)
-    helpful = [
-        session
-        for name, session in sorted(vm.sessions.by_name.items())
+    versions = {
+        name: vm.members.by_name[name].config_version
+        for name in sorted(vm.sessions.by_name)
         if name in vm.members.by_name
-        and vm.members.by_name[name].config_version >= least
-    ]
-    if not helpful:
+    }
+    newest = max(versions.values(), default=NO_VERSION)
+    if newest < least_helpful(vm.configuration):
         return
-    session = vm.random.choice(helpful)
+    names = [name for name, version in versions.items() if version == newest]
+    await ask(vm, vm.sessions.by_name[vm.random.choice(names)])
+
+
+def least_helpful(state: ConfigurationState) -> int:
+    """Return the oldest version that would help this VM."""
+    return state.head + 1 if state.anchored else max(0, state.head)
+
+
+async def ask(vm: Vm, session: Session) -> None:
+    """Ask one VM for its configuration."""
+    vm.configuration.asked_ms = vm.clock.now_ms()
     try:
-        await session.send(ConfigAsk(least - 1))
+        await session.send(ConfigAsk(least_helpful(vm.configuration) - 1))
     except CuminstileError:
         return  # The session has just closed; the next round asks another VM.
 
 
+async def on_newer_version(vm: Vm, session: Session, version: int) -> None:
+    """Ask a VM that tells of a newer version while the platform doesn't."""
+    state = vm.configuration
+    if vm.platform_away_since_ms is None or version < least_helpful(state):
+        return
+    if vm.clock.now_ms() - state.asked_ms >= CONFIG_ASK_INTERVAL_MS:
+        await ask(vm, session)
+
+
 async def on_config_ask(vm: Vm, session: Session, message: ConfigAsk) -> None:
     """Give the version accepted last if it is newer than the one that is named."""
     copy = make_copy(vm.configuration)
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -31,6 +31,7 @@
 from ..exceptions import CuminstileError, ErrorCode
 from ..wire import MAX_MESSAGE_BYTES, Message
 from .authentication import is_proved, prove
+from .configuration import on_newer_version
 from .membership import Member
 from .messages import CODEC, Challenge, Heartbeat, Hello, Welcome
 from .topology import linked
@@ -380,3 +381,4 @@
         return
     member.config_version = message.config_version
     member.leaving = message.leaving
+    await on_newer_version(vm, session, message.config_version)
--- /dev/null
+++ b/tests/fakes/links.py
@@ -0,0 +1,63 @@
+"""Connect VMs in memory, so that their sessions run on a virtual clock."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from cuminstile.runtime import Vm
+from cuminstile.vm.sessions import Session, receive_one, registered, send_heartbeats
+
+BOUND_MS = 7_000.0
+
+
+@dataclass
+class Link:
+    """Hold a link between two VMs; tests cut it."""
+
+    cut: bool = False
+
+
+@dataclass
+class LinkEnd:
+    """Be one VM's connection to another one."""
+
+    link: Link
+    sender: str
+    receiver: Vm
+
+    async def send(self, data: bytes) -> None:
+        """Deliver one message unless the link is cut."""
+        session = self.receiver.sessions.by_name.get(self.sender)
+        if self.link.cut or session is None:
+            return
+        session.heard_ms = self.receiver.clock.now_ms()
+        self.receiver.members.hear(self.sender, session.heard_ms)
+        await receive_one(self.receiver, session, data)
+
+
+async def run_end(vm: Vm, other: Vm, link: Link) -> None:
+    """Keep one VM's side of the session until it falls silent; then open it again."""
+    own = other.settings
+    vm.members.add(own.name, own.data_centre, other.own_address)
+    while True:
+        async with anyio.create_task_group() as tasks:
+            end = LinkEnd(link, vm.settings.name, other)
+            session = Session(
+                own.name,
+                own.data_centre,
+                other.incarnation,
+                end,  # type: ignore[arg-type]
+                tasks,
+                vm.clock.now_ms(),
+            )
+            async with registered(vm, session):
+                await send_heartbeats(vm, session)
+        while link.cut:
+            await vm.clock.sleep_ms(100.0)
+
+
+async def run_link(one: Vm, other: Vm, link: Link) -> None:
+    """Run the session between two VMs, for ever."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_end, one, other, link)
+        tasks.start_soon(run_end, other, one, link)
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -1,8 +1,9 @@
 """Stand in for the platform's log in tests, with outages and lost answers."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cuminstile.clock import VirtualClock
+from cuminstile.const import PLATFORM_TIMEOUT_MS
 from cuminstile.exceptions import PlatformAwayError, TrimmedError
 from cuminstile.platform.client import ListedVm, Record, Records
 
@@ -15,6 +16,8 @@
     ----------
     away : bool
         Whether no call is answered.
+    hangs : bool
+        Whether a platform that is away keeps its callers waiting.
     lost_appends : int
         How many of the next appends take effect without an answer.
     dropped_appends : int
@@ -23,6 +26,7 @@
 
     clock: VirtualClock
     away: bool = False
+    hangs: bool = False
     lost_appends: int = 0
     dropped_appends: int = 0
     streams: dict[str, list[Record]] = field(default_factory=dict)
@@ -46,11 +50,21 @@
         self.streams[stream] = [item for item in records if item.offset >= first]
         self.first[stream] = first
 
+    def seen_elsewhere(self) -> "FakePlatform":
+        """Return the same platform, with faults of its own, for another VM."""
+        return replace(self)
+
+    async def fail(self, wait_ms: int = 0) -> None:
+        """Fail a call as a platform that is away does."""
+        if self.hangs:
+            await self.clock.sleep_ms(PLATFORM_TIMEOUT_MS + wait_ms)
+        raise PlatformAwayError("away")
+
     async def append(self, stream: str, payload: bytes) -> int:
         """Append as the platform would, with the scripted faults."""
         await self.clock.sleep_ms(0)
         if self.away:
-            raise PlatformAwayError("away")
+            await self.fail()
         if self.dropped_appends:
             self.dropped_appends -= 1
             raise PlatformAwayError("dropped")
@@ -66,11 +80,11 @@
         """Read as the platform would, with the scripted faults."""
         await self.clock.sleep_ms(0)
         if self.away:
-            raise PlatformAwayError("away")
+            await self.fail(wait_ms)
         if offset >= self.end(stream):
             await self.clock.sleep_ms(wait_ms)
         if self.away:
-            raise PlatformAwayError("away")
+            await self.fail()
         first = self.first.get(stream, 0)
         if offset < first:
             raise TrimmedError(stream, first)
@@ -81,5 +95,5 @@
     async def list_vms(self) -> tuple[ListedVm, ...]:
         """Return the scripted list."""
         if self.away:
-            raise PlatformAwayError("away")
+            await self.fail()
         return self.listed
--- a/tests/fakes/vms.py
+++ b/tests/fakes/vms.py
@@ -9,7 +9,8 @@
 from cuminstile.daemon import make_vm
 from cuminstile.objects.collection import collect
 from cuminstile.objects.model import AnyObject
-from cuminstile.platform.configuration import Configuration, make_record
+from cuminstile.platform.config_record import make_record
+from cuminstile.platform.configuration import Configuration
 from cuminstile.runtime import Vm
 from cuminstile.settings import Settings
 from cuminstile.vm.sessions import keep_dialling, listen
--- a/tests/operator/test_app.py
+++ b/tests/operator/test_app.py
@@ -11,7 +11,7 @@
 from cuminstile.operator.app import make_app
 from cuminstile.operator.report import PartReport, Problem, ProblemCode
 from cuminstile.platform.client import ListedVm
-from cuminstile.platform.configuration import (
+from cuminstile.platform.config_record import (
     OBJECTS,
     RECORDS,
     ConfigRecord,
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,287 @@
+"""Test cuminstile.platform.configuration."""
+
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminstile.exceptions import CuminstileError, ErrorCode
+from cuminstile.objects.model import DataCentre
+from cuminstile.platform.config_record import (
+    ANY_BASE,
+    RECORDS,
+    ConfigRecord,
+    make_record,
+    reset_base,
+)
+from cuminstile.platform.configuration import (
+    ConfigurationState,
+    Effect,
+    accept,
+    finish_catching_up,
+    make_copy,
+    note_gap,
+    take_copy,
+)
+
+
+def record(base: int, nonce: str, name: str = "dc1") -> ConfigRecord:
+    return make_record(base, nonce, (DataCentre("data_centre", name, "r1"),))
+
+
+def fold(state: ConfigurationState, *records: ConfigRecord) -> list[Effect]:
+    """Apply records where the reader stands."""
+    return [accept(state, state.next_offset, RECORDS.encode(item)) for item in records]
+
+
+def test_a_publication_counts_only_over_the_version_in_force() -> None:
+    state = ConfigurationState(caught_up=True)
+    effects = fold(state, record(-1, "a"), record(-1, "b"), record(0, "c"))
+    assert effects == [Effect.IN_FORCE, Effect.CONFLICT, Effect.IN_FORCE]
+    assert state.version == 2
+
+
+def test_a_publication_that_lands_twice_counts_once() -> None:
+    state = ConfigurationState(caught_up=True)
+    one, other = record(-1, "a"), record(0, "b")
+    effects = fold(state, one, other, one)
+    assert effects == [Effect.IN_FORCE, Effect.IN_FORCE, Effect.CONFLICT]
+    assert state.version == 1
+
+
+def test_a_reset_counts_only_where_its_writer_had_read_to() -> None:
+    state = ConfigurationState(caught_up=True)
+    reset = record(reset_base(0), "a")
+    effects = fold(state, reset, record(0, "b"), reset)
+    assert effects == [Effect.IN_FORCE, Effect.IN_FORCE, Effect.CONFLICT]
+    assert state.version == 1
+
+
+def damaged(good: ConfigRecord) -> bytes:
+    return RECORDS.encode(replace(good, objects=good.objects + b"x"))
+
+
+def of_the_future(good: ConfigRecord) -> bytes:
+    return RECORDS.encode(replace(good, version=40, base=50))
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [damaged, of_the_future, lambda good: b"", lambda good: RECORDS.encode(good)[:-1]],
+)
+def test_a_bad_record_between_good_ones_is_left_out(
+    spoil: Callable[[ConfigRecord], bytes],
+) -> None:
+    state = ConfigurationState(caught_up=True)
+    fold(state, record(-1, "a"))
+    with pytest.raises(CuminstileError) as caught:
+        accept(state, 1, spoil(record(0, "b")))
+    assert caught.value.code == ErrorCode.BAD_MESSAGE
+    assert fold(state, record(0, "c")) == [Effect.IN_FORCE]
+    assert state.version == 2
+
+
+def test_a_newer_format_counts_though_this_release_cant_read_it() -> None:
+    state = ConfigurationState(caught_up=True)
+    newer = replace(record(0, "b"), format=2)
+    effects = fold(state, record(-1, "a"), newer, record(0, "c"))
+    assert effects == [Effect.IN_FORCE, Effect.UNUSABLE, Effect.CONFLICT]
+    assert (state.version, state.head) == (0, 1)
+    assert fold(state, record(1, "d")) == [Effect.IN_FORCE]
+    assert state.version == 3
+
+
+def test_nothing_is_decided_across_a_gap() -> None:
+    state = ConfigurationState(caught_up=True)
+    fold(state, record(-1, "a"))
+    note_gap(state, 3)
+    assert fold(state, record(0, "d")) == [Effect.UNDECIDED]
+    assert state.version == 0
+
+
+def test_a_copy_lets_the_fold_go_on_exactly_after_a_gap() -> None:
+    state = ConfigurationState(caught_up=True)
+    note_gap(state, 3)
+    assert fold(state, record(2, "d")) == [Effect.UNDECIDED]
+    copy = replace(record(0, "c"), version=2, base=3)
+    assert fold(state, copy) == [Effect.IN_FORCE]
+    assert (state.version, state.next_offset) == (2, 3)
+    assert fold(state, record(2, "d")) == [Effect.IN_FORCE]
+
+
+def test_records_that_another_read_has_made_old_leave_no_hole() -> None:
+    state = ConfigurationState(caught_up=True)
+    note_gap(state, 3)
+    take_copy(state, replace(record(0, "c"), version=2, base=3))
+    assert accept(state, 7, RECORDS.encode(record(2, "g"))) == Effect.NOTHING
+    assert state.next_offset == 3
+
+
+def test_a_gap_that_was_passed_meanwhile_is_none() -> None:
+    state = ConfigurationState(caught_up=True)
+    fold(state, record(-1, "a"), record(0, "b"), record(0, "c"))
+    note_gap(state, 2)
+    assert (state.next_offset, state.anchored) == (3, True)
+
+
+@dataclass
+class Log:
+    """Keep a stream, its trimmed part too, so that a test knows the truth."""
+
+    payloads: list[bytes] = field(default_factory=list)
+    first: int = 0
+
+    def truth(self) -> dict[int, str]:
+        """Return each version that was ever in force, and its nonce."""
+        state = ConfigurationState(caught_up=True)
+        versions = {}
+        for offset, payload in enumerate(self.payloads):
+            try:
+                if accept(state, offset, payload) == Effect.IN_FORCE:
+                    versions[state.version] = state.head_record.nonce
+            except CuminstileError:
+                continue
+        return versions
+
+
+@dataclass
+class Reader:
+    """Fold a log as a VM does, and keep what was in force on it."""
+
+    log: Log
+    state: ConfigurationState = field(default_factory=ConfigurationState)
+    seen: list[int] = field(default_factory=list)
+    fetched: tuple[int, list[bytes]] | None = None
+
+    def note(self) -> None:
+        """Keep the version in force if it is another one."""
+        version = self.state.version
+        if version >= 0 and self.seen[-1:] != [version]:
+            self.seen.append(version)
+
+    def fetch(self, limit: int) -> None:
+        """Let the platform answer a read, at most `limit` records."""
+        state = self.state
+        if state.next_offset < self.log.first:
+            note_gap(state, self.log.first)
+        start = state.next_offset
+        self.fetched = start, self.log.payloads[start : start + limit]
+
+    def apply(self) -> None:
+        """Apply the answer of the last read."""
+        if self.fetched is None:
+            return
+        start, payloads = self.fetched
+        self.fetched = None
+        for offset, payload in enumerate(payloads, start):
+            with contextlib.suppress(CuminstileError):
+                accept(self.state, offset, payload)
+            self.note()
+            if self.state.next_offset <= offset:
+                break
+        if not payloads:
+            finish_catching_up(self.state)
+            self.note()
+
+    def read(self, limit: int) -> None:
+        """Read once, at most `limit` records."""
+        self.fetch(limit)
+        self.apply()
+
+    def read_to_end(self) -> None:
+        """Read until nothing is left."""
+        for _ in range(4):
+            self.read(10_000)
+
+    def take(self, copy: ConfigRecord | None) -> None:
+        """Take a version that another reader gives."""
+        if copy is None:
+            return
+        if take_copy(self.state, copy) != Effect.NOTHING:
+            finish_catching_up(self.state)
+            self.note()
+
+
+READERS = 3
+WHO = st.integers(0, READERS - 1)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("read"), WHO, st.integers(1, 4)),
+        st.tuples(st.just("fetch"), WHO, st.integers(1, 4)),
+        st.tuples(st.just("apply"), WHO, st.just(0)),
+        st.tuples(st.just("publish"), WHO, st.sampled_from(("once", "twice", "late"))),
+        st.tuples(st.just("reset"), WHO, st.sampled_from(("once", "twice", "late"))),
+        st.tuples(st.just("renew"), WHO, st.sampled_from(("once", "twice", "late"))),
+        st.tuples(st.just("give"), WHO, WHO),
+        st.tuples(st.just("restart"), WHO, st.just(0)),
+        st.tuples(st.just("trim"), st.integers(0, 3), st.just(0)),
+        st.tuples(st.just("land"), st.just(0), st.just(0)),
+        st.tuples(st.just("spoil"), st.just(0), st.just(0)),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=400, deadline=None)
+@given(STEPS)
+def test_every_reader_folds_to_the_same_versions_and_never_reverts(
+    steps: list[tuple],
+) -> None:
+    log = Log()
+    readers = [Reader(log) for _ in range(READERS)]
+    gone: list[Reader] = []
+    late: list[bytes] = []
+
+    def append(item: ConfigRecord, how: str) -> None:
+        payload = RECORDS.encode(item)
+        if how == "late":
+            late.append(payload)
+        else:
+            log.payloads += [payload] * (2 if how == "twice" else 1)
+
+    for number, (kind, which, detail) in enumerate(steps):
+        state = readers[which].state if which < READERS else None
+        match kind:
+            case "read":
+                readers[which].read(detail)
+            case "fetch":
+                readers[which].fetch(detail)
+            case "apply":
+                readers[which].apply()
+            case "publish":
+                append(record(state.head, f"n{number}"), detail)
+            case "reset":
+                append(record(reset_base(state.next_offset), f"n{number}"), detail)
+            case "renew":
+                copy = make_copy(state)
+                if copy is not None and state.anchored:
+                    append(copy, detail)
+            case "give":
+                readers[detail].take(make_copy(state))
+            case "restart":
+                gone.append(readers[which])
+                readers[which] = Reader(log)
+            case "trim":
+                log.first = max(log.first, len(log.payloads) - which)
+            case "land" if late:
+                log.payloads.append(late.pop(0))
+            case "spoil":
+                log.payloads.append(b"\x81\x01")
+    for reader in readers:
+        reader.apply()
+        reader.read_to_end()
+    truth = log.truth()
+    assert len(set(truth.values())) == len(truth), "a publication counted twice"
+    for reader in (*readers, *gone):
+        assert reader.seen == sorted(set(reader.seen)), "a version went back"
+        assert set(reader.seen) <= set(truth), "a version that never counted"
+    for reader in readers:
+        if reader.state.anchored:
+            assert reader.state.head == max(truth, default=-1)
+
+
+def test_any_base_is_no_base_of_a_record() -> None:
+    assert reset_base(0) == ANY_BASE
--- /dev/null
+++ b/tests/platform/test_renewal.py
@@ -0,0 +1,157 @@
+"""Test cuminstile.platform.renewal."""
+
+import anyio
+import pytest
+
+from cuminstile.const import (
+    CONFIG_RENEWAL_CHECK_MS,
+    CONFIG_RENEWAL_GRACE_MS,
+    CONFIG_RENEWAL_INTERVAL_MS,
+)
+from cuminstile.objects.model import DataCentre
+from cuminstile.platform.config_record import RECORDS, make_record
+from cuminstile.platform.follow import follow_configuration, read_configuration
+from cuminstile.platform.renewal import append_copy, is_chosen, renew_configuration
+from cuminstile.runtime import Vm
+
+from ..fakes.platform import FakePlatform
+from ..fakes.virtual import make_platform, make_test_vm
+
+
+def put(platform: FakePlatform, base: int) -> int:
+    objects = (DataCentre("data_centre", "dc1", "r1"),)
+    return platform.put(
+        "config", RECORDS.encode(make_record(base, f"n{base}", objects))
+    )
+
+
+async def read_all(vm: Vm) -> None:
+    for _ in range(4):
+        await read_configuration(vm, 0)
+
+
+async def version_of_a_new_reader(platform: FakePlatform) -> int:
+    """Return what a VM that starts now, without any peer, has in force."""
+    vm = make_test_vm("new", platform)
+    await read_all(vm)
+    assert vm.configuration.anchored
+    return vm.configuration.version
+
+
+async def test_a_copy_keeps_its_version_and_outlives_the_original() -> None:
+    platform = make_platform()
+    vm = make_test_vm("vm1", platform)
+    put(platform, -1)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow_configuration, vm)
+        tasks.start_soon(renew_configuration, vm)
+        await platform.clock.advance_ms(CONFIG_RENEWAL_INTERVAL_MS + 3_000.0)
+        assert platform.end("config") == 2
+        platform.trim("config", 1)
+        assert await version_of_a_new_reader(platform) == 0
+        assert vm.configuration.version == 0
+        await platform.clock.advance_ms(60_000.0)
+        assert platform.end("config") == 2
+        tasks.cancel_scope.cancel()
+
+
+async def test_two_vms_that_both_write_a_copy_change_nothing() -> None:
+    platform = make_platform()
+    vms = [make_test_vm(name, platform) for name in ("vm1", "vm2")]
+    put(platform, -1)
+    for vm in vms:
+        await read_all(vm)
+    await platform.clock.advance_ms(CONFIG_RENEWAL_INTERVAL_MS + 1.0)
+    assert all(is_chosen(vm) for vm in vms)
+    async with anyio.create_task_group() as tasks:
+        for vm in vms:
+            tasks.start_soon(append_copy, vm)
+    assert platform.end("config") == 3
+    put(platform, 0)
+    for first in (0, 1):
+        platform.trim("config", first)
+        assert await version_of_a_new_reader(platform) == 3
+    for vm in vms:
+        await read_all(vm)
+    platform.trim("config", 2)
+    for vm in vms:
+        await read_all(vm)
+        await append_copy(vm)
+    assert platform.end("config") == 5
+    assert await version_of_a_new_reader(platform) == 3
+    for vm in vms:
+        await read_all(vm)
+        assert (vm.configuration.version, vm.configuration.head) == (3, 3)
+
+
+async def test_a_copy_that_lands_after_a_newer_version_doesnt_bring_its_own_back() -> (
+    None
+):
+    platform = make_platform()
+    vms = [make_test_vm(name, platform) for name in ("vm1", "vm2")]
+    put(platform, -1)
+    for vm in vms:
+        await read_all(vm)
+    await platform.clock.advance_ms(CONFIG_RENEWAL_INTERVAL_MS + 1.0)
+    append = platform.append
+
+    async def append_late(stream: str, payload: bytes) -> int:
+        put(platform, 0)
+        return await append(stream, payload)
+
+    platform.append = append_late  # type: ignore[method-assign]
+    await append_copy(vms[0])
+    for vm in vms:
+        await read_all(vm)
+        assert vm.configuration.version == 1
+    assert await version_of_a_new_reader(platform) == 1
+
+
+async def test_a_vm_that_cant_tell_what_is_in_force_writes_no_copy() -> None:
+    platform = make_platform()
+    vm = make_test_vm("vm1", platform)
+    put(platform, -1)
+    await read_all(vm)
+    for base in range(3):
+        put(platform, base)
+    platform.trim("config", 3)
+    await read_all(vm)
+    assert not vm.configuration.anchored
+    await platform.clock.advance_ms(CONFIG_RENEWAL_INTERVAL_MS + 1.0)
+    await append_copy(vm)
+    assert platform.end("config") == 4
+
+
+@pytest.mark.parametrize("fault", ["lost_appends", "dropped_appends"])
+async def test_a_copy_is_written_though_an_answer_is_lost(fault: str) -> None:
+    platform = make_platform()
+    vm = make_test_vm("vm1", platform)
+    put(platform, -1)
+    setattr(platform, fault, 1)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow_configuration, vm)
+        tasks.start_soon(renew_configuration, vm)
+        await platform.clock.advance_ms(CONFIG_RENEWAL_INTERVAL_MS + 5_000.0)
+        tasks.cancel_scope.cancel()
+    platform.trim("config", 1)
+    assert platform.end("config") == 2
+    assert await version_of_a_new_reader(platform) == 0
+
+
+async def test_another_vm_writes_the_copy_when_the_chosen_one_doesnt() -> None:
+    platform = make_platform()
+    vms = [make_test_vm(name, platform) for name in ("vm1", "vm2")]
+    put(platform, -1)
+    for vm, other in (vms, reversed(vms)):
+        vm.members.add(other.settings.name, "dc1", other.own_address)
+        vm.members.hear(other.settings.name, float("inf"))
+    idle = next(vm for vm in vms if not is_chosen(vm))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow_configuration, idle)
+        tasks.start_soon(renew_configuration, idle)
+        await platform.clock.advance_ms(CONFIG_RENEWAL_INTERVAL_MS + 1_000.0)
+        assert platform.end("config") == 1
+        grace_ms = CONFIG_RENEWAL_GRACE_MS + 3 * CONFIG_RENEWAL_CHECK_MS
+        await platform.clock.advance_ms(grace_ms)
+        assert platform.end("config") == 2
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/vm/test_configuration.py
@@ -0,0 +1,183 @@
+"""Test cuminstile.vm.configuration: VMs that give each other the configuration."""
+
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from cuminstile.clock import VirtualClock
+from cuminstile.events import Event
+from cuminstile.objects.model import DataCentre
+from cuminstile.platform.config_record import RECORDS, ConfigRecord, make_record
+from cuminstile.platform.follow import follow_configuration
+from cuminstile.runtime import Vm
+from cuminstile.vm.configuration import on_config_give
+from cuminstile.vm.messages import ConfigGive
+
+from ..fakes.links import BOUND_MS, Link, run_link
+from ..fakes.platform import FakePlatform
+from ..fakes.virtual import make_platform, make_test_vm
+
+STEP_MS = 50.0
+
+
+def record(base: int, nonce: str = "n", name: str = "dc1") -> ConfigRecord:
+    return make_record(base, nonce, (DataCentre("data_centre", name, "r1"),))
+
+
+def put(platform: FakePlatform, item: ConfigRecord) -> int:
+    return platform.put("config", RECORDS.encode(item))
+
+
+async def wait(clock: VirtualClock, done: Callable[[], bool], limit_ms: float) -> float:
+    """Let virtual time go by until `done`; return how long that took."""
+    started_ms = clock.now_ms()
+    while not done() and clock.now_ms() - started_ms < limit_ms:
+        await clock.advance_ms(STEP_MS)
+    assert done(), f"not within {limit_ms} ms"
+    return clock.now_ms() - started_ms
+
+
+@asynccontextmanager
+async def running(*vms: Vm, link: Link | None = None) -> AsyncIterator[None]:
+    """Let VMs follow the platform and, over a link, each other."""
+    async with anyio.create_task_group() as tasks:
+        if link is not None:
+            tasks.start_soon(run_link, *vms, link)
+        for vm in vms:
+            tasks.start_soon(follow_configuration, vm)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+def pair(platform: FakePlatform, far: str = "dc2") -> tuple[Vm, Vm, FakePlatform]:
+    """Return VMs of two data centres and the second one's view of the platform."""
+    view = platform.seen_elsewhere()
+    one = make_test_vm("vm1", platform)
+    return one, make_test_vm("vm2", view, data_centre=far), view
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+@pytest.mark.parametrize("after_ms", [0.0, 1_300.0, 2_600.0, 3_900.0, 5_200.0])
+async def test_a_data_centre_cut_off_from_the_platform_alone_follows_in_time(
+    hangs: bool, after_ms: float
+) -> None:
+    platform = make_platform()
+    one, other, view = pair(platform)
+    put(platform, record(-1))
+    async with running(one, other, link=Link()):
+        await wait(platform.clock, lambda: other.configuration.version == 0, 1_000.0)
+        view.away, view.hangs = True, hangs
+        await platform.clock.advance_ms(after_ms)
+        put(platform, record(0))
+        await wait(platform.clock, lambda: other.configuration.version == 1, BOUND_MS)
+
+
+async def test_a_vm_that_starts_while_the_platform_is_away_asks_a_peer() -> None:
+    platform = make_platform()
+    one, other, view = pair(platform, "dc1")
+    view.away = view.hangs = True
+    put(platform, record(-1))
+    async with running(one, other, link=Link()):
+        await wait(platform.clock, lambda: other.configuration.version == 0, BOUND_MS)
+    assert other.configuration.caught_up
+    assert [item.event for item in other.journal.ring].count(
+        Event.CONFIG_TAKEN_FROM_PEER
+    ) == 1
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_the_newest_peer_is_asked(seed: int) -> None:
+    platform = make_platform()
+    vms = [make_test_vm(f"vm{number}", platform) for number in range(3)]
+    late = make_test_vm("vm9", platform)
+    late.random = random.Random(seed)
+    put(platform, record(-1))
+    async with running(*vms):
+        await wait(platform.clock, lambda: vms[2].configuration.version == 0, 1_000.0)
+    put(platform, record(0))
+    async with running(vms[1]):
+        await wait(platform.clock, lambda: vms[1].configuration.version == 1, 1_000.0)
+    platform.away = True
+    async with anyio.create_task_group() as tasks:
+        for vm in vms:
+            tasks.start_soon(run_link, vm, late, Link())
+        await platform.clock.advance_ms(2_500.0)
+        tasks.start_soon(follow_configuration, late)
+        await platform.clock.advance_ms(STEP_MS)
+        assert late.configuration.version == 1
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_data_centre_cut_off_from_all_keeps_what_it_has_and_catches_up() -> (
+    None
+):
+    platform = make_platform()
+    one, other, view = pair(platform)
+    put(platform, record(-1))
+    link = Link()
+    async with running(one, other, link=link):
+        await wait(platform.clock, lambda: other.configuration.version == 0, 1_000.0)
+        view.away = view.hangs = link.cut = True
+        put(platform, record(0))
+        await platform.clock.advance_ms(60_000.0)
+        assert (one.configuration.version, other.configuration.version) == (1, 0)
+        view.away = link.cut = False
+        await wait(platform.clock, lambda: other.configuration.version == 1, BOUND_MS)
+
+
+async def test_after_a_gap_without_a_copy_a_peer_tells_what_is_in_force() -> None:
+    platform = make_platform()
+    one, other, view = pair(platform)
+    put(platform, record(-1))
+    link = Link()
+    async with running(one, other, link=link):
+        await wait(platform.clock, lambda: other.configuration.version == 0, 1_000.0)
+        view.away = link.cut = True
+        for base in range(5):
+            put(platform, record(base, f"n{base}"))
+        await platform.clock.advance_ms(3_000.0)
+        platform.trim("config", 4)
+        view.away = link.cut = False
+        await wait(platform.clock, lambda: other.configuration.version == 5, BOUND_MS)
+    assert other.configuration.anchored
+
+
+async def test_a_copy_that_comes_during_a_read_leaves_no_hole() -> None:
+    platform = make_platform()
+    vm = make_test_vm("vm1", platform)
+    platform.trim("config", 2)
+    put(platform, record(1, "n2"))
+    put(platform, record(2, "n3"))
+    async with running(vm):
+        await platform.clock.advance_ms(500.0)
+        assert vm.configuration.version == -1
+        copy = replace(record(-1), version=1, base=2)
+        give = ConfigGive(1, RECORDS.encode(copy))
+        await on_config_give(vm, session_of("vm2"), give)
+        put(platform, record(3, "n4"))
+        await wait(platform.clock, lambda: vm.configuration.version == 4, BOUND_MS)
+
+
+def session_of(name: str) -> object:
+    """Return as much of a session as the handlers of configurations use."""
+    return type("NamedSession", (), {"name": name})()
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        b"\xff" * 9,
+        RECORDS.encode(record(-1)),
+        RECORDS.encode(replace(record(-1), version=3, checksum="0")),
+    ],
+)
+async def test_a_bad_copy_from_a_peer_changes_nothing(payload: bytes) -> None:
+    vm = make_test_vm("vm1", make_platform())
+    await on_config_give(vm, session_of("vm2"), ConfigGive(3, payload))
+    assert vm.configuration.head == -1
+    assert vm.journal.ring[-1].event == Event.PEER_MESSAGE_REFUSED
