Tell the operators' address in sessions, so that one VM leads to all

Cause: `cuminstile status` and `timeline` knew only the VMs that were given on the command line, since VMs did not tell each other where operators reach them. Hello and Welcome now carry it, at the end, so that messages without it still decode.

The test asks one of three VMs over real sessions and sees each one's version and who lags; red without the new field taken over.

--- a/cuminstile/operator/status.py
+++ b/cuminstile/operator/status.py
@@ -56,7 +56,7 @@
         vm.incarnation,
         VmState.LEAVING if vm.leaving else VmState.LIVE,
         vm.configuration.version,
-        f"{settings.host}:{settings.operator_port}",
+        vm.own_operator_address,
     )
 
 
@@ -74,6 +74,7 @@
         member.incarnation,
         state_of(vm, member),
         member.config_version,
+        member.operator_address,
         silent_ms=int(min(silent_ms, 2**53)),
     )
 
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -104,3 +104,8 @@
     def own_address(self) -> str:
         """Return `host:port` of this VM's port for other VMs."""
         return f"{self.settings.host}:{self.settings.vm_port}"
+
+    @property
+    def own_operator_address(self) -> str:
+        """Return `host:port` of this VM's port for operators."""
+        return f"{self.settings.host}:{self.settings.operator_port}"
--- a/cuminstile/vm/membership.py
+++ b/cuminstile/vm/membership.py
@@ -16,8 +16,9 @@
 
     Parameters
     ----------
-    address : str
-        `host:port` of its VM port.
+    address, operator_address : str
+        `host:port` of its ports for other VMs and for operators; the latter is
+        empty until the VM has introduced itself.
     listed : bool
         Whether the platform's list had it last.
     in_settings : bool
@@ -37,6 +38,7 @@
     incarnation: str = ""
     heard_ms: float = float("-inf")
     config_version: int = -1
+    operator_address: str = ""
 
 
 @dataclass
@@ -87,6 +89,12 @@
         member.address = address
         member.data_centre = data_centre
 
+    def introduce(self, name: str, operator_address: str) -> None:
+        """Note where the VM says that its operators reach it."""
+        member = self.by_name.get(name)
+        if member is not None:
+            member.operator_address = operator_address
+
     def hear(self, name: str, now_ms: float) -> None:
         """Note that a message of the VM has come."""
         member = self.by_name.get(name)
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -17,7 +17,14 @@
 
 @dataclass(frozen=True)
 class Hello(Message):
-    """Introduce the connecting VM, prove its key and ask for a proof in turn."""
+    """Introduce the connecting VM, prove its key and ask for a proof in turn.
+
+    Parameters
+    ----------
+    address, operator_address : str
+        `host:port` of its ports for other VMs and for operators; the latter is
+        empty if it isn't known.
+    """
 
     name: str
     data_centre: str
@@ -25,6 +32,7 @@
     address: str
     nonce: str
     proof: str
+    operator_address: str = ""
 
 
 @dataclass(frozen=True)
@@ -35,6 +43,7 @@
     data_centre: str
     incarnation: str
     proof: str
+    operator_address: str = ""
 
 
 @dataclass(frozen=True)
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -143,7 +143,9 @@
     if not is_valid or hello.name == own:
         raise unauthenticated(hello.name)
     proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
-    welcome = Welcome(own, vm.settings.data_centre, vm.incarnation, proof)
+    welcome = Welcome(
+        own, vm.settings.data_centre, vm.incarnation, proof, vm.own_operator_address
+    )
     await connection.send(CODEC.encode(welcome))
     return hello
 
@@ -250,6 +252,7 @@
         vm.own_address,
         nonce,
         prove(own.vm_keys[0], "connect", own.name, challenge.nonce),
+        vm.own_operator_address,
     )
     await connection.send(CODEC.encode(hello))
     welcome: Welcome = await receive(connection, Welcome)
@@ -272,6 +275,7 @@
             vm.clock.now_ms(),
         )
         async with registered(vm, session):
+            vm.members.introduce(peer.name, peer.operator_address)
             tasks.start_soon(send_heartbeats, vm, session)
             await receive_messages(vm, session)
             tasks.cancel_scope.cancel()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
@@ -18,8 +19,10 @@
 from cuminstile import cli
 from cuminstile.events import Event
 from cuminstile.operator.app import make_app
+from cuminstile.platform.config_record import OBJECTS
 from cuminstile.platform.follow import read_configuration
 from cuminstile.runtime import Vm
+from tests.fakes import vms as sessions
 from tests.fakes.asgi import serving
 from tests.fakes.platform import FakePlatform
 from tests.fakes.virtual import OPERATOR_KEYS, make_platform, make_test_vm
@@ -345,3 +348,30 @@
         err = capsys.readouterr().err
         assert "the stream broke off" in err
     assert len(received) == 3
+
+
+async def test_status_reaches_every_vm_from_one_and_names_who_lags(
+    keys: None, capsys: pytest.CaptureFixture[str]
+) -> None:
+    names = ("vm-a1", "vm-a2", "vm-b1")
+    vms = [sessions.make_test_vm(name, name[3]) for name in names]
+    async with served(*vms) as addresses:
+        for number, (vm, address) in enumerate(zip(vms, addresses, strict=True)):
+            port = int(address.rpartition(":")[2])
+            vm.settings = replace(
+                vm.settings, operator_port=port, operator_keys=OPERATOR_KEYS
+            )
+            sessions.put_in_force(vm, OBJECTS.validate_python(GOOD_SET), number // 2)
+        async with sessions.connected(*vms):
+            assert await run_async("status", "--vm", addresses[0], "--json") == 1
+    report = json.loads(capsys.readouterr().out)
+    assert [(vm["name"], vm["version"]) for vm in report["vms"]] == [
+        ("vm-a1", 0),
+        ("vm-a2", 0),
+        ("vm-b1", 1),
+    ]
+    assert [vm["operator_address"] for vm in report["vms"]] == addresses
+    assert [(item["code"], item["subject"]) for item in report["problems"]] == [
+        ("vm_lagging", "vm-a1"),
+        ("vm_lagging", "vm-a2"),
+    ]
