Choose another data centre by the capacity that serves a version there

A random VM got the work of a data centre that is out, so a data centre with more VMs but few upstreams was overrun. Data centres are now drawn by capacity and of two VMs the one less busy with this VM's calls is taken.

--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -9,12 +9,11 @@
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
-from .objects.model import DataCentreState, Upstream
+from .routing import choose_peer, serving
 from .upstream.choice import least_in_flight
 from .upstream.client import UpstreamAnswer, UpstreamError, call_upstream, refusal
 from .upstream.table import UpstreamState
 from .vm.forwarding import run_on_peer
-from .vm.sessions import Session
 
 if TYPE_CHECKING:
     from .runtime import Vm
@@ -110,7 +109,7 @@
     local = local_upstreams(vm, call, tried)
     if local:
         return await run_here(vm, call, trace, counter, local, tried)
-    session = peer_for(vm, call, tried) if may_forward else None
+    session = choose_peer(vm, call.version, tried) if may_forward else None
     if session is None:
         raise no_upstream(call)
     tried.append(session.name)
@@ -137,39 +136,6 @@
     ]
 
 
-def serving(vm: Vm, version: str) -> tuple[Upstream, ...]:
-    """Return the upstreams of a version in data centres that are in."""
-    centres = vm.objects.data_centres
-    return tuple(
-        upstream
-        for upstream in vm.objects.by_version.get(version, ())
-        if centres[upstream.data_centre].state is DataCentreState.IN
-    )
-
-
-def peer_for(vm: Vm, call: StageCall, tried: list[str]) -> Session | None:
-    """Return a session with a VM whose data centre has an upstream for the call."""
-    centres = {upstream.data_centre for upstream in serving(vm, call.version)}
-    centres.discard(vm.settings.data_centre)
-    sessions = [
-        session
-        for session in vm.sessions.by_name.values()
-        if session.data_centre in centres and session.name not in tried
-    ]
-    staying = [session for session in sessions if not is_leaving(vm, session)]
-    # A VM that leaves still works for a while: better than refusing.
-    candidates = staying or sessions
-    if not candidates:
-        return None
-    return vm.random.choice(candidates)
-
-
-def is_leaving(vm: Vm, session: Session) -> bool:
-    """Return whether the other VM is shutting down."""
-    member = vm.members.by_name.get(session.name)
-    return member is None or member.leaving
-
-
 async def run_here(
     vm: Vm,
     call: StageCall,
