Keep cold upstreams within what they bear

Every VM called every upstream of its data centre with no limit, so that an upstream in a cold start got all calls of all VMs at once, and no VM knew an upstream's load.

Each upstream is now owned by one VM of its data centre (rendezvous hash over the live VMs): the owner polls its load and passes on changes as digests, and is alone to call it while it is cold. It may do so while every VM that it hears has promised to stay away and those are a majority of the VMs known there; promises end by themselves. The lease is checked again right before the bytes leave. Calls of a former holder are bounded by the first load report about a moment within the lease. Warm upstreams are shared out; the shares add up to their limit.

Ruled out: rendezvous over live VMs alone, because two VMs whose lists differ would both be owners; a third VM that both know refuses one of them now.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -24,10 +24,21 @@
 from .settings import Settings, load_settings
 from .stages import run_stage
 from .tls import client_context, server_context
+from .upstream.leases import (
+    keep_leases,
+    on_lease_answer,
+    on_lease_ask,
+    on_lease_release,
+)
+from .upstream.load import keep_polling, on_load_digest
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
     Heartbeat,
+    LeaseAnswer,
+    LeaseAsk,
+    LeaseRelease,
+    LoadDigest,
     RunStage,
     StageCancel,
     StageDone,
@@ -68,6 +79,10 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            LoadDigest: on_load_digest,
+            LeaseAsk: on_lease_ask,
+            LeaseAnswer: on_lease_answer,
+            LeaseRelease: on_lease_release,
         },
         members=members,
         server_tls=server_context(settings.tls),
@@ -109,6 +124,8 @@
         tasks.start_soon(keep_dialling, vm)
         tasks.start_soon(follow_configuration, vm)
         tasks.start_soon(follow_vm_list, vm)
+        tasks.start_soon(keep_polling, vm)
+        tasks.start_soon(keep_leases, vm)
         for server in servers:
             tasks.start_soon(server.serve)
     vm.journal.record(Event.VM_STOPPED)
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -21,7 +21,10 @@
 from .platform.configuration import ConfigurationState
 from .settings import Settings
 from .upstream.client import make_pool
+from .upstream.leases import Leases
+from .upstream.load import LoadExchange
 from .upstream.table import UpstreamTable
+from .upstream.waiting import WaitingLine
 from .vm.membership import Members
 from .vm.sessions import Session, Sessions
 from .wire import Message
@@ -74,6 +77,9 @@
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
+    load: LoadExchange = field(default_factory=LoadExchange)
+    leases: Leases = field(default_factory=Leases)
+    line: WaitingLine = field(default_factory=WaitingLine)
     upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -10,8 +10,9 @@
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
 from .objects.model import DataCentreState, Upstream
-from .upstream.choice import least_in_flight
-from .upstream.client import UpstreamAnswer, UpstreamError, call_upstream, refusal
+from .upstream import limits
+from .upstream.client import UpstreamError, call_upstream, refusal
+from .upstream.peers import owner_of
 from .upstream.table import UpstreamState
 from .vm.forwarding import run_on_peer
 from .vm.sessions import Session
@@ -104,9 +105,11 @@
 ) -> StageOutcome:
     """Try one upstream of this data centre, or one VM of another."""
     local = local_upstreams(vm, call, tried)
-    if local:
+    if any(limits.serves(vm, state) for state in local):
         return await run_here(vm, call, trace, counter, local, tried)
-    session = peer_for(vm, call, tried) if may_forward else None
+    session = peer_here(vm, local, tried) if may_forward else None
+    if session is None and may_forward:
+        session = peer_for(vm, call, tried)
     if session is None:
         raise no_upstream(call)
     tried.append(session.name)
@@ -143,6 +146,17 @@
     )
 
 
+def peer_here(vm: Vm, local: list[UpstreamState], tried: list[str]) -> Session | None:
+    """Return a session with the VM here that may call one of the upstreams."""
+    owners = {owner_of(vm, state.name) for state in local}
+    sessions = [
+        session
+        for session in vm.sessions.of_data_centre(vm.settings.data_centre)
+        if session.name in owners and session.name not in tried
+    ]
+    return vm.random.choice(sessions) if sessions else None
+
+
 def peer_for(vm: Vm, call: StageCall, tried: list[str]) -> Session | None:
     """Return a session with a VM whose data centre has an upstream for the call."""
     centres = {upstream.data_centre for upstream in serving(vm, call.version)}
@@ -165,33 +179,33 @@
     candidates: list[UpstreamState],
     tried: list[str],
 ) -> StageOutcome:
-    """Run the call on one of the candidates."""
-    chosen = least_in_flight(candidates)
-    name = chosen.upstream.name
-    tried.append(name)
+    """Run the call on one of the candidates, as soon as one has a free slot."""
     attempt = f"{call.request}.{call.step}.{secrets.token_hex(4)}"
     repeatable = vm.objects.stages[call.stage].repeatable
-    vm.journal.record(
-        Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
-    )
-    chosen.in_flight += 1
-    try:
-        answer = await call_upstream(
-            vm.upstream_pool,
-            chosen.upstream.address,
-            call,
-            attempt,
-            call.deadline_ms - vm.clock.now_ms(),
-            None if repeatable else trace,
-            counter.take,
+    async with limits.slot(vm, call, candidates, attempt) as slot:
+        name = slot.state.name
+        tried.append(name)
+        vm.journal.record(
+            Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
         )
-    except UpstreamError as error:
-        note_failure(vm, call, chosen, error)
-        ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
-        raise refusal(error, ran) from error
-    finally:
-        chosen.in_flight -= 1
-    note_success(vm, call, chosen, answer)
+        try:
+            answer = await call_upstream(
+                vm.upstream_pool,
+                slot.state.upstream.address,
+                call,
+                attempt,
+                call.deadline_ms - vm.clock.now_ms(),
+                None if repeatable else trace,
+                counter.take,
+                slot.check,
+            )
+        except UpstreamError as error:
+            await limits.note_failed(vm, slot, error, candidates)
+            note_failure(vm, call, slot.state, error)
+            ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
+            raise refusal(error, ran) from error
+        await limits.note_answered(vm, slot, answer)
+    note_success(vm, call, slot.state)
     own = vm.settings
     return StageOutcome(
         answer.output, call.version, name, own.data_centre, own.name, 1, 0.0
@@ -217,12 +231,8 @@
         )
 
 
-def note_success(
-    vm: Vm, call: StageCall, chosen: UpstreamState, answer: UpstreamAnswer
-) -> None:
+def note_success(vm: Vm, call: StageCall, chosen: UpstreamState) -> None:
     """Record an attempt that gave the stage's output."""
-    chosen.incarnation = answer.incarnation
-    chosen.state = answer.state
     vm.metrics.stage_attempts_total.inc({"stage": call.stage, "result": "good"})
     vm.journal.record(
         Event.STAGE_ANSWERED,
--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,7 +38,8 @@
     Parameters
     ----------
     reason : str
-        `connect`, `refused`, `failed`, `crossed`, `truncated` or `malformed`.
+        `connect`, `lease`, `busy`, `cold`, `version_missing`, `refused`, `failed`,
+        `crossed`, `truncated`, `too large` or `malformed`.
     left : bool
         Whether a byte of the call may have left this VM and may have run.
     """
@@ -59,11 +60,6 @@
 
     left: bool = False
 
-    async def trace(self, name: str, info: dict[str, Any]) -> None:
-        """Take the events of the HTTP library."""
-        if name.endswith("send_request_headers.started"):
-            self.left = True
-
 
 def make_pool() -> httpcore.AsyncConnectionPool:
     """Return the connection pool for all upstreams of a VM."""
@@ -98,10 +94,12 @@
     remaining_ms: float,
     trace: RunTrace | None,
     on_tokens: TokenSink,
+    check: Callable[[], None],
 ) -> UpstreamAnswer:
     """Send one call and return its whole answer.
 
-    `trace` is set for a call that may not be repeated.
+    `trace` is set for a call that may not be repeated. `check` runs right before
+    the first byte leaves and stops the call by raising `UpstreamError`.
 
     Raises
     ------
@@ -111,7 +109,9 @@
     sending = Sending()
 
     async def note(name: str, info: dict[str, Any]) -> None:
-        await sending.trace(name, info)
+        if name.endswith("send_request_headers.started"):
+            check()
+            sending.left = True
         if sending.left and trace is not None:
             trace.maybe_ran = True
 
@@ -142,6 +142,27 @@
         raise UpstreamError("truncated", sending.left) from error
 
 
+async def cancel_call(
+    pool: httpcore.AsyncConnectionPool, address: str, attempt: str
+) -> None:
+    """Tell an upstream that nobody waits for a call any more, if it can be told."""
+    try:
+        await pool.request(
+            "POST",
+            f"http://{address}/cancel",
+            headers=[("content-type", "application/json")],
+            content=json.dumps({"attempt": attempt}).encode(),
+            extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0}},
+        )
+    except (
+        OSError,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ):
+        return
+
+
 async def read_answer(
     response: httpcore.Response, call: StageCall, attempt: str, on_tokens: TokenSink
 ) -> UpstreamAnswer:
--- /dev/null
+++ b/cuminstile/upstream/ejection.py
@@ -0,0 +1,56 @@
+"""Leave out upstreams that fail, for a while and never all at once."""
+
+from collections.abc import Sequence
+
+from .table import NEVER_MS, UpstreamState
+
+FAILURES_TO_EJECT = 3
+EJECTION_MIN_MS = 1_000
+EJECTION_MAX_MS = 30_000
+MOST_EJECTED = 0.5
+
+
+def is_ejected(state: UpstreamState, now_ms: float) -> bool:
+    """Return whether an upstream is left out now."""
+    return now_ms < state.ejected_until_ms
+
+
+def is_probed(state: UpstreamState) -> bool:
+    """Return whether an upstream is back, but has given no good answer yet."""
+    return state.ejections > 0
+
+
+def note_call_good(state: UpstreamState) -> None:
+    """Take back an upstream after a good answer."""
+    state.failures = 0
+    state.ejections = 0
+    state.ejected_until_ms = NEVER_MS
+
+
+def note_call_failed(
+    state: UpstreamState,
+    siblings: Sequence[UpstreamState],
+    now_ms: float,
+    jitter: float,
+) -> bool:
+    """Count a failed call; return whether the upstream is left out from now on.
+
+    Parameters
+    ----------
+    siblings : sequence of UpstreamState
+        The upstreams that serve the same version here, this one included.
+    jitter : float
+        From 0 to 1, so that upstreams ejected together do not return together.
+    """
+    state.failures += 1
+    if is_ejected(state, now_ms):
+        return False
+    if state.failures < FAILURES_TO_EJECT and not is_probed(state):
+        return False
+    ejected = sum(is_ejected(sibling, now_ms) for sibling in siblings)
+    if ejected + 1 > MOST_EJECTED * len(siblings):
+        return False
+    pause_ms = min(EJECTION_MIN_MS * 2.0**state.ejections, EJECTION_MAX_MS)
+    state.ejected_until_ms = now_ms + pause_ms * (0.75 + jitter / 2.0)
+    state.ejections += 1
+    return True
--- /dev/null
+++ b/cuminstile/upstream/limits.py
@@ -0,0 +1,230 @@
+"""Hand out slots for calls, so that no upstream gets more than it bears."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..calls import StageCall
+from ..events import Event
+from .choice import CHOICES
+from .client import UpstreamAnswer, UpstreamError, cancel_call
+from .ejection import is_ejected, is_probed, note_call_failed, note_call_good
+from .evidence import (
+    mark_warm,
+    take_good_answer,
+    take_lost_call,
+    take_refusal,
+)
+from .leases import holds, usable
+from .load import PAUSE_LIMIT_MS, announce
+from .peers import owner_of, working_here
+from .shares import share
+from .table import Condition, UpstreamState
+from .waiting import wait_for_slot
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+CANCEL_TIMEOUT_MS = 300
+NEVER_LEFT_MS = float("inf")
+PROBE_LIMIT = 1
+REFUSALS = ("busy", "cold", "version_missing", "refused")
+SETTLED = (*REFUSALS, "failed", "connect", "lease")
+
+
+@dataclass
+class Slot:
+    """Hold the right to run one call at one upstream.
+
+    Parameters
+    ----------
+    settled : bool
+        Whether it is sure that the call runs there no more.
+    lost : bool
+        Whether the connection broke, so that there is nothing to cancel.
+    """
+
+    vm: Vm
+    state: UpstreamState
+    number: int
+    attempt: str
+    settled: bool = False
+    lost: bool = False
+
+    @property
+    def sent_ms(self) -> float:
+        """Return when the bytes of the call left; infinity while they have not."""
+        return self.state.calls.get(self.number, NEVER_LEFT_MS)
+
+    def check(self) -> None:
+        """Make sure, right before the bytes leave, that the call is still allowed.
+
+        Raises
+        ------
+        UpstreamError
+            If this VM was paused, or the upstream is not this VM's to call any more.
+        """
+        now_ms = self.vm.clock.now_ms()
+        if not may_send(self.vm, self.state, now_ms):
+            raise UpstreamError("lease", False)
+        self.state.calls[self.number] = now_ms
+
+
+def may_send(vm: Vm, state: UpstreamState, now_ms: float) -> bool:
+    """Return whether a call that has its slot may still be sent."""
+    if now_ms - vm.upstreams.ticked_ms > PAUSE_LIMIT_MS:
+        return False
+    if state.condition is Condition.COLD:
+        # This call is itself one of those in flight.
+        return state.in_flight <= usable(vm, state, now_ms)
+    return vm.leases.granted_to(state.name, now_ms) == ""
+
+
+def own_limit(vm: Vm, state: UpstreamState, now_ms: float) -> int:
+    """Return how many calls this VM may have in flight at an upstream now."""
+    if state.alone or is_ejected(state, now_ms):
+        return 0
+    limit = granted_limit(vm, state, now_ms)
+    return min(limit, PROBE_LIMIT) if is_probed(state) else limit
+
+
+def granted_limit(vm: Vm, state: UpstreamState, now_ms: float) -> int:
+    """Return what leases and shares allow this VM at an upstream."""
+    if state.condition is Condition.AWAY:
+        return 0
+    if state.condition is Condition.COLD:
+        return usable(vm, state, now_ms)
+    if now_ms < vm.upstreams.settled_ms:
+        return 0
+    if vm.leases.granted_to(state.name, now_ms):
+        return 0
+    return share(state, working_here(vm), vm.settings.name)
+
+
+def serves(vm: Vm, state: UpstreamState) -> bool:
+    """Return whether calls of an upstream may wait here for a slot."""
+    own = vm.settings.name
+    if state.condition is Condition.WARM:
+        return share(state, working_here(vm), own) > 0
+    return owner_of(vm, state.name) == own
+
+
+@asynccontextmanager
+async def slot(
+    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState], attempt: str
+) -> AsyncIterator[Slot]:
+    """Wait for a slot at one of the candidates and hold it.
+
+    Raises
+    ------
+    CuminstileError
+        With `OVERLOADED` or `DEADLINE_PASSED`; nothing has run then.
+    """
+    taken: list[Slot] = []
+
+    def try_take() -> Slot | None:
+        state = pick(vm, call, candidates)
+        if state is None:
+            return None
+        number = next(state.numbers)
+        state.calls[number] = NEVER_LEFT_MS
+        taken.append(Slot(vm, state, number, attempt))
+        return taken[0]
+
+    try:
+        yield await wait_for_slot(vm, call, try_take)
+    finally:
+        for item in taken:
+            await give_back(vm, item)
+
+
+def pick(
+    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]
+) -> UpstreamState | None:
+    """Return the candidate that the settings' choice prefers, if one has a slot."""
+    now_ms = vm.clock.now_ms()
+    free = [
+        state for state in candidates if state.in_flight < own_limit(vm, state, now_ms)
+    ]
+    if not free:
+        return None
+    choose = CHOICES[vm.settings.limits.choice]
+    return choose(free, call, now_ms)
+
+
+async def give_back(vm: Vm, item: Slot) -> None:
+    """Free a slot; a call that may still run is cancelled first."""
+    state = item.state
+    try:
+        if item.sent_ms < NEVER_LEFT_MS and not item.settled:
+            await cancel_at_upstream(vm, item)
+    finally:
+        state.calls.pop(item.number, None)
+        vm.line.wake()
+
+
+async def cancel_at_upstream(vm: Vm, item: Slot) -> None:
+    """Tell the upstream to stop a call, and count anew what runs there."""
+    address = item.state.upstream.address
+    if not item.lost:
+        with anyio.move_on_after(CANCEL_TIMEOUT_MS / 1000.0, shield=True):
+            await cancel_call(vm.upstream_pool, address, item.attempt)
+    holding = vm.leases.holdings.get(item.state.name)
+    now_ms = vm.clock.now_ms()
+    if holding is not None and holds(vm, item.state.name, now_ms):
+        holding.restart(now_ms)
+
+
+async def note_answered(vm: Vm, item: Slot, answer: UpstreamAnswer) -> None:
+    """Take the evidence of a good answer."""
+    item.settled = True
+    state = item.state
+    sent_ms = item.sent_ms
+    note_call_good(state)
+    turned = take_good_answer(
+        state, answer.state, answer.incarnation, sent_ms, vm.clock.now_ms()
+    )
+    if turned:
+        await note_cold(vm, state, "answer")
+    elif is_ramped_up(vm, state):
+        mark_warm(state, vm.clock.now_ms())
+        vm.journal.record(Event.UPSTREAM_WARM, upstream=state.name)
+        await announce(vm, (state,))
+
+
+def is_ramped_up(vm: Vm, state: UpstreamState) -> bool:
+    """Return whether a held upstream has borne its whole capacity step by step."""
+    return state.condition is Condition.COLD and state.ramp >= state.capacity
+
+
+async def note_failed(
+    vm: Vm, item: Slot, error: UpstreamError, siblings: Sequence[UpstreamState]
+) -> None:
+    """Take the evidence of a call that gave no good answer."""
+    state = item.state
+    now_ms = vm.clock.now_ms()
+    item.settled = error.reason in SETTLED
+    item.lost = error.reason == "truncated"
+    if error.reason == "lease":
+        return
+    if error.reason in REFUSALS:
+        if take_refusal(state, error.reason, error.incarnation, now_ms):
+            await note_cold(vm, state, "refusal")
+        return
+    if note_call_failed(state, siblings, now_ms, vm.random.random()):
+        vm.journal.record(
+            Event.UPSTREAM_EJECTED, upstream=state.name, failures=state.failures
+        )
+    if error.reason in ("truncated", "connect") and take_lost_call(state, now_ms):
+        await note_cold(vm, state, "lost connection")
+
+
+async def note_cold(vm: Vm, state: UpstreamState, reason: str) -> None:
+    """Tell everyone that a warm upstream turned cold."""
+    vm.journal.record(Event.UPSTREAM_COLD, upstream=state.name, reason=reason)
+    await announce(vm, (state,))
--- /dev/null
+++ b/cuminstile/upstream/peers.py
@@ -0,0 +1,74 @@
+"""Know which VMs of the own data centre share its upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from ..exceptions import CuminstileError
+from ..objects.model import Upstream
+from ..vm.sessions import Session
+from ..wire import Message
+from .ranking import ranked
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+
+def alive_here(vm: Vm) -> frozenset[str]:
+    """Return the VMs of the own data centre heard lately, with this VM."""
+    own = vm.settings
+    alive = vm.members.alive(vm.clock.now_ms())
+    names = (item.name for item in alive if item.data_centre == own.data_centre)
+    return frozenset((own.name, *names))
+
+
+def known_here(vm: Vm) -> frozenset[str]:
+    """Return every VM of the own data centre that is listed or heard."""
+    own = vm.settings
+    every = vm.members.by_name.values()
+    names = (item.name for item in every if item.data_centre == own.data_centre)
+    return frozenset((own.name, *names))
+
+
+def working_here(vm: Vm) -> tuple[str, ...]:
+    """Return the VMs of the own data centre that take part in the work, sorted."""
+    members = vm.members.by_name
+    names = set(alive_here(vm))
+    names -= {name for name, member in members.items() if member.leaving}
+    if vm.leaving:
+        names.discard(vm.settings.name)
+    return tuple(sorted(names or {vm.settings.name}))
+
+
+def owner_of(vm: Vm, upstream: str) -> str:
+    """Return the VM that polls an upstream, and calls it alone while it is cold."""
+    return ranked(working_here(vm), upstream)[0]
+
+
+def is_owner(vm: Vm, upstream: str) -> bool:
+    """Return whether this VM owns an upstream."""
+    return owner_of(vm, upstream) == vm.settings.name
+
+
+def upstreams_here(vm: Vm) -> tuple[Upstream, ...]:
+    """Return the upstreams of the own data centre; none without a configuration."""
+    if vm.configuration.current is None:
+        return ()
+    every = vm.objects.upstreams.values()
+    own = vm.settings.data_centre
+    return tuple(item for item in every if item.data_centre == own)
+
+
+def sessions_here(vm: Vm) -> tuple[Session, ...]:
+    """Return the open sessions with VMs of the own data centre."""
+    return vm.sessions.of_data_centre(vm.settings.data_centre)
+
+
+async def send_each(sessions: Iterable[Session], message: Message) -> None:
+    """Send one message over several sessions; a broken one is left out."""
+    for session in tuple(sessions):
+        try:
+            await session.send(message)
+        except CuminstileError:
+            continue
--- /dev/null
+++ b/cuminstile/upstream/ranking.py
@@ -0,0 +1,26 @@
+"""Rank VMs for an upstream by rendezvous hashing."""
+
+import hashlib
+from functools import lru_cache
+
+ID_BYTES = 4
+
+
+@lru_cache(maxsize=8192)
+def ranked(vms: tuple[str, ...], key: str) -> tuple[str, ...]:
+    """Return the VMs in the order of their claim to `key`, the owner first."""
+    return tuple(sorted(vms, key=lambda vm: digest_of(f"{vm}\0{key}"), reverse=True))
+
+
+def digest_of(text: str) -> bytes:
+    """Return a digest that is the same in every process."""
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
+@lru_cache(maxsize=65_536)
+def compact_id(text: str) -> int:
+    """Return the number that stands for a name on the wire; 0 for no name."""
+    if not text:
+        return 0
+    digest = hashlib.blake2b(text.encode(), digest_size=ID_BYTES).digest()
+    return max(1, int.from_bytes(digest, "big"))
--- /dev/null
+++ b/cuminstile/upstream/reports.py
@@ -0,0 +1,70 @@
+"""Fetch the load report of one upstream."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+from pydantic import TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass
+
+from ..const import CONNECT_TIMEOUT_MS
+from ..objects.model import Upstream
+from .evidence import LoadReport
+from .ranking import compact_id
+from .table import Condition
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+FETCH_TIMEOUT_MS = 500
+CONDITIONS = {"cold": Condition.COLD, "warm": Condition.WARM}
+
+FetchLoad = Callable[["Vm", Upstream], Awaitable[LoadReport | None]]
+
+
+@dataclass(frozen=True)
+class LoadBody:
+    """Hold the body of a load report as it travels."""
+
+    incarnation: str
+    state: str
+    in_flight: int
+    capacity: int
+    report_age_ms: float
+
+
+LOAD_BODY: TypeAdapter[LoadBody] = TypeAdapter(LoadBody)
+
+
+async def fetch_load(vm: Vm, upstream: Upstream) -> LoadReport | None:
+    """Return what an upstream reports, or None if it reports nothing usable."""
+    asked_ms = vm.clock.now_ms()
+    try:
+        with anyio.fail_after(FETCH_TIMEOUT_MS / 1000.0):
+            response = await vm.upstream_pool.request(
+                "GET",
+                f"http://{upstream.address}/load",
+                extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0}},
+            )
+        body = LOAD_BODY.validate_python(json.loads(response.content))
+    except (
+        OSError,
+        TimeoutError,
+        ValueError,
+        ValidationError,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ):
+        return None
+    return LoadReport(
+        compact_id(body.incarnation),
+        CONDITIONS.get(body.state, Condition.AWAY),
+        max(0, body.in_flight),
+        max(0, body.capacity),
+        asked_ms - max(0.0, body.report_age_ms),
+    )
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -144,6 +144,85 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class LoadEntry(Message):
+    """Tell what the sender knows about one upstream.
+
+    Parameters
+    ----------
+    upstream, incarnation : int
+        Compact numbers of the upstream's name and of its incarnation.
+    condition : int
+        A `Condition`.
+    in_flight, capacity : int
+        As the upstream reported them.
+    age_ds : int
+        How old the evidence is, in tenths of a second.
+    """
+
+    upstream: int
+    incarnation: int
+    condition: int
+    in_flight: int
+    capacity: int
+    age_ds: int
+
+
+@dataclass(frozen=True)
+class LoadDigest(Message):
+    """Pass on what has changed about some upstreams of the data centre."""
+
+    entries: tuple[LoadEntry, ...]
+
+
+@dataclass(frozen=True)
+class LeaseAsk(Message):
+    """Ask to be the only VM that calls some cold upstreams.
+
+    Parameters
+    ----------
+    number : int
+        Tells apart the rounds of the sender.
+    upstreams : tuple of int
+        Compact numbers of the upstreams' names.
+    """
+
+    number: int
+    upstreams: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class LeaseAnswer(Message):
+    """Answer one round of a VM that asks for leases.
+
+    Parameters
+    ----------
+    abstains : bool
+        Whether the sender is too young to promise anything.
+    granted : tuple of int
+        The upstreams that the sender promises to leave to the asking VM.
+    """
+
+    number: int
+    abstains: bool
+    granted: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class LeaseRelease(Message):
+    """Give back leases before they end."""
+
+    upstreams: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class CrashNotice(Message):
+    """Tell how often a request has crashed an upstream; 0 clears the suspicion."""
+
+    fingerprint: bytes
+    crashes: int
+
+
 CODEC = make_codec(
     (
         (1, Challenge),
@@ -157,5 +236,10 @@
         (24, StageCancel),
         (30, ConfigAsk),
         (31, ConfigGive),
+        (50, LoadDigest),
+        (51, LeaseAsk),
+        (52, LeaseAnswer),
+        (53, LeaseRelease),
+        (54, CrashNotice),
     )
 )
