Stop a woken VM and one that forgot its promises from calling too soon

A VM that was paused had not read what turned cold meanwhile, but could send what already had its slot; a VM replaced under its name had forgotten its promises, and believed a lagging report that said warm.

--- a/cuminstile/upstream/leases.py
+++ b/cuminstile/upstream/leases.py
@@ -274,26 +274,26 @@
     if session.data_centre != vm.settings.data_centre:
         return
     now_ms = vm.clock.now_ms()
-    if now_ms < vm.leases.abstains_until_ms:
-        await send_each((session,), LeaseAnswer(message.number, True, ()))
-        return
     granted: list[int] = []
     released: list[int] = []
+    abstains_now = now_ms < vm.leases.abstains_until_ms
     for number in message.upstreams:
         state = vm.upstreams.by_id.get(number)
         name = state.name if state else ""
         if not may_promise(vm, number, name, session.name, now_ms):
             continue
+        if state is not None:
+            # The asking VM has fresher evidence than a report that lags.
+            mark_cold(state, now_ms, shown=True)
+        if abstains_now:
+            continue
         if vm.leases.holdings.pop(name, None) is not None:
             released.append(number)
         vm.leases.promises[number] = Promise(session.name, now_ms + LEASE_MS)
-        if state is not None and state.condition is Condition.WARM:
-            # The asking VM has seen that it is cold.
-            mark_cold(state, now_ms, shown=True)
         granted.append(number)
     if released:
         await send_each(sessions_here(vm), LeaseRelease(tuple(released)))
-    answer = LeaseAnswer(message.number, False, tuple(granted))
+    answer = LeaseAnswer(message.number, abstains_now, tuple(granted))
     await send_each((session,), answer)
 
 
@@ -309,7 +309,7 @@
     """Note another VM's promises; each counts from the moment that it was asked."""
     leases = vm.leases
     asked_ms = leases.asked_ms.get(message.number)
-    if asked_ms is None:
+    if asked_ms is None or vm.sessions.by_name.get(session.name) is not session:
         return
     if message.abstains:
         leases.abstaining[session.name] = asked_ms + ABSTAINS_MS
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -77,7 +77,7 @@
 
 def may_send(vm: Vm, state: UpstreamState, now_ms: float) -> bool:
     """Return whether a call that has its slot may still be sent."""
-    if now_ms - vm.upstreams.ticked_ms > PAUSE_LIMIT_MS:
+    if is_just_woken(vm, now_ms):
         return False
     if state.condition is Condition.COLD:
         # This call is itself one of those in flight.
@@ -85,9 +85,15 @@
     return vm.leases.granted_to(state.name, now_ms) == ""
 
 
+def is_just_woken(vm: Vm, now_ms: float) -> bool:
+    """Return whether this VM was paused and may not have read what happened since."""
+    table = vm.upstreams
+    return now_ms - table.ticked_ms > PAUSE_LIMIT_MS or now_ms < table.settled_ms
+
+
 def own_limit(vm: Vm, state: UpstreamState, now_ms: float) -> int:
     """Return how many calls this VM may have in flight at an upstream now."""
-    if state.alone or is_ejected(state, now_ms):
+    if state.alone or is_ejected(state, now_ms) or is_just_woken(vm, now_ms):
         return 0
     limit = granted_limit(vm, state, now_ms)
     return min(limit, PROBE_LIMIT) if is_probed(state) else limit
@@ -99,8 +105,6 @@
         return 0
     if state.condition is Condition.COLD:
         return usable(vm, state, now_ms)
-    if now_ms < vm.upstreams.settled_ms:
-        return 0
     if vm.leases.granted_to(state.name, now_ms):
         return 0
     return share(state, working_here(vm), vm.settings.name)
