Bound retries, eject failing upstreams, quarantine requests that crash them

Retries were bounded by a count of attempts alone, so that a failing stage got three times its calls. They are now a fraction of the calls that succeed, by stage, with a few saved.

A connection that breaks after the bytes left counts as a crash only if the upstream does not answer or has another incarnation then. What ran there is suspected: it runs alone, at one upstream of the data centre that is held as a cold one; a crash there puts it in quarantine, a good answer clears it. All VMs are told.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -24,6 +24,7 @@
 from .settings import Settings, load_settings
 from .stages import run_stage
 from .tls import client_context, server_context
+from .upstream.crashes import on_crash_notice
 from .upstream.leases import (
     keep_leases,
     on_lease_answer,
@@ -34,6 +35,7 @@
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
+    CrashNotice,
     Heartbeat,
     LeaseAnswer,
     LeaseAsk,
@@ -83,6 +85,7 @@
             LeaseAsk: on_lease_ask,
             LeaseAnswer: on_lease_answer,
             LeaseRelease: on_lease_release,
+            CrashNotice: on_crash_notice,
         },
         members=members,
         server_tls=server_context(settings.tls),
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -21,8 +21,10 @@
 from .platform.configuration import ConfigurationState
 from .settings import Settings
 from .upstream.client import make_pool
+from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
 from .upstream.load import LoadExchange
+from .upstream.retries import RetryBudget
 from .upstream.table import UpstreamTable
 from .upstream.waiting import WaitingLine
 from .vm.membership import Members
@@ -79,6 +81,8 @@
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     load: LoadExchange = field(default_factory=LoadExchange)
     leases: Leases = field(default_factory=Leases)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    crashes: CrashTable = field(default_factory=CrashTable)
     line: WaitingLine = field(default_factory=WaitingLine)
     upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
     activity: Activity = field(default_factory=Activity)
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -12,16 +12,15 @@
 from .objects.model import DataCentreState, Upstream
 from .upstream import limits
 from .upstream.client import UpstreamError, call_upstream, refusal
-from .upstream.peers import owner_of
-from .upstream.table import UpstreamState
+from .upstream.crashes import refuse_quarantined
+from .upstream.retries import PAUSE_MS, may_retry
+from .upstream.table import Condition, UpstreamState
 from .vm.forwarding import run_on_peer
 from .vm.sessions import Session
 
 if TYPE_CHECKING:
     from .runtime import Vm
 
-MAX_ATTEMPTS = 3
-
 
 @dataclass
 class TokenCounter:
@@ -64,6 +63,8 @@
                 vm, present, trace, counter, may_forward, tried
             )
         except CuminstileError as error:
+            if may_forward and await is_decided_later(vm, present, error, tried):
+                continue
             if not may_retry(vm, present, trace, error, len(tried)):
                 raise
             vm.journal.record(
@@ -83,15 +84,17 @@
     return versions[0].name
 
 
-def may_retry(
-    vm: Vm, call: StageCall, trace: RunTrace, error: CuminstileError, attempts: int
+async def is_decided_later(
+    vm: Vm, call: StageCall, error: CuminstileError, tried: list[str]
 ) -> bool:
-    """Return whether another attempt is allowed and makes sense."""
-    retryable = (ErrorCode.UPSTREAM_FAILED, ErrorCode.PEER_LOST)
-    if error.code not in retryable or attempts >= MAX_ATTEMPTS:
+    """Wait a little where the VMs here do not agree yet who calls an upstream."""
+    if error.code is not ErrorCode.NO_UPSTREAM or error.ran is not Ran.NOT_RUN:
         return False
-    if trace.maybe_ran and not vm.objects.stages[call.stage].repeatable:
+    tried[:] = [name for name in tried if name not in vm.sessions.by_name]
+    local = local_upstreams(vm, call, tried)
+    if not any(state.condition is not Condition.AWAY for state in local):
         return False
+    await vm.clock.sleep_ms(PAUSE_MS * (0.5 + vm.random.random()))
     return vm.clock.now_ms() < call.deadline_ms
 
 
@@ -104,10 +107,12 @@
     tried: list[str],
 ) -> StageOutcome:
     """Try one upstream of this data centre, or one VM of another."""
+    refuse_quarantined(vm, call)
     local = local_upstreams(vm, call, tried)
-    if any(limits.serves(vm, state) for state in local):
-        return await run_here(vm, call, trace, counter, local, tried)
-    session = peer_here(vm, local, tried) if may_forward else None
+    here = limits.served_here(vm, call, local)
+    if here:
+        return await run_here(vm, call, trace, counter, here, tried)
+    session = peer_here(vm, call, local, tried) if may_forward else None
     if session is None and may_forward:
         session = peer_for(vm, call, tried)
     if session is None:
@@ -146,13 +151,15 @@
     )
 
 
-def peer_here(vm: Vm, local: list[UpstreamState], tried: list[str]) -> Session | None:
-    """Return a session with the VM here that may call one of the upstreams."""
-    owners = {owner_of(vm, state.name) for state in local}
+def peer_here(
+    vm: Vm, call: StageCall, local: list[UpstreamState], tried: list[str]
+) -> Session | None:
+    """Return a session with a VM here that may call one of the upstreams."""
+    names = limits.serving_vms(vm, call, local)
     sessions = [
         session
         for session in vm.sessions.of_data_centre(vm.settings.data_centre)
-        if session.name in owners and session.name not in tried
+        if session.name in names and session.name not in tried
     ]
     return vm.random.choice(sessions) if sessions else None
 
@@ -200,6 +207,9 @@
                 slot.check,
             )
         except UpstreamError as error:
+            if error.reason == "lease":
+                # Nothing is wrong with this upstream.
+                tried.remove(name)
             await limits.note_failed(vm, slot, error, candidates)
             note_failure(vm, call, slot.state, error)
             ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -39,7 +39,7 @@
     ----------
     reason : str
         `connect`, `lease`, `busy`, `cold`, `version_missing`, `refused`, `failed`,
-        `crossed`, `truncated`, `too large` or `malformed`.
+        `crossed`, `truncated`, `lost`, `too large` or `malformed`.
     left : bool
         Whether a byte of the call may have left this VM and may have run.
     """
@@ -64,7 +64,7 @@
 def make_pool() -> httpcore.AsyncConnectionPool:
     """Return the connection pool for all upstreams of a VM."""
     return httpcore.AsyncConnectionPool(
-        max_connections=10_000, max_keepalive_connections=1_000, keepalive_expiry=30.0
+        max_connections=10_000, max_keepalive_connections=1_000, keepalive_expiry=3.0
     )
 
 
@@ -139,7 +139,7 @@
         httpcore.ProtocolError,
         httpcore.TimeoutException,
     ) as error:
-        raise UpstreamError("truncated", sending.left) from error
+        raise UpstreamError("lost", sending.left) from error
 
 
 async def cancel_call(
--- a/cuminstile/upstream/evidence.py
+++ b/cuminstile/upstream/evidence.py
@@ -120,11 +120,6 @@
     return False
 
 
-def take_lost_call(state: UpstreamState, now_ms: float) -> bool:
-    """Take a lost connection: the upstream may have started again, hence is cold."""
-    return mark_cold(state, now_ms, shown=True)
-
-
 def take_report(state: UpstreamState, report: LoadReport) -> bool:
     """Take a load report; return whether the condition changed.
 
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -11,18 +11,27 @@
 
 from ..calls import StageCall
 from ..events import Event
+from .alone import give_up, may_start, reserve, wait_for_turn
 from .choice import CHOICES
 from .client import UpstreamAnswer, UpstreamError, cancel_call
+from .crashes import (
+    Suspicion,
+    note_lost,
+    note_survived,
+    place_for_suspect,
+    refuse_quarantined,
+    suspicion_of,
+)
 from .ejection import is_ejected, is_probed, note_call_failed, note_call_good
 from .evidence import (
+    mark_cold,
     mark_warm,
     take_good_answer,
-    take_lost_call,
     take_refusal,
 )
 from .leases import holds, usable
 from .load import PAUSE_LIMIT_MS, announce
-from .peers import owner_of, working_here
+from .peers import is_owner, owner_of, working_here
 from .shares import share
 from .table import Condition, UpstreamState
 from .waiting import wait_for_slot
@@ -43,6 +52,10 @@
 
     Parameters
     ----------
+    alone : bool
+        Whether the call has the upstream for itself.
+    incarnation : int
+        Of the upstream when the call was sent; 0 while unknown.
     settled : bool
         Whether it is sure that the call runs there no more.
     lost : bool
@@ -50,9 +63,12 @@
     """
 
     vm: Vm
+    call: StageCall
     state: UpstreamState
     number: int
     attempt: str
+    alone: bool = False
+    incarnation: int = 0
     settled: bool = False
     lost: bool = False
 
@@ -61,18 +77,27 @@
         """Return when the bytes of the call left; infinity while they have not."""
         return self.state.calls.get(self.number, NEVER_LEFT_MS)
 
+    def is_cleared(self) -> bool:
+        """Return whether a call that has an upstream for itself needs none."""
+        return self.alone and suspicion_of(self.vm, self.call) is Suspicion.NONE
+
     def check(self) -> None:
         """Make sure, right before the bytes leave, that the call is still allowed.
 
         Raises
         ------
         UpstreamError
-            If this VM was paused, or the upstream is not this VM's to call any more.
+            If this VM was paused, the upstream is not this VM's to call any more, or
+            the request has come under suspicion meanwhile.
         """
         now_ms = self.vm.clock.now_ms()
         if not may_send(self.vm, self.state, now_ms):
             raise UpstreamError("lease", False)
+        expected = Suspicion.SUSPECTED if self.alone else Suspicion.NONE
+        if suspicion_of(self.vm, self.call) is not expected and not self.is_cleared():
+            raise UpstreamError("lease", False)
         self.state.calls[self.number] = now_ms
+        self.incarnation = self.state.incarnation
 
 
 def may_send(vm: Vm, state: UpstreamState, now_ms: float) -> bool:
@@ -93,7 +118,7 @@
 
 def own_limit(vm: Vm, state: UpstreamState, now_ms: float) -> int:
     """Return how many calls this VM may have in flight at an upstream now."""
-    if state.alone or is_ejected(state, now_ms) or is_just_woken(vm, now_ms):
+    if state.suspects or is_ejected(state, now_ms) or is_just_woken(vm, now_ms):
         return 0
     limit = granted_limit(vm, state, now_ms)
     return min(limit, PROBE_LIMIT) if is_probed(state) else limit
@@ -110,6 +135,25 @@
     return share(state, working_here(vm), vm.settings.name)
 
 
+def served_here(
+    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]
+) -> list[UpstreamState]:
+    """Return the candidates for which the call may wait here."""
+    if suspicion_of(vm, call) is Suspicion.SUSPECTED:
+        places = place_for_suspect(call, candidates)
+        return [state for state in places if is_owner(vm, state.name)]
+    return [state for state in candidates if serves(vm, state)]
+
+
+def serving_vms(
+    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]
+) -> frozenset[str]:
+    """Return the VMs here that may call the candidates where this VM may not."""
+    if suspicion_of(vm, call) is Suspicion.SUSPECTED:
+        candidates = place_for_suspect(call, candidates)
+    return frozenset(owner_of(vm, state.name) for state in candidates)
+
+
 def serves(vm: Vm, state: UpstreamState) -> bool:
     """Return whether calls of an upstream may wait here for a slot."""
     own = vm.settings.name
@@ -124,27 +168,43 @@
 ) -> AsyncIterator[Slot]:
     """Wait for a slot at one of the candidates and hold it.
 
+    A suspected request waits until it has an upstream for itself.
+
     Raises
     ------
     CuminstileError
         With `OVERLOADED` or `DEADLINE_PASSED`; nothing has run then.
     """
     taken: list[Slot] = []
+    alone = suspicion_of(vm, call) is Suspicion.SUSPECTED
 
     def try_take() -> Slot | None:
-        state = pick(vm, call, candidates)
+        if alone:
+            refuse_quarantined(vm, call)
+        state = pick_alone(vm, candidates) if alone else pick(vm, call, candidates)
         if state is None:
             return None
         number = next(state.numbers)
         state.calls[number] = NEVER_LEFT_MS
-        taken.append(Slot(vm, state, number, attempt))
+        taken.append(Slot(vm, call, state, number, attempt, alone))
         return taken[0]
 
     try:
-        yield await wait_for_slot(vm, call, try_take)
+        if alone:
+            await reserve(vm, candidates[0])
+            yield await wait_for_turn(vm, call, try_take)
+        else:
+            yield await wait_for_slot(vm, call, try_take)
     finally:
         for item in taken:
             await give_back(vm, item)
+        if alone:
+            await give_up(vm, candidates[0])
+
+
+def pick_alone(vm: Vm, candidates: Sequence[UpstreamState]) -> UpstreamState | None:
+    """Return the reserved upstream once nothing runs there."""
+    return candidates[0] if may_start(vm, candidates[0]) else None
 
 
 def pick(
@@ -188,21 +248,25 @@
     """Take the evidence of a good answer."""
     item.settled = True
     state = item.state
+    now_ms = vm.clock.now_ms()
     sent_ms = item.sent_ms
+    vm.retries.earn(item.call.stage, vm.settings.limits.retry_fraction, now_ms)
+    if item.alone:
+        await note_survived(vm, item.call)
     note_call_good(state)
-    turned = take_good_answer(
-        state, answer.state, answer.incarnation, sent_ms, vm.clock.now_ms()
-    )
+    turned = take_good_answer(state, answer.state, answer.incarnation, sent_ms, now_ms)
     if turned:
         await note_cold(vm, state, "answer")
     elif is_ramped_up(vm, state):
-        mark_warm(state, vm.clock.now_ms())
+        mark_warm(state, now_ms)
         vm.journal.record(Event.UPSTREAM_WARM, upstream=state.name)
         await announce(vm, (state,))
 
 
 def is_ramped_up(vm: Vm, state: UpstreamState) -> bool:
     """Return whether a held upstream has borne its whole capacity step by step."""
+    if state.suspects:
+        return False
     return state.condition is Condition.COLD and state.ramp >= state.capacity
 
 
@@ -213,7 +277,7 @@
     state = item.state
     now_ms = vm.clock.now_ms()
     item.settled = error.reason in SETTLED
-    item.lost = error.reason == "truncated"
+    item.lost = error.reason == "lost"
     if error.reason == "lease":
         return
     if error.reason in REFUSALS:
@@ -224,8 +288,20 @@
         vm.journal.record(
             Event.UPSTREAM_EJECTED, upstream=state.name, failures=state.failures
         )
-    if error.reason in ("truncated", "connect") and take_lost_call(state, now_ms):
+    if error.reason in ("lost", "connect"):
+        await note_connection(vm, item, error)
+
+
+async def note_connection(vm: Vm, item: Slot, error: UpstreamError) -> None:
+    """Take a connection that broke or that could not be opened as a restart."""
+    state = item.state
+    state.reserved_warm = False
+    if mark_cold(state, vm.clock.now_ms(), shown=True):
         await note_cold(vm, state, "lost connection")
+    if error.reason == "connect" or not error.left:
+        return
+    report = await vm.load.fetch(vm, state.upstream)
+    await note_lost(vm, item.call, report, item.incarnation, item.alone)
 
 
 async def note_cold(vm: Vm, state: UpstreamState, reason: str) -> None:
--- a/cuminstile/upstream/load.py
+++ b/cuminstile/upstream/load.py
@@ -11,6 +11,7 @@
 from ..objects.model import Upstream
 from ..vm.messages import LoadDigest, LoadEntry
 from ..vm.sessions import Session
+from .crashes import greet_with_crashes
 from .evidence import LoadReport, mark_cold, take_report
 from .leases import start_over
 from .peers import is_owner, send_each, sessions_here, upstreams_here
@@ -57,6 +58,8 @@
         When each owned upstream was last polled.
     told : dict of str to Told
         What the other VMs were last told.
+    fetch : FetchLoad
+        Asks an upstream for its load.
     greeted : dict of str to Session
         The session with each VM that was told about every owned upstream.
     """
@@ -65,18 +68,20 @@
     told: dict[str, Told] = field(default_factory=dict)
     greeted: dict[str, Session] = field(default_factory=dict)
     digest_ms: float = NEVER_MS
+    fetch: FetchLoad = fetch_load
 
 
-async def keep_polling(vm: Vm, fetch: FetchLoad = fetch_load) -> None:
+async def keep_polling(vm: Vm) -> None:
     """Poll owned upstreams and pass on what changes, for ever."""
     async with anyio.create_task_group() as tasks:
         while True:
             note_tick(vm)
             for state in due(vm):
                 vm.load.polled_ms[state.name] = vm.clock.now_ms()
-                tasks.start_soon(poll, vm, state, fetch)
+                tasks.start_soon(poll, vm, state)
             await greet_new_sessions(vm)
             await pass_on_changes(vm)
+            vm.line.wake()
             await vm.clock.sleep_ms(TICK_MS)
 
 
@@ -121,9 +126,9 @@
     return vm.load.polled_ms.get(state.name, NEVER_MS) + interval_ms
 
 
-async def poll(vm: Vm, state: UpstreamState, fetch: FetchLoad) -> None:
+async def poll(vm: Vm, state: UpstreamState) -> None:
     """Poll one upstream and take over what it reports."""
-    report = await fetch(vm, state.upstream)
+    report = await vm.load.fetch(vm, state.upstream)
     if report is None:
         await note_unread(vm, state)
         return
@@ -176,11 +181,14 @@
 
 
 async def greet_new_sessions(vm: Vm) -> None:
-    """Tell each VM that has just connected about every owned upstream."""
-    for session in sessions_here(vm):
+    """Tell each VM that has just connected what it may not know."""
+    for session in tuple(vm.sessions.by_name.values()):
         if vm.load.greeted.get(session.name) is session:
             continue
         vm.load.greeted[session.name] = session
+        await greet_with_crashes(vm, session)
+        if session.data_centre != vm.settings.data_centre:
+            continue
         known = [state for state in owned_states(vm) if state.evidence_ms > NEVER_MS]
         entries = tuple(entry_of(vm, state) for state in known)
         await send_each((session,), LoadDigest(entries))
--- a/cuminstile/upstream/peers.py
+++ b/cuminstile/upstream/peers.py
@@ -15,6 +15,9 @@
     from ..runtime import Vm
 
 
+WORKING_FOR_MS = 20
+
+
 def alive_here(vm: Vm) -> frozenset[str]:
     """Return the VMs of the own data centre heard lately, with this VM."""
     own = vm.settings
@@ -32,7 +35,21 @@
 
 
 def working_here(vm: Vm) -> tuple[str, ...]:
-    """Return the VMs of the own data centre that take part in the work, sorted."""
+    """Return the VMs of the own data centre that take part in the work, sorted.
+
+    They are worked out anew after a while only: shares and ownership hang on them,
+    no promise does.
+    """
+    table = vm.upstreams
+    now_ms = vm.clock.now_ms()
+    if now_ms - table.working_ms >= WORKING_FOR_MS:
+        table.working = present_here(vm)
+        table.working_ms = now_ms
+    return table.working
+
+
+def present_here(vm: Vm) -> tuple[str, ...]:
+    """Return the VMs of the own data centre that live and do not leave, sorted."""
     members = vm.members.by_name
     names = set(alive_here(vm))
     names -= {name for name, member in members.items() if member.leaving}
--- a/cuminstile/upstream/table.py
+++ b/cuminstile/upstream/table.py
@@ -52,8 +52,10 @@
         Until when it gets no call, and how often that happened in a row.
     unread_polls : int
         Polls in a row without a load report.
-    alone : bool
-        Whether a suspected request has the upstream for itself.
+    suspects : int
+        Suspected requests that wait for the upstream or have it for themselves.
+    reserved_warm : bool
+        Whether it is taken as cold only for their sake.
     """
 
     upstream: Upstream
@@ -75,7 +77,8 @@
     ejected_until_ms: float = NEVER_MS
     ejections: int = 0
     unread_polls: int = 0
-    alone: bool = False
+    suspects: int = 0
+    reserved_warm: bool = False
 
     def __post_init__(self) -> None:
         """Start with what the upstream's object allows."""
@@ -114,12 +117,16 @@
         When this process last showed that it runs; minus infinity at the start.
     settled_ms : float
         From when on warm upstreams may be called again after a pause.
+    working, working_ms : tuple of str, float
+        The VMs that share the upstreams, and when that was worked out.
     """
 
     by_name: dict[str, UpstreamState] = field(default_factory=dict)
     by_id: dict[int, UpstreamState] = field(default_factory=dict)
     ticked_ms: float = NEVER_MS
     settled_ms: float = NEVER_MS
+    working: tuple[str, ...] = ()
+    working_ms: float = NEVER_MS
 
     def state_of(self, upstream: Upstream) -> UpstreamState:
         """Return the state of one upstream, fresh if its object has changed."""
--- a/tests/upstream/centre.py
+++ b/tests/upstream/centre.py
@@ -141,7 +141,7 @@
         work_ms = self.work_ms * (0.7 + 0.6 * self.source.random())
         await self.clock.sleep_ms(work_ms)
         if death.is_set():
-            raise UpstreamError("truncated", True)
+            raise UpstreamError("lost", True)
         if self.source.random() < self.failing:
             self.running.pop(attempt, None)
             self.note()
@@ -165,8 +165,9 @@
         if not self.alive:
             return None
         about_ms = self.clock.now_ms() - self.report_lag_ms
-        past = [entry for entry in self.history if entry[0] <= about_ms]
-        at_ms, incarnation, state, in_flight = past[-1] if past else self.history[0]
+        own = [entry for entry in self.history if entry[1] == self.incarnation]
+        past = [entry for entry in own if entry[0] <= about_ms]
+        at_ms, incarnation, state, in_flight = past[-1] if past else own[0]
         condition = Condition.WARM if state == "warm" else Condition.COLD
         return LoadReport(
             compact_id(incarnation),
@@ -272,7 +273,8 @@
         with scope:
             async with anyio.create_task_group() as tasks:
                 vm.tasks = tasks
-                tasks.start_soon(load.keep_polling, vm, fetch)
+                vm.load.fetch = fetch
+                tasks.start_soon(load.keep_polling, vm)
                 tasks.start_soon(leases.keep_leases, vm)
                 tasks.start_soon(self.send_heartbeats, vm)
                 task_status.started()
@@ -306,9 +308,10 @@
                 return
             target.members.hear(sender, target.clock.now_ms())
             kind = type(CODEC.decode(data)).__name__
-            size = self.sent_by_type.get(kind, 0) + len(data)
-            self.sent_by_type[kind] = size
-            self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + len(data)
+            self.sent_by_type[kind] = self.sent_by_type.get(kind, 0) + len(data)
+            if not kind.startswith("Stage") and kind != "RunStage":
+                # Calls carried from VM to VM are no control traffic.
+                self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + len(data)
             await receive_one(target, session, data)
 
         connection = FakeConnection(self.clock, deliver)
--- /dev/null
+++ b/tests/upstream/test_crashes.py
@@ -0,0 +1,91 @@
+"""Test cuminstile.upstream.crashes: requests that crash the upstreams they run on."""
+
+import pytest
+
+from cuminstile.upstream.crashes import CrashTable, Suspicion, fingerprint_of
+
+from .centre import running_centre
+from .test_leases import load_for, start_three
+
+POISON = "poison"
+
+
+async def poisoned_centre(centre) -> list:
+    """Start three VMs and bring every upstream into full use."""
+    await start_three(centre)
+    results = []
+    await load_for(centre, 8_000.0, results)
+    for fake in centre.upstreams.values():
+        assert fake.warm
+        fake.crash_on = POISON
+    results.clear()
+    return results
+
+
+def crashes(centre) -> int:
+    return sum(fake.crashes for fake in centre.upstreams.values())
+
+
+def label(centre, number: int) -> str:
+    return f"{POISON}-request-{number}"
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_resent_poison_costs_two_upstreams_over_all_vms(monkeypatch, seed):
+    async with running_centre(monkeypatch, 4, seed, work_ms=60.0) as centre:
+        results = await poisoned_centre(centre)
+        poisoned = []
+        for number in range(20):
+            name = sorted(centre.vms)[number % 3]
+            call = centre.call(label(centre, number), 4_000.0, input=POISON)
+            centre.send(name, call, poisoned)
+            await load_for(centre, 700.0, results)
+        await centre.clock.advance_ms(5_000.0)
+        assert crashes(centre) <= 2
+        assert len(poisoned) == 20
+        assert {result[0] for result in poisoned[3:]} == {"quarantined"}
+        assert {result[0] for result in results} <= {"good", "deadline_passed"}
+        good = sum(result[0] == "good" for result in results)
+        assert good >= 0.98 * len(results)
+
+
+async def test_innocents_that_ran_beside_the_poison_are_cleared(monkeypatch):
+    async with running_centre(monkeypatch, 3, work_ms=60.0) as centre:
+        results = await poisoned_centre(centre)
+        poisoned = []
+        centre.send("vm-a", centre.call("p1", 4_000.0, input=POISON), poisoned)
+        await load_for(centre, 6_000.0, results)
+        await centre.clock.advance_ms(4_000.0)
+        for vm in centre.vms.values():
+            kept = vm.crashes.by_fingerprint.values()
+            assert [item.suspicion for item in kept] == [Suspicion.QUARANTINED]
+        assert poisoned[0][0] == "quarantined"
+
+
+async def test_lost_answer_of_an_upstream_that_lives_is_no_crash(monkeypatch):
+    async with running_centre(monkeypatch, 2, work_ms=60.0) as centre:
+        results = await poisoned_centre(centre)
+        fake = centre.upstreams["runner-0"]
+        fake.death.set()
+        await load_for(centre, 200.0, results)
+        await centre.clock.advance_ms(4_000.0)
+        assert all(not vm.crashes.by_fingerprint for vm in centre.vms.values())
+
+
+async def test_copies_of_a_request_have_one_fingerprint(monkeypatch):
+    async with running_centre(monkeypatch, 1) as centre:
+        first = centre.call("r1", input={"a": 1, "b": 2})
+        second = centre.call("r2", input={"b": 2, "a": 1})
+        other = centre.call("r1", input={"a": 1, "b": 3})
+        assert fingerprint_of(first) == fingerprint_of(second)
+        assert fingerprint_of(first) != fingerprint_of(other)
+
+
+def test_suspicion_ends_and_the_table_stays_bounded():
+    table = CrashTable()
+    table.put(b"x" * 16, Suspicion.SUSPECTED, 0.0)
+    assert table.get(b"x" * 16, 1.0) is Suspicion.SUSPECTED
+    assert table.get(b"x" * 16, 600_000.0) is Suspicion.NONE
+    for number in range(5_000):
+        table.put(number.to_bytes(16, "big"), Suspicion.SUSPECTED, 0.0)
+    assert len(table.by_fingerprint) == 4_096
--- /dev/null
+++ b/tests/upstream/test_load.py
@@ -0,0 +1,129 @@
+"""Test cuminstile.upstream.load: who polls, what is told, at what cost."""
+
+import pytest
+
+from cuminstile.upstream.evidence import mark_cold
+from cuminstile.upstream.load import entries_allowed, note_tick, take_entry
+from cuminstile.upstream.ranking import compact_id, ranked
+from cuminstile.upstream.table import Condition
+from cuminstile.vm.messages import LoadEntry
+
+from .centre import running_centre
+from .test_leases import load_for, start_three
+
+CONTROL_BYTES_PER_S = 4_096
+
+
+def test_ranking_moves_little_when_a_vm_goes():
+    vms = tuple(f"vm-{number}" for number in range(10))
+    keys = [f"u{number}" for number in range(500)]
+    before = {key: ranked(vms, key)[0] for key in keys}
+    after = {key: ranked(vms[:-1], key)[0] for key in keys}
+    moved = [key for key in keys if before[key] != after[key]]
+    assert all(before[key] == "vm-9" for key in moved)
+    assert 20 <= len(moved) <= 90
+
+
+async def test_each_upstream_is_polled_by_one_vm(monkeypatch):
+    async with running_centre(monkeypatch, 6) as centre:
+        await start_three(centre)
+        await centre.clock.advance_ms(3_000.0)
+        polled = [set(vm.load.polled_ms) for vm in centre.vms.values()]
+        now_ms = centre.clock.now_ms()
+        fresh = [
+            {name for name, at_ms in vm.load.polled_ms.items() if now_ms - at_ms < 600}
+            for vm in centre.vms.values()
+        ]
+        assert sum(map(len, fresh)) == 6
+        assert set().union(*polled) == set(centre.upstreams)
+
+
+async def test_every_vm_learns_what_one_polls(monkeypatch):
+    async with running_centre(monkeypatch, 3) as centre:
+        for fake in centre.upstreams.values():
+            fake.warm = True
+            fake.note()
+        await start_three(centre)
+        await centre.clock.advance_ms(2_500.0)
+        for vm in centre.vms.values():
+            states = vm.upstreams.by_name.values()
+            assert {state.condition for state in states} == {Condition.WARM}
+
+
+def entry(state, condition, age_ds):
+    number = compact_id(state.name)
+    return LoadEntry(number, 7, int(condition), 0, 8, age_ds)
+
+
+async def test_lagging_report_does_not_overrule_fresher_evidence(monkeypatch):
+    async with running_centre(monkeypatch, 1) as centre:
+        await start_three(centre)
+        vm = centre.vms["vm-a"]
+        session = vm.sessions.by_name["vm-b"]
+        state = vm.upstreams.state_of(centre.upstreams["runner-0"].upstream)
+        state.incarnation = 7
+        mark_cold(state, centre.clock.now_ms(), shown=True)
+        take_entry(vm, session, state, entry(state, Condition.WARM, 1))
+        assert state.condition is Condition.COLD
+        await centre.clock.advance_ms(300.0)
+        vm.leases.holdings.clear()
+        take_entry(vm, session, state, entry(state, Condition.WARM, 1))
+        assert state.condition is Condition.WARM
+        take_entry(vm, session, state, entry(state, Condition.COLD, 0))
+        assert state.condition is Condition.COLD
+
+
+async def test_paused_vm_forgets_and_abstains(monkeypatch):
+    async with running_centre(monkeypatch, 1) as centre:
+        vm = await centre.start("vm-a")
+        await centre.clock.advance_ms(5_000.0)
+        now_ms = centre.clock.now_ms()
+        state = vm.upstreams.by_name["runner-0"]
+        state.condition = Condition.WARM
+        vm.upstreams.ticked_ms = now_ms - 700.0
+        note_tick(vm)
+        assert vm.upstreams.settled_ms > now_ms
+        assert state.condition is Condition.WARM
+        vm.upstreams.ticked_ms = now_ms - 3_000.0
+        note_tick(vm)
+        assert state.condition is Condition.COLD
+        assert vm.leases.abstains_until_ms > now_ms
+
+
+async def test_silent_upstream_is_away_until_it_reports(monkeypatch):
+    async with running_centre(monkeypatch, 1, warm=True) as centre:
+        vm = await centre.start("vm-a")
+        await centre.clock.advance_ms(1_000.0)
+        fake = centre.upstreams["runner-0"]
+        fake.alive = False
+        await centre.clock.advance_ms(2_000.0)
+        assert vm.upstreams.by_name["runner-0"].condition is Condition.AWAY
+        fake.alive = True
+        await centre.clock.advance_ms(1_000.0)
+        assert vm.upstreams.by_name["runner-0"].condition is Condition.WARM
+
+
+@pytest.mark.parametrize("peers", [1, 2, 5, 19, 60])
+def test_digests_stay_within_their_bytes(peers):
+    assert entries_allowed(peers) >= 1
+    if peers <= 19:
+        assert peers * (8 + 16 * entries_allowed(peers)) <= 1_000
+
+
+@pytest.mark.parametrize("warm", [True, False])
+async def test_control_bytes_at_twenty_vms_and_120_upstreams(monkeypatch, warm):
+    async with running_centre(
+        monkeypatch, 120, warm=warm, warm_after=1_000_000
+    ) as centre:
+        for number in range(20):
+            await centre.start(f"vm-{number:02}")
+        await centre.clock.advance_ms(4_000.0)
+        centre.sent_bytes.clear()
+        centre.sent_by_type.clear()
+        results = []
+        if warm:
+            await load_for(centre, 5_000.0, results, 25.0)
+        else:
+            await centre.clock.advance_ms(5_000.0)
+        print({kind: size / 100 for kind, size in centre.sent_by_type.items()})
+        assert max(centre.sent_bytes.values()) / 5.0 <= CONTROL_BYTES_PER_S
