--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -5,21 +5,25 @@
 import hashlib
 import secrets
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from aioprometheus.renderer import render
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import Request as HttpRequest
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Receive, Scope, Send
+from starlette.types import Message as ASGIMessage
 
 from ..const import MAX_BODY_BYTES
 from ..events import Event
 from ..exceptions import HTTP_STATUS, CuminstileError, ErrorCode
 from ..objects.model import Organisation, Pipeline
-from ..pipeline import Request
+from ..pipeline import Request, internal_error
 from .bodies import RunBody, error_body, parse_run_body
-from .serving import answer_stream, answer_whole
+from .serving import TokenStream, answer_whole
 
 if TYPE_CHECKING:
     from ..runtime import Vm
@@ -30,15 +34,17 @@
 def make_app(vm: Vm) -> Starlette:
     """Return the application for the callers' port."""
 
-    async def run(http: HttpRequest) -> Response:
+    async def run(http: HttpRequest) -> Response | TokenStream:
         try:
             request = await admit(vm, http)
             if request.stream:
-                return answer_stream(vm, request)
+                return TokenStream(vm, request)
             return await answer_whole(vm, request, http)
         except CuminstileError as error:
             vm.journal.record(Event.REQUEST_REFUSED, code=error.code.value)
             return refuse(error)
+        except Exception as error:
+            return refuse(internal_error(vm, error))
 
     async def healthz(http: HttpRequest) -> Response:
         return PlainTextResponse("ok")
@@ -62,9 +68,32 @@
             Route("/metrics", metrics),
         ],
         exception_handlers={404: unknown_path, 405: unknown_path},
+        middleware=[Middleware(CloseWhenLeaving, vm=vm)],
     )
 
 
+@dataclass(frozen=True)
+class CloseWhenLeaving:
+    """End each connection with its answer while the VM is leaving.
+
+    So the balancer's idle connections are gone before the port is closed, and no
+    request meets a connection that is being closed.
+    """
+
+    app: ASGIApp
+    vm: Vm
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Pass a request on and mark its answer."""
+
+        async def marked(message: ASGIMessage) -> None:
+            if self.vm.leaving and message["type"] == "http.response.start":
+                message["headers"] = [*message["headers"], (b"connection", b"close")]
+            await send(message)
+
+        await self.app(scope, receive, marked)
+
+
 async def unknown_path(http: HttpRequest, error: Exception) -> Response:
     """Answer a path or method that there is not."""
     return refuse(CuminstileError(ErrorCode.UNKNOWN_PATH, "there is nothing here"))
--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -23,6 +23,11 @@
         Empty for a request without one.
     issued_at_ms : int
         When the caller issued its key, in ms since 1970 UTC.
+    avoid : tuple of str
+        Upstreams that have failed this call already.
+    handed_over : bool
+        Whether another data centre has handed the call to this one, which then
+        keeps it.
     """
 
     request: str
@@ -38,6 +43,8 @@
     resume_at: int = 0
     idempotency_key: str = ""
     issued_at_ms: int = 0
+    avoid: tuple[str, ...] = ()
+    handed_over: bool = False
 
 
 @dataclass(frozen=True)
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -18,11 +18,14 @@
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
+from .operator.app import make_app as make_operator_app
 from .platform.client import make_platform_client
 from .platform.follow import follow_configuration, follow_vm_list
+from .platform.renewal import renew_configuration
 from .runtime import Vm
-from .settings import Settings, load_settings
+from .settings import Settings, check_ports, load_settings
 from .stages import run_stage
+from .supervision import Background, keep_running
 from .tls import client_context, server_context
 from .upstream.crashes import on_crash_notice
 from .upstream.leases import (
@@ -32,9 +35,12 @@
     on_lease_release,
 )
 from .upstream.load import keep_polling, on_load_digest
+from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
+    ConfigAsk,
+    ConfigGive,
     CrashNotice,
     Heartbeat,
     LeaseAnswer,
@@ -51,6 +57,15 @@
 from .vm.shutdown import drain
 
 EXIT_BAD_INPUT = 2
+BACKGROUND: tuple[Background, ...] = (
+    listen,
+    keep_dialling,
+    follow_configuration,
+    renew_configuration,
+    follow_vm_list,
+    keep_polling,
+    keep_leases,
+)
 
 
 class QuietServer(uvicorn.Server):
@@ -65,9 +80,9 @@
 def make_vm(settings: Settings) -> Vm:
     """Return the state of a VM that has not started yet."""
     clock = Clock()
-    members = Members(settings.name)
+    members = Members(settings.name, settings.data_centre)
     for peer in settings.peers:
-        members.add(peer.name, peer.data_centre, peer.address)
+        members.add(peer.name, peer.data_centre, peer.address, in_settings=True)
     return Vm(
         settings=settings,
         clock=clock,
@@ -86,6 +101,8 @@
             LeaseAnswer: on_lease_answer,
             LeaseRelease: on_lease_release,
             CrashNotice: on_crash_notice,
+            ConfigAsk: on_config_ask,
+            ConfigGive: on_config_give,
         },
         members=members,
         server_tls=server_context(settings.tls),
@@ -120,27 +137,32 @@
         incarnation=vm.incarnation,
         data_centre=vm.settings.data_centre,
     )
-    servers = [make_server(vm.settings, make_app(vm), vm.settings.caller_port)]
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(stop_on_signal, vm, tasks, servers)
-        tasks.start_soon(listen, vm)
-        tasks.start_soon(keep_dialling, vm)
-        tasks.start_soon(follow_configuration, vm)
-        tasks.start_soon(follow_vm_list, vm)
-        tasks.start_soon(keep_polling, vm)
-        tasks.start_soon(keep_leases, vm)
-        for server in servers:
-            tasks.start_soon(server.serve)
+        servers = start(vm, tasks)
+        await wait_for_signal()
+        await drain(vm, servers)
+        tasks.cancel_scope.cancel()
     vm.journal.record(Event.VM_STOPPED)
 
 
-async def stop_on_signal(vm: Vm, tasks: TaskGroup, servers: list[QuietServer]) -> None:
-    """Shut down gracefully on SIGTERM or SIGINT."""
+def start(vm: Vm, tasks: TaskGroup) -> list[QuietServer]:
+    """Start every task of a VM and return its HTTP servers."""
+    servers = [
+        make_server(vm.settings, make_app(vm), vm.settings.caller_port),
+        make_server(vm.settings, make_operator_app(vm), vm.settings.operator_port),
+    ]
+    for task in BACKGROUND:
+        tasks.start_soon(keep_running, vm, task)
+    for server in servers:
+        tasks.start_soon(server.serve)
+    return servers
+
+
+async def wait_for_signal() -> None:
+    """Wait for SIGTERM or SIGINT."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            break
-    await drain(vm, servers)
-    tasks.cancel_scope.cancel()
+            return
 
 
 def run(settings: str) -> None:
@@ -153,6 +175,7 @@
     """
     try:
         checked = load_settings(Path(settings))
+        check_ports(checked)
     except CuminstileError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -26,7 +26,7 @@
 from .upstream.load import LoadExchange
 from .upstream.retries import RetryBudget
 from .upstream.table import UpstreamTable
-from .upstream.waiting import WaitingLine
+from .upstream.waiting import WaitingLines
 from .vm.membership import Members
 from .vm.sessions import Session, Sessions
 from .wire import Message
@@ -63,6 +63,8 @@
         New at every start, so that a replaced VM is told apart.
     leaving : bool
         Whether a graceful shutdown has begun.
+    closing : bool
+        Whether no new work is taken any more, not even from other VMs.
     platform_away_since_ms : float or None
         Monotonic time since which the platform has not answered.
     """
@@ -83,13 +85,14 @@
     leases: Leases = field(default_factory=Leases)
     retries: RetryBudget = field(default_factory=RetryBudget)
     crashes: CrashTable = field(default_factory=CrashTable)
-    line: WaitingLine = field(default_factory=WaitingLine)
+    line: WaitingLines = field(default_factory=WaitingLines)
     upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
     leaving: bool = False
+    closing: bool = False
     platform_away_since_ms: float | None = None
 
     @property
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -55,7 +55,7 @@
     started_ms = vm.clock.now_ms()
     call = call if call.version else replace(call, version=choose_version(vm, call))
     counter = TokenCounter(on_tokens, call.resume_at)
-    tried: list[str] = []
+    tried = list(call.avoid)
     while True:
         present = replace(call, resume_at=counter.passed)
         try:
@@ -65,7 +65,7 @@
         except CuminstileError as error:
             if may_forward and await is_decided_later(vm, present, error, tried):
                 continue
-            if not may_retry(vm, present, trace, error, len(tried)):
+            if not may_retry(vm, present, trace, error, len(tried) - len(call.avoid)):
                 raise
             vm.journal.record(
                 Event.STAGE_RETRIED, request=call.request, stage=call.stage
@@ -73,7 +73,11 @@
             continue
         elapsed_ms = vm.clock.now_ms() - started_ms
         vm.metrics.stage_ms.observe({"stage": call.stage}, elapsed_ms)
-        return replace(outcome, elapsed_ms=elapsed_ms, attempts=max(1, len(tried)))
+        return replace(
+            outcome,
+            elapsed_ms=elapsed_ms,
+            attempts=max(1, len(tried) - len(call.avoid)),
+        )
 
 
 def choose_version(vm: Vm, call: StageCall) -> str:
@@ -91,8 +95,7 @@
     if error.code is not ErrorCode.NO_UPSTREAM or error.ran is not Ran.NOT_RUN:
         return False
     tried[:] = [name for name in tried if name not in vm.sessions.by_name]
-    local = local_upstreams(vm, call, tried)
-    if not any(state.condition is not Condition.AWAY for state in local):
+    if not local_upstreams(vm, call, tried):
         return False
     await vm.clock.sleep_ms(PAUSE_MS * (0.5 + vm.random.random()))
     return vm.clock.now_ms() < call.deadline_ms
@@ -113,7 +116,7 @@
     if here:
         return await run_here(vm, call, trace, counter, here, tried)
     session = peer_here(vm, call, local, tried) if may_forward else None
-    if session is None and may_forward:
+    if session is None and may_forward and not call.handed_over:
         session = peer_for(vm, call, tried)
     if session is None:
         raise no_upstream(call)
@@ -121,7 +124,9 @@
     vm.journal.record(
         Event.STAGE_FORWARDED, request=call.request, step=call.step, peer=session.name
     )
-    return await run_on_peer(vm, session, call, trace, counter.take)
+    avoid = tuple(name for name in tried if name in vm.upstreams.by_name)
+    handed_on = replace(call, avoid=avoid)
+    return await run_on_peer(vm, session, handed_on, trace, counter.take)
 
 
 def no_upstream(call: StageCall) -> CuminstileError:
@@ -134,11 +139,12 @@
 def local_upstreams(vm: Vm, call: StageCall, tried: list[str]) -> list[UpstreamState]:
     """Return the upstreams of this data centre that may run the call."""
     own = vm.settings.data_centre
-    return [
+    states = (
         vm.upstreams.state_of(upstream)
         for upstream in serving(vm, call.version)
         if upstream.data_centre == own and upstream.name not in tried
-    ]
+    )
+    return [state for state in states if state.condition is not Condition.AWAY]
 
 
 def serving(vm: Vm, version: str) -> tuple[Upstream, ...]:
@@ -173,9 +179,18 @@
         for session in vm.sessions.by_name.values()
         if session.data_centre in centres and session.name not in tried
     ]
-    if not sessions:
+    staying = [session for session in sessions if not is_leaving(vm, session)]
+    # A VM that leaves still works for a while: better than refusing.
+    candidates = staying or sessions
+    if not candidates:
         return None
-    return vm.random.choice(sessions)
+    return vm.random.choice(candidates)
+
+
+def is_leaving(vm: Vm, session: Session) -> bool:
+    """Return whether the other VM is shutting down."""
+    member = vm.members.by_name.get(session.name)
+    return member is None or member.leaving
 
 
 async def run_here(
--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
 
 import httpcore
+import orjson
 
 from ..calls import RunTrace, StageCall, TokenSink
 from ..const import CONNECT_TIMEOUT_MS, MAX_ANSWER_BYTES
@@ -70,7 +70,7 @@
 
 def body_of(call: StageCall, attempt: str, remaining_ms: float) -> bytes:
     """Return the JSON body of one call."""
-    return json.dumps(
+    return orjson.dumps(
         {
             "attempt": attempt,
             "stage": call.stage,
@@ -83,7 +83,7 @@
             "resume_at": call.resume_at,
             "idempotency_key": call.idempotency_key or None,
         }
-    ).encode()
+    )
 
 
 async def call_upstream(
@@ -151,7 +151,7 @@
             "POST",
             f"http://{address}/cancel",
             headers=[("content-type", "application/json")],
-            content=json.dumps({"attempt": attempt}).encode(),
+            content=orjson.dumps({"attempt": attempt}),
             extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0}},
         )
     except (
@@ -196,7 +196,7 @@
 def object_of(data: bytes | str) -> dict[str, Any]:
     """Return the JSON object in `data`."""
     try:
-        body = json.loads(data)
+        body = orjson.loads(data)
     except ValueError as error:
         raise UpstreamError("malformed", True) from error
     if not isinstance(body, dict):
--- a/cuminstile/upstream/crashes.py
+++ b/cuminstile/upstream/crashes.py
@@ -18,7 +18,7 @@
 from .evidence import LoadReport
 from .peers import send_each
 from .ranking import ranked
-from .table import Condition, UpstreamState
+from .table import UpstreamState
 
 if TYPE_CHECKING:
     from ..runtime import Vm
@@ -175,12 +175,7 @@
 
     All VMs of the data centre come to the same one, so that the others stay free.
     """
-    usable = {
-        state.name: state
-        for state in candidates
-        if state.condition is not Condition.AWAY and not state.unread_polls
-    }
-    every = usable or {state.name: state for state in candidates}
+    every = {state.name: state for state in candidates}
     if not every:
         return []
     return [every[ranked(tuple(sorted(every)), call.version)[0]]]
--- a/cuminstile/upstream/leases.py
+++ b/cuminstile/upstream/leases.py
@@ -150,7 +150,7 @@
 def wanted(vm: Vm) -> frozenset[str]:
     """Return the cold upstreams that this VM owns and is free to ask for."""
     now_ms = vm.clock.now_ms()
-    if vm.leaving or now_ms < vm.leases.abstains_until_ms:
+    if now_ms < vm.leases.abstains_until_ms:
         return frozenset()
     own = vm.settings.name
     return frozenset(
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -194,7 +194,7 @@
             await reserve(vm, candidates[0])
             yield await wait_for_turn(vm, call, try_take)
         else:
-            yield await wait_for_slot(vm, call, try_take)
+            yield await wait_for_slot(vm, call, candidates, try_take)
     finally:
         for item in taken:
             await give_back(vm, item)
--- a/cuminstile/upstream/peers.py
+++ b/cuminstile/upstream/peers.py
@@ -16,22 +16,35 @@
 
 
 WORKING_FOR_MS = 20
+GONE_AFTER_MS = 1_000
+FROZEN_AFTER_MS = 2_500
 
 
 def alive_here(vm: Vm) -> frozenset[str]:
-    """Return the VMs of the own data centre heard lately, with this VM."""
+    """Return the VMs of the own data centre that are there now, with this VM.
+
+    One that keeps its session but says nothing is frozen; when it wakes it forgets
+    what it knew. One without a session may be about to connect again.
+    """
+    now_ms = vm.clock.now_ms()
     own = vm.settings
-    alive = vm.members.alive(vm.clock.now_ms())
-    names = (item.name for item in alive if item.data_centre == own.data_centre)
-    return frozenset((own.name, *names))
+    names = {own.name}
+    for member in vm.members.by_name.values():
+        if member.data_centre != own.data_centre:
+            continue
+        connected = member.name in vm.sessions.by_name
+        limit_ms = FROZEN_AFTER_MS if connected else GONE_AFTER_MS
+        if now_ms - member.heard_ms <= limit_ms:
+            names.add(member.name)
+    return frozenset(names)
 
 
 def known_here(vm: Vm) -> frozenset[str]:
-    """Return every VM of the own data centre that is listed or heard."""
-    own = vm.settings
+    """Return every VM of the own data centre that is listed or there now."""
+    own = vm.settings.data_centre
     every = vm.members.by_name.values()
-    names = (item.name for item in every if item.data_centre == own.data_centre)
-    return frozenset((own.name, *names))
+    listed = {item.name for item in every if item.data_centre == own and item.listed}
+    return alive_here(vm) | listed
 
 
 def working_here(vm: Vm) -> tuple[str, ...]:
@@ -49,13 +62,13 @@
 
 
 def present_here(vm: Vm) -> tuple[str, ...]:
-    """Return the VMs of the own data centre that live and do not leave, sorted."""
+    """Return the VMs here that do not leave, sorted; all of them if all leave."""
+    names = alive_here(vm)
     members = vm.members.by_name
-    names = set(alive_here(vm))
-    names -= {name for name, member in members.items() if member.leaving}
+    leaving = {name for name in names if name in members and members[name].leaving}
     if vm.leaving:
-        names.discard(vm.settings.name)
-    return tuple(sorted(names or {vm.settings.name}))
+        leaving.add(vm.settings.name)
+    return tuple(sorted(names - leaving or names))
 
 
 def owner_of(vm: Vm, upstream: str) -> str:
--- a/cuminstile/upstream/ranking.py
+++ b/cuminstile/upstream/ranking.py
@@ -3,18 +3,15 @@
 import hashlib
 from functools import lru_cache
 
+from ..rendezvous import rank
+
 ID_BYTES = 4
 
 
 @lru_cache(maxsize=8192)
 def ranked(vms: tuple[str, ...], key: str) -> tuple[str, ...]:
     """Return the VMs in the order of their claim to `key`, the owner first."""
-    return tuple(sorted(vms, key=lambda vm: digest_of(f"{vm}\0{key}"), reverse=True))
-
-
-def digest_of(text: str) -> bytes:
-    """Return a digest that is the same in every process."""
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return rank(key, vms)
 
 
 @lru_cache(maxsize=65_536)
--- a/cuminstile/upstream/reports.py
+++ b/cuminstile/upstream/reports.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import anyio
 import httpcore
+import orjson
 from pydantic import TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 
@@ -35,6 +35,7 @@
     in_flight: int
     capacity: int
     report_age_ms: float
+    leaving: bool = False
 
 
 LOAD_BODY: TypeAdapter[LoadBody] = TypeAdapter(LoadBody)
@@ -50,7 +51,7 @@
                 f"http://{upstream.address}/load",
                 extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0}},
             )
-        body = LOAD_BODY.validate_python(json.loads(response.content))
+        body = LOAD_BODY.validate_python(orjson.loads(response.content))
     except (
         OSError,
         TimeoutError,
@@ -63,8 +64,15 @@
         return None
     return LoadReport(
         compact_id(body.incarnation),
-        CONDITIONS.get(body.state, Condition.AWAY),
+        condition_of(body),
         max(0, body.in_flight),
         max(0, body.capacity),
         asked_ms - max(0.0, body.report_age_ms),
     )
+
+
+def condition_of(body: LoadBody) -> Condition:
+    """Return the condition that a report gives; one that leaves is away."""
+    if body.leaving:
+        return Condition.AWAY
+    return CONDITIONS.get(body.state, Condition.AWAY)
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -10,6 +10,7 @@
 from ..calls import RunTrace, StageCall, StageOutcome, TokenSink
 from ..events import Event
 from ..exceptions import CuminstileError, ErrorCode, Ran
+from ..pipeline import internal_error
 from ..wire import Message
 from .messages import (
     RunStage,
@@ -83,6 +84,7 @@
         resume_at=call.resume_at,
         idempotency_key=call.idempotency_key,
         issued_at_ms=call.issued_at_ms,
+        avoid=call.avoid,
     )
 
 
@@ -144,6 +146,8 @@
         resume_at=message.resume_at,
         idempotency_key=message.idempotency_key,
         issued_at_ms=message.issued_at_ms,
+        avoid=message.avoid,
+        handed_over=session.data_centre != vm.settings.data_centre,
     )
 
     async def on_tokens(index: int, tokens: tuple[str, ...]) -> None:
@@ -168,15 +172,18 @@
 ) -> StageDone | StageRefused:
     """Run a stage here and return the answer or the refusal."""
     trace = RunTrace()
+    if vm.closing:
+        text = f"{vm.settings.name} is shutting down"
+        return StageRefused(number, ErrorCode.SHUTTING_DOWN, text, Ran.NOT_RUN)
     try:
-        outcome = await vm.run_stage(vm, call, trace, on_tokens, False)
+        # A VM that another data centre picked may hand the call to one of its own.
+        outcome = await vm.run_stage(vm, call, trace, on_tokens, call.handed_over)
     except CuminstileError as error:
         ran = Ran.UNKNOWN if trace.maybe_ran else error.ran
         return StageRefused(number, error.code, error.message, ran)
     except Exception as error:
-        vm.journal.record(Event.STAGE_FAILED, reason=repr(error), stage=call.stage)
-        ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
-        return StageRefused(number, ErrorCode.INTERNAL, "internal error", ran)
+        refused = internal_error(vm, error)
+        return StageRefused(number, refused.code, refused.message, refused.ran)
     return StageDone(
         number,
         outcome.output,
--- a/cuminstile/vm/membership.py
+++ b/cuminstile/vm/membership.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from ..const import HEARTBEAT_INTERVAL_MS
+from ..const import (
+    HEARTBEAT_LOCAL_INTERVAL_MS,
+    HEARTBEAT_REMOTE_INTERVAL_MS,
+    MISSED_HEARTBEATS_LIMIT,
+)
 from ..platform.client import ListedVm
 
-SILENCE_LIMIT_MS = 4 * HEARTBEAT_INTERVAL_MS
-
 
 @dataclass
 class Member:
@@ -16,6 +18,10 @@
     ----------
     address : str
         `host:port` of its VM port.
+    listed : bool
+        Whether the platform's list had it last.
+    in_settings : bool
+        Whether this VM's settings name it; it is then never forgotten.
     incarnation : str
         Empty until the VM has introduced itself.
     heard_ms : float
@@ -26,6 +32,7 @@
     data_centre: str
     address: str
     listed: bool = True
+    in_settings: bool = False
     leaving: bool = False
     incarnation: str = ""
     heard_ms: float = float("-inf")
@@ -38,11 +45,12 @@
 
     Parameters
     ----------
-    own_name : str
+    own_name, own_data_centre : str
         This VM, which is never a member of its own list.
     """
 
     own_name: str
+    own_data_centre: str
     by_name: dict[str, Member] = field(default_factory=dict)
     listed_ms: float = float("-inf")
 
@@ -59,16 +67,22 @@
                 self.by_name[entry.name].leaving = True
         for member in tuple(self.by_name.values()):
             member.listed = member.name in names
-            if not member.listed and not self.is_alive(member.name, now_ms):
+            if member.listed or member.in_settings:
+                continue
+            if not self.is_alive(member.name, now_ms):
                 del self.by_name[member.name]
 
-    def add(self, name: str, data_centre: str, address: str) -> None:
+    def add(
+        self, name: str, data_centre: str, address: str, in_settings: bool = False
+    ) -> None:
         """Learn of a VM, or of its new address."""
         if name == self.own_name:
             return
         member = self.by_name.get(name)
         if member is None:
-            self.by_name[name] = Member(name, data_centre, address)
+            self.by_name[name] = Member(
+                name, data_centre, address, in_settings=in_settings
+            )
             return
         member.address = address
         member.data_centre = data_centre
@@ -84,7 +98,17 @@
         member = self.by_name.get(name)
         if member is None:
             return False
-        return now_ms - member.heard_ms <= SILENCE_LIMIT_MS
+        return now_ms - member.heard_ms <= self.silence_limit_ms(member.data_centre)
+
+    def silence_limit_ms(self, data_centre: str) -> float:
+        """Return how long an idle VM of a data centre may be silent."""
+        return MISSED_HEARTBEATS_LIMIT * self.heartbeat_interval_ms(data_centre)
+
+    def heartbeat_interval_ms(self, data_centre: str) -> float:
+        """Return the interval of heartbeats on an idle session."""
+        if data_centre == self.own_data_centre:
+            return HEARTBEAT_LOCAL_INTERVAL_MS
+        return HEARTBEAT_REMOTE_INTERVAL_MS
 
     def alive(self, now_ms: float) -> tuple[Member, ...]:
         """Return the VMs heard lately, in the order of their names."""
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True)
 class RunStage(Message):
-    """Ask a VM of another data centre to run one stage.
+    """Ask another VM to run one stage.
 
     Parameters
     ----------
@@ -71,6 +71,8 @@
         What is left of the caller's deadline.
     issued_at_ms : int
         When the caller issued its idempotency key, in ms since 1970 UTC.
+    avoid : tuple of str
+        Upstreams that have failed this call already.
     """
 
     call: int
@@ -87,6 +89,7 @@
     resume_at: int
     idempotency_key: str
     issued_at_ms: int
+    avoid: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
