Make two tests of crashing requests able to fail

With every lost answer taken as a crash, and with no second look before a call leaves, all tests passed: the first looked at the table after the suspicion had been cleared, the second fault showed by chance alone. Both were seen red with the fault they name after the change.

--- a/tests/upstream/test_crashes.py
+++ b/tests/upstream/test_crashes.py
@@ -2,9 +2,12 @@
 
 import pytest
 
+from cuminstile.events import Event
+from cuminstile.upstream import limits
+from cuminstile.upstream.client import UpstreamError
 from cuminstile.upstream.crashes import CrashTable, Suspicion, fingerprint_of
 
-from .centre import running_centre
+from .centre import VERSION, running_centre
 from .test_leases import load_for, start_three
 
 POISON = "poison"
@@ -69,7 +72,23 @@
         fake.death.set()
         await load_for(centre, 200.0, results)
         await centre.clock.advance_ms(4_000.0)
-        assert all(not vm.crashes.by_fingerprint for vm in centre.vms.values())
+        events = [item.event for vm in centre.vms.values() for item in vm.journal.ring]
+        assert Event.STAGE_RETRIED in events
+        assert Event.REQUEST_SUSPECTED not in events
+
+
+async def test_call_that_came_under_suspicion_is_stopped_before_it_leaves(monkeypatch):
+    async with running_centre(monkeypatch, 1, warm=True) as centre:
+        vm = await centre.start("vm-a")
+        await centre.clock.advance_ms(1_000.0)
+        state = vm.upstreams.by_name["runner-0"]
+        call = centre.call("r1", version=VERSION)
+        async with limits.slot(vm, call, [state], "attempt") as slot:
+            slot.check()
+            vm.crashes.put(fingerprint_of(call), Suspicion.SUSPECTED, 0.0)
+            with pytest.raises(UpstreamError, match="lease"):
+                slot.check()
+            slot.settled = True
 
 
 async def test_copies_of_a_request_have_one_fingerprint(monkeypatch):
