--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -27,13 +27,26 @@
 from .stages import run_stage
 from .supervision import Background, keep_running
 from .tls import client_context, server_context
+from .upstream.crashes import on_crash_notice
+from .upstream.leases import (
+    keep_leases,
+    on_lease_answer,
+    on_lease_ask,
+    on_lease_release,
+)
+from .upstream.load import keep_polling, on_load_digest
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
     ConfigAsk,
     ConfigGive,
+    CrashNotice,
     Heartbeat,
+    LeaseAnswer,
+    LeaseAsk,
+    LeaseRelease,
+    LoadDigest,
     RunStage,
     StageCancel,
     StageDone,
@@ -50,6 +63,8 @@
     follow_configuration,
     renew_configuration,
     follow_vm_list,
+    keep_polling,
+    keep_leases,
 )
 
 
@@ -81,6 +96,11 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            LoadDigest: on_load_digest,
+            LeaseAsk: on_lease_ask,
+            LeaseAnswer: on_lease_answer,
+            LeaseRelease: on_lease_release,
+            CrashNotice: on_crash_notice,
             ConfigAsk: on_config_ask,
             ConfigGive: on_config_give,
         },
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -21,7 +21,12 @@
 from .platform.configuration import ConfigurationState
 from .settings import Settings
 from .upstream.client import make_pool
+from .upstream.crashes import CrashTable
+from .upstream.leases import Leases
+from .upstream.load import LoadExchange
+from .upstream.retries import RetryBudget
 from .upstream.table import UpstreamTable
+from .upstream.waiting import WaitingLines
 from .vm.membership import Members
 from .vm.sessions import Session, Sessions
 from .wire import Message
@@ -76,6 +81,11 @@
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
+    load: LoadExchange = field(default_factory=LoadExchange)
+    leases: Leases = field(default_factory=Leases)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    crashes: CrashTable = field(default_factory=CrashTable)
+    line: WaitingLines = field(default_factory=WaitingLines)
     upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -43,7 +43,7 @@
 class LimitSettings:
     """Hold the policy of limits, choice and retries; the defaults are the advice."""
 
-    choice: Annotated[str, Field(pattern=r"^[a-z_]+$")] = "least_loaded"
+    choice: Annotated[str, Field(X
     retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
 
