--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -3,6 +3,7 @@
 import json
 import socket
 from dataclasses import dataclass, field
+from enum import StrEnum
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,6 +14,16 @@
 from .validation import validate
 
 STRICT = ConfigDict(extra="forbid")
+
+
+class ChoiceName(StrEnum):
+    """Name the ways to choose among upstreams; see `upstream/choice.py`."""
+
+    LEAST_LOADED = "least_loaded"
+    LEAST_IN_FLIGHT = "least_in_flight"
+    ROUND_ROBIN = "round_robin"
+
+
 Port = Annotated[int, Field(ge=0, le=65_535)]
 Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:\d{1,5}$")]
 Key = Annotated[str, Field(min_length=16, max_length=256)]
@@ -43,7 +54,7 @@
 class LimitSettings:
     """Hold the policy of limits, choice and retries; the defaults are the advice."""
 
-    choice: Annotated[str, Field(X
+    choice: ChoiceName = ChoiceName.LEAST_LOADED
     retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
 
