Let a VM whose peers are dead or frozen go on with cold upstreams

Cause: a lease needed a majority of the VMs known in the data centre. Of two VMs the one with the second name had none after the first one's death, until the platform's lagging list dropped it; with the platform away, never.

Change: a lease also holds when every VM that has not promised is known to be unable to act. A VM that has missed a heartbeat is probed over TCP: a refusal means dead, an accepted connection without an answer, together with 2.5 s without a message, means frozen. An answer or an unreachable host mean that it may run, and change nothing.

Taking an unreachable VM for dead makes the test of two VMs that cannot reach each other red.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -35,6 +35,7 @@
     on_lease_release,
 )
 from .upstream.load import keep_polling, on_load_digest
+from .upstream.silence import keep_probing
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
@@ -65,6 +66,7 @@
     follow_vm_list,
     keep_polling,
     keep_leases,
+    keep_probing,
 )
 
 
--- a/cuminstile/upstream/leases.py
+++ b/cuminstile/upstream/leases.py
@@ -3,9 +3,9 @@
 The owner of a cold upstream asks every VM of its data centre to leave the upstream to
 it for the length of a lease. The lease holds while each VM that is heard has promised
 so, and those that have promised are a majority of all VMs known there (of an exact
-half, the one with the first name). A VM promises an upstream to one VM at a time. A VM
-that has just started may have promised something before, and abstains for the length
-of a lease.
+half, the one with the first name), or all others are known to be dead or frozen. A VM
+promises an upstream to one VM at a time. A VM that has just started may have promised
+something before, and abstains for the length of a lease.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 )
 from .ranking import compact_id
 from .shares import share
+from .silence import PROBE_VALID_MS, Probes, cannot_act
 from .table import NEVER_MS, Condition, UpstreamState
 
 if TYPE_CHECKING:
@@ -89,6 +90,8 @@
         Until when each other VM is taken as too young to promise.
     asked_ms : dict of int to float
         When each of the latest rounds was sent.
+    probes : Probes
+        What was found at the VMs that are not heard.
     """
 
     abstains_until_ms: float = float("inf")
@@ -100,6 +103,7 @@
     asked_names: frozenset[str] = frozenset()
     asked_sessions: tuple[Session, ...] = ()
     last_round_ms: float = NEVER_MS
+    probes: Probes = field(default_factory=Probes)
 
     def granted_to(self, upstream: str, now_ms: float) -> str:
         """Return the VM that an upstream is promised to; empty for none."""
@@ -225,7 +229,9 @@
     broke = now_ms > holding.valid_until_ms
     heard = alive_here(vm) & holding.until_ms.keys()
     ends = (holding.until_ms[other] for other in heard)
-    holding.valid_until_ms = min(ends, default=now_ms + LEASE_MS)
+    # A probe counts for a while after the VM that it found dead has started again.
+    alone_until_ms = now_ms + LEASE_MS - PROBE_VALID_MS
+    holding.valid_until_ms = min(ends, default=alone_until_ms)
     if broke or holding.since_ms > now_ms:
         holding.restart(now_ms)
         vm.line.wake()
@@ -248,7 +254,15 @@
     if not heard <= promised:
         return False
     known = known_here(vm)
-    promised &= known
+    if is_majority(promised & known, known):
+        return True
+    started_ms = leases.abstains_until_ms - LEASE_MS
+    silent = known - promised
+    return all(cannot_act(vm, other, started_ms, now_ms) for other in silent)
+
+
+def is_majority(promised: frozenset[str] | set[str], known: frozenset[str]) -> bool:
+    """Return whether no other set of VMs could promise the same to somebody else."""
     if 2 * len(promised) == len(known):
         return min(known) in promised
     return 2 * len(promised) > len(known)
--- a/tests/upstream/centre.py
+++ b/tests/upstream/centre.py
@@ -26,11 +26,13 @@
 from cuminstile.platform.configuration import ConfigurationState
 from cuminstile.runtime import Vm
 from cuminstile.settings import LimitSettings, Settings
-from cuminstile.upstream import leases, limits, load
+from cuminstile.upstream import leases, limits, load, silence
 from cuminstile.upstream.client import UpstreamAnswer, UpstreamError
 from cuminstile.upstream.evidence import LoadReport
 from cuminstile.upstream.ranking import compact_id
+from cuminstile.upstream.silence import Reach
 from cuminstile.upstream.table import Condition
+from cuminstile.vm.membership import Member
 from cuminstile.vm.messages import CODEC
 from cuminstile.vm.sessions import Session, heartbeat, receive_one
 
@@ -275,11 +277,26 @@
                 vm.tasks = tasks
                 vm.load.fetch = fetch
                 tasks.start_soon(load.keep_polling, vm)
+                vm.leases.probes.send = self.probe
                 tasks.start_soon(leases.keep_leases, vm)
+                tasks.start_soon(silence.keep_probing, vm)
                 tasks.start_soon(self.send_heartbeats, vm)
                 task_status.started()
                 await anyio.sleep_forever()
 
+    async def probe(self, vm: Vm, member: Member) -> Reach:
+        """Find out what a connection from one VM to another meets."""
+        other = self.vms.get(member.name)
+        await vm.clock.sleep_ms(HOP_MS)
+        if other is None:
+            return Reach.REFUSED
+        if (vm.settings.name, member.name) not in self.connections:
+            return Reach.UNREACHABLE
+        if other.clock.running.is_set():
+            return Reach.ANSWERS
+        await vm.clock.sleep_ms(silence.PROBE_TIMEOUT_MS)
+        return Reach.MUTE
+
     async def send_heartbeats(self, vm: Vm) -> None:
         """Send heartbeats to every connected VM."""
         while True:
