Test what a probe tells and for how long it counts

Cause: with the two time limits of a probe taken away, no test turned red; the runs over virtual time meet the cases by chance only.

--- a/tests/upstream/test_silence.py
+++ b/tests/upstream/test_silence.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cuminstile.upstream.leases import holds
-from cuminstile.upstream.silence import Reach, probe_vm
+from cuminstile.upstream.silence import Probe, Reach, cannot_act, probe_vm
 from cuminstile.vm.membership import Member
 
 from ..fakes.vms import connected, make_test_vm
@@ -154,3 +154,30 @@
             while await probed(vm.own_address) is Reach.REFUSED:
                 await anyio.sleep(0.01)
         assert await probed(vm.own_address) is Reach.ANSWERS
+
+
+@pytest.mark.parametrize(
+    "reach, probe_age_ms, silent_ms, started_ago_ms, concluded",
+    [
+        ("REFUSED", 900.0, 1_200.0, 60_000.0, True),
+        # It may have been started again since, and be old enough to act.
+        ("REFUSED", 2_000.0, 3_000.0, 60_000.0, False),
+        ("MUTE", 900.0, 3_000.0, 60_000.0, True),
+        ("MUTE", 2_000.0, 3_000.0, 60_000.0, False),
+        # It may have a lease that this VM promised before it was frozen.
+        ("MUTE", 100.0, 2_000.0, 60_000.0, False),
+        ("MUTE", 100.0, 60_000.0, 2_000.0, False),
+        ("UNREACHABLE", 100.0, 60_000.0, 60_000.0, False),
+        ("ANSWERS", 100.0, 60_000.0, 60_000.0, False),
+    ],
+)
+async def test_probe_counts_only_while_the_other_cannot_act(
+    reach, probe_age_ms, silent_ms, started_ago_ms, concluded
+):
+    vm = make_test_vm("vm-a", "dc-1")
+    now_ms = 100_000.0
+    vm.members.add("vm-b", "dc-1", "127.0.0.1:1")
+    vm.members.hear("vm-b", now_ms - silent_ms)
+    vm.leases.probes.by_name["vm-b"] = Probe(Reach[reach], now_ms - probe_age_ms)
+    found = cannot_act(vm, "vm-b", now_ms - started_ago_ms, now_ms)
+    assert found is concluded
