Hand work that would wait to a VM with a free slot

Cause: a VM's share of the upstreams of its data centre is fixed, so its calls waited while another VM, or another data centre, had slots free. A call that would have to wait here now asks one VM here and one of another data centre, drawn by capacity. There it gets a free slot or a refusal at once, never a place in a line, so that overload does not travel.

--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -25,6 +25,8 @@
         When the caller issued its key, in ms since 1970 UTC.
     avoid : tuple of str
         Upstreams that have failed this call already.
+    may_wait : bool
+        Whether the call may wait for a slot; else it is refused without a free one.
     handed_over : bool
         Whether another data centre has handed the call to this one, which then
         keeps it.
@@ -45,6 +47,7 @@
     issued_at_ms: int = 0
     avoid: tuple[str, ...] = ()
     handed_over: bool = False
+    may_wait: bool = True
 
 
 @dataclass(frozen=True)
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -20,6 +20,7 @@
 from .platform.client import PlatformClient
 from .platform.configuration import ConfigurationState
 from .settings import Settings
+from .spilling import SpillState
 from .upstream.client import make_pool
 from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
@@ -87,6 +88,7 @@
     crashes: CrashTable = field(default_factory=CrashTable)
     line: WaitingLines = field(default_factory=WaitingLines)
     upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+    spilling: SpillState = field(default_factory=SpillState)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -54,6 +54,7 @@
 class LimitSettings:
     """Hold the policy of limits, choice and retries; the defaults are the advice."""
 
+    spill: bool = True
     choice: ChoiceName = ChoiceName.LEAST_LOADED
     retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -10,6 +10,7 @@
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
 from .routing import choose_peer, serving
+from .spilling import may_spill, spill
 from .upstream import limits
 from .upstream.client import UpstreamError, call_upstream, refusal
 from .upstream.crashes import refuse_quarantined
@@ -114,6 +115,10 @@
     local = local_upstreams(vm, call, tried)
     here = limits.served_here(vm, call, local)
     if here:
+        if may_forward and may_spill(vm, call) and limits.must_wait(vm, call, here):
+            outcome = await spill(vm, call, trace, counter.take, tried)
+            if outcome is not None:
+                return outcome
         return await run_here(vm, call, trace, counter, here, tried)
     session = peer_here(vm, call, local, tried) if may_forward else None
     if session is None and may_forward and not call.handed_over:
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -11,6 +11,7 @@
 
 from ..calls import StageCall
 from ..events import Event
+from ..exceptions import CuminstileError, ErrorCode
 from .alone import give_up, may_start, reserve, wait_for_turn
 from .choice import CHOICES
 from .client import UpstreamAnswer, UpstreamError, cancel_call
@@ -34,7 +35,7 @@
 from .peers import is_owner, owner_of, working_here
 from .shares import share
 from .table import Condition, UpstreamState
-from .waiting import wait_for_slot
+from .waiting import is_line, wait_for_slot
 
 if TYPE_CHECKING:
     from ..runtime import Vm
@@ -194,6 +195,7 @@
             await reserve(vm, candidates[0])
             yield await wait_for_turn(vm, call, try_take)
         else:
+            refuse_to_wait(vm, call, candidates)
             yield await wait_for_slot(vm, call, candidates, try_take)
     finally:
         for item in taken:
@@ -202,6 +204,21 @@
             await give_up(vm, candidates[0])
 
 
+def refuse_to_wait(
+    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]
+) -> None:
+    """Refuse a call that would have to wait and may not.
+
+    Raises
+    ------
+    CuminstileError
+        With `OVERLOADED`; nothing has run.
+    """
+    if call.may_wait or not must_wait(vm, call, candidates):
+        return
+    raise CuminstileError(ErrorCode.OVERLOADED, "no slot is free at once")
+
+
 def pick_alone(vm: Vm, candidates: Sequence[UpstreamState]) -> UpstreamState | None:
     """Return the reserved upstream once nothing runs there."""
     return candidates[0] if may_start(vm, candidates[0]) else None
@@ -211,14 +228,26 @@
     vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]
 ) -> UpstreamState | None:
     """Return the candidate that the settings' choice prefers, if one has a slot."""
-    now_ms = vm.clock.now_ms()
-    free = [
-        state for state in candidates if state.in_flight < own_limit(vm, state, now_ms)
-    ]
+    free = with_free_slot(vm, candidates)
     if not free:
         return None
     choose = CHOICES[vm.settings.limits.choice]
-    return choose(free, call, now_ms)
+    return choose(free, call, vm.clock.now_ms())
+
+
+def with_free_slot(vm: Vm, candidates: Sequence[UpstreamState]) -> list[UpstreamState]:
+    """Return the candidates at which this VM has a free slot now."""
+    now_ms = vm.clock.now_ms()
+    return [
+        state for state in candidates if state.in_flight < own_limit(vm, state, now_ms)
+    ]
+
+
+def must_wait(vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]) -> bool:
+    """Return whether a call would not get a slot at once."""
+    if suspicion_of(vm, call) is Suspicion.SUSPECTED:
+        return False
+    return is_line(vm, call.version) or not with_free_slot(vm, candidates)
 
 
 async def give_back(vm: Vm, item: Slot) -> None:
--- a/cuminstile/upstream/waiting.py
+++ b/cuminstile/upstream/waiting.py
@@ -28,6 +28,12 @@
             line.notify()
 
 
+def is_line(vm: Vm, version: str) -> bool:
+    """Return whether calls of a version wait already."""
+    line = vm.line.by_version.get(version)
+    return line is not None and bool(line.waiting)
+
+
 async def wait_for_slot(
     vm: Vm,
     call: StageCall,
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -80,6 +80,8 @@
         What is left of the caller's deadline.
     issued_at_ms : int
         When the caller issued its idempotency key, in ms since 1970 UTC.
+    may_wait : bool
+        Whether the call may wait for a slot; else it is refused without a free one.
     avoid : tuple of str
         Upstreams that have failed this call already.
     """
@@ -99,6 +101,7 @@
     idempotency_key: str
     issued_at_ms: int
     avoid: tuple[str, ...] = ()
+    may_wait: bool = True
 
 
 @dataclass(frozen=True)
