--- a/tests/test_spilling.py
+++ b/tests/test_spilling.py
@@ -98,7 +98,8 @@
     assert expected_s <= elapsed_s < expected_s + WORK_S
 
 
-async def test_full_places_are_not_asked_over_and_over() -> None:
+@pytest.mark.parametrize("pause_s", [0.0, 0.025])
+async def test_full_places_are_not_asked_over_and_over(pause_s: float) -> None:
     near = make_test_vm("vm-a1", "a")
     far = make_test_vm("vm-b1", "b")
     asked: list[RunStage] = []
@@ -116,7 +117,13 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run_many, far, 8)
             await anyio.sleep(0.05)
-            await run_many(near, 40, 1_000.0)
+            async with anyio.create_task_group() as calls:
+                for _ in range(40):
+                    calls.start_soon(run_many, near, 1, 1_000.0)
+                    if pause_s:
+                        await anyio.sleep(pause_s)
+                await anyio.sleep(max(0.0, 1.0 - 40 * pause_s))
+                calls.cancel_scope.cancel()
             tasks.cancel_scope.cancel()
     # In a second: one question for each 100 ms, and one more before the first no.
     assert 0 < len(asked) <= 12
