Let a data centre that comes back in ramp up instead of being stampeded

Cause: while operators had a data centre out its upstreams kept the state they had. One that turned cold meanwhile, and whose load report lags, got the full load of all VMs at once on the return.

Change: while the data centre is out its upstreams count as cold, under leases that are kept, so that the ramp begins at once on the return. Calls in flight finish.

Ruled out: a warm upstream with a low limit; every VM would call it once.

--- a/cuminstile/upstream/load.py
+++ b/cuminstile/upstream/load.py
@@ -18,6 +18,7 @@
 from .ranking import compact_id
 from .reports import FetchLoad, fetch_load
 from .table import NEVER_MS, Condition, UpstreamState
+from .taken_out import cool_down
 
 if TYPE_CHECKING:
     from ..runtime import Vm
@@ -76,6 +77,7 @@
     async with anyio.create_task_group() as tasks:
         while True:
             note_tick(vm)
+            cool_down(vm)
             for state in due(vm):
                 vm.load.polled_ms[state.name] = vm.clock.now_ms()
                 tasks.start_soon(poll, vm, state)
--- /dev/null
+++ b/cuminstile/upstream/taken_out.py
@@ -0,0 +1,44 @@
+"""Take the upstreams of a data centre that is out as cold, so that they ramp up anew.
+
+Their caches are stale when the data centre comes back, and a load report that lags may
+still call an upstream warm that has turned cold meanwhile. Calls in flight go on.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..events import Event
+from ..objects.model import DataCentreState
+from .evidence import mark_cold
+from .peers import is_owner
+from .table import Condition
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+
+def is_out(vm: Vm) -> bool:
+    """Return whether operators have taken this VM's data centre out."""
+    if vm.configuration.current is None:
+        return False
+    centre = vm.objects.data_centres.get(vm.settings.data_centre)
+    return centre is not None and centre.state is not DataCentreState.IN
+
+
+def cool_down(vm: Vm) -> None:
+    """Take each warm upstream here as cold while the data centre is out.
+
+    Its lease is kept meanwhile, so that the ramp begins at once on the return.
+    """
+    if not is_out(vm):
+        return
+    now_ms = vm.clock.now_ms()
+    for state in vm.upstreams.by_name.values():
+        if state.condition is not Condition.WARM:
+            continue
+        mark_cold(state, now_ms, shown=True)
+        if is_owner(vm, state.name):
+            vm.journal.record(
+                Event.UPSTREAM_COLD, upstream=state.name, reason="data centre out"
+            )
