Keep a small pool of connections for each upstream

Cause: the HTTP library's pool looks at every connection for every request, and asks the system about each idle one. Measured with requests to one program: 1.6 ms of processor time a request with one open connection, 3.5 ms with 50, 22 ms with 200, 67 ms with 400. An entry VM holds hundreds. Ruled out: the server's side, which did not change between the runs. Change: a pool for each address with at most four idle connections.

--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -9,8 +9,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import httpcore
-
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
 from .clock import Clock
 from .events import Journal
@@ -21,10 +19,10 @@
 from .platform.configuration import ConfigurationState
 from .settings import Settings
 from .spilling import SpillState
-from .upstream.client import make_pool
 from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
 from .upstream.load import LoadExchange
+from .upstream.pools import UpstreamPool
 from .upstream.retries import RetryBudget
 from .upstream.table import UpstreamTable
 from .upstream.waiting import WaitingLines
@@ -87,7 +85,7 @@
     retries: RetryBudget = field(default_factory=RetryBudget)
     crashes: CrashTable = field(default_factory=CrashTable)
     line: WaitingLines = field(default_factory=WaitingLines)
-    upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+    upstream_pool: UpstreamPool = field(default_factory=UpstreamPool)
     spilling: SpillState = field(default_factory=SpillState)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -12,6 +12,7 @@
 from ..calls import RunTrace, StageCall, TokenSink
 from ..const import CONNECT_TIMEOUT_MS, MAX_ANSWER_BYTES
 from ..exceptions import CuminstileError, ErrorCode, Ran
+from .pools import UpstreamPool
 
 
 @dataclass(frozen=True)
@@ -61,13 +62,6 @@
     left: bool = False
 
 
-def make_pool() -> httpcore.AsyncConnectionPool:
-    """Return the connection pool for all upstreams of a VM."""
-    return httpcore.AsyncConnectionPool(
-        max_connections=10_000, max_keepalive_connections=1_000, keepalive_expiry=3.0
-    )
-
-
 def body_of(call: StageCall, attempt: str, remaining_ms: float) -> bytes:
     """Return the JSON body of one call."""
     return orjson.dumps(
@@ -87,7 +81,7 @@
 
 
 async def call_upstream(
-    pool: httpcore.AsyncConnectionPool,
+    pool: UpstreamPool,
     address: str,
     call: StageCall,
     attempt: str,
@@ -118,7 +112,8 @@
     try:
         async with pool.stream(
             "POST",
-            f"http://{address}/run",
+            address,
+            "/run",
             headers=[("content-type", "application/json")],
             content=body_of(call, attempt, remaining_ms),
             extensions={
@@ -142,14 +137,13 @@
         raise UpstreamError("lost", sending.left) from error
 
 
-async def cancel_call(
-    pool: httpcore.AsyncConnectionPool, address: str, attempt: str
-) -> None:
+async def cancel_call(pool: UpstreamPool, address: str, attempt: str) -> None:
     """Tell an upstream that nobody waits for a call any more, if it can be told."""
     try:
         await pool.request(
             "POST",
-            f"http://{address}/cancel",
+            address,
+            "/cancel",
             headers=[("content-type", "application/json")],
             content=orjson.dumps({"attempt": attempt}),
             extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0}},
--- /dev/null
+++ b/cuminstile/upstream/pools.py
@@ -0,0 +1,84 @@
+"""Keep the connections to the upstreams, a few for each address."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpcore
+
+MAX_CONNECTIONS = 10_000
+MAX_IDLE_CONNECTIONS = 4
+KEEPALIVE_EXPIRY_S = 30.0
+UNUSED_AFTER_S = 600.0
+
+
+@dataclass
+class AddressPool:
+    """Hold the connections to one address, and when they were last used.
+
+    Parameters
+    ----------
+    used_s : float
+        Time of the event loop at the last request.
+    """
+
+    pool: httpcore.AsyncConnectionPool
+    used_s: float
+
+
+@dataclass
+class UpstreamPool:
+    """Hold the connections to all upstreams by address.
+
+    The library's pool looks at each of its connections for each request, and asks
+    the system about each idle one. One pool for hundreds of upstreams would spend
+    more time on that than on the requests.
+    """
+
+    by_address: dict[str, AddressPool] = field(default_factory=dict)
+
+    @asynccontextmanager
+    async def stream(
+        self, method: str, address: str, path: str, **options: Any
+    ) -> AsyncIterator[httpcore.Response]:
+        """Send a request and give the response while its body can be read."""
+        pool = await self.pool_of(address)
+        url = f"http://{address}{path}"
+        async with pool.stream(method, url, **options) as response:
+            yield response
+
+    async def request(
+        self, method: str, address: str, path: str, **options: Any
+    ) -> httpcore.Response:
+        """Send a request and return the response with its whole body."""
+        async with self.stream(method, address, path, **options) as response:
+            await response.aread()
+            return response
+
+    async def pool_of(self, address: str) -> httpcore.AsyncConnectionPool:
+        """Return the pool of an address; close those long unused for a new one."""
+        now_s = anyio.current_time()
+        entry = self.by_address.get(address)
+        if entry is None:
+            entry = self.by_address[address] = AddressPool(make_pool(), now_s)
+            await self.close_unused(now_s)
+        entry.used_s = now_s
+        return entry.pool
+
+    async def close_unused(self, now_s: float) -> None:
+        """Close the connections to addresses that nobody calls any more."""
+        for address, entry in tuple(self.by_address.items()):
+            if now_s - entry.used_s > UNUSED_AFTER_S:
+                del self.by_address[address]
+                await entry.pool.aclose()
+
+
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return the pool for one address."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+        keepalive_expiry=KEEPALIVE_EXPIRY_S,
+    )
--- a/cuminstile/upstream/reports.py
+++ b/cuminstile/upstream/reports.py
@@ -48,7 +48,8 @@
         with anyio.fail_after(FETCH_TIMEOUT_MS / 1000.0):
             response = await vm.upstream_pool.request(
                 "GET",
-                f"http://{upstream.address}/load",
+                upstream.address,
+                "/load",
                 extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0}},
             )
         body = LOAD_BODY.validate_python(orjson.loads(response.content))
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -53,6 +53,8 @@
         Where the answers to this VM's own calls go, by call number.
     serving : dict of int to CancelScope
         The other VM's calls that run here, by call number.
+    sent_messages, sent_bytes : int
+        What was sent so far, without the headers of websocket and below.
     busy_since_ms : float or None
         Monotonic time since which calls have been in progress, in either direction.
     """
@@ -67,6 +69,8 @@
     calls: dict[int, MemoryObjectSendStream[Message]] = field(default_factory=dict)
     serving: dict[int, anyio.CancelScope] = field(default_factory=dict)
     busy_since_ms: float | None = None
+    sent_messages: int = 0
+    sent_bytes: int = 0
 
     async def send(self, message: Message) -> None:
         """Send one message.
@@ -76,8 +80,11 @@
         CuminstileError
             With `PEER_LOST` if the session is closed.
         """
+        data = CODEC.encode(message)
+        self.sent_messages += 1
+        self.sent_bytes += len(data)
         try:
-            await self.connection.send(CODEC.encode(message))
+            await self.connection.send(data)
         except websockets.ConnectionClosed as error:
             raise peer_lost(self.name) from error
 
--- /dev/null
+++ b/standins/capacity_control.py
@@ -0,0 +1,157 @@
+"""Measure what VMs cost that serve nothing: heartbeats, polls and digests."""
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import anyio
+
+from cuminstile.daemon import BACKGROUND, make_vm
+from cuminstile.objects.collection import collect
+from cuminstile.objects.model import (
+    AnyObject,
+    DataCentre,
+    Role,
+    Stage,
+    Upstream,
+    UpstreamVersion,
+)
+from cuminstile.platform.config_record import make_record
+from cuminstile.platform.configuration import Configuration
+from cuminstile.platform.follow import follow_configuration, follow_vm_list
+from cuminstile.platform.renewal import renew_configuration
+from cuminstile.runtime import Vm
+from cuminstile.settings import Settings
+from cuminstile.supervision import keep_running
+
+from .processes import Ports, Program, Programs, wait_until_ready
+from .slopes import Point, Slope, fit
+
+SETTLE_S = 8.0
+MEASURE_S = 10.0
+FRAME_BYTES = 6 + 66
+PLATFORM_TASKS = (follow_configuration, renew_configuration, follow_vm_list)
+
+
+@dataclass(frozen=True)
+class Cost:
+    """Hold what one idle VM used, on average over all VMs of a run.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Sent to other VMs, with the headers of websocket, TCP, IP and Ethernet.
+    """
+
+    cores: float
+    bytes_per_s: float
+
+
+async def idle_cost(vm_count: int, upstream_count: int, address: str) -> Cost:
+    """Run VMs of one data centre in this process and measure one VM's share."""
+    ports = Ports()
+    vms = [idle_vm(f"vm-{number:03}", ports) for number in range(vm_count)]
+    objects = upstreams_at(address, upstream_count)
+    for vm in vms:
+        put_in_force(vm, objects)
+        for other in vms:
+            vm.members.add(other.settings.name, "a", other.own_address)
+    async with anyio.create_task_group() as tasks:
+        for vm in vms:
+            for task in BACKGROUND:
+                if task not in PLATFORM_TASKS:
+                    tasks.start_soon(keep_running, vm, task)
+        await anyio.sleep(SETTLE_S)
+        cpu, sent = time.process_time(), bytes_sent(vms)
+        await anyio.sleep(MEASURE_S)
+        cpu, sent = time.process_time() - cpu, bytes_sent(vms) - sent
+        tasks.cancel_scope.cancel()
+    return Cost(cpu / MEASURE_S / vm_count, sent / MEASURE_S / vm_count)
+
+
+def idle_vm(name: str, ports: Ports) -> Vm:
+    """Return a VM that has not started anything."""
+    return make_vm(
+        Settings(
+            name=name,
+            data_centre="a",
+            host="127.0.0.1",
+            caller_port=ports.take(),
+            operator_port=ports.take(),
+            vm_port=ports.take(),
+            platform="127.0.0.1:1",
+            operator_keys=("operators-key-for-tests",),
+            vm_keys=("vms-key-for-tests",),
+        )
+    )
+
+
+def put_in_force(vm: Vm, objects: tuple[AnyObject, ...]) -> None:
+    """Put objects in force without any log."""
+    record = make_record(-1, "capacity", objects)
+    vm.configuration.current = Configuration(0, collect(objects), record)
+
+
+def upstreams_at(address: str, count: int) -> tuple[AnyObject, ...]:
+    """Return upstreams that one program stands in for."""
+    objects: list[AnyObject] = [
+        DataCentre("data_centre", "a", "r"),
+        Stage("stage", "encode", Role.POOL),
+        UpstreamVersion("upstream_version", "encode-1", "encode"),
+    ]
+    for number in range(count):
+        name = f"runner-{number:04}"
+        objects.append(Upstream("upstream", name, "a", address, ("encode-1",)))
+    return tuple(objects)
+
+
+def bytes_sent(vms: Sequence[Vm]) -> int:
+    """Return all bytes that the VMs have sent over their open sessions."""
+    sessions = [session for vm in vms for session in vm.sessions.by_name.values()]
+    return sum(
+        session.sent_bytes + FRAME_BYTES * session.sent_messages for session in sessions
+    )
+
+
+async def control_slopes(quick: bool) -> list[Slope]:
+    """Measure one VM's control cost against peers and against upstreams."""
+    peer_counts = (2, 20) if quick else (2, 5, 10, 20)
+    upstream_counts = (0, 120) if quick else (0, 30, 60, 120)
+    with TemporaryDirectory(prefix="cuminstile-capacity-") as folder:
+        programs = Programs()
+        try:
+            address = await start_pool(programs, Path(folder))
+            by_peers = [(n - 1, await idle_cost(n, 0, address)) for n in peer_counts]
+            by_upstreams = [
+                (n, await idle_cost(20, n, address)) for n in upstream_counts
+            ]
+        finally:
+            programs.end_all()
+    return [
+        line(by_peers, "control without upstreams", "peer VMs", "cores"),
+        line(by_peers, "control without upstreams", "peer VMs", "bytes/s"),
+        line(by_upstreams, "control of 20 VMs", "upstreams", "cores"),
+        line(by_upstreams, "control of 20 VMs", "upstreams", "bytes/s"),
+    ]
+
+
+def line(
+    costs: Sequence[tuple[int, Cost]], what: str, x_unit: str, y_unit: str
+) -> Slope:
+    """Return the line of one part of the costs."""
+    name = "cores" if y_unit == "cores" else "bytes_per_s"
+    points = [Point(float(x), getattr(cost, name)) for x, cost in costs]
+    return fit(what, x_unit, y_unit, points)
+
+
+async def start_pool(programs: Programs, folder: Path) -> str:
+    """Start the program that stands in for every upstream."""
+    port = Ports().take()
+    control = '{"warm_after_runs": 0, "capacity": 8, "versions": ["encode-1"]}'
+    arguments = ("-m", "standins.pool", "--port", str(port), "--name", "runner")
+    program = Program("pool", (*arguments, "--control", control), folder / "pool.out")
+    programs.add(program).start({})
+    await wait_until_ready(program)
+    return f"127.0.0.1:{port}"
--- /dev/null
+++ b/standins/capacity_memory.py
@@ -0,0 +1,110 @@
+"""Measure the memory that a VM's configuration takes."""
+
+import gc
+import hashlib
+import tracemalloc
+
+from cuminstile.objects.collection import ObjectSet, collect
+from cuminstile.objects.model import (
+    AnyObject,
+    DataCentre,
+    Organisation,
+    Pipeline,
+    Role,
+    Stage,
+    Step,
+    Upstream,
+    UpstreamVersion,
+)
+from cuminstile.platform.config_record import OBJECTS, make_record, read_objects
+from cuminstile.upstream.table import UpstreamTable
+
+from .slopes import Point, Slope, fit
+
+BYTES_PER_MB = 1024.0 * 1024.0
+STAGES = tuple(f"stage-{number}" for number in range(20))
+
+
+def organisations(count: int) -> tuple[AnyObject, ...]:
+    """Return organisations with one key each."""
+    digests = (hashlib.sha256(str(number).encode()) for number in range(count))
+    return tuple(
+        Organisation("organisation", f"org-{number:04}", (digest.hexdigest(),))
+        for number, digest in enumerate(digests)
+    )
+
+
+def upstreams(count: int) -> tuple[AnyObject, ...]:
+    """Return upstreams over 16 data centres and 20 stages."""
+    centres = [DataCentre("data_centre", f"dc-{n:02}", "r") for n in range(16)]
+    stages = [Stage("stage", name, Role.POOL) for name in STAGES]
+    versions = [UpstreamVersion("upstream_version", f"{s}-1", s) for s in STAGES]
+    runners = [
+        Upstream(
+            "upstream",
+            f"runner-{number:04}",
+            f"dc-{number % 16:02}",
+            f"10.0.{number // 256}.{number % 256}:8000",
+            (f"{STAGES[number % 20]}-1",),
+        )
+        for number in range(count)
+    ]
+    return (*centres, *stages, *versions, *runners)
+
+
+def pipelines(count: int) -> tuple[AnyObject, ...]:
+    """Return pipelines of five steps."""
+    return tuple(
+        Pipeline(
+            "pipeline",
+            f"pipeline-{number}",
+            tuple(Step(f"step-{k}", STAGES[(number + k) % 20]) for k in range(5)),
+        )
+        for number in range(count)
+    )
+
+
+def held_mb(objects: tuple[AnyObject, ...], with_state: bool) -> float:
+    """Return the memory of a configuration in force, its record included.
+
+    Parameters
+    ----------
+    with_state : bool
+        Whether the state kept for each upstream of the data centre counts too.
+    """
+    raw = OBJECTS.dump_python(objects, mode="json")
+    gc.collect()
+    tracemalloc.start()
+    record = make_record(-1, "capacity", OBJECTS.validate_python(raw))
+    items = read_objects(record, None)
+    index = collect(items)
+    table = state_of_all(index) if with_state else None
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del record, items, index, table
+    return size / BYTES_PER_MB
+
+
+def state_of_all(index: ObjectSet) -> UpstreamTable:
+    """Return a table with the state of every upstream."""
+    table = UpstreamTable()
+    for item in index.upstreams.values():
+        table.state_of(item)
+    return table
+
+
+def memory_slopes(quick: bool) -> list[Slope]:
+    """Measure the memory of a configuration against the number of its objects."""
+    steps = (1.0,) if quick else (0.25, 0.5, 1.0)
+    lines = []
+    for what, make, most, with_state in (
+        ("organisations", organisations, 5_100, False),
+        ("upstreams of all data centres", upstreams, 1_900, False),
+        ("upstreams, with state", upstreams, 120, True),
+        ("pipelines", pipelines, 35, False),
+    ):
+        counts = [0, *(int(most * step) for step in steps)]
+        points = [Point(float(n), held_mb(make(n), with_state)) for n in counts]
+        lines.append(fit(f"memory of {what}", "objects", "MB", points))
+    return lines
