Hang no lease on what a young VM says while this one is young

Cause: to learn whether all VMs start together, young VMs now ask each other; the answers went into the table by which a holder passes over VMs that abstain.

Change: what is learned while young is kept apart and serves /readyz alone.

--- a/cuminstile/readiness.py
+++ b/cuminstile/readiness.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .upstream.leases import abstains, is_young
+from .upstream.leases import is_young
 from .upstream.peers import known_here
 from .upstream.silence import is_dead
 from .upstream.table import NEVER_MS
@@ -39,10 +39,15 @@
     now_ms = vm.clock.now_ms()
     others = known_here(vm) - {vm.settings.name}
     return all(
-        abstains(vm, other, now_ms) or is_dead(vm, other, now_ms) for other in others
+        is_as_young(vm, other, now_ms) or is_dead(vm, other, now_ms) for other in others
     )
 
 
+def is_as_young(vm: Vm, other: str, now_ms: float) -> bool:
+    """Return whether another VM has said lately that it is as young as this one."""
+    return vm.leases.as_young.get(other, NEVER_MS) > now_ms
+
+
 def is_connecting(vm: Vm) -> bool:
     """Return whether a first session is missing that may well come about soon."""
     now_ms = vm.clock.now_ms()
--- a/cuminstile/upstream/leases.py
+++ b/cuminstile/upstream/leases.py
@@ -88,6 +88,8 @@
         By the compact number of the upstream's name.
     abstaining : dict of str to float
         Until when each other VM is taken as too young to promise.
+    as_young : dict of str to float
+        The same, learned while this VM was too young itself; no lease hangs on it.
     asked_ms : dict of int to float
         When each of the latest rounds was sent.
     probes : Probes
@@ -99,6 +101,7 @@
     holdings: dict[str, Holding] = field(default_factory=dict)
     asked_ms: dict[int, float] = field(default_factory=dict)
     abstaining: dict[str, float] = field(default_factory=dict)
+    as_young: dict[str, float] = field(default_factory=dict)
     round_number: int = 0
     asked_names: frozenset[str] = frozenset()
     asked_sessions: tuple[Session, ...] = ()
@@ -334,10 +337,14 @@
     asked_ms = leases.asked_ms.get(message.number)
     if asked_ms is None or vm.sessions.by_name.get(session.name) is not session:
         return
+    if message.abstains and asked_ms < leases.abstains_until_ms:
+        leases.as_young[session.name] = asked_ms + ABSTAINS_MS
+        return
     if message.abstains:
         leases.abstaining[session.name] = asked_ms + ABSTAINS_MS
         return
     leases.abstaining.pop(session.name, None)
+    leases.as_young.pop(session.name, None)
     granted = frozenset(message.granted)
     for name, holding in leases.holdings.items():
         if compact_id(name) in granted:
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -43,7 +43,7 @@
 def test_vm_is_ready_at_once_where_all_others_are_as_young():
     vm = joining_vm()
     vm.members.hear("vm-b", vm.clock.now_ms())
-    vm.leases.abstaining["vm-b"] = vm.clock.now_ms() + ABSTAINS_MS
+    vm.leases.as_young["vm-b"] = vm.clock.now_ms() + ABSTAINS_MS
     assert unready_reason(vm) == ""
 
 
