--- a/cuminstile/spilling.py
+++ b/cuminstile/spilling.py
@@ -13,7 +13,7 @@
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
 from .events import Event
-from .exceptions import CuminstileError, Ran
+from .exceptions import CuminstileError, ErrorCode
 from .routing import choose_peer, is_leaving
 from .vm.forwarding import run_on_peer
 from .vm.sessions import Session
@@ -23,6 +23,7 @@
 
 LEFT_ALONE_MS = 100
 PACE_MS = 10
+NO_SLOT = (ErrorCode.OVERLOADED, ErrorCode.NO_UPSTREAM, ErrorCode.SHUTTING_DOWN)
 MIN_REMAINING_MS = 100
 
 
@@ -76,7 +77,7 @@
         try:
             return await run_on_peer(vm, session, handed_on, trace, on_tokens)
         except CuminstileError as error:
-            if error.ran is not Ran.NOT_RUN:
+            if error.code not in NO_SLOT:
                 tried.append(session.name)
                 raise
             vm.spilling.until_ms[place] = vm.clock.now_ms() + LEFT_ALONE_MS
