Refuse JSON that some part of the system could not carry

Causes, from tests with bad bodies on the callers' real application: NaN, infinities, numbers beyond 64 bits, lone surrogates and values nested more deeply than an encoder allows were taken and failed later as an internal error or changed the input; keys given twice lost a value silently; "4000" and true were taken as numbers; 50,000 unknown fields gave as many findings; a caller that left in the middle of its body was recorded as an internal error; a body that never ended held its connection for ever. Settings nested too deeply ended the daemon with a stack trace.

One strict reader now serves callers, operators, settings and objects files, and one module reads bodies, within 10 s (new code body_timeout, 408).

The hypothesis tests send any JSON value through both codecs and any bytes: each is answered whole or refused, and the next request is served.

--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -20,6 +20,7 @@
 from ..const import MAX_BODY_BYTES
 from ..events import Event
 from ..exceptions import HTTP_STATUS, CuminstileError, ErrorCode
+from ..http_body import read_body
 from ..objects.model import Organisation, Pipeline
 from ..pipeline import Request, internal_error
 from .bodies import RunBody, error_body, parse_run_body
@@ -111,7 +112,7 @@
     pipeline = vm.objects.pipelines.get(http.path_params["name"])
     if pipeline is None:
         raise CuminstileError(ErrorCode.UNKNOWN_PIPELINE, "there is no such pipeline")
-    body = parse_run_body(await read_body(http))
+    body = parse_run_body(await read_body(http, MAX_BODY_BYTES))
     check_key(vm, pipeline, body)
     request = Request(
         name=secrets.token_hex(8),
@@ -145,18 +146,6 @@
     return organisation
 
 
-async def read_body(http: HttpRequest) -> bytes:
-    """Return the body, which may not be too large."""
-    data = b""
-    async for part in http.stream():
-        data += part
-        if len(data) > MAX_BODY_BYTES:
-            raise CuminstileError(
-                ErrorCode.BODY_TOO_LARGE, f"a body has at most {MAX_BODY_BYTES} bytes"
-            )
-    return data
-
-
 def check_key(vm: Vm, pipeline: Pipeline, body: RunBody) -> None:
     """Require an idempotency key where a stage may not be repeated."""
     stages = vm.objects.stages
--- a/cuminstile/caller/bodies.py
+++ b/cuminstile/caller/bodies.py
@@ -1,16 +1,15 @@
 """Check the bodies that callers send and shape those that they get."""
 
-import json
 from dataclasses import asdict, dataclass
 from typing import Annotated, Any
 
-from pydantic import ConfigDict, Field, TypeAdapter, with_config
+from pydantic import ConfigDict, Field, StrictBool, TypeAdapter, with_config
 
 from ..calls import StageOutcome
 from ..const import MAX_DEADLINE_MS
-from ..exceptions import CuminstileError, ErrorCode, Finding
+from ..exceptions import CuminstileError
+from ..http_body import parse_body
 from ..pipeline import Progress, Request
-from ..validation import validate
 
 
 @with_config(ConfigDict(extra="forbid"))
@@ -27,10 +26,12 @@
     """
 
     input: Any
-    deadline_ms: Annotated[int, Field(ge=1, le=MAX_DEADLINE_MS)] | None = None
-    stream: bool = False
+    deadline_ms: Annotated[int, Field(strict=True, ge=1, le=MAX_DEADLINE_MS)] | None = (
+        None
+    )
+    stream: StrictBool = False
     idempotency_key: Annotated[str, Field(max_length=200)] = ""
-    issued_at_ms: Annotated[int, Field(ge=0, le=2**53)] = 0
+    issued_at_ms: Annotated[int, Field(strict=True, ge=0, le=2**53)] = 0
 
 
 RUN_BODY: TypeAdapter[RunBody] = TypeAdapter(RunBody)
@@ -44,21 +45,7 @@
     CuminstileError
         With `MALFORMED_BODY` and every finding.
     """
-    try:
-        raw = json.loads(data)
-    except (ValueError, RecursionError) as error:
-        raise malformed((Finding("", "", "json", str(error)),)) from error
-    checked = validate(RUN_BODY, raw)
-    if checked.value is None:
-        raise malformed(checked.findings)
-    return checked.value
-
-
-def malformed(findings: tuple[Finding, ...]) -> CuminstileError:
-    """Return the error for a body that is not usable."""
-    return CuminstileError(
-        ErrorCode.MALFORMED_BODY, "the body is not usable", findings=findings
-    )
+    return parse_body(RUN_BODY, data)
 
 
 def answer_body(request: Request, progress: Progress) -> dict[str, Any]:
--- a/cuminstile/objects/files.py
+++ b/cuminstile/objects/files.py
@@ -1,12 +1,11 @@
 """Read a directory of operators' objects."""
 
-import json
-from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from ..exceptions import Finding
+from ..strict_json import loads
 from .parse import RawObject
 
 
@@ -38,8 +37,8 @@
 def load_file(path: Path) -> LoadedFiles:
     """Read the objects of one file."""
     try:
-        data = json.loads(path.read_text("utf-8"), object_pairs_hook=unique_keys)
-    except (OSError, ValueError, RecursionError) as error:
+        data = loads(path.read_bytes())
+    except (OSError, ValueError) as error:
         return failed(path, "unreadable", f"JSON in UTF-8 is expected: {error}")
     return LoadedFiles(raw_objects(data, str(path)))
 
@@ -54,19 +53,3 @@
 def failed(path: Path, code: str, message: str) -> LoadedFiles:
     """Return one finding about a whole file or directory."""
     return LoadedFiles(findings=(Finding(str(path), "", code, message),))
-
-
-def unique_keys(pairs: Iterable[tuple[str, Any]]) -> dict[str, Any]:
-    """Return a JSON object whose keys differ.
-
-    Raises
-    ------
-    ValueError
-        If a key stands twice; JSON itself would drop the first value silently.
-    """
-    result: dict[str, Any] = {}
-    for key, value in pairs:
-        if key in result:
-            raise ValueError(f"the key {key!r} stands twice in one object")
-        result[key] = value
-    return result
--- a/cuminstile/operator/bodies.py
+++ b/cuminstile/operator/bodies.py
@@ -1,16 +1,14 @@
 """Check the bodies that operators send and shape those that they get."""
 
-import json
 from dataclasses import dataclass
 from typing import Annotated, Any
 
 from pydantic import ConfigDict, Field, TypeAdapter, with_config
 from starlette.requests import Request
 
-from ..caller.bodies import malformed
 from ..events import EventRecord
-from ..exceptions import CuminstileError, ErrorCode, Finding
-from ..validation import validate
+from ..exceptions import Finding
+from ..http_body import malformed, parse_body, read_body
 
 MAX_PUBLISH_BYTES = 3 * 1024 * 1024
 
@@ -28,7 +26,7 @@
         The same whenever the same publication is asked for again.
     """
 
-    base: Annotated[int, Field(ge=-2, le=2**53)]
+    base: Annotated[int, Field(strict=True, ge=-2, le=2**53)]
     nonce: Annotated[str, Field(min_length=8, max_length=64)]
     objects: list[Any]
 
@@ -42,16 +40,9 @@
     Raises
     ------
     CuminstileError
-        With `BODY_TOO_LARGE` or `MALFORMED_BODY` and every finding.
+        With `BODY_TOO_LARGE`, `BODY_TIMEOUT`, or `MALFORMED_BODY` and every finding.
     """
-    data = b""
-    async for part in http.stream():
-        data += part
-        if len(data) > MAX_PUBLISH_BYTES:
-            raise CuminstileError(
-                ErrorCode.BODY_TOO_LARGE, f"at most {MAX_PUBLISH_BYTES} bytes"
-            )
-    return parse_publish_body(data)
+    return parse_publish_body(await read_body(http, MAX_PUBLISH_BYTES))
 
 
 def parse_publish_body(data: bytes) -> PublishBody:
@@ -62,14 +53,7 @@
     CuminstileError
         With `MALFORMED_BODY` and every finding.
     """
-    try:
-        raw = json.loads(data)
-    except (ValueError, RecursionError) as error:
-        raise malformed((Finding("", "", "json", str(error)),)) from error
-    checked = validate(PUBLISH_BODY, raw)
-    if checked.value is None:
-        raise malformed(checked.findings)
-    return checked.value
+    return parse_body(PUBLISH_BODY, data)
 
 
 def number_of(http: Request, name: str, default: int, largest: int) -> int:
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -1,6 +1,5 @@
 """Read and check the settings of a VM."""
 
-import json
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -10,6 +9,7 @@
 
 from .exceptions import CuminstileError, ErrorCode, Finding
 from .objects.model import Name
+from .strict_json import loads
 from .validation import validate
 
 STRICT = ConfigDict(extra="forbid")
@@ -100,7 +100,7 @@
         With `BAD_SETTINGS` and every finding.
     """
     try:
-        data: Any = json.loads(path.read_text("utf-8"))
+        data: Any = loads(path.read_bytes())
     except (OSError, ValueError) as error:
         finding = Finding(str(path), "", "unreadable", str(error))
         raise bad_settings((finding,)) from error
--- a/cuminstile/validation.py
+++ b/cuminstile/validation.py
@@ -9,6 +9,7 @@
 from .exceptions import Finding
 
 T = TypeVar("T")
+MAX_PLACE_LENGTH = 200
 
 
 @dataclass(frozen=True)
@@ -33,7 +34,7 @@
 def findings_of(error: ValidationError, file: str = "") -> tuple[Finding, ...]:
     """Return every finding of a validation error with its place."""
     return tuple(
-        Finding(file, place(item["loc"]), item["type"], item["msg"])
+        Finding(file, place(item["loc"])[:MAX_PLACE_LENGTH], item["type"], item["msg"])
         for item in error.errors(include_url=False, include_input=False)
     )
 
--- a/tests/fakes/asgi.py
+++ b/tests/fakes/asgi.py
@@ -22,9 +22,18 @@
 
 
 async def ask(
-    app: Any, method: str, path: str, key: str = "", body: Any = None
+    app: Any,
+    method: str,
+    path: str,
+    key: str = "",
+    body: Any = None,
+    header: str = "",
 ) -> Reply:
-    """Send one request; `body` is bytes, or what becomes JSON."""
+    """Send one request; `body` is bytes, or what becomes JSON.
+
+    `header` is the whole `Authorization` header instead of `key`.
+    """
+    header = header or (f"Bearer {key}" if key else "")
     content = body if isinstance(body, bytes) else json.dumps(body).encode()
     pathname, _, query = path.partition("?")
     scope = {
@@ -33,12 +42,15 @@
         "path": pathname,
         "raw_path": pathname.encode(),
         "query_string": query.encode(),
-        "headers": [(b"authorization", f"Bearer {key}".encode())] if key else [],
+        "headers": [(b"authorization", header.encode())] if header else [],
     }
     sent: list[dict] = []
+    parts = [{"type": "http.request", "body": content, "more_body": False}]
 
     async def receive() -> dict:
-        return {"type": "http.request", "body": content, "more_body": False}
+        if not parts:
+            await anyio.sleep_forever()
+        return parts.pop()
 
     async def send(message: dict) -> None:
         sent.append(message)
