Prove that only VMs get into sessions, and that bad messages end none

Causes, found by fuzzing the messages that VMs take from each other: a heartbeat with a time far ahead moved the stamps of every later event, on all VMs; a stage call with no number for its remaining time was taken; a connecting VM's name of any length went into the log. Stamps too far ahead are left out, times must be finite, and the name is cut.

The tests try to get in over real websockets: 25 wrong answers to the challenge, an overheard proof again, silence, impostors that answer a VM's own connection, a VM's own proof reflected to it; and the keys are rolled in every order. Rubbish and too large messages end no other session.

Red with the fault put in: nonce, role or name not bound into the proof, empty proofs taken, the VM's own name taken, the accepting VM not checked or checked only for a key, the first key used where the peer knows the second, decoding errors let out. Red before the change: the three causes above.

--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -11,6 +11,9 @@
 from .clock import Clock
 from .const import EVENT_RING_SIZE
 
+MAX_STAMP_LEAD_MS = 60_000
+MAX_STAMP_COUNT = 2**32
+
 Value = str | int | float | bool | None
 
 
@@ -104,8 +107,14 @@
         return self.last
 
     def see(self, stamp: Stamp) -> None:
-        """Make later stamps later than one that another process sent."""
-        self.last = max(self.last, stamp)
+        """Make later stamps later than one that another process sent.
+
+        A stamp too far ahead of this VM's clock is left out, so that one wrong clock
+        does not shift the time line of all VMs.
+        """
+        lead_ms = stamp.wall_ms - self.clock.wall_ms()
+        if lead_ms <= MAX_STAMP_LEAD_MS and stamp.count <= MAX_STAMP_COUNT:
+            self.last = max(self.last, stamp)
 
     def record(self, event: Event, **fields: Value) -> None:
         """Record one event with its fields."""
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -1,12 +1,15 @@
 """Define what VMs say to each other."""
 
-from typing import Any
+from typing import Annotated, Any
 
+from pydantic import Field
 from pydantic.dataclasses import dataclass
 
 from ..exceptions import ErrorCode, Ran
 from ..wire import Message, make_codec
 
+Finite = Annotated[float, Field(allow_inf_nan=False)]
+
 
 @dataclass(frozen=True)
 class Challenge(Message):
@@ -92,7 +95,7 @@
     input: Any
     stream: bool
     priority: int
-    remaining_ms: float
+    remaining_ms: Finite
     resume_at: int
     idempotency_key: str
     issued_at_ms: int
@@ -118,7 +121,7 @@
     data_centre: str
     vm: str
     attempts: int
-    elapsed_ms: float
+    elapsed_ms: Finite
 
 
 @dataclass(frozen=True)
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -41,6 +41,7 @@
     from ..runtime import Vm
 
 HANDSHAKE_TIMEOUT_MS = 2_000
+SHOWN_NAME_LENGTH = 64
 
 
 @dataclass
@@ -163,7 +164,8 @@
 def unauthenticated(name: str) -> CuminstileError:
     """Return the error for a VM that proved no valid key."""
     return CuminstileError(
-        ErrorCode.UNAUTHENTICATED, f"{name!r} showed no valid VM key"
+        ErrorCode.UNAUTHENTICATED,
+        f"{name[:SHOWN_NAME_LENGTH]!r} showed no valid VM key",
     )
 
 
--- /dev/null
+++ b/tests/vm/test_sessions.py
@@ -0,0 +1,383 @@
+"""Test cuminstile.vm.sessions with peers that try to get in or send rubbish."""
+
+import typing
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from enum import Enum
+from typing import Any
+
+import anyio
+import cbor2
+import pytest
+import websockets
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import serve
+
+from cuminstile.events import Event
+from cuminstile.runtime import Vm
+from cuminstile.vm import sessions
+from cuminstile.vm.authentication import prove
+from cuminstile.vm.messages import (
+    CODEC,
+    Challenge,
+    Heartbeat,
+    Hello,
+    RunStage,
+    StageCancel,
+    Welcome,
+)
+from cuminstile.vm.sessions import dial_once, listen, receive_one
+from cuminstile.wire import MAX_MESSAGE_BYTES, Message
+
+from ..fakes.objects import small_set
+from ..fakes.vms import (
+    OPERATOR_KEY,
+    VM_KEY,
+    connected,
+    free_port,
+    introduce,
+    make_test_vm,
+    put_in_force,
+)
+
+NAME = "vm-a2"
+Answer = Callable[[Challenge], Message | bytes | str]
+
+
+@asynccontextmanager
+async def listening(vm: Vm) -> AsyncIterator[None]:
+    """Let a VM accept sessions until the block ends."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listen, vm)
+        with anyio.fail_after(5.0):
+            while True:
+                try:
+                    stream = await anyio.connect_tcp("127.0.0.1", vm.settings.vm_port)
+                except OSError:
+                    await anyio.sleep(0.01)
+                    continue
+                await stream.aclose()
+                break
+        yield
+        tasks.cancel_scope.cancel()
+
+
+def hello(proof: str, name: str = NAME) -> Hello:
+    return Hello(name, "a", "i", "127.0.0.1:9", "nonce", proof)
+
+
+async def enter(vm: Vm, answer: Answer) -> int | None:
+    """Answer a VM's challenge; return the code with which it closed, or `None`."""
+    async with connect(f"ws://{vm.own_address}", proxy=None) as connection:
+        challenge = CODEC.decode(await connection.recv())
+        reply = answer(challenge)
+        data = CODEC.encode(reply) if isinstance(reply, Message) else reply
+        try:
+            with anyio.fail_after(5.0):
+                await connection.send(data)
+                welcome = CODEC.decode(await connection.recv())
+        except websockets.ConnectionClosed as closed:
+            return closed.code
+        assert isinstance(welcome, Welcome)
+        return None
+
+
+async def assert_refused(vm: Vm, answer: Answer) -> None:
+    """Check that a VM refuses an answer to its challenge and keeps nothing of it."""
+    assert await enter(vm, answer) == 4001
+    assert vm.sessions.by_name == {}
+    assert NAME not in vm.members.by_name
+    refusal = vm.journal.ring[-1]
+    assert refusal.event == Event.PEER_REFUSED
+    assert len(str(refusal.fields)) < 300
+
+
+def proved(key: str, role: str = "connect", name: str = NAME) -> Answer:
+    return lambda challenge: hello(prove(key, role, name, challenge.nonce))
+
+
+WRONG_ANSWERS: dict[str, Answer] = {
+    "no proof": lambda challenge: hello(""),
+    "zeros": lambda challenge: hello("0" * 64),
+    "not ascii": lambda challenge: hello("\u00e9" * 64),
+    "the key itself": lambda challenge: hello(VM_KEY),
+    "the nonce": lambda challenge: hello(challenge.nonce),
+    "an old challenge": lambda challenge: hello(
+        prove(VM_KEY, "connect", NAME, "0" * 32)
+    ),
+    "truncated": lambda challenge: hello(
+        prove(VM_KEY, "connect", NAME, challenge.nonce)[:-1]
+    ),
+    "lengthened": lambda challenge: hello(
+        prove(VM_KEY, "connect", NAME, challenge.nonce) + "0"
+    ),
+    "a key with one letter less": proved(VM_KEY[:-1]),
+    "an empty key": proved(""),
+    "an operators' key": proved(OPERATOR_KEY),
+    "a callers' key": proved("a-callers-key"),
+    "the other role": proved(VM_KEY, "accept"),
+    "another VM's proof": proved(VM_KEY, name="vm-a3"),
+    "the VM's own name": lambda challenge: hello(
+        prove(VM_KEY, "connect", "vm-a1", challenge.nonce), "vm-a1"
+    ),
+    "a huge name": lambda challenge: hello("", "x" * 1_000_000),
+    "a heartbeat": lambda challenge: Heartbeat(1, 1, 1, False),
+    "a welcome": lambda challenge: Welcome(NAME, "a", "i", ""),
+    "its own challenge": lambda challenge: challenge,
+    "a text": lambda challenge: "text",
+    "nothing": lambda challenge: b"",
+    "rubbish": lambda challenge: b"\xff\x00",
+    "an unknown number": lambda challenge: cbor2.dumps([99, 1]),
+    "a short hello": lambda challenge: cbor2.dumps([2, NAME]),
+    "a deep nest": lambda challenge: b"\x81" * 100_000,
+}
+
+
+@pytest.mark.parametrize("answer", WRONG_ANSWERS.values(), ids=WRONG_ANSWERS.keys())
+async def test_nobody_gets_in_without_a_proof(answer: Answer) -> None:
+    vm = make_test_vm("vm-a1", "a")
+    async with listening(vm):
+        await assert_refused(vm, answer)
+        assert await enter(vm, proved(VM_KEY)) is None
+
+
+async def test_a_proof_that_was_overheard_cant_be_used_again() -> None:
+    vm = make_test_vm("vm-a1", "a")
+    overheard: list[Hello] = []
+
+    def answer(challenge: Challenge) -> Hello:
+        overheard.append(hello(prove(VM_KEY, "connect", NAME, challenge.nonce)))
+        return overheard[0]
+
+    async with listening(vm):
+        assert await enter(vm, answer) is None
+        with anyio.fail_after(5.0):
+            while vm.sessions.by_name:
+                await anyio.sleep(0.01)
+        assert await enter(vm, lambda challenge: overheard[0]) == 4001
+
+
+async def test_a_peer_that_says_nothing_is_sent_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(sessions, "HANDSHAKE_TIMEOUT_MS", 200)
+    vm = make_test_vm("vm-a1", "a")
+    async with (
+        listening(vm),
+        connect(f"ws://{vm.own_address}", proxy=None) as connection,
+    ):
+        await connection.recv()
+        with anyio.fail_after(5.0), pytest.raises(websockets.ConnectionClosed):
+            await connection.recv()
+        assert connection.close_code == 4001
+
+
+OLD, NEW = "the-old-key-of-the-vms", "the-new-key-of-the-vms"
+
+
+@pytest.mark.parametrize(
+    ("one", "other"),
+    [
+        ((OLD,), (OLD, NEW)),
+        ((OLD, NEW), (OLD,)),
+        ((OLD,), (NEW, OLD)),
+        ((OLD, NEW), (NEW, OLD)),
+        ((NEW, OLD), (OLD, NEW)),
+        ((NEW, OLD), (NEW,)),
+        ((NEW,), (NEW, OLD)),
+    ],
+)
+async def test_keys_are_rolled_without_losing_a_session(
+    one: tuple[str, ...], other: tuple[str, ...]
+) -> None:
+    vms = [
+        make_test_vm("vm-a1", "a", vm_keys=one),
+        make_test_vm("vm-a2", "a", vm_keys=other),
+    ]
+    async with connected(*vms):
+        assert NAME in vms[0].sessions.by_name
+
+
+async def dial_impostor(
+    vm: Vm, behave: Callable[[Connection], Awaitable[None]]
+) -> None:
+    """Let a VM connect to somebody who poses as another one."""
+    port = free_port()
+    vm.members.add(NAME, "a", f"127.0.0.1:{port}")
+    async with serve(behave, "127.0.0.1", port):
+        with anyio.fail_after(5.0):
+            await dial_once(vm, vm.members.by_name[NAME])
+    assert vm.sessions.by_name == {}
+    assert Event.PEER_CONNECTED not in [item.event for item in vm.journal.ring]
+
+
+IMPOSTORS: dict[str, Callable[[Hello], Message | bytes]] = {
+    "no proof": lambda it: Welcome(NAME, "a", "i", ""),
+    "its own proof": lambda it: Welcome(NAME, "a", "i", it.proof),
+    "its own proof and name": lambda it: Welcome(it.name, "a", "i", it.proof),
+    "another key": lambda it: Welcome(
+        NAME, "a", "i", prove("another-key-of-no-vm", "accept", NAME, it.nonce)
+    ),
+    "the other role": lambda it: Welcome(
+        NAME, "a", "i", prove(VM_KEY, "connect", NAME, it.nonce)
+    ),
+    "another VM": lambda it: Welcome(
+        "vm-a3", "a", "i", prove(VM_KEY, "accept", "vm-a3", it.nonce)
+    ),
+    "its hello": lambda it: it,
+    "rubbish": lambda it: b"\xff",
+}
+
+
+@pytest.mark.parametrize("answer", IMPOSTORS.values(), ids=IMPOSTORS.keys())
+async def test_an_impostor_isnt_believed(
+    answer: Callable[[Hello], Message | bytes],
+) -> None:
+    vm = make_test_vm("vm-a1", "a")
+
+    async def behave(connection: Connection) -> None:
+        await connection.send(CODEC.encode(Challenge("0" * 32)))
+        reply = answer(CODEC.decode(await connection.recv()))
+        data = CODEC.encode(reply) if isinstance(reply, Message) else reply
+        await connection.send(data)
+        await connection.wait_closed()
+
+    await dial_impostor(vm, behave)
+
+
+async def test_a_vm_isnt_fooled_by_its_own_proof() -> None:
+    vm = make_test_vm("vm-a1", "a")
+
+    async def reflect(connection: Connection) -> None:
+        async with connect(f"ws://{vm.own_address}", proxy=None) as back:
+            await connection.send(await back.recv())
+            await back.send(await connection.recv())
+            with pytest.raises(websockets.ConnectionClosed):
+                await back.recv()
+
+    async with listening(vm):
+        await dial_impostor(vm, reflect)
+
+
+RUBBISH = [
+    b"",
+    b"\xff" * 10,
+    b"\x81" * 100_000,
+    cbor2.dumps([]),
+    cbor2.dumps([99]),
+    cbor2.dumps([10, "x", None, [], {}]),
+    cbor2.dumps({"a": 1}),
+    CODEC.encode(Challenge("0")),
+    CODEC.encode(hello("")),
+    CODEC.encode(StageCancel(7)),
+    "text",
+    "\ud83d\ude00".encode("utf-16", "surrogatepass").decode("utf-16"),
+]
+
+
+async def test_rubbish_ends_no_session() -> None:
+    vms = [make_test_vm(f"vm-a{number}", "a") for number in (1, 2, 3)]
+    async with connected(*vms):
+        before = dict(vms[0].sessions.by_name)
+        sender = vms[1].sessions.by_name["vm-a1"]
+        for data in RUBBISH:
+            await sender.connection.send(data)
+        heard_ms = {name: item.heard_ms for name, item in before.items()}
+        with anyio.fail_after(5.0):
+            while any(before[name].heard_ms <= heard_ms[name] for name in before):
+                await anyio.sleep(0.02)
+        assert vms[0].sessions.by_name == before
+    events = [item.event for item in vms[0].journal.ring]
+    assert events.count(Event.PEER_MESSAGE_REFUSED) == len(RUBBISH) - 1
+    assert Event.INTERNAL_ERROR not in events
+
+
+async def test_a_message_that_is_too_large_costs_only_its_own_session() -> None:
+    vms = [make_test_vm(f"vm-a{number}", "a") for number in (1, 2, 3)]
+    async with connected(*vms):
+        other = vms[0].sessions.by_name["vm-a3"]
+        broken = vms[0].sessions.by_name["vm-a2"]
+        sender = vms[1].sessions.by_name["vm-a1"]
+        await sender.connection.send(b"\x00" * (MAX_MESSAGE_BYTES + 1))
+        with anyio.fail_after(5.0):
+            while vms[0].sessions.by_name.get("vm-a2") in (None, broken):
+                await anyio.sleep(0.02)
+        assert vms[0].sessions.by_name["vm-a3"] is other
+
+
+VALUES: dict[Any, st.SearchStrategy[Any]] = {
+    int: st.integers(-(2**70), 2**70),
+    float: st.floats(allow_nan=False, allow_infinity=False),
+    str: st.text(),
+    bool: st.booleans(),
+    bytes: st.binary(),
+    tuple[str, ...]: st.lists(st.text()).map(tuple),
+    Any: st.recursive(st.none() | st.floats() | st.text(), st.lists),
+}
+
+
+def values_of(hint: Any) -> st.SearchStrategy[Any]:
+    """Return what a field of a message may hold."""
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return st.sampled_from(hint)
+    return VALUES[hint]
+
+
+def messages_of(kind: type[Message]) -> st.SearchStrategy[Message]:
+    """Return messages of one kind with any values that their types allow."""
+    hints = typing.get_type_hints(kind)
+    return st.builds(kind, **{name: values_of(hint) for name, hint in hints.items()})
+
+
+PACKETS = (
+    st.one_of(*map(messages_of, CODEC.numbers)).map(CODEC.encode)
+    | st.binary()
+    | st.recursive(
+        st.none() | st.integers() | st.floats() | st.text() | st.binary(),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    ).map(lambda value: cbor2.dumps([10, value]))
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(packets=st.lists(PACKETS, min_size=1, max_size=8))
+async def test_any_messages_leave_the_vm_well(packets: list[bytes]) -> None:
+    vm = make_test_vm("vm-a1", "a")
+    put_in_force(vm, small_set({"gen-a": "127.0.0.1:9"}))
+    introduce(vm, make_test_vm(NAME, "a"))
+    sent: list[bytes] = []
+
+    class Wire:
+        async def send(self, data: bytes) -> None:
+            sent.append(data)
+
+    async with anyio.create_task_group() as tasks:
+        session = sessions.Session(NAME, "a", "i", Wire(), tasks, 0.0)
+        vm.sessions.by_name[NAME] = session
+        for packet in packets:
+            await receive_one(vm, session, packet)
+    assert Event.INTERNAL_ERROR not in [item.event for item in vm.journal.ring]
+    assert vm.configuration.version == 0
+    assert vm.activity.total() == 0
+    stamp = vm.journal.stamp()
+    assert abs(stamp.wall_ms - vm.clock.wall_ms()) < 120_000
+    for data in sent:
+        CODEC.decode(data)
+
+
+@pytest.mark.parametrize("kind", CODEC.numbers)
+@settings(max_examples=50, deadline=None)
+@given(data=st.data())
+def test_what_is_sent_is_what_is_read(kind: type[Message], data: st.DataObject) -> None:
+    message = data.draw(messages_of(kind))
+    assert repr(CODEC.decode(CODEC.encode(message))) == repr(message)
+
+
+def test_a_run_stage_with_no_number_for_its_time_is_refused() -> None:
+    values = ["r", "o", "p", "s", "s", "", 1, True, 0, float("nan"), 0, "", 0]
+    with pytest.raises(Exception, match="fields are wrong"):
+        CODEC.decode(cbor2.dumps([20, 1, *values]))
+    assert RunStage in CODEC.numbers
