--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -9,18 +9,18 @@
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
-from .objects.model import DataCentreState, Upstream
-from .upstream.choice import least_in_flight
-from .upstream.client import UpstreamAnswer, UpstreamError, call_upstream, refusal
-from .upstream.table import UpstreamState
+from .routing import choose_peer, serving
+from .upstream import limits
+from .upstream.client import UpstreamError, call_upstream, refusal
+from .upstream.crashes import refuse_quarantined
+from .upstream.retries import PAUSE_MS, may_retry
+from .upstream.table import Condition, UpstreamState
 from .vm.forwarding import run_on_peer
 from .vm.sessions import Session
 
 if TYPE_CHECKING:
     from .runtime import Vm
 
-MAX_ATTEMPTS = 3
-
 
 @dataclass
 class TokenCounter:
@@ -55,7 +55,7 @@
     started_ms = vm.clock.now_ms()
     call = call if call.version else replace(call, version=choose_version(vm, call))
     counter = TokenCounter(on_tokens, call.resume_at)
-    tried: list[str] = []
+    tried = list(call.avoid)
     while True:
         present = replace(call, resume_at=counter.passed)
         try:
@@ -63,7 +63,9 @@
                 vm, present, trace, counter, may_forward, tried
             )
         except CuminstileError as error:
-            if not may_retry(vm, present, trace, error, len(tried)):
+            if may_forward and await is_decided_later(vm, present, error, tried):
+                continue
+            if not may_retry(vm, present, trace, error, len(tried) - len(call.avoid)):
                 raise
             vm.journal.record(
                 Event.STAGE_RETRIED, request=call.request, stage=call.stage
@@ -71,7 +73,11 @@
             continue
         elapsed_ms = vm.clock.now_ms() - started_ms
         vm.metrics.stage_ms.observe({"stage": call.stage}, elapsed_ms)
-        return replace(outcome, elapsed_ms=elapsed_ms, attempts=max(1, len(tried)))
+        return replace(
+            outcome,
+            elapsed_ms=elapsed_ms,
+            attempts=max(1, len(tried) - len(call.avoid)),
+        )
 
 
 def choose_version(vm: Vm, call: StageCall) -> str:
@@ -82,19 +88,16 @@
     return versions[0].name
 
 
-def may_retry(
-    vm: Vm, call: StageCall, trace: RunTrace, error: CuminstileError, attempts: int
+async def is_decided_later(
+    vm: Vm, call: StageCall, error: CuminstileError, tried: list[str]
 ) -> bool:
-    """Return whether another attempt is allowed and makes sense."""
-    retryable = (
-        ErrorCode.UPSTREAM_FAILED,
-        ErrorCode.PEER_LOST,
-        ErrorCode.SHUTTING_DOWN,
-    )
-    if error.code not in retryable or attempts >= MAX_ATTEMPTS:
+    """Wait a little where the VMs here do not agree yet who calls an upstream."""
+    if error.code is not ErrorCode.NO_UPSTREAM or error.ran is not Ran.NOT_RUN:
         return False
-    if trace.maybe_ran and not vm.objects.stages[call.stage].repeatable:
+    tried[:] = [name for name in tried if name not in vm.sessions.by_name]
+    if not local_upstreams(vm, call, tried):
         return False
+    await vm.clock.sleep_ms(PAUSE_MS * (0.5 + vm.random.random()))
     return vm.clock.now_ms() < call.deadline_ms
 
 
@@ -107,17 +110,23 @@
     tried: list[str],
 ) -> StageOutcome:
     """Try one upstream of this data centre, or one VM of another."""
+    refuse_quarantined(vm, call)
     local = local_upstreams(vm, call, tried)
-    if local:
-        return await run_here(vm, call, trace, counter, local, tried)
-    session = peer_for(vm, call, tried) if may_forward else None
+    here = limits.served_here(vm, call, local)
+    if here:
+        return await run_here(vm, call, trace, counter, here, tried)
+    session = peer_here(vm, call, local, tried) if may_forward else None
+    if session is None and may_forward and not call.handed_over:
+        session = choose_peer(vm, call.version, tried)
     if session is None:
         raise no_upstream(call)
     tried.append(session.name)
     vm.journal.record(
         Event.STAGE_FORWARDED, request=call.request, step=call.step, peer=session.name
     )
-    return await run_on_peer(vm, session, call, trace, counter.take)
+    avoid = tuple(name for name in tried if name in vm.upstreams.by_name)
+    handed_on = replace(call, avoid=avoid)
+    return await run_on_peer(vm, session, handed_on, trace, counter.take)
 
 
 def no_upstream(call: StageCall) -> CuminstileError:
@@ -130,44 +139,25 @@
 def local_upstreams(vm: Vm, call: StageCall, tried: list[str]) -> list[UpstreamState]:
     """Return the upstreams of this data centre that may run the call."""
     own = vm.settings.data_centre
-    return [
+    states = (
         vm.upstreams.state_of(upstream)
         for upstream in serving(vm, call.version)
         if upstream.data_centre == own and upstream.name not in tried
-    ]
-
-
-def serving(vm: Vm, version: str) -> tuple[Upstream, ...]:
-    """Return the upstreams of a version in data centres that are in."""
-    centres = vm.objects.data_centres
-    return tuple(
-        upstream
-        for upstream in vm.objects.by_version.get(version, ())
-        if centres[upstream.data_centre].state is DataCentreState.IN
     )
+    return [state for state in states if state.condition is not Condition.AWAY]
 
 
-def peer_for(vm: Vm, call: StageCall, tried: list[str]) -> Session | None:
-    """Return a session with a VM whose data centre has an upstream for the call."""
-    centres = {upstream.data_centre for upstream in serving(vm, call.version)}
-    centres.discard(vm.settings.data_centre)
+def peer_here(
+    vm: Vm, call: StageCall, local: list[UpstreamState], tried: list[str]
+) -> Session | None:
+    """Return a session with a VM here that may call one of the upstreams."""
+    names = limits.serving_vms(vm, call, local)
     sessions = [
         session
-        for session in vm.sessions.by_name.values()
-        if session.data_centre in centres and session.name not in tried
+        for session in vm.sessions.of_data_centre(vm.settings.data_centre)
+        if session.name in names and session.name not in tried
     ]
-    staying = [session for session in sessions if not is_leaving(vm, session)]
-    # A VM that leaves still works for a while: better than refusing.
-    candidates = staying or sessions
-    if not candidates:
-        return None
-    return vm.random.choice(candidates)
-
-
-def is_leaving(vm: Vm, session: Session) -> bool:
-    """Return whether the other VM is shutting down."""
-    member = vm.members.by_name.get(session.name)
-    return member is None or member.leaving
+    return vm.random.choice(sessions) if sessions else None
 
 
 async def run_here(
@@ -178,33 +168,36 @@
     candidates: list[UpstreamState],
     tried: list[str],
 ) -> StageOutcome:
-    """Run the call on one of the candidates."""
-    chosen = least_in_flight(candidates)
-    name = chosen.upstream.name
-    tried.append(name)
+    """Run the call on one of the candidates, as soon as one has a free slot."""
     attempt = f"{call.request}.{call.step}.{secrets.token_hex(4)}"
     repeatable = vm.objects.stages[call.stage].repeatable
-    vm.journal.record(
-        Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
-    )
-    chosen.in_flight += 1
-    try:
-        answer = await call_upstream(
-            vm.upstream_pool,
-            chosen.upstream.address,
-            call,
-            attempt,
-            call.deadline_ms - vm.clock.now_ms(),
-            None if repeatable else trace,
-            counter.take,
+    async with limits.slot(vm, call, candidates, attempt) as slot:
+        name = slot.state.name
+        tried.append(name)
+        vm.journal.record(
+            Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
         )
-    except UpstreamError as error:
-        note_failure(vm, call, chosen, error)
-        ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
-        raise refusal(error, ran) from error
-    finally:
-        chosen.in_flight -= 1
-    note_success(vm, call, chosen, answer)
+        try:
+            answer = await call_upstream(
+                vm.upstream_pool,
+                slot.state.upstream.address,
+                call,
+                attempt,
+                call.deadline_ms - vm.clock.now_ms(),
+                None if repeatable else trace,
+                counter.take,
+                slot.check,
+            )
+        except UpstreamError as error:
+            if error.reason == "lease":
+                # Nothing is wrong with this upstream.
+                tried.remove(name)
+            await limits.note_failed(vm, slot, error, candidates)
+            note_failure(vm, call, slot.state, error)
+            ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
+            raise refusal(error, ran) from error
+        await limits.note_answered(vm, slot, answer)
+    note_success(vm, call, slot.state)
     own = vm.settings
     return StageOutcome(
         answer.output, call.version, name, own.data_centre, own.name, 1, 0.0
@@ -230,12 +223,8 @@
         )
 
 
-def note_success(
-    vm: Vm, call: StageCall, chosen: UpstreamState, answer: UpstreamAnswer
-) -> None:
+def note_success(vm: Vm, call: StageCall, chosen: UpstreamState) -> None:
     """Record an attempt that gave the stage's output."""
-    chosen.incarnation = answer.incarnation
-    chosen.state = answer.state
     vm.metrics.stage_attempts_total.inc({"stage": call.stage, "result": "good"})
     vm.journal.record(
         Event.STAGE_ANSWERED,
--- /dev/null
+++ b/cuminstile/upstream/waiting.py
@@ -0,0 +1,61 @@
+"""Let calls wait for slots, one line for each upstream version."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from ..calls import StageCall
+from ..queueing import Slot, Ticket, WaitingLine
+from .table import UpstreamState
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+DEFAULT_WEIGHT = 1
+
+
+@dataclass
+class WaitingLines:
+    """Hold the calls that wait, by upstream version."""
+
+    by_version: dict[str, WaitingLine[Any]] = field(default_factory=dict)
+
+    def wake(self) -> None:
+        """Hand out the slots that may be free now."""
+        for line in self.by_version.values():
+            line.notify()
+
+
+async def wait_for_slot(
+    vm: Vm,
+    call: StageCall,
+    candidates: Sequence[UpstreamState],
+    try_take: Callable[[], Slot | None],
+) -> Slot:
+    """Return what `try_take` gives, waiting in line while it gives nothing.
+
+    Raises
+    ------
+    CuminstileError
+        With `OVERLOADED` or `DEADLINE_PASSED`; nothing has run.
+    """
+    line = vm.line.by_version.get(call.version)
+    if line is None:
+        line = WaitingLine(vm.clock, vm.settings.limits.queue_length, leave_to_caller)
+        vm.line.by_version[call.version] = line
+    slot: Slot = await line.acquire(ticket_of(vm, call, candidates), try_take)
+    return slot
+
+
+def leave_to_caller(slot: Any) -> None:
+    """Do nothing: whoever waits for a slot frees what it was handed."""
+
+
+def ticket_of(vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]) -> Ticket:
+    """Return what the line has to know about a call."""
+    organisation = vm.objects.organisations.get(call.organisation)
+    weight = organisation.weight if organisation else DEFAULT_WEIGHT
+    work_ms = sum(state.mean_ms for state in candidates) / len(candidates)
+    return Ticket(call.organisation, weight, call.deadline_ms, work_ms)
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True)
 class RunStage(Message):
-    """Ask a VM of another data centre to run one stage.
+    """Ask another VM to run one stage.
 
     Parameters
     ----------
@@ -83,6 +83,8 @@
         What is left of the caller's deadline.
     issued_at_ms : int
         When the caller issued its idempotency key, in ms since 1970 UTC.
+    avoid : tuple of str
+        Upstreams that have failed this call already.
     """
 
     call: int
@@ -99,6 +101,7 @@
     resume_at: int
     idempotency_key: str
     issued_at_ms: int
+    avoid: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -156,6 +159,85 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class LoadEntry(Message):
+    """Tell what the sender knows about one upstream.
+
+    Parameters
+    ----------
+    upstream, incarnation : int
+        Compact numbers of the upstream's name and of its incarnation.
+    condition : int
+        A `Condition`.
+    in_flight, capacity : int
+        As the upstream reported them.
+    age_ds : int
+        How old the evidence is, in tenths of a second.
+    """
+
+    upstream: int
+    incarnation: int
+    condition: int
+    in_flight: int
+    capacity: int
+    age_ds: int
+
+
+@dataclass(frozen=True)
+class LoadDigest(Message):
+    """Pass on what has changed about some upstreams of the data centre."""
+
+    entries: tuple[LoadEntry, ...]
+
+
+@dataclass(frozen=True)
+class LeaseAsk(Message):
+    """Ask to be the only VM that calls some cold upstreams.
+
+    Parameters
+    ----------
+    number : int
+        Tells apart the rounds of the sender.
+    upstreams : tuple of int
+        Compact numbers of the upstreams' names.
+    """
+
+    number: int
+    upstreams: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class LeaseAnswer(Message):
+    """Answer one round of a VM that asks for leases.
+
+    Parameters
+    ----------
+    abstains : bool
+        Whether the sender is too young to promise anything.
+    granted : tuple of int
+        The upstreams that the sender promises to leave to the asking VM.
+    """
+
+    number: int
+    abstains: bool
+    granted: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class LeaseRelease(Message):
+    """Give back leases before they end."""
+
+    upstreams: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class CrashNotice(Message):
+    """Tell how often a request has crashed an upstream; 0 clears the suspicion."""
+
+    fingerprint: bytes
+    crashes: int
+
+
 CODEC = make_codec(
     (
         (1, Challenge),
@@ -169,5 +251,10 @@
         (24, StageCancel),
         (30, ConfigAsk),
         (31, ConfigGive),
+        (50, LoadDigest),
+        (51, LeaseAsk),
+        (52, LeaseAnswer),
+        (53, LeaseRelease),
+        (54, CrashNotice),
     )
 )
--- a/tests/fakes/upstreams.py
+++ b/tests/fakes/upstreams.py
@@ -12,6 +12,27 @@
 Answer = Callable[[dict[str, Any], SocketStream], Awaitable[None]]
 
 
+# A VM calls an upstream freely once it has reported that it is warm.
+LOAD = {
+    "incarnation": "i",
+    "state": "warm",
+    "in_flight": 0,
+    "capacity": 8,
+    "cold_capacity": 1,
+    "queue": 0,
+    "versions": [],
+    "report_age_ms": 0,
+}
+
+
+@dataclass(frozen=True)
+class HttpCall:
+    """Hold the path and the JSON body of one request."""
+
+    path: str
+    body: dict[str, Any]
+
+
 @dataclass
 class FakeUpstream:
     """Hold where a fake upstream listens and the calls that reached it."""
@@ -27,11 +48,14 @@
 
     async def handle(stream: SocketStream) -> None:
         async with stream:
-            with_body = await read_call(stream)
-            if with_body is None:
+            call = await read_call(stream)
+            if call is None:
+                return
+            if call.path != "/run":
+                await send_json(stream, 200, LOAD if call.path == "/load" else {})
                 return
-            fake.calls.append(with_body)
-            await answer(with_body, stream)
+            fake.calls.append(call.body)
+            await answer(call.body, stream)
 
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
     fake.address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
@@ -41,19 +65,21 @@
         tasks.cancel_scope.cancel()
 
 
-async def read_call(stream: SocketStream) -> dict[str, Any] | None:
-    """Return the JSON body of one HTTP request, or nothing if it never came."""
+async def read_call(stream: SocketStream) -> HttpCall | None:
+    """Return one HTTP request, or nothing if it never came."""
     data = b""
     try:
         while b"\r\n\r\n" not in data:
             data += await stream.receive()
         head, body = data.split(b"\r\n\r\n", 1)
-        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        path = head.split(b" ")[1].decode()
+        sizes = head.lower().split(b"content-length: ")[1:]
+        length = int(sizes[0].split(b"\r\n")[0]) if sizes else 0
         while len(body) < length:
             body += await stream.receive()
     except (anyio.EndOfStream, anyio.BrokenResourceError):
         return None
-    return json.loads(body)
+    return HttpCall(path, json.loads(body or b"{}"))
 
 
 async def send_json(stream: SocketStream, status: int, body: dict[str, Any]) -> None:
--- a/tests/vm/test_forwarding.py
+++ b/tests/vm/test_forwarding.py
@@ -244,7 +244,7 @@
         else:
             await send_json(stream, 500, {"attempt": attempt, "code": "failed"})
 
-    async with upstream(bad_once) as fake:
+    async with upstream(bad_once) as fake, connected(vm):
         put_in_force(vm, small_set({"one-a": fake.address, "two-a": fake.address}))
         outcome = await run_stage(
             vm, make_call(vm, stream=False), RunTrace(), Collected().take, False
@@ -260,7 +260,7 @@
         await stream.aclose()
 
     trace = RunTrace()
-    async with upstream(cut) as fake:
+    async with upstream(cut) as fake, connected(vm):
         addresses = {"one-a": fake.address, "two-a": fake.address}
         put_in_force(vm, small_set(addresses, repeatable=False))
         with pytest.raises(CuminstileError) as caught:
