Keep keys out of logs, and foreign certificates out of sessions

Causes, from tests that plant recognisable secrets in everything a VM knows and search all that it gives out: an unexpected error was recorded with its text, which may quote a key, the settings or a caller's input; the representation of the settings showed the keys; a platform key outside ASCII failed inside the HTTP client with an error that quotes the header. Only type and place of an unexpected error are recorded now, keys have no representation and must be printable ASCII.

With certificates a VM of the same authority could pose as another one: the name in the certificate must now be the one that the VM gives. Files that can't be used are findings before anything starts, together with those about ports, not a stack trace. A failed TLS handshake of a connection that a VM opens is recorded.

Red before the change: the secrets search.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -23,10 +23,10 @@
 from .platform.follow import follow_configuration, follow_vm_list
 from .platform.renewal import renew_configuration
 from .runtime import Vm
-from .settings import Settings, check_ports, load_settings
+from .settings import Settings, bad_settings, load_settings, port_findings
 from .stages import run_stage
 from .supervision import Background, keep_running
-from .tls import client_context, server_context
+from .tls import client_context, server_context, tls_findings
 from .upstream.crashes import on_crash_notice
 from .upstream.leases import (
     keep_leases,
@@ -165,6 +165,19 @@
             return
 
 
+def check_machine(settings: Settings) -> None:
+    """Check that the machine has the ports and files that the settings name.
+
+    Raises
+    ------
+    CuminstileError
+        With `BAD_SETTINGS` and every finding.
+    """
+    findings = (*port_findings(settings), *tls_findings(settings.tls))
+    if findings:
+        raise bad_settings(findings)
+
+
 def run(settings: str) -> None:
     """Run one VM of the system until SIGTERM.
 
@@ -175,7 +188,7 @@
     """
     try:
         checked = load_settings(Path(settings))
-        check_ports(checked)
+        check_machine(checked)
     except CuminstileError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
--- a/cuminstile/pipeline.py
+++ b/cuminstile/pipeline.py
@@ -96,8 +96,12 @@
 
 
 def internal_error(vm: Vm, error: Exception) -> CuminstileError:
-    """Record an unexpected error and return the one that the caller sees."""
-    vm.journal.record(Event.INTERNAL_ERROR, error=repr(error), place=place_of(error))
+    """Record an unexpected error and return the one that the caller sees.
+
+    Only its type and place are recorded: its text may hold a key or an input.
+    """
+    name = type(error).__name__
+    vm.journal.record(Event.INTERNAL_ERROR, error=name, place=place_of(error))
     return CuminstileError(ErrorCode.INTERNAL, "internal error", Ran.UNKNOWN)
 
 
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -26,7 +26,9 @@
 
 Port = Annotated[int, Field(ge=0, le=65_535)]
 Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:\d{1,5}$")]
-Key = Annotated[str, Field(min_length=16, max_length=256)]
+Key = Annotated[str, Field(min_length=16, max_length=256, pattern=r"^[!-~]+$")]
+OptionalKey = Annotated[str, Field(max_length=256, pattern=r"^[!-~]*$")]
+Keys = Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
 
 
 @with_config(STRICT)
@@ -76,6 +78,8 @@
         `host:port` of the platform.
     operator_keys, vm_keys : tuple of str
         Up to two keys each, so that they can be rolled; the first is shown to others.
+    platform_key : str
+        Shown to the platform; empty where it wants none.
     log_file : str
         Where the log goes; `-` is the standard error.
     shutdown_linger_ms : int
@@ -89,9 +93,9 @@
     operator_port: Port
     vm_port: Port
     platform: Address
-    operator_keys: Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
-    vm_keys: Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
-    platform_key: str = ""
+    operator_keys: Keys = field(repr=False)
+    vm_keys: Keys = field(repr=False)
+    platform_key: OptionalKey = field(default="", repr=False)
     peers: tuple[PeerSettings, ...] = ()
     tls: TlsSettings | None = None
     log_file: str = "-"
@@ -121,19 +125,11 @@
     return checked.value
 
 
-def check_ports(settings: Settings) -> None:
-    """Check that the VM can listen where its settings say.
-
-    Raises
-    ------
-    CuminstileError
-        With `BAD_SETTINGS` and a finding for each port that cannot be had.
-    """
+def port_findings(settings: Settings) -> tuple[Finding, ...]:
+    """Return a finding for each port on which the VM can't listen."""
     names = ("caller_port", "operator_port", "vm_port")
     findings = [port_finding(settings, name) for name in names]
-    present = tuple(finding for finding in findings if finding is not None)
-    if present:
-        raise bad_settings(present)
+    return tuple(finding for finding in findings if finding is not None)
 
 
 def port_finding(settings: Settings, name: str) -> Finding | None:
--- a/cuminstile/tls.py
+++ b/cuminstile/tls.py
@@ -1,7 +1,10 @@
 """Make the TLS contexts for connections that the settings protect."""
 
 import ssl
+from pathlib import Path
+from typing import Any
 
+from .exceptions import Finding
 from .settings import TlsSettings
 
 
@@ -24,3 +27,33 @@
     context = ssl.create_default_context(cafile=str(settings.authority))
     context.load_cert_chain(settings.certificate, settings.key)
     return context
+
+
+def tls_findings(settings: TlsSettings | None) -> tuple[Finding, ...]:
+    """Return what is wrong with the files for TLS."""
+    if settings is None:
+        return ()
+    findings: list[Finding] = []
+    context = ssl.create_default_context()
+    try:
+        context.load_verify_locations(str(settings.authority))
+    except (OSError, ssl.SSLError) as error:
+        findings.append(tls_finding("authority", settings.authority, error))
+    try:
+        context.load_cert_chain(settings.certificate, settings.key)
+    except (OSError, ssl.SSLError) as error:
+        findings.append(tls_finding("certificate", settings.certificate, error))
+    return tuple(findings)
+
+
+def tls_finding(name: str, path: Path, error: Exception) -> Finding:
+    """Return the finding about one file."""
+    reason = getattr(error, "strerror", "") or type(error).__name__
+    return Finding("", f"tls.{name}", "tls", f"{path} can't be used: {reason}")
+
+
+def certificate_names(transport: Any) -> frozenset[str]:
+    """Return the names in the certificate that the other side has shown."""
+    certificate = transport.get_extra_info("peercert") or {}
+    alternatives = certificate.get("subjectAltName", ())
+    return frozenset(name for kind, name in alternatives if kind == "DNS")
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -30,6 +30,7 @@
 from ..events import Event, Stamp
 from ..exceptions import CuminstileError, ErrorCode
 from ..pipeline import internal_error
+from ..tls import certificate_names
 from ..wire import MAX_MESSAGE_BYTES, Message
 from .authentication import is_proved, prove
 from .configuration import on_newer_version
@@ -143,6 +144,11 @@
     is_valid = is_proved(keys, hello.proof, "connect", hello.name, nonce)
     if not is_valid or hello.name == own:
         raise unauthenticated(hello.name)
+    if vm.server_tls and hello.name not in certificate_names(connection.transport):
+        raise CuminstileError(
+            ErrorCode.UNAUTHENTICATED,
+            f"{hello.name!r} showed the certificate of another VM",
+        )
     proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
     welcome = Welcome(
         own, vm.settings.data_centre, vm.incarnation, proof, vm.own_operator_address
@@ -245,7 +251,10 @@
             await run_session(vm, connection, welcome)
     except CuminstileError as error:
         vm.journal.record(Event.PEER_REFUSED, peer=member.name, reason=error.message)
-    except (OSError, TimeoutError, ssl.SSLError, websockets.WebSocketException):
+    except ssl.SSLError as error:
+        reason = f"TLS failed: {error.reason}"
+        vm.journal.record(Event.PEER_REFUSED, peer=member.name, reason=reason)
+    except (OSError, TimeoutError, websockets.WebSocketException):
         return
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cuminstile.exceptions import CuminstileError, ErrorCode
-from cuminstile.settings import check_ports, load_settings
+from cuminstile.settings import load_settings, port_findings
 
 from .fakes.vms import make_settings
 
@@ -38,6 +38,5 @@
     with socket.create_server(("127.0.0.1", 0)) as busy:
         port = busy.getsockname()[1]
         settings = make_settings("vm-a1", "a", caller_port=port, vm_port=port)
-        with pytest.raises(CuminstileError) as caught:
-            check_ports(settings)
-    assert [item.path for item in caught.value.findings] == ["caller_port", "vm_port"]
+        findings = port_findings(settings)
+    assert [item.path for item in findings] == ["caller_port", "vm_port"]
--- a/tests/vm/test_messages.py
+++ b/tests/vm/test_messages.py
@@ -1,5 +1,6 @@
 """Test cuminstile.vm.messages: whatever a peer sends, the VM stays well."""
 
+import dataclasses
 import typing
 from enum import Enum
 from typing import Any
@@ -80,7 +81,6 @@
     str: st.text(),
     bool: st.booleans(),
     bytes: st.binary(),
-    tuple[str, ...]: st.lists(st.text()).map(tuple),
     Any: st.recursive(st.none() | st.floats() | st.text(), st.lists),
 }
 
@@ -89,6 +89,11 @@
     """Return what a field of a message may hold."""
     if isinstance(hint, type) and issubclass(hint, Enum):
         return st.sampled_from(hint)
+    if isinstance(hint, type) and dataclasses.is_dataclass(hint):
+        return messages_of(hint)
+    if typing.get_origin(hint) is tuple:
+        inner, _ = typing.get_args(hint)
+        return st.lists(values_of(inner), max_size=5).map(tuple)
     return VALUES[hint]
 
 
