Fuzz the log's records, the objects, the settings and publications

Any payload between good records, of either format and with any content, any value in any field of an object or of the settings, any file and any publication gives findings or one error with a code; what comes after it is taken as ever.

--- a/tests/objects/test_checks.py
+++ b/tests/objects/test_checks.py
@@ -7,9 +7,12 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cuminstile.objects.checks import check_directory, check_objects
 from cuminstile.objects.files import raw_objects
+from cuminstile.platform.config_record import make_record, read_objects
 from tests.objects.examples import GOOD_SET
 
 Edit = Callable[[dict[str, Any]], object]
@@ -131,3 +134,35 @@
     assert [item.code for item in check_directory(tmp_path).findings] == ["no_files"]
     missing = check_directory(tmp_path / "x").findings
     assert [item.code for item in missing] == ["no_directory"]
+
+
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+FIELDS = sorted({name for item in GOOD_SET for name in item})
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    index=st.integers(0, len(GOOD_SET) - 1),
+    name=st.sampled_from(FIELDS),
+    value=ANYTHING | st.sampled_from([item["name"] for item in GOOD_SET]),
+)
+def test_any_value_of_a_field_gives_findings_or_a_good_set(
+    index: int, name: str, value: Any
+) -> None:
+    objects = copy.deepcopy(GOOD_SET)
+    objects[index][name] = value
+    checked = check_objects(raw_objects(objects))
+    assert checked.findings or len(checked.objects) == len(GOOD_SET)
+    if checked.objects and not checked.findings:
+        record = make_record(-1, "n", checked.objects)
+        assert set(read_objects(record, None)) == set(checked.objects)
+
+
+@settings(max_examples=100, deadline=None)
+@given(ANYTHING)
+def test_anything_at_all_gives_findings(data: Any) -> None:
+    assert check_objects(raw_objects([data])).findings
--- a/tests/operator/test_app.py
+++ b/tests/operator/test_app.py
@@ -6,6 +6,8 @@
 
 import anyio
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from cuminstile.events import Event
 from cuminstile.operator.app import make_app
@@ -303,3 +305,26 @@
     )
     for secret in (*OPERATOR_KEYS, *VM_KEYS, "the-platform-key", guess):
         assert secret not in seen
+
+
+@settings(
+    max_examples=200,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    content=st.binary()
+    | st.recursive(
+        st.none() | st.integers() | st.floats() | st.text(),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    )
+    .map(lambda value: {"base": -1, "nonce": "nonce-number-1", "objects": [value]})
+    .map(lambda value: json.dumps(value).encode())
+)
+async def test_any_publication_is_answered(content: bytes) -> None:
+    platform = make_platform()
+    vm = make_test_vm("vm1", platform)
+    reply = await publish(vm, content)
+    assert reply.status in (400, 422)
+    assert reply.body["error"]["findings"]
+    assert platform.end("config") == 0
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -4,16 +4,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+import cbor2
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cuminstile.const import CHANGES_FORMAT, WHOLE_FORMAT
 from cuminstile.exceptions import CuminstileError, ErrorCode
 from cuminstile.objects.model import AnyObject, DataCentre
 from cuminstile.platform.config_record import (
     ANY_BASE,
     RECORDS,
     ConfigRecord,
+    checksum_of,
     make_changes_record,
     make_record,
     reset_base,
@@ -365,3 +368,51 @@
 
 def test_any_base_is_no_base_of_a_record() -> None:
     assert reset_base(0) == ANY_BASE
+
+
+def mutated(good: bytes) -> st.SearchStrategy[bytes]:
+    """Return a payload with one byte changed, or a part of it."""
+    places = st.integers(0, len(good) - 1)
+    changed = st.tuples(places, st.integers(0, 255)).map(
+        lambda item: good[: item[0]] + bytes([item[1]]) + good[item[0] + 1 :]
+    )
+    return changed | places.map(lambda place: good[:place])
+
+
+CONTENT = st.recursive(
+    st.none() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+
+
+def as_changes(value: object) -> dict[str, object]:
+    """Return what looks like changes to a set of objects."""
+    return {"put": value, "removed": [value]}
+
+
+def with_content(value: object) -> st.SearchStrategy[bytes]:
+    """Return sound records whose objects are any value."""
+    body = cbor2.dumps(value)
+    good = replace(record(0, "b"), objects=body, checksum=checksum_of(body))
+    formats = st.sampled_from((WHOLE_FORMAT, CHANGES_FORMAT))
+    return formats.map(lambda number: RECORDS.encode(replace(good, format=number)))
+
+
+@settings(max_examples=500, deadline=None)
+@given(
+    st.binary()
+    | mutated(RECORDS.encode(record(0, "b")))
+    | CONTENT.flatmap(with_content)
+    | CONTENT.map(lambda value: {"put": value, "removed": [value]}).flatmap(
+        with_content
+    )
+)
+def test_any_payload_between_good_ones_is_survived(payload: bytes) -> None:
+    state = ConfigurationState(caught_up=True)
+    fold(state, record(-1, "a"))
+    try:
+        accept(state, 1, payload)
+    except CuminstileError as error:
+        assert error.code == ErrorCode.BAD_MESSAGE
+    assert fold(state, record(state.head, "c")) == [Effect.IN_FORCE]
+    assert state.version == 2
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,13 +1,18 @@
 """Test cuminstile.settings."""
 
+import dataclasses
 import json
 import socket
 from pathlib import Path
+from typing import Any
 
+import hypothesis
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cuminstile.exceptions import CuminstileError, ErrorCode
-from cuminstile.settings import load_settings, port_findings
+from cuminstile.settings import SETTINGS, Settings, load_settings, port_findings
 
 from .fakes.vms import make_settings
 
@@ -40,3 +45,44 @@
         settings = make_settings("vm-a1", "a", caller_port=port, vm_port=port)
         findings = port_findings(settings)
     assert [item.path for item in findings] == ["caller_port", "vm_port"]
+
+
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+NAMES = [field.name for field in dataclasses.fields(Settings)]
+
+
+@hypothesis.settings(
+    max_examples=200,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+@given(changes=st.dictionaries(st.sampled_from(NAMES), ANYTHING, min_size=1))
+def test_any_settings_are_good_or_findings(
+    tmp_path: Path, changes: dict[str, Any]
+) -> None:
+    path = tmp_path / "vm.json"
+    good = SETTINGS.dump_python(make_settings("vm-a1", "a"), mode="json")
+    path.write_text(json.dumps(good | changes))
+    try:
+        settings = load_settings(path)
+    except CuminstileError as error:
+        assert error.code is ErrorCode.BAD_SETTINGS
+        assert error.findings
+    else:
+        assert isinstance(settings, Settings)
+
+
+@given(data=st.binary())
+@hypothesis.settings(
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture]
+)
+def test_any_file_is_good_settings_or_findings(tmp_path: Path, data: bytes) -> None:
+    path = tmp_path / "vm.json"
+    path.write_bytes(data)
+    with pytest.raises(CuminstileError) as caught:
+        load_settings(path)
+    assert caught.value.findings
--- a/tests/vm/test_authentication.py
+++ b/tests/vm/test_authentication.py
@@ -69,8 +69,8 @@
             with anyio.fail_after(5.0):
                 await connection.send(data)
                 welcome = CODEC.decode(await connection.recv())
-        except websockets.ConnectionClosed as closed:
-            return closed.code
+        except websockets.ConnectionClosed:
+            return connection.close_code
         assert isinstance(welcome, Welcome)
         return None
 
