--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -21,6 +21,7 @@
     content: bytes
 
     async def request(self, *arguments: object, **options: object) -> Any:
+        """Answer one request."""
         return httpcore.Response(self.status, content=self.content)
 
 
