Run scripted scenarios against the real programs

The promises need proofs under failure that a reader can check line by line.

The platform's list drops a VM that was killed after its lag, as the platform's own does. Without that a killed VM stayed listed for good, and the other VM of two could never get a lease on a cold upstream.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -153,7 +153,7 @@
         await balancer.check()
         tasks.start_soon(balancer.watch)
         async with anyio.create_task_group() as sending:
-            sending.start_soon(run_load, load, balancer, record)
+            sending.start_soon(run_load, load, balancer.send, record)
             await anyio.sleep(KILL_AFTER_MS / 1000.0)
             fleet.programs.by_name[victim].kill()
             killed = len(record.replies)
--- a/standins/http.py
+++ b/standins/http.py
@@ -1,6 +1,7 @@
 """Exchange JSON over HTTP with the programs of a test arrangement."""
 
 import json
+from collections.abc import Sequence
 from typing import Any
 
 import httpcore
@@ -28,6 +29,7 @@
     port: int,
     path: str,
     body: Any = None,
+    headers: Sequence[tuple[str, str]] = (),
 ) -> Any:
     """Send JSON to a program and return its JSON.
 
@@ -40,7 +42,7 @@
         method,
         f"http://{HOST}:{port}{path}",
         content=b"" if body is None else json.dumps(body).encode(),
-        headers=[("content-type", "application/json")],
+        headers=[("content-type", "application/json"), *headers],
         extensions={"timeout": dict.fromkeys(("connect", "read", "pool"), TIMEOUT_S)},
     )
     if response.status != HTTP_OK:
--- a/standins/load.py
+++ b/standins/load.py
@@ -2,14 +2,13 @@
 
 import math
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 
 from .arrangement import caller_key
-from .balancer import Balancer
 from .caller import Ask, Reply, Result, now_ms, wall_ms
 
 PROMPT_REPEATS = 20
@@ -137,13 +136,15 @@
     return f"{terms}Question {draws.randrange(10_000)}."
 
 
-async def run_load(load: Load, balancer: Balancer, record: Record) -> None:
+async def run_load(
+    load: Load, send: Callable[[Ask], Awaitable[Reply]], record: Record
+) -> None:
     """Send the requests of a load and wait for the end of each."""
     draws = random.Random(load.seed)
     began_ms = now_ms()
 
     async def send_one(index: int, ask: Ask) -> None:
-        record.replies[index] = await balancer.send(ask)
+        record.replies[index] = await send(ask)
 
     async with anyio.create_task_group() as tasks:
         for number, at_ms in enumerate(arrivals(load, draws)):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -240,6 +240,15 @@
     return take_weights
 
 
+def streams_route(platform: Platform) -> Route:
+    """Return the route that names the streams, for tests; it knows no outage."""
+
+    async def streams(request: Request) -> Response:
+        return answer({"streams": sorted(platform.streams)})
+
+    return Route("/streams", streams, methods=["GET"])
+
+
 def make_routes(platform: Platform) -> list[Route]:
     """Return the routes of the platform."""
     append = during_service(platform, append_handler(platform))
@@ -251,6 +260,7 @@
         Route("/streams/{stream:path}", read, methods=["GET"]),
         Route("/vms", list_vms, methods=["GET"]),
         Route("/weights/{name}", weights, methods=["POST"]),
+        streams_route(platform),
         control_route(platform.control),
     ]
 
--- a/standins/startup.py
+++ b/standins/startup.py
@@ -134,8 +134,12 @@
     return seen
 
 
-async def list_vms(fleet: Fleet, leaving: frozenset[str] = frozenset()) -> None:
-    """Give the platform its list of VMs."""
+async def list_vms(
+    fleet: Fleet,
+    leaving: frozenset[str] = frozenset(),
+    gone: frozenset[str] = frozenset(),
+) -> None:
+    """Give the platform its list of VMs, without those that are gone."""
     rows = [
         {
             "name": plan.name,
@@ -144,6 +148,7 @@
             "state": "leaving" if plan.name in leaving else "live",
         }
         for plan in fleet.arrangement.vms
+        if plan.name not in gone
     ]
     await fleet.control(PLATFORM, vms=rows, seen_addresses=fleet.seen)
 
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Check the scenario language, and run every scenario."""
