Dial again soon after a path was cut under load

Cause: a VM that loses a session to a silent path leaves the connection with a closing handshake, and websockets waits 10 s for its end. A path that drops packets never gives one, so the dialling VM did not dial for 10 s, though the path had healed long before: refusals with no_upstream for as long.

Ruled out: the relay (a session that its accepting side gave up first came back 0.1 s after healing), the pauses between attempts to dial (2 s at most).

Before: tests/scenarios/cut-heals-under-load.scn red in 3 of 3 runs, no session within 5 s of healing. With a limit of 0.5 s on the handshake: green in 3 of 3.

--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -40,6 +40,8 @@
 if TYPE_CHECKING:
     from ..runtime import Vm
 
+# A path that drops packets never ends the closing handshake.
+CLOSE_TIMEOUT_MS = 500
 HANDSHAKE_TIMEOUT_MS = 2_000
 
 
@@ -115,6 +117,7 @@
         compression=None,
         ping_interval=None,
         open_timeout=HANDSHAKE_TIMEOUT_MS / 1000.0,
+        close_timeout=CLOSE_TIMEOUT_MS / 1000.0,
     ):
         await anyio.sleep(math.inf)
 
@@ -237,6 +240,7 @@
             ping_interval=None,
             proxy=None,
             open_timeout=CONNECT_TIMEOUT_MS / 1000.0,
+            close_timeout=CLOSE_TIMEOUT_MS / 1000.0,
         ) as connection:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_MS / 1000.0):
                 welcome = await greet(vm, connection, member)
