--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -119,7 +119,7 @@
     record = Record()
     began = anyio.current_time()
     before = [cpu_s(pid) for pid in pids]
-    await run_load(load, balancer, record)
+    await run_load(load, balancer.send, record)
     elapsed_s = anyio.current_time() - began
     bad = [reply for reply in record.replies if not reply.good]
     if len(bad) > len(record.replies) // 50:
