Claim idempotency keys on the log before dispatch

Cause: a call that may not be repeated was dispatched by whichever VM got it, so the caller's resend, or two VMs at once, ran it twice.

The claim is read back before dispatch, the first one that is not void stands, and only its claimant dispatches or voids it. All that waits on a stream goes out in one record. A resend is answered from the recorded outcome, from the claimant, or with unknown.

Ruled out: one stream (each VM would read every claim) and a stream for each data centre (the same key would be decided in two places when its callers roam).

Advancing now lets the tasks run first.

--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -23,6 +23,8 @@
         Empty for a request without one.
     issued_at_ms : int
         When the caller issued its key, in ms since 1970 UTC.
+    is_handed_over : bool
+        Whether a VM of this data centre chose this VM to claim the key.
     """
 
     request: str
@@ -38,6 +40,7 @@
     resume_at: int = 0
     idempotency_key: str = ""
     issued_at_ms: int = 0
+    is_handed_over: bool = False
 
 
 @dataclass(frozen=True)
@@ -59,11 +62,22 @@
     elapsed_ms: float
 
 
+def allow_send() -> None:
+    """Let a call leave."""
+
+
 @dataclass
 class RunTrace:
-    """Note whether a byte of a call that may not be repeated may have left."""
+    """Note whether a byte of a call that may not be repeated may have left.
+
+    Parameters
+    ----------
+    check_send : callable
+        Called right before the first byte leaves; raises if it may not any more.
+    """
 
     maybe_ran: bool = False
+    check_send: Callable[[], None] = allow_send
 
 
 async def drop_tokens(index: int, tokens: tuple[str, ...]) -> None:
--- /dev/null
+++ b/cuminstile/claims.py
@@ -0,0 +1,368 @@
+"""Run what may not be repeated at most once for each idempotency key."""
+
+from __future__ import annotations
+
+import math
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import TaskGroup
+
+from .calls import RunTrace, StageCall, StageOutcome
+from .claim_outcomes import decode_outcome, encode_failure, encode_outcome
+from .clock import Clock
+from .const import (
+    CALLER_CLOCK_SKEW_MS,
+    CLAIM_LOG_GRACE_MS,
+    CLAIM_POLL_WAIT_MS,
+    RESEND_WINDOW_MS,
+)
+from .events import Event
+from .exceptions import CuminstileError, ErrorCode, PlatformAwayError, Ran
+from .platform.claim_fold import Claim
+from .platform.claim_log import Partition, run_partition, wait_until
+from .platform.claim_records import (
+    ClaimItem,
+    OutcomeItem,
+    VoidItem,
+    fingerprint_of,
+    key_of,
+    partition_of,
+)
+from .upstream.client import UpstreamError
+from .vm.claim_exchange import ask_claimant
+
+if TYPE_CHECKING:
+    from .runtime import Vm
+
+Dispatch = Callable[[], Awaitable[StageOutcome]]
+
+CLAIM_BYTES = 8
+HEALTH_CHECK_MS = 100
+RUN_GRACE_MS = 10_000
+
+
+@dataclass
+class Held:
+    """Hold a claim of this VM.
+
+    Parameters
+    ----------
+    finished : anyio.Event
+        Set when the claim was given up, or its run has ended.
+    recorded : bytes
+        The encoded outcome; empty if the claim was given up.
+    is_abandoned : bool
+        Whether its caller left before a byte of the call did.
+    """
+
+    item: ClaimItem
+    part: Partition
+    finished: anyio.Event = field(default_factory=anyio.Event)
+    finished_ms: float = math.inf
+    recorded: bytes = b""
+    outcome: StageOutcome | None = None
+    error: CuminstileError | None = None
+    is_abandoned: bool = False
+
+
+@dataclass
+class Claims:
+    """Hold this VM's claims and the streams that it follows.
+
+    Parameters
+    ----------
+    tasks : TaskGroup or None
+        Runs what has to outlive the caller's request; None while not started.
+    """
+
+    partitions: dict[int, Partition] = field(default_factory=dict)
+    held: dict[bytes, Held] = field(default_factory=dict)
+    tasks: TaskGroup | None = None
+
+
+@dataclass
+class Told:
+    """Hold what a claimant said of its claim.
+
+    Parameters
+    ----------
+    gone_ms : float
+        Monotonic time since which the claimant is known to say nothing.
+    """
+
+    recorded: bytes = b""
+    gone_ms: float = math.inf
+
+
+async def run_once(
+    vm: Vm, call: StageCall, trace: RunTrace, dispatch: Dispatch
+) -> StageOutcome:
+    """Run `dispatch` unless the call's key has run, or give its recorded outcome.
+
+    Raises
+    ------
+    CuminstileError
+        The refusal, with what is known about the key's run.
+    """
+    check_age(call, vm.clock.wall_ms())
+    key = key_of(call)
+    part = use_partition(vm, partition_of(key))
+    item = ClaimItem(key, b"", fingerprint_of(call))
+    while True:
+        standing = part.fold.standing(key)
+        if standing is None:
+            held = await claim(vm, part, call, item)
+            if held is not None:
+                return await run_held(vm, held, call, trace, dispatch)
+            continue
+        if standing.item.fingerprint != item.fingerprint:
+            raise CuminstileError(
+                ErrorCode.KEY_REUSED, "the key was used for another request"
+            )
+        trace.maybe_ran = True
+        recorded = await outcome_of(vm, part, standing, call.deadline_ms)
+        if recorded:
+            vm.journal.record(
+                Event.CLAIM_REPLAYED, request=call.request, step=call.step
+            )
+            return decode_outcome(recorded)
+        trace.maybe_ran = False
+
+
+def check_age(call: StageCall, wall_ms: int) -> None:
+    """Refuse a call without a key, or with an issue time that is out of bounds."""
+    if not call.idempotency_key or not call.issued_at_ms:
+        raise CuminstileError(ErrorCode.KEY_REQUIRED, "the call carries no key")
+    if call.issued_at_ms > wall_ms + CALLER_CLOCK_SKEW_MS:
+        raise CuminstileError(
+            ErrorCode.KEY_FROM_FUTURE,
+            f"issued_at_ms is more than {CALLER_CLOCK_SKEW_MS} ms ahead",
+        )
+    if call.issued_at_ms < wall_ms - RESEND_WINDOW_MS:
+        raise too_old()
+
+
+def too_old() -> CuminstileError:
+    """Return the error for a key whose earlier sendings are not known any more."""
+    return CuminstileError(
+        ErrorCode.KEY_TOO_OLD, "the log tells no more of the key", Ran.UNKNOWN
+    )
+
+
+def use_partition(vm: Vm, number: int) -> Partition:
+    """Return a partition, which this VM follows from now on."""
+    claims = vm.claims
+    part = claims.partitions.get(number)
+    if part is None:
+        if claims.tasks is None:
+            raise PlatformAwayError("the claims are not followed yet")
+        part = Partition(number)
+        claims.partitions[number] = part
+        claims.tasks.start_soon(run_partition, vm, part)
+    part.used_ms = vm.clock.now_ms()
+    return part
+
+
+async def claim(
+    vm: Vm, part: Partition, call: StageCall, wanted: ClaimItem
+) -> Held | None:
+    """Claim a key and return the claim if it is the first that stands.
+
+    The claim has been read back from the log then. Otherwise it is given up.
+    """
+    name = secrets.token_bytes(CLAIM_BYTES)
+    item = ClaimItem(wanted.key, name, wanted.fingerprint)
+    held = Held(item, part)
+    check_health(vm, part, call)
+    vm.claims.held[name] = held
+    vm.activity.claims += 1
+    part.pending.claims.append(item)
+    part.request_append()
+    try:
+        while name not in part.fold.by_claim:
+            check_health(vm, part, call)
+            until_ms = min(call.deadline_ms, vm.clock.now_ms() + HEALTH_CHECK_MS)
+            await wait_until(vm.clock, part.changed, until_ms)
+        read_back = part.fold.by_claim[name]
+        check_window(part, read_back, call)
+    except BaseException:
+        give_up(vm, held)
+        raise
+    if part.fold.standing(item.key) is not read_back:
+        give_up(vm, held)
+        return None
+    return held
+
+
+def check_health(vm: Vm, part: Partition, call: StageCall) -> None:
+    """Refuse a call whose deadline has passed or whose log does not answer."""
+    now_ms = vm.clock.now_ms()
+    if now_ms >= call.deadline_ms:
+        raise CuminstileError(ErrorCode.DEADLINE_PASSED, "the deadline has passed")
+    if part.is_away(now_ms):
+        raise PlatformAwayError("the platform does not answer; the key is not claimed")
+
+
+def check_window(part: Partition, read_back: Claim, call: StageCall) -> None:
+    """Refuse a key that may have been claimed before what was read of the log.
+
+    Both times are the platform's, so this VM's clock does not matter.
+    """
+    if call.issued_at_ms > read_back.time_ms + CALLER_CLOCK_SKEW_MS:
+        raise CuminstileError(
+            ErrorCode.KEY_FROM_FUTURE, "issued_at_ms is ahead of the platform's time"
+        )
+    oldest_ms = read_back.time_ms - RESEND_WINDOW_MS - CALLER_CLOCK_SKEW_MS
+    if call.issued_at_ms < oldest_ms:
+        raise too_old()
+    if call.issued_at_ms - CALLER_CLOCK_SKEW_MS < part.fold.complete_since_ms:
+        raise too_old()
+
+
+def give_up(vm: Vm, held: Held) -> None:
+    """Take back a claim that is not dispatched, so that a resend can run."""
+    held.finished_ms = vm.clock.now_ms()
+    held.finished.set()
+    pending = held.part.pending
+    if held.item in pending.claims:
+        pending.claims.remove(held.item)
+        vm.activity.claims -= 1
+        return
+    pending.voids.append(VoidItem(held.item.claim))
+    held.part.request_append()
+
+
+async def run_held(
+    vm: Vm, held: Held, call: StageCall, trace: RunTrace, dispatch: Dispatch
+) -> StageOutcome:
+    """Run a claimed call; the run goes on when its caller has left."""
+
+    def check_send() -> None:
+        if held.is_abandoned or vm.clock.now_ms() >= call.deadline_ms:
+            raise UpstreamError("expired", False)
+
+    trace.check_send = check_send
+    assert vm.claims.tasks is not None
+    vm.claims.tasks.start_soon(execute, vm, held, call, trace, dispatch)
+    try:
+        await held.finished.wait()
+    finally:
+        held.is_abandoned = True
+    if held.error is not None:
+        raise held.error
+    assert held.outcome is not None
+    return held.outcome
+
+
+async def execute(
+    vm: Vm, held: Held, call: StageCall, trace: RunTrace, dispatch: Dispatch
+) -> None:
+    """Dispatch a claimed call and record how it ended."""
+    limit_ms = call.deadline_ms + RUN_GRACE_MS
+    held.error = CuminstileError(
+        ErrorCode.UPSTREAM_FAILED, "the upstream gave no answer", Ran.UNKNOWN
+    )
+
+    async def run() -> None:
+        try:
+            held.outcome = await dispatch()
+            held.error = None
+        except CuminstileError as error:
+            held.error = error
+        except Exception as error:
+            vm.journal.record(Event.STAGE_FAILED, reason=repr(error), stage=call.stage)
+            held.error = CuminstileError(ErrorCode.INTERNAL, "internal error")
+
+    await run_until(vm.clock, limit_ms, run)
+    if held.outcome is not None:
+        held.recorded = encode_outcome(held.outcome)
+    elif trace.maybe_ran:
+        held.recorded = encode_failure(held.error)
+    if not held.recorded:
+        give_up(vm, held)
+        return
+    held.finished_ms = vm.clock.now_ms()
+    held.finished.set()
+    held.part.pending.outcomes.append(OutcomeItem(held.item.claim, held.recorded))
+    held.part.request_append()
+
+
+async def run_until(
+    clock: Clock, until_ms: float, work: Callable[[], Awaitable[None]]
+) -> None:
+    """Run `work`, at most until a monotonic time."""
+    async with anyio.create_task_group() as tasks:
+
+        async def end() -> None:
+            await clock.sleep_ms(until_ms - clock.now_ms())
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(end)
+        await work()
+        tasks.cancel_scope.cancel()
+
+
+async def outcome_of(
+    vm: Vm, part: Partition, standing: Claim, deadline_ms: float
+) -> bytes:
+    """Return the outcome of a claim as soon as its claimant or the log tells it.
+
+    Returns nothing if the claim was voided.
+
+    Raises
+    ------
+    CuminstileError
+        With `CLAIMED_ELSEWHERE` if neither tells it in time.
+    """
+    told = Told()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask, vm, part, standing, told)
+        while not (standing.is_void or standing.outcome or told.recorded):
+            until_ms = min(deadline_ms, told.gone_ms + CLAIM_LOG_GRACE_MS)
+            if vm.clock.now_ms() >= until_ms:
+                break
+            await wait_until(vm.clock, part.changed, until_ms)
+        tasks.cancel_scope.cancel()
+    if standing.is_void:
+        return b""
+    if recorded := standing.outcome or told.recorded:
+        return recorded
+    raise CuminstileError(
+        ErrorCode.CLAIMED_ELSEWHERE,
+        f"{standing.vm} holds the key and has not told its outcome",
+        Ran.UNKNOWN,
+    )
+
+
+async def ask(vm: Vm, part: Partition, standing: Claim, told: Told) -> None:
+    """Ask the claimant, this VM or another, for the outcome of its claim."""
+    name = standing.item.claim
+    if standing.vm != vm.settings.name:
+        told.recorded = await ask_claimant(vm, standing.vm, standing.incarnation, name)
+    elif held := vm.claims.held.get(name):
+        await held.finished.wait()
+        told.recorded = held.recorded
+    if not told.recorded:
+        told.gone_ms = vm.clock.now_ms()
+    part.notify()
+
+
+async def keep_claims(vm: Vm) -> None:
+    """Run what the claims need in the background, for ever."""
+    async with anyio.create_task_group() as tasks:
+        vm.claims.tasks = tasks
+        while True:
+            forget_finished(vm)
+            await vm.clock.sleep_ms(CLAIM_POLL_WAIT_MS)
+
+
+def forget_finished(vm: Vm) -> None:
+    """Forget claims so old that no resend can ask for them."""
+    oldest_ms = vm.clock.now_ms() - RESEND_WINDOW_MS - 2 * CALLER_CLOCK_SKEW_MS
+    for name, held in tuple(vm.claims.held.items()):
+        if held.finished_ms < oldest_ms:
+            del vm.claims.held[name]
--- a/cuminstile/clock.py
+++ b/cuminstile/clock.py
@@ -61,6 +61,7 @@
 
     async def advance_ms(self, duration_ms: float) -> None:
         """Move the time on, waking each sleeper at its own moment."""
+        await settle()
         end_ms = self.at_ms + duration_ms
         while self.sleepers and self.sleepers[0][0] <= end_ms:
             due_ms, _, event = heapq.heappop(self.sleepers)
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -15,6 +15,7 @@
 from starlette.applications import Starlette
 
 from .caller.app import make_app
+from .claims import keep_claims
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
@@ -24,9 +25,12 @@
 from .settings import Settings, load_settings
 from .stages import run_stage
 from .tls import client_context, server_context
+from .vm.claim_exchange import on_claim_ask
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
+    ClaimAsk,
+    ClaimTell,
     Heartbeat,
     RunStage,
     StageCancel,
@@ -68,6 +72,8 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            ClaimAsk: on_claim_ask,
+            ClaimTell: on_answer,
         },
         members=members,
         server_tls=server_context(settings.tls),
@@ -108,6 +114,7 @@
         tasks.start_soon(listen, vm)
         tasks.start_soon(keep_dialling, vm)
         tasks.start_soon(follow_configuration, vm)
+        tasks.start_soon(keep_claims, vm)
         tasks.start_soon(follow_vm_list, vm)
         for server in servers:
             tasks.start_soon(server.serve)
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -41,6 +41,8 @@
     STAGE_FORWARDED = 2104
     ANSWER_DROPPED = 2105
     STAGE_RETRIED = 2106
+    CLAIM_RECORD_REFUSED = 2201
+    CLAIM_REPLAYED = 2202
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/exceptions.py
+++ b/cuminstile/exceptions.py
@@ -26,6 +26,7 @@
     KEY_REQUIRED = "key_required"
     KEY_TOO_OLD = "key_too_old"
     KEY_REUSED = "key_reused"
+    KEY_FROM_FUTURE = "key_from_future"
     CLAIMED_ELSEWHERE = "claimed_elsewhere"
     ANSWER_TOO_LARGE = "answer_too_large"
     DEADLINE_PASSED = "deadline_passed"
@@ -55,6 +56,7 @@
     ErrorCode.KEY_REQUIRED: 400,
     ErrorCode.KEY_TOO_OLD: 409,
     ErrorCode.KEY_REUSED: 422,
+    ErrorCode.KEY_FROM_FUTURE: 400,
     ErrorCode.CLAIMED_ELSEWHERE: 409,
     ErrorCode.ANSWER_TOO_LARGE: 409,
     ErrorCode.DEADLINE_PASSED: 504,
--- /dev/null
+++ b/cuminstile/platform/claim_fold.py
@@ -0,0 +1,139 @@
+"""Fold one `claims` stream into the claims that stand."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..const import CALLER_CLOCK_SKEW_MS, RESEND_WINDOW_MS
+from .claim_records import BATCHES, ClaimBatch, ClaimItem
+from .client import Record
+
+KEEP_MS = RESEND_WINDOW_MS + 2 * CALLER_CLOCK_SKEW_MS
+
+
+@dataclass
+class Claim:
+    """Hold one claim as the log has it.
+
+    Parameters
+    ----------
+    vm, incarnation : str
+        The claimant; nobody else ever dispatches or voids the claim.
+    time_ms : int
+        The platform's time of day of its record.
+    outcome : bytes
+        Empty until the outcome is recorded.
+    """
+
+    item: ClaimItem
+    vm: str
+    incarnation: str
+    time_ms: int
+    is_void: bool = False
+    outcome: bytes = b""
+
+
+@dataclass
+class ClaimFold:
+    """Hold what the records of one stream say; every reader folds them alike.
+
+    Parameters
+    ----------
+    complete_since_ms : float
+        Every record since this time of the platform has been read.
+    voided : dict of bytes to int
+        Claims voided before their own record was seen.
+    seen : dict of bytes to int
+        The nonces of the batches applied.
+    aging : deque of Aged
+        What to forget, oldest first.
+    """
+
+    next_offset: int = 0
+    complete_since_ms: float = -math.inf
+    latest_ms: int = 0
+    by_key: dict[bytes, list[Claim]] = field(default_factory=dict)
+    by_claim: dict[bytes, Claim] = field(default_factory=dict)
+    voided: dict[bytes, int] = field(default_factory=dict)
+    seen: dict[bytes, int] = field(default_factory=dict)
+    aging: deque[Aged] = field(default_factory=deque)
+
+    def start_at(self, offset: int) -> None:
+        """Go on at a later offset; what lies before it stays unread."""
+        self.next_offset = offset
+        self.complete_since_ms = math.inf
+
+    def apply(self, record: Record) -> None:
+        """Apply the next record.
+
+        Raises
+        ------
+        CuminstileError
+            With `BAD_MESSAGE` if it is no batch; it is then left out.
+        """
+        if record.offset < self.next_offset:
+            return
+        self.next_offset = record.offset + 1
+        self.latest_ms = max(self.latest_ms, record.time_ms)
+        self.complete_since_ms = min(self.complete_since_ms, record.time_ms)
+        self.forget()
+        batch: ClaimBatch = BATCHES.decode(record.payload)
+        if batch.nonce in self.seen:
+            return
+        self.seen[batch.nonce] = record.offset
+        self.take(batch)
+        self.aging.append(Aged(self.latest_ms, batch))
+
+    def take(self, batch: ClaimBatch) -> None:
+        """Apply one batch that was not seen before."""
+        for item in batch.claims:
+            claim = Claim(item, batch.vm, batch.incarnation, self.latest_ms)
+            claim.is_void = item.claim in self.voided
+            self.by_claim[item.claim] = claim
+            self.by_key.setdefault(item.key, []).append(claim)
+        for void in batch.voids:
+            self.voided[void.claim] = self.latest_ms
+            if void.claim in self.by_claim:
+                self.by_claim[void.claim].is_void = True
+        for outcome in batch.outcomes:
+            if outcome.claim in self.by_claim:
+                self.by_claim[outcome.claim].outcome = outcome.outcome
+
+    def standing(self, key: bytes) -> Claim | None:
+        """Return the first claim of a key that is not void."""
+        claims = self.by_key.get(key, ())
+        return next((claim for claim in claims if not claim.is_void), None)
+
+    def forget(self) -> None:
+        """Forget what no acceptable resend can refer to any more."""
+        oldest_ms = self.latest_ms - KEEP_MS
+        while self.aging and self.aging[0].time_ms < oldest_ms:
+            batch = self.aging.popleft().batch
+            self.seen.pop(batch.nonce, None)
+            for item in batch.claims:
+                self.by_claim.pop(item.claim, None)
+                self.drop(item)
+            for void in batch.voids:
+                self.voided.pop(void.claim, None)
+
+    def drop(self, item: ClaimItem) -> None:
+        """Forget one claim of a key."""
+        left = [
+            claim
+            for claim in self.by_key.get(item.key, ())
+            if claim.item.claim != item.claim
+        ]
+        if left:
+            self.by_key[item.key] = left
+        else:
+            self.by_key.pop(item.key, None)
+
+
+@dataclass(frozen=True)
+class Aged:
+    """Hold a batch and the platform's time at which it was applied."""
+
+    time_ms: int
+    batch: ClaimBatch
--- /dev/null
+++ b/cuminstile/platform/claim_records.py
@@ -0,0 +1,101 @@
+"""Define the records of the `claims` streams."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import cbor2
+from pydantic.dataclasses import dataclass
+
+from ..const import CLAIM_PARTITIONS, CLAIM_STREAM_PREFIX
+from ..wire import Message, make_codec
+
+if TYPE_CHECKING:
+    from ..calls import StageCall
+
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True)
+class ClaimItem(Message):
+    """Claim a key.
+
+    Parameters
+    ----------
+    key : bytes
+        Digest of organisation, idempotency key, pipeline and step.
+    claim : bytes
+        Names this claim; never used twice.
+    fingerprint : bytes
+        Digest of what the key is to run.
+    """
+
+    key: bytes
+    claim: bytes
+    fingerprint: bytes
+
+
+@dataclass(frozen=True)
+class VoidItem(Message):
+    """Take back a claim that was never dispatched and never will be."""
+
+    claim: bytes
+
+
+@dataclass(frozen=True)
+class OutcomeItem(Message):
+    """Tell how the run of a claim ended; `outcome` is an encoded `Outcome`."""
+
+    claim: bytes
+    outcome: bytes
+
+
+@dataclass(frozen=True)
+class ClaimBatch(Message):
+    """Hold all that one VM had to record at one moment.
+
+    Parameters
+    ----------
+    nonce : bytes
+        The same in every append of one batch; the first occurrence counts.
+    vm, incarnation : str
+        The VM that made the claims.
+    """
+
+    nonce: bytes
+    vm: str
+    incarnation: str
+    claims: tuple[ClaimItem, ...]
+    voids: tuple[VoidItem, ...]
+    outcomes: tuple[OutcomeItem, ...]
+
+
+BATCHES = make_codec(((1, ClaimBatch),))
+
+
+def digest(*parts: str) -> bytes:
+    """Return a digest of texts that keeps their borders."""
+    data = cbor2.dumps(parts)
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def key_of(call: StageCall) -> bytes:
+    """Return the digest that names what may run once."""
+    return digest(call.organisation, call.idempotency_key, call.pipeline, call.step)
+
+
+def fingerprint_of(call: StageCall) -> bytes:
+    """Return a digest of the stage, its input and the key's issue time."""
+    data = cbor2.dumps([call.stage, call.issued_at_ms, call.input], canonical=True)
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def partition_of(key: bytes) -> int:
+    """Return the number of the stream that decides a key."""
+    return int.from_bytes(key[:4], "big") % CLAIM_PARTITIONS
+
+
+def stream_of(partition: int) -> str:
+    """Return the name of a partition's stream."""
+    return f"{CLAIM_STREAM_PREFIX}-{partition}"
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -12,6 +12,7 @@
 import httpcore
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
+from .claims import Claims
 from .clock import Clock
 from .events import Journal
 from .exceptions import CuminstileError, ErrorCode
@@ -34,14 +35,21 @@
 
 @dataclass
 class Activity:
-    """Count the work in progress, so that a shutdown can wait for it."""
+    """Count the work in progress, so that a shutdown can wait for it.
+
+    Parameters
+    ----------
+    claims : int
+        Claims of this VM whose outcome or void is not recorded yet.
+    """
 
     requests: int = 0
     forwarded: int = 0
+    claims: int = 0
 
     def total(self) -> int:
         """Return how many pieces of work are in progress."""
-        return self.requests + self.forwarded
+        return self.requests + self.forwarded + self.claims
 
 
 @dataclass
@@ -75,6 +83,7 @@
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+    claims: Claims = field(default_factory=Claims)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
+from .claim_routing import claimant_name
+from .claims import run_once
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
 from .objects.model import DataCentreState, Upstream
+from .platform.claim_records import key_of, partition_of
 from .upstream.choice import least_in_flight
 from .upstream.client import UpstreamAnswer, UpstreamError, call_upstream, refusal
 from .upstream.table import UpstreamState
@@ -103,10 +106,19 @@
     tried: list[str],
 ) -> StageOutcome:
     """Try one upstream of this data centre, or one VM of another."""
+    repeatable = vm.objects.stages[call.stage].repeatable
     local = local_upstreams(vm, call, tried)
-    if local:
-        return await run_here(vm, call, trace, counter, local, tried)
-    session = peer_for(vm, call, tried) if may_forward else None
+    session = None if repeatable else claimant_for(vm, call, may_forward, tried)
+    if local and session is None:
+
+        async def dispatch() -> StageOutcome:
+            return await run_here(vm, call, trace, counter, local, tried)
+
+        if repeatable:
+            return await dispatch()
+        return await run_once(vm, call, trace, dispatch)
+    if session is None and may_forward:
+        session = peer_for(vm, call, tried)
     if session is None:
         raise no_upstream(call)
     tried.append(session.name)
@@ -116,6 +128,30 @@
     return await run_on_peer(vm, session, call, trace, counter.take)
 
 
+def claimant_for(
+    vm: Vm, call: StageCall, may_forward: bool, tried: list[str]
+) -> Session | None:
+    """Return a session towards the VM that claims the call's key, unless this does."""
+    if call.is_handed_over:
+        return None
+    usable = [
+        session
+        for session in vm.sessions.by_name.values()
+        if session.name not in tried and may_receive(vm, session)
+    ]
+    own = vm.settings
+    centres = {upstream.data_centre for upstream in serving(vm, call.version)}
+    name = claimant_name(
+        partition_of(key_of(call)),
+        centres,
+        own.data_centre,
+        None if vm.leaving else own.name,
+        usable,
+        may_forward,
+    )
+    return None if name is None else vm.sessions.by_name.get(name)
+
+
 def no_upstream(call: StageCall) -> CuminstileError:
     """Return the error for a stage that nothing serves."""
     return CuminstileError(
--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -61,10 +61,15 @@
 
     async def trace(self, name: str, info: dict[str, Any]) -> None:
         """Take the events of the HTTP library."""
-        if name.endswith("send_request_headers.started"):
+        if is_first_byte(name):
             self.left = True
 
 
+def is_first_byte(name: str) -> bool:
+    """Return whether an event of the HTTP library precedes the first byte sent."""
+    return name.endswith("send_request_headers.started")
+
+
 def make_pool() -> httpcore.AsyncConnectionPool:
     """Return the connection pool for all upstreams of a VM."""
     return httpcore.AsyncConnectionPool(
@@ -111,6 +116,8 @@
     sending = Sending()
 
     async def note(name: str, info: dict[str, Any]) -> None:
+        if trace is not None and is_first_byte(name):
+            trace.check_send()
         await sending.trace(name, info)
         if sending.left and trace is not None:
             trace.maybe_ran = True
--- /dev/null
+++ b/cuminstile/vm/claim_exchange.py
@@ -0,0 +1,58 @@
+"""Ask another VM how the run of its claim ended, and answer such questions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..exceptions import CuminstileError
+from ..wire import Message
+from .messages import ClaimAsk, ClaimTell
+from .sessions import Session
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+
+async def ask_claimant(vm: Vm, name: str, incarnation: str, claim: bytes) -> bytes:
+    """Return the outcome that a claimant tells, or nothing if it tells none.
+
+    Another incarnation at the same address knows nothing of the claim.
+    """
+    session = vm.sessions.by_name.get(name)
+    if session is None or session.incarnation != incarnation:
+        return b""
+    number = next(session.numbers)
+    answers, incoming = anyio.create_memory_object_stream[Message](1)
+    session.calls[number] = answers
+    try:
+        await session.send(ClaimAsk(number, claim))
+        async for message in incoming:
+            if isinstance(message, ClaimTell):
+                return message.outcome
+    except CuminstileError:
+        return b""
+    finally:
+        session.calls.pop(number, None)
+        answers.close()
+    return b""
+
+
+async def on_claim_ask(vm: Vm, session: Session, message: ClaimAsk) -> None:
+    """Start a task that answers when the claim's run has ended."""
+    session.tasks.start_soon(tell, vm, session, message)
+
+
+async def tell(vm: Vm, session: Session, message: ClaimAsk) -> None:
+    """Send the outcome of a claim of this VM, or nothing if it holds none."""
+    held = vm.claims.held.get(message.claim)
+    outcome = b""
+    if held is not None:
+        await held.finished.wait()
+        outcome = held.recorded
+    try:
+        await session.send(ClaimTell(message.call, outcome))
+    except CuminstileError:
+        # The session broke: the other VM sees that itself.
+        return
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -12,6 +12,7 @@
 from ..exceptions import CuminstileError, ErrorCode, Ran
 from ..wire import Message
 from .messages import (
+    ClaimTell,
     RunStage,
     StageCancel,
     StageDone,
@@ -104,7 +105,9 @@
 
 
 async def on_answer(
-    vm: Vm, session: Session, message: StageTokens | StageDone | StageRefused
+    vm: Vm,
+    session: Session,
+    message: StageTokens | StageDone | StageRefused | ClaimTell,
 ) -> None:
     """Hand an answer to the call that waits for it; drop one nobody waits for."""
     answers = session.calls.get(message.call)
@@ -144,6 +147,7 @@
         resume_at=message.resume_at,
         idempotency_key=message.idempotency_key,
         issued_at_ms=message.issued_at_ms,
+        is_handed_over=session.data_centre == vm.settings.data_centre,
     )
 
     async def on_tokens(index: int, tokens: tuple[str, ...]) -> None:
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -144,6 +144,22 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class ClaimAsk(Message):
+    """Ask a claimant how the run of its claim ended; it answers when it has."""
+
+    call: int
+    claim: bytes
+
+
+@dataclass(frozen=True)
+class ClaimTell(Message):
+    """Give the outcome of a claim; empty if the claimant holds none."""
+
+    call: int
+    outcome: bytes
+
+
 CODEC = make_codec(
     (
         (1, Challenge),
@@ -157,5 +173,7 @@
         (24, StageCancel),
         (30, ConfigAsk),
         (31, ConfigGive),
+        (40, ClaimAsk),
+        (41, ClaimTell),
     )
 )
--- a/tests/vm/test_forwarding.py
+++ b/tests/vm/test_forwarding.py
@@ -15,6 +15,7 @@
 from cuminstile.vm.messages import StageTokens
 
 from ..fakes.objects import small_set
+from ..fakes.platform import claiming
 from ..fakes.upstreams import send_event, send_event_head, send_json, upstream
 from ..fakes.vms import connected, make_test_vm, put_in_force
 
@@ -260,7 +261,7 @@
         await stream.aclose()
 
     trace = RunTrace()
-    async with upstream(cut) as fake:
+    async with upstream(cut) as fake, claiming(vm):
         addresses = {"one-a": fake.address, "two-a": fake.address}
         put_in_force(vm, small_set(addresses, repeatable=False))
         with pytest.raises(CuminstileError) as caught:
