--- a/cuminstile/claims.py
+++ b/cuminstile/claims.py
@@ -32,7 +32,6 @@
     key_of,
     partition_of,
 )
-from .upstream.client import UpstreamError
 from .vm.claim_exchange import ask_claimant
 
 if TYPE_CHECKING:
@@ -243,7 +242,7 @@
 
     def check_send() -> None:
         if held.is_abandoned or vm.clock.now_ms() >= call.deadline_ms:
-            raise UpstreamError("expired", False)
+            raise CuminstileError(ErrorCode.DEADLINE_PASSED, "the deadline has passed")
 
     trace.check_send = check_send
     assert vm.claims.tasks is not None
--- a/tests/fakes/bookings.py
+++ b/tests/fakes/bookings.py
@@ -224,6 +224,8 @@
         done = sum(run.key == call.idempotency_key for run in self.runs)
         reply = Reply(call, done)
         self.replies.append(reply)
+        if node.is_dead:
+            return reply
         trace = RunTrace()
 
         async def dispatch() -> StageOutcome:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,6 +6,8 @@
 import anyio
 import pytest
 
+from cuminstile.calls import RunTrace, StageOutcome
+from cuminstile.claims import run_once
 from cuminstile.const import MAX_OUTCOME_BYTES, RESEND_WINDOW_MS
 from cuminstile.exceptions import CuminstileError, ErrorCode, Ran
 from cuminstile.platform.claim_records import key_of, partition_of, stream_of
@@ -256,6 +258,42 @@
         (reply,) = await finish(made, ("a1", made.call("k", issued_at_ms=ahead)))
     assert reply.error.code is ErrorCode.KEY_FROM_FUTURE
     assert reply.ran is Ran.NOT_RUN
+    assert made.log.appends == 0
+
+
+async def test_an_old_key_is_unknown_while_the_platform_is_away() -> None:
+    async with cluster("a1") as made:
+        made.nodes["a1"].platform.is_away = True
+        await made.clock.advance_ms(RESEND_WINDOW_MS + 1_000.0)
+        old = made.clock.wall_ms() - RESEND_WINDOW_MS - 500
+        (reply,) = await finish(made, ("a1", made.call("k", issued_at_ms=old)))
+    assert reply.error.code is ErrorCode.KEY_TOO_OLD
+    assert reply.ran is Ran.UNKNOWN
+
+
+async def test_a_resend_cut_off_while_it_waits_may_have_run() -> None:
+    async with cluster() as made:
+        made.work_ms = 3_000.0
+        made.tasks.start_soon(made.send, "a1", made.call("k"))
+        await made.clock.advance_ms(500.0)
+        trace = RunTrace()
+
+        async def resend() -> None:
+            with anyio.CancelScope() as scope:
+                scopes.append(scope)
+                again = made.resend(made.replies[0], 1)
+                await run_once(made.nodes["b1"].vm, again, trace, never)
+
+        scopes: list[anyio.CancelScope] = []
+        made.tasks.start_soon(resend)
+        await made.clock.advance_ms(500.0)
+        scopes[0].cancel()
+        await made.clock.advance_ms(1.0)
+    assert trace.maybe_ran
+
+
+async def never() -> StageOutcome:
+    raise AssertionError("the key had run")
 
 
 @pytest.mark.parametrize("name", ["a1", "b1"])
--- /dev/null
+++ b/tests/upstream/test_cut_calls.py
@@ -0,0 +1,173 @@
+"""Test what is said of a call that is cut, over where it is cut."""
+
+import json
+import socket
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cuminstile.calls import RunTrace, StageCall, StageOutcome, drop_tokens
+from cuminstile.exceptions import CuminstileError, Ran
+from cuminstile.runtime import Vm
+from cuminstile.stages import run_stage
+
+from ..fakes.objects import small_set
+from ..fakes.platform import claiming
+from ..fakes.vms import free_port, make_test_vm, put_in_force
+
+
+class Where(StrEnum):
+    """Name the moments at which a call can be cut."""
+
+    BEFORE_CONNECT = "before connect"
+    AT_ONCE = "at once"
+    PARTLY_WRITTEN = "partly written"
+    WRITTEN = "written"
+    HALF_ANSWERED = "half answered"
+    NOT_CUT = "not cut"
+
+
+@dataclass(frozen=True)
+class Cut:
+    """Tell where a call is cut.
+
+    Parameters
+    ----------
+    share : float
+        The part of the call that is read, or of the answer that is sent.
+    padding : int
+        Bytes that make the call larger than the sockets hold.
+    reset : bool
+        Whether the connection is reset and not closed.
+    status : int
+        Of the answer: 200, 429 (nothing ran) or 500.
+    """
+
+    where: Where
+    share: float
+    padding: int
+    reset: bool
+    status: int
+
+
+CUTS = st.builds(
+    Cut,
+    where=st.sampled_from(Where),
+    share=st.floats(0.0, 0.99),
+    padding=st.sampled_from((0, 10_000, 3_000_000)),
+    reset=st.booleans(),
+    status=st.sampled_from((200, 429, 500)),
+)
+
+
+@dataclass
+class Service:
+    """Cut the calls that come; a whole call that is not refused with 429 runs."""
+
+    cut: Cut
+    received: int = 0
+    runs: int = 0
+    refusals: int = 0
+
+    async def handle(self, stream: SocketStream) -> None:
+        """Serve one connection."""
+        async with stream:
+            if self.cut.reset:
+                raw = stream.extra(SocketAttribute.raw_socket)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            if self.cut.where is Where.AT_ONCE:
+                return
+            body = await self.read(stream)
+            if body is None:
+                return
+            if self.cut.status != 429:
+                self.runs += 1
+            if self.cut.where is Where.WRITTEN:
+                return
+            await self.answer(stream, body)
+
+    async def read(self, stream: SocketStream) -> dict[str, Any] | None:
+        """Read one call; nothing if it is to be cut before its end."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += await stream.receive()
+            self.received = len(data)
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        partly = self.cut.where is Where.PARTLY_WRITTEN
+        limit = int(length * self.cut.share) if partly else length
+        while len(body) < limit:
+            body += await stream.receive()
+        return None if partly else json.loads(body)
+
+    async def answer(self, stream: SocketStream, body: dict[str, Any]) -> None:
+        """Send the answer, or the first part of it."""
+        content = json.dumps({"attempt": body["attempt"], "output": "done"})
+        head = f"HTTP/1.1 {self.cut.status} X\r\ncontent-length: {len(content)}\r\n\r\n"
+        data = (head + content).encode()
+        if self.cut.where is Where.HALF_ANSWERED:
+            data = data[: int(len(data) * self.cut.share)]
+        elif self.cut.status == 429:
+            self.refusals += 1
+        await stream.send(data)
+
+
+def make_call(vm: Vm, padding: int) -> StageCall:
+    """Return a call that may not be repeated."""
+    return StageCall(
+        request="r",
+        organisation="org",
+        pipeline="chat",
+        step="g",
+        stage="generate",
+        version="generate-1",
+        input={"padding": "x" * padding},
+        stream=False,
+        priority=0,
+        deadline_ms=vm.clock.now_ms() + 2_000.0,
+        idempotency_key="k",
+        issued_at_ms=vm.clock.wall_ms(),
+    )
+
+
+@settings(
+    max_examples=150,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(cut=CUTS)
+async def test_a_refusal_says_the_truth_wherever_the_call_is_cut(cut: Cut) -> None:
+    service = Service(cut)
+    vm = make_test_vm("vm-a1", "a")
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+    port = listener.extra(SocketAttribute.local_port)
+    if cut.where is Where.BEFORE_CONNECT:
+        port = free_port()
+    objects = small_set({"one-a": f"127.0.0.1:{port}"}, repeatable=False)
+    put_in_force(vm, objects)
+    trace = RunTrace()
+    outcome: StageOutcome | None = None
+    ran: Ran | None = None
+    async with listener, anyio.create_task_group() as tasks, claiming(vm):
+        tasks.start_soon(listener.serve, service.handle)
+        try:
+            call = make_call(vm, cut.padding)
+            outcome = await run_stage(vm, call, trace, drop_tokens, False)
+        except CuminstileError as error:
+            ran = Ran.UNKNOWN if trace.maybe_ran else error.ran
+        tasks.cancel_scope.cancel()
+    await vm.upstream_pool.aclose()
+    assert service.runs <= 1
+    if outcome is not None:
+        assert service.runs == 1
+    elif cut.where is Where.BEFORE_CONNECT:
+        assert ran is Ran.NOT_RUN
+    elif service.refusals:
+        assert ran is Ran.NOT_RUN and service.runs == 0
+    else:
+        assert ran is Ran.UNKNOWN
