--- a/cuminstile/claim_routing.py
+++ b/cuminstile/claim_routing.py
@@ -6,10 +6,71 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING
 
+from .calls import StageCall
+from .platform.claim_records import key_of, partition_of
 from .rendezvous import rank
+from .routing import is_leaving, serving
 from .vm.sessions import Session
 
+if TYPE_CHECKING:
+    from .runtime import Vm
+
+
+def claimant_for(
+    vm: Vm, call: StageCall, may_leave: bool, tried: Sequence[str]
+) -> Session | None:
+    """Return a session towards the VM that claims the call's key, unless this does.
+
+    `may_leave` tells whether the call may go to another data centre.
+    """
+    if call.is_handed_over:
+        return None
+    sessions = [item for item in usable(vm) if item.name not in tried]
+    centres = {upstream.data_centre for upstream in serving(vm, call.version)}
+    partition = partition_of(key_of(call))
+    name = claimant_name(
+        partition,
+        centres,
+        vm.settings.data_centre,
+        None if vm.leaving else vm.settings.name,
+        sessions,
+        may_leave,
+    )
+    return None if name is None else vm.sessions.by_name.get(name)
+
+
+def claims_here(vm: Vm, partition: int) -> bool:
+    """Return whether other VMs hand a partition's keys to this one."""
+    if vm.configuration.current is None or vm.leaving:
+        return False
+    own = vm.settings
+    return any(
+        claimant_name(partition, centres, own.data_centre, own.name, usable(vm), True)
+        == own.name
+        for centres in claiming_data_centres(vm)
+    )
+
+
+def claiming_data_centres(vm: Vm) -> list[set[str]]:
+    """Return the data centres that serve each stage which may not be repeated."""
+    return [
+        {
+            upstream.data_centre
+            for version in vm.objects.by_stage.get(stage.name, ())
+            for upstream in serving(vm, version.name)
+        }
+        for stage in vm.objects.stages.values()
+        if not stage.repeatable
+    ]
+
+
+def usable(vm: Vm) -> list[Session]:
+    """Return the sessions with VMs that may receive work."""
+    sessions = vm.sessions.by_name.values()
+    return [session for session in sessions if not is_leaving(vm, session)]
+
 
 def home_data_centre(
     partition: int, data_centres: Iterable[str], reachable: Iterable[str]
--- a/cuminstile/claims.py
+++ b/cuminstile/claims.py
@@ -13,11 +13,15 @@
 
 from .calls import RunTrace, StageCall, StageOutcome
 from .claim_outcomes import decode_outcome, encode_failure, encode_outcome
+from .claim_routing import claims_here
 from .clock import Clock
 from .const import (
     CALLER_CLOCK_SKEW_MS,
     CLAIM_LOG_GRACE_MS,
+    CLAIM_MARK_INTERVAL_MS,
+    CLAIM_PARTITIONS,
     CLAIM_POLL_WAIT_MS,
+    CLAIM_UNUSED_LIMIT_MS,
     RESEND_WINDOW_MS,
 )
 from .events import Event
@@ -67,6 +71,10 @@
     error: CuminstileError | None = None
     is_abandoned: bool = False
 
+    def is_finished(self) -> bool:
+        """Return whether the claim was given up or its run has ended."""
+        return self.finished.is_set()
+
 
 @dataclass
 class Claims:
@@ -354,8 +362,14 @@
     """Run what the claims need in the background, for ever."""
     async with anyio.create_task_group() as tasks:
         vm.claims.tasks = tasks
+        for part in vm.claims.partitions.values():
+            # They were followed before an unexpected error ended that.
+            part.scope = anyio.CancelScope()
+            tasks.start_soon(run_partition, vm, part)
         while True:
             forget_finished(vm)
+            follow_own(vm)
+            leave_unused(vm)
             await vm.clock.sleep_ms(CLAIM_POLL_WAIT_MS)
 
 
@@ -365,3 +379,31 @@
     for name, held in tuple(vm.claims.held.items()):
         if held.finished_ms < oldest_ms:
             del vm.claims.held[name]
+
+
+def follow_own(vm: Vm) -> None:
+    """Follow the streams that this VM is to claim on, and keep them from running dry.
+
+    A stream whose records have all been trimmed tells nothing of keys issued before
+    its next record, so that record is written ahead of the first claim.
+    """
+    for number in range(CLAIM_PARTITIONS):
+        if not claims_here(vm, number):
+            continue
+        part = use_partition(vm, number)
+        now_ms = vm.clock.now_ms()
+        if now_ms - part.heard_ms >= CLAIM_MARK_INTERVAL_MS and part.is_idle():
+            part.pending.is_mark_due = True
+            part.request_append()
+
+
+def leave_unused(vm: Vm) -> None:
+    """Stop following streams that no call has needed for long."""
+    oldest_ms = vm.clock.now_ms() - CLAIM_UNUSED_LIMIT_MS
+    busy = {
+        held.part.number for held in vm.claims.held.values() if not held.is_finished()
+    }
+    for number, part in tuple(vm.claims.partitions.items()):
+        if part.used_ms < oldest_ms and part.is_idle() and number not in busy:
+            part.scope.cancel()
+            del vm.claims.partitions[number]
--- a/cuminstile/platform/claim_log.py
+++ b/cuminstile/platform/claim_log.py
@@ -84,10 +84,12 @@
         Set, and replaced, whenever the fold or the health has changed.
     wake : anyio.Event
         Set when something waits to be appended.
-    failing_since_ms : float or None
-        Monotonic time since which reads or appends have failed.
+    read_failing_ms, write_failing_ms : float or None
+        Monotonic times since which reads and appends have failed.
     used_ms : float
         Monotonic time at which a call last needed the partition.
+    heard_ms : float
+        Monotonic time at which the last record was read.
     """
 
     number: int
@@ -102,6 +104,7 @@
     write_failing_ms: float | None = None
     used_ms: float = 0.0
     written_ms: float = -math.inf
+    heard_ms: float = -math.inf
 
     @property
     def stream(self) -> str:
@@ -181,6 +184,7 @@
         part.fold.start_at(error.first_offset)
         return
     for record in batch.records:
+        part.heard_ms = vm.clock.now_ms()
         apply(vm, part, record)
 
 
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -66,6 +66,8 @@
         New at every start, so that a replaced VM is told apart.
     leaving : bool
         Whether a graceful shutdown has begun.
+    closing : bool
+        Whether no new work is taken any more, not even from other VMs.
     platform_away_since_ms : float or None
         Monotonic time since which the platform has not answered.
     """
@@ -89,6 +91,7 @@
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
     leaving: bool = False
+    closing: bool = False
     platform_away_since_ms: float | None = None
 
     @property
@@ -110,3 +113,8 @@
     def own_address(self) -> str:
         """Return `host:port` of this VM's port for other VMs."""
         return f"{self.settings.host}:{self.settings.vm_port}"
+
+    @property
+    def own_operator_address(self) -> str:
+        """Return `host:port` of this VM's port for operators."""
+        return f"{self.settings.host}:{self.settings.operator_port}"
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -7,17 +7,15 @@
 from typing import TYPE_CHECKING
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
-from .claim_routing import claimant_name
+from .claim_routing import claimant_for
 from .claims import run_once
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
-from .objects.model import DataCentreState, Upstream
-from .platform.claim_records import key_of, partition_of
+from .routing import choose_peer, serving
 from .upstream.choice import least_in_flight
 from .upstream.client import UpstreamAnswer, UpstreamError, call_upstream, refusal
 from .upstream.table import UpstreamState
 from .vm.forwarding import run_on_peer
-from .vm.sessions import Session
 
 if TYPE_CHECKING:
     from .runtime import Vm
@@ -89,7 +87,11 @@
     vm: Vm, call: StageCall, trace: RunTrace, error: CuminstileError, attempts: int
 ) -> bool:
     """Return whether another attempt is allowed and makes sense."""
-    retryable = (ErrorCode.UPSTREAM_FAILED, ErrorCode.PEER_LOST)
+    retryable = (
+        ErrorCode.UPSTREAM_FAILED,
+        ErrorCode.PEER_LOST,
+        ErrorCode.SHUTTING_DOWN,
+    )
     if error.code not in retryable or attempts >= MAX_ATTEMPTS:
         return False
     if trace.maybe_ran and not vm.objects.stages[call.stage].repeatable:
@@ -118,7 +120,7 @@
             return await dispatch()
         return await run_once(vm, call, trace, dispatch)
     if session is None and may_forward:
-        session = peer_for(vm, call, tried)
+        session = choose_peer(vm, call.version, tried)
     if session is None:
         raise no_upstream(call)
     tried.append(session.name)
@@ -128,30 +130,6 @@
     return await run_on_peer(vm, session, call, trace, counter.take)
 
 
-def claimant_for(
-    vm: Vm, call: StageCall, may_forward: bool, tried: list[str]
-) -> Session | None:
-    """Return a session towards the VM that claims the call's key, unless this does."""
-    if call.is_handed_over:
-        return None
-    usable = [
-        session
-        for session in vm.sessions.by_name.values()
-        if session.name not in tried and may_receive(vm, session)
-    ]
-    own = vm.settings
-    centres = {upstream.data_centre for upstream in serving(vm, call.version)}
-    name = claimant_name(
-        partition_of(key_of(call)),
-        centres,
-        own.data_centre,
-        None if vm.leaving else own.name,
-        usable,
-        may_forward,
-    )
-    return None if name is None else vm.sessions.by_name.get(name)
-
-
 def no_upstream(call: StageCall) -> CuminstileError:
     """Return the error for a stage that nothing serves."""
     return CuminstileError(
@@ -169,38 +147,6 @@
     ]
 
 
-def serving(vm: Vm, version: str) -> tuple[Upstream, ...]:
-    """Return the upstreams of a version in data centres that are in."""
-    centres = vm.objects.data_centres
-    return tuple(
-        upstream
-        for upstream in vm.objects.by_version.get(version, ())
-        if centres[upstream.data_centre].state is DataCentreState.IN
-    )
-
-
-def peer_for(vm: Vm, call: StageCall, tried: list[str]) -> Session | None:
-    """Return a session with a VM whose data centre has an upstream for the call."""
-    centres = {upstream.data_centre for upstream in serving(vm, call.version)}
-    centres.discard(vm.settings.data_centre)
-    sessions = [
-        session
-        for session in vm.sessions.by_name.values()
-        if session.data_centre in centres
-        and session.name not in tried
-        and may_receive(vm, session)
-    ]
-    if not sessions:
-        return None
-    return vm.random.choice(sessions)
-
-
-def may_receive(vm: Vm, session: Session) -> bool:
-    """Return whether the other VM lives and is not shutting down."""
-    member = vm.members.by_name.get(session.name)
-    return member is not None and not member.leaving
-
-
 async def run_here(
     vm: Vm,
     call: StageCall,
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -29,8 +29,10 @@
 )
 from ..events import Event, Stamp
 from ..exceptions import CuminstileError, ErrorCode
+from ..pipeline import internal_error
 from ..wire import MAX_MESSAGE_BYTES, Message
 from .authentication import is_proved, prove
+from .configuration import on_newer_version
 from .membership import Member
 from .messages import CODEC, Challenge, Heartbeat, Hello, Welcome
 from .topology import linked
@@ -136,11 +138,14 @@
     await connection.send(CODEC.encode(Challenge(nonce)))
     hello: Hello = await receive(connection, Hello)
     keys = vm.settings.vm_keys
-    if not is_proved(keys, hello.proof, "connect", hello.name, nonce):
-        raise unauthenticated(hello.name)
     own = vm.settings.name
+    is_valid = is_proved(keys, hello.proof, "connect", hello.name, nonce)
+    if not is_valid or hello.name == own:
+        raise unauthenticated(hello.name)
     proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
-    welcome = Welcome(own, vm.settings.data_centre, vm.incarnation, proof)
+    welcome = Welcome(
+        own, vm.settings.data_centre, vm.incarnation, proof, vm.own_operator_address
+    )
     await connection.send(CODEC.encode(welcome))
     return hello
 
@@ -197,16 +202,26 @@
 
 async def dial(vm: Vm, name: str) -> None:
     """Keep a session with one VM while this VM is to connect to it."""
+    try:
+        await dial_again_and_again(vm, name)
+    finally:
+        vm.sessions.dialling.discard(name)
+
+
+async def dial_again_and_again(vm: Vm, name: str) -> None:
+    """Connect, and connect again after each end, with a growing delay."""
     backoff_ms = float(RECONNECT_MIN_MS)
     while dials(vm, name):
         member = vm.members.by_name[name]
         started_ms = vm.clock.now_ms()
-        await dial_once(vm, member)
+        try:
+            await dial_once(vm, member)
+        except Exception as error:
+            internal_error(vm, error)
         if vm.clock.now_ms() - started_ms > RECONNECT_MAX_MS:
             backoff_ms = float(RECONNECT_MIN_MS)
         await vm.clock.sleep_ms(backoff_ms * (0.5 + vm.random.random()))
         backoff_ms = min(backoff_ms * 2, RECONNECT_MAX_MS)
-    vm.sessions.dialling.discard(name)
 
 
 async def dial_once(vm: Vm, member: Member) -> None:
@@ -244,6 +259,7 @@
         vm.own_address,
         nonce,
         prove(own.vm_keys[0], "connect", own.name, challenge.nonce),
+        vm.own_operator_address,
     )
     await connection.send(CODEC.encode(hello))
     welcome: Welcome = await receive(connection, Welcome)
@@ -266,6 +282,7 @@
             vm.clock.now_ms(),
         )
         async with registered(vm, session):
+            vm.members.introduce(peer.name, peer.operator_address)
             tasks.start_soon(send_heartbeats, vm, session)
             await receive_messages(vm, session)
             tasks.cancel_scope.cancel()
@@ -280,8 +297,6 @@
         old.tasks.cancel_scope.cancel()
     member = vm.members.by_name.get(session.name)
     if member is not None:
-        if member.incarnation != session.incarnation:
-            member.leaving = False
         member.incarnation = session.incarnation
     vm.members.hear(session.name, vm.clock.now_ms())
     vm.journal.record(
@@ -369,7 +384,13 @@
             Event.PEER_MESSAGE_REFUSED, peer=session.name, reason=error.message
         )
         return
-    await handler(vm, session, message)
+    try:
+        await handler(vm, session, message)
+    except CuminstileError:
+        # The answer could not be sent: the session is closing.
+        return
+    except Exception as error:
+        internal_error(vm, error)
 
 
 async def on_heartbeat(vm: Vm, session: Session, message: Heartbeat) -> None:
@@ -380,3 +401,4 @@
         return
     member.config_version = message.config_version
     member.leaving = message.leaving
+    await on_newer_version(vm, session, message.config_version)
--- a/tests/fakes/bookings.py
+++ b/tests/fakes/bookings.py
@@ -15,7 +15,7 @@
 from cuminstile.runtime import Vm
 from cuminstile.vm.sessions import Session, peer_lost, receive_one
 
-from .platform import FakeLog, FakePlatform, connect_platform
+from .claim_log import FakeLog, FakePlatform, connect_platform
 from .vms import make_test_vm
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,11 +8,18 @@
 
 from cuminstile.calls import RunTrace, StageOutcome
 from cuminstile.claims import run_once
-from cuminstile.const import MAX_OUTCOME_BYTES, RESEND_WINDOW_MS
+from cuminstile.const import (
+    CLAIM_MARK_INTERVAL_MS,
+    CLAIM_UNUSED_LIMIT_MS,
+    MAX_OUTCOME_BYTES,
+    RESEND_WINDOW_MS,
+)
 from cuminstile.exceptions import CuminstileError, ErrorCode, Ran
 from cuminstile.platform.claim_records import key_of, partition_of, stream_of
 
 from .fakes.bookings import Cluster, Reply
+from .fakes.objects import small_set
+from .fakes.vms import put_in_force
 
 
 @asynccontextmanager
@@ -358,3 +365,32 @@
         replies = await finish(made, *calls, after_ms=5_000.0)
     assert all(reply.outcome is not None for reply in replies)
     assert made.log.appends <= 16 * 4
+
+
+async def test_a_stream_that_was_trimmed_whole_serves_new_keys() -> None:
+    async with cluster("a1") as made:
+        first = await book(made, "a1", "k")
+        put_in_force(made.nodes["a1"].vm, small_set({"s-a": "127.0.0.1:1"}, False))
+        stream = stream_of(partition_of(key_of(first.call)))
+        await made.clock.advance_ms(120_000.0)
+        made.kill("a1")
+        made.log.trim(stream, keep=0)
+        await made.start("a1")
+        put_in_force(made.nodes["a1"].vm, small_set({"s-a": "127.0.0.1:1"}, False))
+        await made.clock.advance_ms(CLAIM_MARK_INTERVAL_MS + 2_000.0)
+        fresh = await book(made, "a1", "k")
+    assert made.log.first(stream) > 0
+    assert fresh.outcome is not None
+
+
+async def test_unused_streams_are_left() -> None:
+    async with cluster("a1") as made:
+        await book(made, "a1", "k")
+        vm = made.nodes["a1"].vm
+        assert len(vm.claims.partitions) == 1
+        await made.clock.advance_ms(CLAIM_UNUSED_LIMIT_MS + 5_000.0)
+        assert len(vm.claims.partitions) == 0
+        first = made.replies[0]
+        (again,) = await finish(made, ("a1", made.resend(first, 1)))
+    assert again.outcome is not None
+    assert len(made.runs) == 1
--- a/tests/upstream/test_cut_calls.py
+++ b/tests/upstream/test_cut_calls.py
@@ -16,8 +16,8 @@
 from cuminstile.runtime import Vm
 from cuminstile.stages import run_stage
 
+from ..fakes.claim_log import claiming
 from ..fakes.objects import small_set
-from ..fakes.platform import claiming
 from ..fakes.vms import free_port, make_test_vm, put_in_force
 
 
--- a/tests/vm/test_forwarding.py
+++ b/tests/vm/test_forwarding.py
@@ -14,8 +14,8 @@
 from cuminstile.vm.forwarding import on_answer
 from cuminstile.vm.messages import StageTokens
 
+from ..fakes.claim_log import claiming
 from ..fakes.objects import small_set
-from ..fakes.platform import claiming
 from ..fakes.upstreams import send_event, send_event_head, send_json, upstream
 from ..fakes.vms import connected, make_test_vm, put_in_force
 
