--- a/standins/serving.py
+++ b/standins/serving.py
@@ -71,7 +71,8 @@
 
 def listen(port: int) -> socket.socket:
     """Return a listening socket; port 0 takes a free one."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio turns Nagle's delay off only where the protocol is named.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((HOST, port))
     listener.listen(BACKLOG)
