--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -23,8 +23,13 @@
         Empty for a request without one.
     issued_at_ms : int
         When the caller issued its key, in ms since 1970 UTC.
-    is_handed_over : bool
-        Whether a VM of this data centre chose this VM to claim the key.
+    avoid : tuple of str
+        Upstreams that have failed this call already.
+    may_wait : bool
+        Whether the call may wait for a slot; else it is refused without a free one.
+    handed_over : bool
+        Whether another data centre has handed the call to this one, which then
+        keeps it.
     """
 
     request: str
@@ -40,7 +45,9 @@
     resume_at: int = 0
     idempotency_key: str = ""
     issued_at_ms: int = 0
-    is_handed_over: bool = False
+    avoid: tuple[str, ...] = ()
+    handed_over: bool = False
+    may_wait: bool = True
 
 
 @dataclass(frozen=True)
--- a/cuminstile/claim_routing.py
+++ b/cuminstile/claim_routing.py
@@ -12,6 +12,10 @@
 from .platform.claim_records import key_of, partition_of
 from .rendezvous import rank
 from .routing import is_leaving, serving
+from .upstream import limits
+from .upstream.peers import working_here
+from .upstream.shares import share
+from .upstream.table import Condition, UpstreamState
 from .vm.sessions import Session
 
 if TYPE_CHECKING:
@@ -19,26 +23,61 @@
 
 
 def claimant_for(
-    vm: Vm, call: StageCall, may_leave: bool, tried: Sequence[str]
+    vm: Vm,
+    call: StageCall,
+    may_run_here: bool,
+    local: Sequence[UpstreamState],
+    tried: Sequence[str],
 ) -> Session | None:
     """Return a session towards the VM that claims the call's key, unless this does.
 
-    `may_leave` tells whether the call may go to another data centre.
+    A call that another data centre has handed over stays in this one.
     """
-    if call.is_handed_over:
-        return None
-    sessions = [item for item in usable(vm) if item.name not in tried]
-    centres = {upstream.data_centre for upstream in serving(vm, call.version)}
     partition = partition_of(key_of(call))
-    name = claimant_name(
-        partition,
-        centres,
-        vm.settings.data_centre,
-        None if vm.leaving else vm.settings.name,
-        sessions,
-        may_leave,
-    )
-    return None if name is None else vm.sessions.by_name.get(name)
+    sessions = [item for item in usable(vm) if item.name not in tried]
+    own = vm.settings
+    if not call.handed_over:
+        centres = {upstream.data_centre for upstream in serving(vm, call.version)}
+        reachable = {session.data_centre for session in sessions}
+        if may_run_here or reachable & {own.data_centre}:
+            reachable.add(own.data_centre)
+        home = home_data_centre(partition, centres, reachable)
+        if home != own.data_centre:
+            return first_of(partition, sessions, home)
+    names = able_vms(vm, call, local)
+    able = [session for session in sessions if session.name in names]
+    session = first_of(partition, able, own.data_centre)
+    if may_run_here and session is not None:
+        stays = own.name == rank(text_of(partition), (own.name, session.name))[0]
+        return None if stays and not vm.leaving else session
+    return session
+
+
+def able_vms(vm: Vm, call: StageCall, local: Sequence[UpstreamState]) -> frozenset[str]:
+    """Return the VMs here that may call an upstream: by a share, or as its owner."""
+    working = working_here(vm)
+    sharing = {
+        name
+        for name in working
+        for state in local
+        if state.condition is Condition.WARM and share(state, working, name) > 0
+    }
+    return limits.serving_vms(vm, call, local) | sharing
+
+
+def first_of(
+    partition: int, sessions: Sequence[Session], data_centre: str | None
+) -> Session | None:
+    """Return the session with the VM of a data centre that comes first."""
+    by_name = {item.name: item for item in sessions if item.data_centre == data_centre}
+    if not by_name:
+        return None
+    return by_name[rank(text_of(partition), by_name)[0]]
+
+
+def text_of(partition: int) -> str:
+    """Return what stands for a partition in rendezvous hashing."""
+    return f"claims-{partition}"
 
 
 def claims_here(vm: Vm, partition: int) -> bool:
@@ -46,11 +85,15 @@
     if vm.configuration.current is None or vm.leaving:
         return False
     own = vm.settings
-    return any(
-        claimant_name(partition, centres, own.data_centre, own.name, usable(vm), True)
-        == own.name
+    sessions = usable(vm)
+    reachable = {session.data_centre for session in sessions} | {own.data_centre}
+    homes = {
+        home_data_centre(partition, centres, reachable)
         for centres in claiming_data_centres(vm)
-    )
+    }
+    names = [item.name for item in sessions if item.data_centre == own.data_centre]
+    first = rank(text_of(partition), (*names, own.name))[0]
+    return own.data_centre in homes and first == own.name
 
 
 def claiming_data_centres(vm: Vm) -> list[set[str]]:
@@ -79,45 +122,11 @@
 
     Every data centre that serves gets the same number of partitions.
     """
-    serving = sorted(data_centres)
-    candidates = set(reachable) & set(serving)
+    every = sorted(data_centres)
+    candidates = set(reachable) & set(every)
     if not candidates:
         return None
-    home = serving[partition % len(serving)]
+    home = every[partition % len(every)]
     if home in candidates:
         return home
-    return rank(f"claims-{partition}", candidates)[0]
-
-
-def claimant_name(
-    partition: int,
-    data_centres: Iterable[str],
-    own_data_centre: str,
-    own_name: str | None,
-    sessions: Sequence[Session],
-    may_leave: bool,
-) -> str | None:
-    """Return the VM to which a call goes for its claim, this VM's own name included.
-
-    Parameters
-    ----------
-    data_centres : iterable of str
-        Those that serve the stage.
-    own_name : str or None
-        This VM, or None while it shuts down.
-    sessions : sequence of Session
-        With the other VMs that may receive work.
-    may_leave : bool
-        Whether the call may go to another data centre.
-    """
-    serving = set(data_centres)
-    home: str | None = own_data_centre
-    if may_leave:
-        reachable = {session.data_centre for session in sessions} | {own_data_centre}
-        home = home_data_centre(partition, serving, reachable)
-    if home not in serving:
-        return None
-    names = [item.name for item in sessions if item.data_centre == home]
-    if own_name is not None and home == own_data_centre:
-        names.append(own_name)
-    return rank(f"claims-{partition}", names)[0] if names else None
+    return rank(text_of(partition), candidates)[0]
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -12,16 +12,18 @@
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
 from .routing import choose_peer, serving
-from .upstream.choice import least_in_flight
-from .upstream.client import UpstreamAnswer, UpstreamError, call_upstream, refusal
-from .upstream.table import UpstreamState
+from .spilling import may_spill, spill
+from .upstream import limits
+from .upstream.client import UpstreamError, call_upstream, refusal
+from .upstream.crashes import refuse_quarantined
+from .upstream.retries import PAUSE_MS, may_retry
+from .upstream.table import Condition, UpstreamState
 from .vm.forwarding import run_on_peer
+from .vm.sessions import Session
 
 if TYPE_CHECKING:
     from .runtime import Vm
 
-MAX_ATTEMPTS = 3
-
 
 @dataclass
 class TokenCounter:
@@ -56,7 +58,7 @@
     started_ms = vm.clock.now_ms()
     call = call if call.version else replace(call, version=choose_version(vm, call))
     counter = TokenCounter(on_tokens, call.resume_at)
-    tried: list[str] = []
+    tried = list(call.avoid)
     while True:
         present = replace(call, resume_at=counter.passed)
         try:
@@ -64,7 +66,9 @@
                 vm, present, trace, counter, may_forward, tried
             )
         except CuminstileError as error:
-            if not may_retry(vm, present, trace, error, len(tried)):
+            if may_forward and await is_decided_later(vm, present, error, tried):
+                continue
+            if not may_retry(vm, present, trace, error, len(tried) - len(call.avoid)):
                 raise
             vm.journal.record(
                 Event.STAGE_RETRIED, request=call.request, stage=call.stage
@@ -72,7 +76,11 @@
             continue
         elapsed_ms = vm.clock.now_ms() - started_ms
         vm.metrics.stage_ms.observe({"stage": call.stage}, elapsed_ms)
-        return replace(outcome, elapsed_ms=elapsed_ms, attempts=max(1, len(tried)))
+        return replace(
+            outcome,
+            elapsed_ms=elapsed_ms,
+            attempts=max(1, len(tried) - len(call.avoid)),
+        )
 
 
 def choose_version(vm: Vm, call: StageCall) -> str:
@@ -83,19 +91,16 @@
     return versions[0].name
 
 
-def may_retry(
-    vm: Vm, call: StageCall, trace: RunTrace, error: CuminstileError, attempts: int
+async def is_decided_later(
+    vm: Vm, call: StageCall, error: CuminstileError, tried: list[str]
 ) -> bool:
-    """Return whether another attempt is allowed and makes sense."""
-    retryable = (
-        ErrorCode.UPSTREAM_FAILED,
-        ErrorCode.PEER_LOST,
-        ErrorCode.SHUTTING_DOWN,
-    )
-    if error.code not in retryable or attempts >= MAX_ATTEMPTS:
+    """Wait a little where the VMs here do not agree yet who calls an upstream."""
+    if error.code is not ErrorCode.NO_UPSTREAM or error.ran is not Ran.NOT_RUN:
         return False
-    if trace.maybe_ran and not vm.objects.stages[call.stage].repeatable:
+    tried[:] = [name for name in tried if name not in vm.sessions.by_name]
+    if not local_upstreams(vm, call, tried):
         return False
+    await vm.clock.sleep_ms(PAUSE_MS * (0.5 + vm.random.random()))
     return vm.clock.now_ms() < call.deadline_ms
 
 
@@ -108,26 +113,52 @@
     tried: list[str],
 ) -> StageOutcome:
     """Try one upstream of this data centre, or one VM of another."""
-    repeatable = vm.objects.stages[call.stage].repeatable
     local = local_upstreams(vm, call, tried)
-    session = None if repeatable else claimant_for(vm, call, may_forward, tried)
-    if local and session is None:
+    here = limits.served_here(vm, call, local)
+    session: Session | None = None
+    if not vm.objects.stages[call.stage].repeatable:
+        if may_forward:
+            session = claimant_for(vm, call, bool(here), local, tried)
+        if here and session is None:
 
-        async def dispatch() -> StageOutcome:
-            return await run_here(vm, call, trace, counter, local, tried)
+            async def dispatch() -> StageOutcome:
+                # Only now: the key of a resend may have run before the quarantine.
+                refuse_quarantined(vm, call)
+                return await run_here(vm, call, trace, counter, here, tried)
 
-        if repeatable:
-            return await dispatch()
-        return await run_once(vm, call, trace, dispatch)
-    if session is None and may_forward:
+            return await run_once(vm, call, trace, dispatch)
+        return await run_elsewhere(vm, call, trace, counter, session, tried)
+    refuse_quarantined(vm, call)
+    if here:
+        if may_forward and may_spill(vm, call) and limits.must_wait(vm, call, here):
+            outcome = await spill(vm, call, trace, counter.take, tried)
+            if outcome is not None:
+                return outcome
+        return await run_here(vm, call, trace, counter, here, tried)
+    session = peer_here(vm, call, local, tried) if may_forward else None
+    if session is None and may_forward and not call.handed_over:
         session = choose_peer(vm, call.version, tried)
+    return await run_elsewhere(vm, call, trace, counter, session, tried)
+
+
+async def run_elsewhere(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    session: Session | None,
+    tried: list[str],
+) -> StageOutcome:
+    """Run the call on another VM, if there is one."""
     if session is None:
         raise no_upstream(call)
     tried.append(session.name)
     vm.journal.record(
         Event.STAGE_FORWARDED, request=call.request, step=call.step, peer=session.name
     )
-    return await run_on_peer(vm, session, call, trace, counter.take)
+    avoid = tuple(name for name in tried if name in vm.upstreams.by_name)
+    handed_on = replace(call, avoid=avoid)
+    return await run_on_peer(vm, session, handed_on, trace, counter.take)
 
 
 def no_upstream(call: StageCall) -> CuminstileError:
@@ -140,11 +171,25 @@
 def local_upstreams(vm: Vm, call: StageCall, tried: list[str]) -> list[UpstreamState]:
     """Return the upstreams of this data centre that may run the call."""
     own = vm.settings.data_centre
-    return [
+    states = (
         vm.upstreams.state_of(upstream)
         for upstream in serving(vm, call.version)
         if upstream.data_centre == own and upstream.name not in tried
+    )
+    return [state for state in states if state.condition is not Condition.AWAY]
+
+
+def peer_here(
+    vm: Vm, call: StageCall, local: list[UpstreamState], tried: list[str]
+) -> Session | None:
+    """Return a session with a VM here that may call one of the upstreams."""
+    names = limits.serving_vms(vm, call, local)
+    sessions = [
+        session
+        for session in vm.sessions.of_data_centre(vm.settings.data_centre)
+        if session.name in names and session.name not in tried
     ]
+    return vm.random.choice(sessions) if sessions else None
 
 
 async def run_here(
@@ -155,33 +200,36 @@
     candidates: list[UpstreamState],
     tried: list[str],
 ) -> StageOutcome:
-    """Run the call on one of the candidates."""
-    chosen = least_in_flight(candidates)
-    name = chosen.upstream.name
-    tried.append(name)
+    """Run the call on one of the candidates, as soon as one has a free slot."""
     attempt = f"{call.request}.{call.step}.{secrets.token_hex(4)}"
     repeatable = vm.objects.stages[call.stage].repeatable
-    vm.journal.record(
-        Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
-    )
-    chosen.in_flight += 1
-    try:
-        answer = await call_upstream(
-            vm.upstream_pool,
-            chosen.upstream.address,
-            call,
-            attempt,
-            call.deadline_ms - vm.clock.now_ms(),
-            None if repeatable else trace,
-            counter.take,
+    async with limits.slot(vm, call, candidates, attempt) as slot:
+        name = slot.state.name
+        tried.append(name)
+        vm.journal.record(
+            Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
         )
-    except UpstreamError as error:
-        note_failure(vm, call, chosen, error)
-        ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
-        raise refusal(error, ran) from error
-    finally:
-        chosen.in_flight -= 1
-    note_success(vm, call, chosen, answer)
+        try:
+            answer = await call_upstream(
+                vm.upstream_pool,
+                slot.state.upstream.address,
+                call,
+                attempt,
+                call.deadline_ms - vm.clock.now_ms(),
+                None if repeatable else trace,
+                counter.take,
+                slot.check,
+            )
+        except UpstreamError as error:
+            if error.reason == "lease":
+                # Nothing is wrong with this upstream.
+                tried.remove(name)
+            await limits.note_failed(vm, slot, error, candidates)
+            note_failure(vm, call, slot.state, error)
+            ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
+            raise refusal(error, ran) from error
+        await limits.note_answered(vm, slot, answer)
+    note_success(vm, call, slot.state)
     own = vm.settings
     return StageOutcome(
         answer.output, call.version, name, own.data_centre, own.name, 1, 0.0
@@ -207,12 +255,8 @@
         )
 
 
-def note_success(
-    vm: Vm, call: StageCall, chosen: UpstreamState, answer: UpstreamAnswer
-) -> None:
+def note_success(vm: Vm, call: StageCall, chosen: UpstreamState) -> None:
     """Record an attempt that gave the stage's output."""
-    chosen.incarnation = answer.incarnation
-    chosen.state = answer.state
     vm.metrics.stage_attempts_total.inc({"stage": call.stage, "result": "good"})
     vm.journal.record(
         Event.STAGE_ANSWERED,
--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,7 +38,8 @@
     Parameters
     ----------
     reason : str
-        `connect`, `refused`, `failed`, `crossed`, `truncated` or `malformed`.
+        `connect`, `lease`, `busy`, `cold`, `version_missing`, `refused`, `failed`,
+        `crossed`, `truncated`, `lost`, `too large` or `malformed`.
     left : bool
         Whether a byte of the call may have left this VM and may have run.
     """
@@ -59,21 +60,11 @@
 
     left: bool = False
 
-    async def trace(self, name: str, info: dict[str, Any]) -> None:
-        """Take the events of the HTTP library."""
-        if is_first_byte(name):
-            self.left = True
-
-
-def is_first_byte(name: str) -> bool:
-    """Return whether an event of the HTTP library precedes the first byte sent."""
-    return name.endswith("send_request_headers.started")
-
 
 def make_pool() -> httpcore.AsyncConnectionPool:
     """Return the connection pool for all upstreams of a VM."""
     return httpcore.AsyncConnectionPool(
-        max_connections=10_000, max_keepalive_connections=1_000, keepalive_expiry=30.0
+        max_connections=10_000, max_keepalive_connections=1_000, keepalive_expiry=3.0
     )
 
 
@@ -103,10 +94,12 @@
     remaining_ms: float,
     trace: RunTrace | None,
     on_tokens: TokenSink,
+    check: Callable[[], None],
 ) -> UpstreamAnswer:
     """Send one call and return its whole answer.
 
-    `trace` is set for a call that may not be repeated.
+    `trace` is set for a call that may not be repeated. `check` runs right before
+    the first byte leaves and stops the call by raising `UpstreamError`.
 
     Raises
     ------
@@ -116,9 +109,11 @@
     sending = Sending()
 
     async def note(name: str, info: dict[str, Any]) -> None:
-        if trace is not None and is_first_byte(name):
-            trace.check_send()
-        await sending.trace(name, info)
+        if name.endswith("send_request_headers.started"):
+            check()
+            if trace is not None:
+                trace.check_send()
+            sending.left = True
         if sending.left and trace is not None:
             trace.maybe_ran = True
 
@@ -146,7 +141,28 @@
         httpcore.ProtocolError,
         httpcore.TimeoutException,
     ) as error:
-        raise UpstreamError("truncated", sending.left) from error
+        raise UpstreamError("lost", sending.left) from error
+
+
+async def cancel_call(
+    pool: httpcore.AsyncConnectionPool, address: str, attempt: str
+) -> None:
+    """Tell an upstream that nobody waits for a call any more, if it can be told."""
+    try:
+        await pool.request(
+            "POST",
+            f"http://{address}/cancel",
+            headers=[("content-type", "application/json")],
+            content=orjson.dumps({"attempt": attempt}),
+            extensions={"timeout": {"connect": CONNECT_TIMEOUT_MS / 1000.0}},
+        )
+    except (
+        OSError,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ):
+        return
 
 
 async def read_answer(
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -85,6 +85,8 @@
         resume_at=call.resume_at,
         idempotency_key=call.idempotency_key,
         issued_at_ms=call.issued_at_ms,
+        avoid=call.avoid,
+        may_wait=call.may_wait,
     )
 
 
@@ -148,7 +150,9 @@
         resume_at=message.resume_at,
         idempotency_key=message.idempotency_key,
         issued_at_ms=message.issued_at_ms,
-        is_handed_over=session.data_centre == vm.settings.data_centre,
+        avoid=message.avoid,
+        may_wait=message.may_wait,
+        handed_over=session.data_centre != vm.settings.data_centre,
     )
 
     async def on_tokens(index: int, tokens: tuple[str, ...]) -> None:
@@ -177,7 +181,8 @@
         text = f"{vm.settings.name} is shutting down"
         return StageRefused(number, ErrorCode.SHUTTING_DOWN, text, Ran.NOT_RUN)
     try:
-        outcome = await vm.run_stage(vm, call, trace, on_tokens, False)
+        # A VM that another data centre picked may hand the call to one of its own.
+        outcome = await vm.run_stage(vm, call, trace, on_tokens, call.handed_over)
     except CuminstileError as error:
         ran = Ran.UNKNOWN if trace.maybe_ran else error.ran
         return StageRefused(number, error.code, error.message, ran)
