--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -122,6 +122,7 @@
         deadline_ms=arrived_ms + (body.deadline_ms or pipeline.deadline_ms),
         idempotency_key=body.idempotency_key,
         issued_at_ms=body.issued_at_ms,
+        is_resend=body.resend,
     )
     vm.journal.record(
         Event.REQUEST_STARTED,
--- a/cuminstile/caller/bodies.py
+++ b/cuminstile/caller/bodies.py
@@ -24,6 +24,8 @@
         How long the caller waits; the pipeline's own deadline by default.
     issued_at_ms : int
         When the caller issued its idempotency key, in ms since 1970 UTC.
+    resend : bool
+        Whether the caller has sent this key before.
     """
 
     input: Any
@@ -31,6 +33,7 @@
     stream: bool = False
     idempotency_key: Annotated[str, Field(max_length=200)] = ""
     issued_at_ms: Annotated[int, Field(ge=0, le=2**53)] = 0
+    resend: bool = False
 
 
 RUN_BODY: TypeAdapter[RunBody] = TypeAdapter(RunBody)
--- a/cuminstile/caller/serving.py
+++ b/cuminstile/caller/serving.py
@@ -44,7 +44,7 @@
         if scope.cancelled_caught:
             raise CuminstileError(ErrorCode.DEADLINE_PASSED, "the deadline has passed")
     except CuminstileError as error:
-        error = with_truth(error, progress)
+        error = with_truth(error, request, progress)
         note_end(vm, request, error.code.value, started_ms)
         raise error from error
     except anyio.get_cancelled_exc_class():
@@ -55,9 +55,15 @@
     note_end(vm, request, "answered", started_ms)
 
 
-def with_truth(error: CuminstileError, progress: Progress) -> CuminstileError:
-    """Return the error with what all steps together know about the run."""
-    ran = Ran.UNKNOWN if progress.maybe_ran() else error.ran
+def with_truth(
+    error: CuminstileError, request: Request, progress: Progress
+) -> CuminstileError:
+    """Return the error with what all steps together know about the run.
+
+    A refused resend never denies the run: an earlier sending may have run, or may yet.
+    """
+    may_have_run = progress.maybe_ran() or request.is_resend
+    ran = Ran.UNKNOWN if may_have_run else error.ran
     return CuminstileError(error.code, error.message, ran, error.findings)
 
 
--- a/cuminstile/pipeline.py
+++ b/cuminstile/pipeline.py
@@ -30,6 +30,8 @@
         Empty for a request without one.
     issued_at_ms : int
         When the caller issued its key, in ms since 1970 UTC.
+    is_resend : bool
+        Whether the caller has sent this key before.
     """
 
     name: str
@@ -40,6 +42,7 @@
     deadline_ms: float
     idempotency_key: str
     issued_at_ms: int
+    is_resend: bool = False
 
 
 @dataclass
