--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -69,11 +69,22 @@
     elapsed_ms: float
 
 
+def allow_send() -> None:
+    """Let a call leave."""
+
+
 @dataclass
 class RunTrace:
-    """Note whether a byte of a call that may not be repeated may have left."""
+    """Note whether a byte of a call that may not be repeated may have left.
+
+    Parameters
+    ----------
+    check_send : callable
+        Called right before the first byte leaves; raises if it may not any more.
+    """
 
     maybe_ran: bool = False
+    check_send: Callable[[], None] = allow_send
 
 
 async def drop_tokens(index: int, tokens: tuple[str, ...]) -> None:
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -15,6 +15,7 @@
 from starlette.applications import Starlette
 
 from .caller.app import make_app
+from .claims import keep_claims
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
@@ -36,10 +37,13 @@
 )
 from .upstream.load import keep_polling, on_load_digest
 from .upstream.silence import keep_probing
+from .vm.claim_exchange import on_claim_ask
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
+    ClaimAsk,
+    ClaimTell,
     ConfigAsk,
     ConfigGive,
     CrashNotice,
@@ -64,6 +68,7 @@
     follow_configuration,
     renew_configuration,
     follow_vm_list,
+    keep_claims,
     keep_polling,
     keep_leases,
     keep_probing,
@@ -98,6 +103,8 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            ClaimAsk: on_claim_ask,
+            ClaimTell: on_answer,
             LoadDigest: on_load_digest,
             LeaseAsk: on_lease_ask,
             LeaseAnswer: on_lease_answer,
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -57,6 +57,8 @@
     REQUEST_SUSPECTED = 2204
     REQUEST_QUARANTINED = 2205
     REQUEST_CLEARED = 2206
+    CLAIM_RECORD_REFUSED = 2301
+    CLAIM_REPLAYED = 2302
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
+from .claim_routing import claimant_for
+from .claims import run_once
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
 from .routing import choose_peer, serving
@@ -111,9 +113,22 @@
     tried: list[str],
 ) -> StageOutcome:
     """Try one upstream of this data centre, or one VM of another."""
-    refuse_quarantined(vm, call)
     local = local_upstreams(vm, call, tried)
     here = limits.served_here(vm, call, local)
+    session: Session | None = None
+    if not vm.objects.stages[call.stage].repeatable:
+        if may_forward:
+            session = claimant_for(vm, call, bool(here), local, tried)
+        if here and session is None:
+
+            async def dispatch() -> StageOutcome:
+                # Only now: the key of a resend may have run before the quarantine.
+                refuse_quarantined(vm, call)
+                return await run_here(vm, call, trace, counter, here, tried)
+
+            return await run_once(vm, call, trace, dispatch)
+        return await run_elsewhere(vm, call, trace, counter, session, tried)
+    refuse_quarantined(vm, call)
     if here:
         if may_forward and may_spill(vm, call) and limits.must_wait(vm, call, here):
             outcome = await spill(vm, call, trace, counter.take, tried)
@@ -123,6 +138,18 @@
     session = peer_here(vm, call, local, tried) if may_forward else None
     if session is None and may_forward and not call.handed_over:
         session = choose_peer(vm, call.version, tried)
+    return await run_elsewhere(vm, call, trace, counter, session, tried)
+
+
+async def run_elsewhere(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    session: Session | None,
+    tried: list[str],
+) -> StageOutcome:
+    """Run the call on another VM, if there is one."""
     if session is None:
         raise no_upstream(call)
     tried.append(session.name)
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -162,6 +162,22 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class ClaimAsk(Message):
+    """Ask a claimant how the run of its claim ended; it answers when it has."""
+
+    call: int
+    claim: bytes
+
+
+@dataclass(frozen=True)
+class ClaimTell(Message):
+    """Give the outcome of a claim; empty if the claimant holds none."""
+
+    call: int
+    outcome: bytes
+
+
 @dataclass(frozen=True)
 class LoadEntry(Message):
     """Tell what the sender knows about one upstream.
@@ -254,6 +270,8 @@
         (24, StageCancel),
         (30, ConfigAsk),
         (31, ConfigGive),
+        (40, ClaimAsk),
+        (41, ClaimTell),
         (50, LoadDigest),
         (51, LeaseAsk),
         (52, LeaseAnswer),
