--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+COLD = "cold"
+EXCUSED_REASONS = ("connect", "refused", "busy", COLD, "version_missing")
 TokenSink = Callable[[int, tuple[str, ...]], Awaitable[None]]
 
 
@@ -61,9 +63,33 @@
 
 @dataclass
 class RunTrace:
-    """Note whether a byte of a call that may not be repeated may have left."""
+    """Note what became of the attempts at one call.
+
+    Parameters
+    ----------
+    maybe_ran : bool
+        Whether a byte of a call that may not be repeated may have left.
+    failures : int
+        How many attempts failed with nothing to excuse the upstream's version.
+    excused : bool
+        Whether a cold start, or a process that is away or full, may be the reason
+        for a failure or for a late answer.
+    """
 
     maybe_ran: bool = False
+    failures: int = 0
+    excused: bool = False
+
+    def note_failure(self, reason: str, state: str) -> None:
+        """Note an attempt that an upstream in `state` failed for `reason`."""
+        if state == COLD or reason in EXCUSED_REASONS:
+            self.excused = True
+        else:
+            self.failures += 1
+
+    def note_answer(self, state: str) -> None:
+        """Note an answer of an upstream in `state`."""
+        self.excused = self.excused or state == COLD
 
 
 async def drop_tokens(index: int, tokens: tuple[str, ...]) -> None:
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -50,6 +50,9 @@
     follow_configuration,
     renew_configuration,
     follow_vm_list,
+    keep_moving,
+    follow_verdicts,
+    record_verdicts,
 )
 
 
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -47,6 +47,11 @@
     STAGE_FORWARDED = 2104
     ANSWER_DROPPED = 2105
     STAGE_RETRIED = 2106
+    MOVE_STARTED = 2401
+    MOVE_STEP = 2402
+    MOVE_TAKEN_BACK = 2403
+    MOVE_VERDICT = 2404
+    MOVE_VERDICT_REFUSED = 2405
 
 
 @dataclass(frozen=True, order=True)
--- /dev/null
+++ b/cuminstile/evidence.py
@@ -0,0 +1,135 @@
+"""Count how the calls of a traffic move went, on each VM and for each pipeline."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+
+from .sequential import EXTRA_BAD_FRACTIONS, BadFraction, log_bets
+
+LOG_UNITS_PER_NAT = 100
+NO_BETS = (0,) * len(EXTRA_BAD_FRACTIONS)
+
+
+class CallResult(StrEnum):
+    """Tell how one call went, as far as it tells something about its version.
+
+    `LEFT_OUT` is a call that says nothing: it was cut before it was late, or a cold
+    start, a process that is away or a quarantined body may be the reason.
+    """
+
+    GOOD = "good"
+    FAILED = "failed"
+    LATE = "late"
+    LEFT_OUT = "left_out"
+
+
+COUNTED = (CallResult.GOOD, CallResult.FAILED, CallResult.LATE)
+
+
+@dataclass(frozen=True)
+class Evidence:
+    """Hold what one VM has counted for one pipeline; every count only grows.
+
+    Parameters
+    ----------
+    log_bets : tuple of int
+        The sums of the test's log bets, in hundredths of a nat.
+    """
+
+    new_good: int = 0
+    new_failed: int = 0
+    new_late: int = 0
+    old_good: int = 0
+    old_failed: int = 0
+    old_late: int = 0
+    log_bets: tuple[int, ...] = NO_BETS
+
+    @property
+    def new_total(self) -> int:
+        """Return the number of counted calls of the new version."""
+        return self.new_good + self.new_failed + self.new_late
+
+    @property
+    def total(self) -> int:
+        """Return the number of counted calls of both versions."""
+        return self.new_total + self.old_good + self.old_failed + self.old_late
+
+
+def add(one: Evidence, other: Evidence) -> Evidence:
+    """Return the sum of two VMs' evidence."""
+    return Evidence(
+        one.new_good + other.new_good,
+        one.new_failed + other.new_failed,
+        one.new_late + other.new_late,
+        one.old_good + other.old_good,
+        one.old_failed + other.old_failed,
+        one.old_late + other.old_late,
+        tuple(a + b for a, b in zip(one.log_bets, other.log_bets, strict=True)),
+    )
+
+
+@dataclass
+class Counter:
+    """Count this VM's own calls for one pipeline of one move."""
+
+    evidence: Evidence = Evidence()
+    old: BadFraction = field(default_factory=BadFraction)
+    sums: list[float] = field(default_factory=lambda: [0.0] * len(EXTRA_BAD_FRACTIONS))
+
+    def count(self, result: CallResult, is_new: bool, share: float) -> None:
+        """Count one call that went to the new version with probability `share`."""
+        if result == CallResult.LEFT_OUT:
+            return
+        is_bad = result != CallResult.GOOD
+        if 0.0 < share < 1.0:
+            bets = log_bets(is_new, is_bad, share, self.old.value())
+            self.sums = [a + b for a, b in zip(self.sums, bets, strict=True)]
+        if not is_new:
+            self.old.add(is_bad)
+        rounded = tuple(round(value * LOG_UNITS_PER_NAT) for value in self.sums)
+        self.evidence = add(self.evidence, one_call(result, is_new))
+        self.evidence = replace(self.evidence, log_bets=rounded)
+
+
+def one_call(result: CallResult, is_new: bool) -> Evidence:
+    """Return the evidence of one call, without its bets."""
+    counts = [int(result == kind) for kind in COUNTED]
+    return Evidence(*counts, 0, 0, 0) if is_new else Evidence(0, 0, 0, *counts)
+
+
+@dataclass
+class Ledger:
+    """Hold all evidence of one move: this VM's own and what other VMs told.
+
+    Parameters
+    ----------
+    own : dict of int to Counter
+        By route number.
+    others : dict of (str, int) to Evidence
+        By the other VM's name with its incarnation, and by route number; the
+        largest total is the newest, whatever the order of the messages.
+    """
+
+    own: dict[int, Counter] = field(default_factory=dict)
+    others: dict[tuple[str, int], Evidence] = field(default_factory=dict)
+
+    def hear(self, source: str, route: int, evidence: Evidence) -> None:
+        """Take over another VM's evidence unless newer is held."""
+        held = self.others.get((source, route))
+        if held is None or evidence.total > held.total:
+            self.others[source, route] = evidence
+
+    def by_route(self) -> dict[int, Evidence]:
+        """Return the sum over all VMs for each route."""
+        sums = {route: counter.evidence for route, counter in self.own.items()}
+        for (_, route), evidence in self.others.items():
+            sums[route] = add(sums.get(route, Evidence()), evidence)
+        return sums
+
+    def total(self) -> Evidence:
+        """Return the sum over all VMs and routes."""
+        result = Evidence()
+        for evidence in self.by_route().values():
+            result = add(result, evidence)
+        return result
--- /dev/null
+++ b/cuminstile/latency.py
@@ -0,0 +1,78 @@
+"""Keep how long recent runs of a stage took, by version and pipeline."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+WINDOW_MS = 60_000
+LOWEST_US = 10
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_MS = 1_000
+MAX_SERIES = 2_000
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+@dataclass
+class Series:
+    """Hold the durations of the present and the previous window."""
+
+    present: HdrHistogram = field(default_factory=make_histogram)
+    previous: HdrHistogram = field(default_factory=make_histogram)
+    window: int = -1
+
+    def turn(self, window: int) -> None:
+        """Start a new window; what is older than the previous one is forgotten."""
+        if window == self.window:
+            return
+        stale = window != self.window + 1
+        self.previous = make_histogram() if stale else self.present
+        self.present = make_histogram()
+        self.window = window
+
+    def count(self) -> int:
+        """Return how many durations are held."""
+        return int(self.present.total_count + self.previous.total_count)
+
+    def quantile_ms(self, quantile: float) -> float:
+        """Return a quantile (0 to 1) of the durations held, 0 without any."""
+        merged = make_histogram()
+        merged.add(self.previous)
+        merged.add(self.present)
+        value = merged.get_value_at_percentile(quantile * 100.0)
+        return float(value) / US_PER_MS
+
+
+@dataclass
+class Latencies:
+    """Hold the recent durations by version and pipeline."""
+
+    series: dict[tuple[str, str], Series] = field(default_factory=dict)
+
+    def record(
+        self, version: str, pipeline: str, elapsed_ms: float, now_ms: float
+    ) -> None:
+        """Add the duration of one run."""
+        held = self.series.get((version, pipeline))
+        if held is None:
+            if len(self.series) >= MAX_SERIES:
+                self.series.pop(next(iter(self.series)))
+            held = self.series.setdefault((version, pipeline), Series())
+        held.turn(int(now_ms // WINDOW_MS))
+        value_us = int(elapsed_ms * US_PER_MS)
+        held.present.record_value(min(HIGHEST_US, max(LOWEST_US, value_us)))
+
+    def quantile_ms(
+        self, version: str, pipeline: str, quantile: float, least: int
+    ) -> float | None:
+        """Return a quantile, or nothing below `least` recent runs."""
+        held = self.series.get((version, pipeline))
+        if held is None or held.count() < least:
+            return None
+        return held.quantile_ms(quantile)
--- /dev/null
+++ b/cuminstile/moves.py
@@ -0,0 +1,240 @@
+"""Move a stage's traffic from one version to another, by evidence and by a time."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from dataclasses import dataclass, field
+
+from .evidence import LOG_UNITS_PER_NAT, Evidence, Ledger
+from .objects.model import TrafficMove
+from .sequential import Detector
+
+SHARES = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.9, 1.0)
+LAST_STEP = len(SHARES) - 1
+FALSE_TAKE_BACK_LIMIT = 0.005
+DETECTOR_WINDOW_MS = 5_000
+ENOUGH_CALLS = 20
+LEAST_CALLS = 3
+STEP_CALLS = 10
+PLAN_FRACTION = 0.8
+SHORT_OF_CALLS_FRACTION = 0.4
+MIN_STEP_FRACTION = 0.05
+MAX_MIN_STEP_MS = 60_000
+ALL_ROUTES = 0
+MAX_REASON_LENGTH = 200
+
+
+@dataclass(frozen=True)
+class MoveMark:
+    """Hold what VMs have to agree on about a move; `join` gives the agreement.
+
+    Parameters
+    ----------
+    step : int
+        The index of the share in `SHARES`; it only grows.
+    taken_back : bool
+        Whether the new version gets nothing any more; it stays so.
+    reason : str
+        Why it was taken back; empty otherwise.
+    """
+
+    step: int = 0
+    taken_back: bool = False
+    reason: str = ""
+
+
+def join(one: MoveMark, other: MoveMark) -> MoveMark:
+    """Return what both marks say together, in whatever order they are joined."""
+    reasons = sorted(mark.reason for mark in (one, other) if mark.taken_back)
+    return MoveMark(
+        max(one.step, other.step),
+        one.taken_back or other.taken_back,
+        reasons[0] if reasons else "",
+    )
+
+
+def number_of(move: TrafficMove) -> int:
+    """Return the number by which VMs name a move.
+
+    A move whose `finish_by_ms` changes stays the same; one with another start,
+    stage or version is another one.
+    """
+    fields = (move.name, move.stage, move.from_version, move.to_version)
+    text = "\0".join((*fields, str(move.start_at_ms)))
+    return number_of_text(text)
+
+
+def route_of(pipeline: str) -> int:
+    """Return the number by which VMs name a route: one pipeline."""
+    return number_of_text(pipeline) or 1
+
+
+def number_of_text(text: str) -> int:
+    """Return a number of 32 bits for a text, the same on every VM."""
+    digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big")
+
+
+def position_of(move: int, request: str, step: str) -> float:
+    """Return where a call stands between 0 and 1; below the share it is moved.
+
+    The same on every VM and for every attempt; a growing share keeps what is moved.
+    """
+    text = f"{move}\0{request}\0{step}"
+    digest = hashlib.blake2b(text.encode(), digest_size=7).digest()
+    return float(int.from_bytes(digest, "big")) / 2.0**56
+
+
+@dataclass
+class MoveState:
+    """Hold what one VM knows about a move under way.
+
+    Parameters
+    ----------
+    detectors : dict of int to Detector
+        By route number; `ALL_ROUTES` stands for all of them together.
+    step_since_ms : int
+        Time of day at which this VM saw the present step begin.
+    step_calls : int
+        The new version's counted calls when the present step began.
+    wanted_since_ms : float or None
+        Monotonic time since which a verdict has been due here.
+    late_above_ms : dict of int to float
+        For each route, above which duration a call is late.
+    left_out : dict of bool to int
+        For the new and the old version, how many bad calls were excused since the
+        last good one.
+    """
+
+    move: TrafficMove
+    number: int
+    mark: MoveMark = MoveMark()
+    ledger: Ledger = field(default_factory=Ledger)
+    detectors: dict[int, Detector] = field(default_factory=dict)
+    step_since_ms: int = 0
+    step_calls: int = 0
+    log_gain: float = -math.inf
+    wanted_since_ms: float | None = None
+    late_above_ms: dict[int, float] = field(default_factory=dict)
+    left_out: dict[bool, int] = field(default_factory=dict)
+
+    def merge(self, mark: MoveMark, wall_ms: int) -> bool:
+        """Take over a mark of another VM; return whether anything changed."""
+        joined = join(self.mark, mark)
+        if joined == self.mark:
+            return False
+        if joined.step > self.mark.step:
+            self.step_since_ms = wall_ms
+            self.step_calls = self.ledger.total().new_total
+        self.mark = joined
+        return True
+
+    def share(self, wall_ms: int) -> float:
+        """Return the fraction of calls that the new version gets now."""
+        if self.mark.taken_back or wall_ms < self.move.start_at_ms:
+            return 0.0
+        return SHARES[self.mark.step]
+
+    def is_complete(self) -> bool:
+        """Return whether the new version gets everything."""
+        return self.mark.step == LAST_STEP and not self.mark.taken_back
+
+
+def advance(state: MoveState, wall_ms: int) -> bool:
+    """Decide once from the evidence held; return whether the mark changed."""
+    move = state.move
+    if wall_ms < move.start_at_ms or state.mark.taken_back or state.is_complete():
+        return False
+    state.step_since_ms = state.step_since_ms or wall_ms
+    route, state.log_gain = detect(state, wall_ms)
+    if state.log_gain >= log_limit(state):
+        return take_back(state, why_bad(state, route), wall_ms)
+    if wall_ms >= move.finish_by_ms:
+        return take_back(state, why_unfinished(state), wall_ms)
+    if may_grow(state, wall_ms):
+        return state.merge(MoveMark(state.mark.step + 1), wall_ms)
+    return False
+
+
+def take_back(state: MoveState, reason: str, wall_ms: int) -> bool:
+    """Take the move back for a reason."""
+    return state.merge(MoveMark(0, True, reason[:MAX_REASON_LENGTH]), wall_ms)
+
+
+def detect(state: MoveState, wall_ms: int) -> tuple[int, float]:
+    """Return the route that looks worst and the logarithm of its bets' gain."""
+    sums = {
+        route: tuple(value / LOG_UNITS_PER_NAT for value in evidence.log_bets)
+        for route, evidence in state.ledger.by_route().items()
+    }
+    if len(sums) > 1:
+        sums[ALL_ROUTES] = tuple(
+            map(sum, zip(*sums.values(), strict=True))  # type: ignore[arg-type]
+        )
+    window = int((wall_ms - state.move.start_at_ms) // DETECTOR_WINDOW_MS)
+    worst, worst_gain = ALL_ROUTES, -math.inf
+    for route, values in sums.items():
+        detector = state.detectors.setdefault(route, Detector(windows_of(state.move)))
+        gain = detector.take(values, window)
+        if gain > worst_gain:
+            worst, worst_gain = route, gain
+    return worst, worst_gain
+
+
+def windows_of(move: TrafficMove) -> int:
+    """Return the number of the detector's windows in a move."""
+    duration_ms = move.finish_by_ms - move.start_at_ms
+    return max(1, math.ceil(duration_ms / DETECTOR_WINDOW_MS))
+
+
+def log_limit(state: MoveState) -> float:
+    """Return the logarithm of the gain at which the version counts as bad.
+
+    Several routes are tested at once, so that each gets its part of the limit.
+    """
+    return math.log(max(1, len(state.detectors)) / FALSE_TAKE_BACK_LIMIT)
+
+
+def may_grow(state: MoveState, wall_ms: int) -> bool:
+    """Return whether the share may grow to the next step now."""
+    move = state.move
+    duration_ms = move.finish_by_ms - move.start_at_ms
+    elapsed_ms = wall_ms - move.start_at_ms
+    step = state.mark.step
+    planned_ms = PLAN_FRACTION * duration_ms * (step + 1) / LAST_STEP
+    least_ms = min(MAX_MIN_STEP_MS, MIN_STEP_FRACTION * duration_ms)
+    if elapsed_ms < planned_ms or wall_ms - state.step_since_ms < least_ms:
+        return False
+    if state.log_gain > log_limit(state) / 2.0:
+        return False
+    calls = state.ledger.total().new_total
+    hurried = elapsed_ms >= SHORT_OF_CALLS_FRACTION * duration_ms
+    if step == 0:
+        return calls >= (LEAST_CALLS if hurried else ENOUGH_CALLS)
+    return hurried or calls - state.step_calls >= STEP_CALLS
+
+
+def why_bad(state: MoveState, route: int) -> str:
+    """Return the reason for taking a bad version back."""
+    by_route = state.ledger.by_route()
+    evidence = by_route.get(route, state.ledger.total())
+    where = "" if route == ALL_ROUTES or len(by_route) == 1 else " on one route"
+    return f"{state.move.to_version} is worse{where}: {counts_of(state, evidence)}"
+
+
+def why_unfinished(state: MoveState) -> str:
+    """Return the reason for taking back a move that was not done in time."""
+    total = state.ledger.total()
+    share = SHARES[state.mark.step]
+    return f"not done by its time, at {share:.0%}: {counts_of(state, total)}"
+
+
+def counts_of(state: MoveState, evidence: Evidence) -> str:
+    """Return the evidence in words."""
+    old_total = evidence.total - evidence.new_total
+    return (
+        f"{evidence.new_failed} failed and {evidence.new_late} late of"
+        f" {evidence.new_total} calls, against {evidence.old_failed} and"
+        f" {evidence.old_late} of {old_total} of {state.move.from_version}"
+    )
--- /dev/null
+++ b/cuminstile/moving.py
@@ -0,0 +1,143 @@
+"""Keep the traffic moves of a VM going."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .events import Event
+from .moves import (
+    MoveMark,
+    MoveState,
+    advance,
+    number_of,
+    route_of,
+    take_back,
+)
+from .objects.model import TrafficMove
+from .traffic import settled_version_of
+from .vm.move_exchange import tell_evidence, tell_marks
+
+if TYPE_CHECKING:
+    from .runtime import Vm
+
+TICK_MS = 250
+LATE_QUANTILE = 0.95
+LATE_FACTOR = 1.25
+LEAST_RUNS = 10
+
+
+async def keep_moving(vm: Vm) -> None:
+    """Decide about the traffic moves and tell the other VMs, for ever."""
+    while True:
+        if vm.configuration.current is not None:
+            move_once(vm)
+        await tell_marks(vm)
+        await tell_evidence(vm)
+        await vm.clock.sleep_ms(TICK_MS)
+
+
+def move_once(vm: Vm) -> None:
+    """Take in what was published, then decide once about each move."""
+    if not vm.traffic.is_informed():
+        return
+    wall_ms = vm.clock.wall_ms()
+    forget_ended(vm)
+    start_due(vm, wall_ms)
+    take_back_withdrawn(vm, wall_ms)
+    for state in vm.traffic.moves.values():
+        update_late_limits(vm, state)
+        if advance(state, wall_ms):
+            note_mark(vm, state)
+        note_wanted(vm, state)
+
+
+def forget_ended(vm: Vm) -> None:
+    """Drop the moves whose verdict is recorded."""
+    traffic = vm.traffic
+    for number in tuple(traffic.moves):
+        if traffic.verdicts.of(number):
+            del traffic.moves[number]
+    for key in tuple(traffic.sent):
+        if key[0] not in traffic.moves:
+            del traffic.sent[key]
+
+
+def start_due(vm: Vm, wall_ms: int) -> None:
+    """Start the published moves whose time has come."""
+    for move in sorted(vm.objects.moves.values(), key=start_of):
+        number = number_of(move)
+        state = vm.traffic.moves.get(number)
+        if state is not None:
+            state.move = move
+        elif wall_ms >= move.start_at_ms and not vm.traffic.verdicts.of(number):
+            if not has_earlier(vm, move):
+                start(vm, move, number, wall_ms)
+
+
+def start_of(move: TrafficMove) -> int:
+    """Return when a move starts."""
+    return move.start_at_ms
+
+
+def has_earlier(vm: Vm, move: TrafficMove) -> bool:
+    """Return whether another move of the stage has not ended yet."""
+    return any(state.move.stage == move.stage for state in vm.traffic.moves.values())
+
+
+def start(vm: Vm, move: TrafficMove, number: int, wall_ms: int) -> None:
+    """Start a move; take it back at once if it starts from another version."""
+    state = MoveState(move, number, step_since_ms=wall_ms)
+    vm.traffic.moves[number] = state
+    vm.journal.record(Event.MOVE_STARTED, move=move.name, number=number)
+    state.merge(vm.traffic.marks.pop(number, MoveMark()), wall_ms)
+    settled = settled_version_of(vm, move.stage)
+    if settled != move.from_version:
+        reason = f"the stage uses {settled}, not {move.from_version}"
+        take_back(state, reason, wall_ms)
+        note_mark(vm, state)
+
+
+def take_back_withdrawn(vm: Vm, wall_ms: int) -> None:
+    """Take back the moves under way that the objects in force don't have any more."""
+    published = {number_of(move) for move in vm.objects.moves.values()}
+    for number, state in vm.traffic.moves.items():
+        if number in published or state.mark.taken_back:
+            continue
+        version = vm.configuration.version
+        if take_back(state, f"version {version} of the objects lacks it", wall_ms):
+            note_mark(vm, state)
+
+
+def update_late_limits(vm: Vm, state: MoveState) -> None:
+    """Set for each pipeline above which duration a call counts as late.
+
+    The old version's own recent calls say so, so that both versions are measured
+    alike; other VMs' limits serve while this VM has seen too few.
+    """
+    move = state.move
+    for pipeline in vm.objects.pipelines.values():
+        if all(step.stage != move.stage for step in pipeline.steps):
+            continue
+        quantile_ms = vm.traffic.latencies.quantile_ms(
+            move.from_version, pipeline.name, LATE_QUANTILE, LEAST_RUNS
+        )
+        if quantile_ms is not None:
+            state.late_above_ms[route_of(pipeline.name)] = quantile_ms * LATE_FACTOR
+
+
+def note_mark(vm: Vm, state: MoveState) -> None:
+    """Record a step or a take-back that was decided or heard here."""
+    mark = state.mark
+    if mark.taken_back:
+        vm.journal.record(
+            Event.MOVE_TAKEN_BACK, move=state.move.name, reason=mark.reason
+        )
+    else:
+        vm.journal.record(Event.MOVE_STEP, move=state.move.name, step=mark.step)
+
+
+def note_wanted(vm: Vm, state: MoveState) -> None:
+    """Note since when a verdict has been due."""
+    is_due = state.mark.taken_back or state.is_complete()
+    if is_due and state.wanted_since_ms is None:
+        state.wanted_since_ms = vm.clock.now_ms()
--- /dev/null
+++ b/cuminstile/platform/verdict_log.py
@@ -0,0 +1,162 @@
+"""Read the verdicts on traffic moves from the platform's log, and record them."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+from ..const import CONFIG_RENEWAL_INTERVAL_MS, MOVE_STREAM, RECONNECT_MAX_MS
+from ..events import Event
+from ..exceptions import CuminstileError, PlatformAwayError, TrimmedError
+from ..moves import MoveState
+from ..rendezvous import rank
+from .client import Record
+from .verdicts import RECORDS, KnownVerdict, Verdict, make_verdict
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+POLL_WAIT_MS = 2_000
+RECORD_INTERVAL_MS = 250
+TURN_MS = 500
+RETRY_MS = 3_000
+
+
+async def follow_verdicts(vm: Vm) -> None:
+    """Apply every record of the stream of verdicts, for ever."""
+    while True:
+        try:
+            await read_verdicts(vm, POLL_WAIT_MS)
+        except PlatformAwayError:
+            await vm.clock.sleep_ms(RECONNECT_MAX_MS)
+
+
+async def read_verdicts(vm: Vm, wait_ms: int) -> None:
+    """Read once from where the last read ended and apply what came.
+
+    Raises
+    ------
+    PlatformAwayError
+        If the platform doesn't answer.
+    """
+    state = vm.traffic.verdicts
+    wait_ms = wait_ms if state.caught_up else 0
+    try:
+        batch = await vm.platform.read(MOVE_STREAM, state.next_offset, wait_ms=wait_ms)
+    except TrimmedError as error:
+        state.next_offset = error.first_offset
+        return
+    for record in batch.records:
+        apply(vm, record)
+    if not batch.records:
+        state.caught_up = True
+
+
+def apply(vm: Vm, record: Record) -> None:
+    """Apply one record; one that is malformed is left out and recorded."""
+    try:
+        known = vm.traffic.verdicts.take(record)
+    except CuminstileError as error:
+        vm.journal.record(
+            Event.MOVE_VERDICT_REFUSED, offset=record.offset, reason=error.message
+        )
+        return
+    if known is not None:
+        vm.journal.record(
+            Event.MOVE_VERDICT,
+            move=known.record.name,
+            verdict=known.record.verdict.name.lower(),
+            reason=known.record.reason,
+            offset=record.offset,
+        )
+
+
+async def record_verdicts(vm: Vm) -> None:
+    """Append the verdicts that are due, and copies of old ones, for ever."""
+    while True:
+        for state in tuple(vm.traffic.moves.values()):
+            if is_own_turn(vm, state):
+                await append_verdict(vm, state)
+        for known in tuple(vm.traffic.verdicts.by_number.values()):
+            if needs_copy(vm, known):
+                await append_copy(vm, known)
+        await vm.clock.sleep_ms(RECORD_INTERVAL_MS)
+
+
+def is_own_turn(vm: Vm, state: MoveState) -> bool:
+    """Return whether this VM should append the verdict on a move now.
+
+    The VMs take turns, so that one append is enough as a rule; more do no harm.
+    """
+    if state.wanted_since_ms is None or not vm.traffic.verdicts.caught_up:
+        return False
+    waited_ms = vm.clock.now_ms() - state.wanted_since_ms
+    return waited_ms >= TURN_MS * place_of(vm, state.move.name)
+
+
+def place_of(vm: Vm, key: str) -> int:
+    """Return this VM's place in the order of those that live."""
+    alive = vm.members.alive(vm.clock.now_ms())
+    names = [member.name for member in alive if not member.leaving]
+    own = vm.settings.name
+    return rank(key, [*names, own]).index(own)
+
+
+async def append_verdict(vm: Vm, state: MoveState) -> None:
+    """Append a verdict unless the stream has one; an answer may be lost."""
+    try:
+        await read_verdicts(vm, 0)
+        if vm.traffic.verdicts.of(state.number):
+            return
+        await vm.platform.append(MOVE_STREAM, RECORDS.encode(verdict_on(vm, state)))
+        await read_verdicts(vm, 0)
+    except PlatformAwayError:
+        # It may be in the log: the next round reads before it appends again.
+        state.wanted_since_ms = vm.clock.now_ms() + RETRY_MS
+
+
+def verdict_on(vm: Vm, state: MoveState):  # type: ignore[no-untyped-def]
+    """Return the verdict that this VM has come to."""
+    mark = state.mark
+    verdict = Verdict.TAKEN_BACK if mark.taken_back else Verdict.DONE
+    return make_verdict(
+        state.move,
+        state.number,
+        verdict,
+        mark.reason or done_reason(state),
+        vm.settings.name,
+        secrets.token_hex(8),
+    )
+
+
+def needs_copy(vm: Vm, known: KnownVerdict) -> bool:
+    """Return whether the log may soon lose a verdict that is still needed."""
+    current = vm.configuration.current
+    if current is None or known.record.stage not in current.objects.stages:
+        return False
+    age_ms = vm.clock.wall_ms() - known.written_ms
+    if not vm.traffic.verdicts.caught_up or age_ms < CONFIG_RENEWAL_INTERVAL_MS:
+        return False
+    return is_last_or_published(vm, known) and place_of(vm, known.record.name) == 0
+
+
+def is_last_or_published(vm: Vm, known: KnownVerdict) -> bool:
+    """Return whether a verdict says which version its stage uses, or is shown."""
+    record = known.record
+    if record.name in vm.objects.moves:
+        return True
+    others = (
+        other.record.start_at_ms
+        for other in vm.traffic.verdicts.by_number.values()
+        if other.record.stage == record.stage
+    )
+    return record.start_at_ms >= max(others)
+
+
+async def append_copy(vm: Vm, known: KnownVerdict) -> None:
+    """Append a verdict again, as it is."""
+    try:
+        await vm.platform.append(MOVE_STREAM, RECORDS.encode(known.record))
+        await read_verdicts(vm, 0)
+    except PlatformAwayError:
+        return  # The next round tries again; a copy that got through twice is fine.
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -20,6 +20,7 @@
 from .platform.client import PlatformClient
 from .platform.configuration import ConfigurationState
 from .settings import Settings
+from .traffic_state import Traffic
 from .upstream.client import make_pool
 from .upstream.table import UpstreamTable
 from .vm.membership import Members
@@ -77,6 +78,7 @@
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+    traffic: Traffic = field(default_factory=Traffic)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
--- /dev/null
+++ b/cuminstile/sequential.py
@@ -0,0 +1,125 @@
+"""Test, at any time, whether a new version is worse than the old one.
+
+Calls go to the new version at random, by a known share. If the versions are alike,
+whether a call was bad tells nothing about where it went, whatever else changes over
+time or differs between data centres. The test bets against that.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+EXTRA_BAD_FRACTIONS = (0.1, 0.35, 0.9)
+MIN_BAD_FRACTION = 0.005
+MAX_BAD_FRACTION = 0.5
+MEMORY_CALLS = 500
+
+
+@dataclass
+class BadFraction:
+    """Hold the fraction of the old version's recent calls that were bad."""
+
+    calls: float = 1.0
+    bad: float = 0.02
+
+    def add(self, is_bad: bool) -> None:
+        """Count one call; older ones weigh less and less."""
+        keep = 1.0 - 1.0 / MEMORY_CALLS
+        self.calls = self.calls * keep + 1.0
+        self.bad = self.bad * keep + float(is_bad)
+
+    def value(self) -> float:
+        """Return the fraction, within the bounds that the test works with."""
+        return min(MAX_BAD_FRACTION, max(MIN_BAD_FRACTION, self.bad / self.calls))
+
+
+def log_bets(
+    is_new: bool, is_bad: bool, share: float, old_bad: float
+) -> tuple[float, ...]:
+    """Return the logarithm of what each bet on one call pays, in nats.
+
+    Each bet assumes one extra fraction of bad calls; on average none of them gains
+    while the versions are alike.
+
+    Parameters
+    ----------
+    share : float
+        The probability, 0 to 1, with which the call went to the new version.
+    old_bad : float
+        The old version's fraction of bad calls as known before this call.
+    """
+    return tuple(
+        log_bet(is_new, is_bad, share, old_bad, old_bad + (1.0 - old_bad) * extra)
+        for extra in EXTRA_BAD_FRACTIONS
+    )
+
+
+def log_bet(
+    is_new: bool, is_bad: bool, share: float, old_bad: float, new_bad: float
+) -> float:
+    """Return the logarithm of what one bet pays."""
+    like_new = new_bad if is_bad else 1.0 - new_bad
+    like_old = old_bad if is_bad else 1.0 - old_bad
+    average = share * like_new + (1.0 - share) * like_old
+    return math.log((like_new if is_new else like_old) / average)
+
+
+@dataclass
+class Detector:
+    """Hold what the bets have gained, over all moments at which badness may begin.
+
+    In each window of time a part of the stake is put on "the version is bad from
+    now on". The sum of all parts is at most one, so that a good version's gains
+    reach `1 / p` with a probability of at most `p`, however often one looks.
+
+    Parameters
+    ----------
+    windows : int
+        The number of windows that the stake is divided over.
+    log_gains : list of float
+        For each bet the logarithm of what it holds.
+    seen : list of float
+        The sums of bets that have been taken into account.
+    window : int
+        The last window in which something was staked.
+    """
+
+    windows: int
+    log_gains: list[float] = field(
+        default_factory=lambda: [-math.inf] * len(EXTRA_BAD_FRACTIONS)
+    )
+    seen: list[float] = field(default_factory=lambda: [0.0] * len(EXTRA_BAD_FRACTIONS))
+    window: int = -1
+
+    def take(self, sums: Sequence[float], window: int) -> float:
+        """Take in the present sums of log bets; return the gain's logarithm."""
+        if window > self.window:
+            self.stake(window)
+        for index, total in enumerate(sums):
+            self.log_gains[index] += total - self.seen[index]
+            self.seen[index] = total
+        return self.log_gain()
+
+    def stake(self, window: int) -> None:
+        """Put the new window's part on each bet."""
+        late = max(0, window - self.windows + 1)
+        part = 0.5 / self.windows if not late else 0.5 / (late * (late + 1.0))
+        self.log_gains = [add_logs(gain, math.log(part)) for gain in self.log_gains]
+        self.window = window
+
+    def log_gain(self) -> float:
+        """Return the logarithm of the average over the bets."""
+        total = -math.inf
+        for gain in self.log_gains:
+            total = add_logs(total, gain)
+        return total - math.log(len(self.log_gains))
+
+
+def add_logs(one: float, other: float) -> float:
+    """Return `log(exp(one) + exp(other))`."""
+    high, low = max(one, other), min(one, other)
+    if low == -math.inf:
+        return high
+    return high + math.log1p(math.exp(low - high))
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -10,6 +10,7 @@
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
 from .objects.model import DataCentreState, Upstream
+from .traffic import Assignment, assign, watch_call
 from .upstream.choice import least_in_flight
 from .upstream.client import UpstreamAnswer, UpstreamError, call_upstream, refusal
 from .upstream.table import UpstreamState
@@ -52,8 +53,23 @@
     CuminstileError
         With what is known about the run.
     """
+    if call.version:
+        return await run_version(vm, call, trace, on_tokens, may_forward)
+    assignment = choose_version(vm, call)
+    call = replace(call, version=assignment.version)
+    with watch_call(vm, call, assignment, trace):
+        return await run_version(vm, call, trace, on_tokens, may_forward)
+
+
+async def run_version(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    on_tokens: TokenSink,
+    may_forward: bool,
+) -> StageOutcome:
+    """Run one stage on upstreams of the call's version, with retries."""
     started_ms = vm.clock.now_ms()
-    call = call if call.version else replace(call, version=choose_version(vm, call))
     counter = TokenCounter(on_tokens, call.resume_at)
     tried: list[str] = []
     while True:
@@ -74,12 +90,9 @@
         return replace(outcome, elapsed_ms=elapsed_ms, attempts=max(1, len(tried)))
 
 
-def choose_version(vm: Vm, call: StageCall) -> str:
-    """Return the upstream version that serves this call."""
-    versions = vm.objects.by_stage.get(call.stage, ())
-    if not versions:
-        raise no_upstream(call)
-    return versions[0].name
+def choose_version(vm: Vm, call: StageCall) -> Assignment:
+    """Return the upstream version that serves this call, and why."""
+    return assign(vm, call, has_upstream=lambda name: bool(serving(vm, name)))
 
 
 def may_retry(
@@ -200,11 +213,13 @@
         )
     except UpstreamError as error:
         note_failure(vm, call, chosen, error)
+        trace.note_failure(error.reason, error.state)
         ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
         raise refusal(error, ran) from error
     finally:
         chosen.in_flight -= 1
     note_success(vm, call, chosen, answer)
+    trace.note_answer(answer.state)
     own = vm.settings
     return StageOutcome(
         answer.output, call.version, name, own.data_centre, own.name, 1, 0.0
--- /dev/null
+++ b/cuminstile/traffic.py
@@ -0,0 +1,184 @@
+"""Choose the version of each call, and watch how the call goes."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import cbor2
+
+from .calls import RunTrace, StageCall
+from .evidence import CallResult, Counter
+from .exceptions import CuminstileError, ErrorCode
+from .moves import MoveState, position_of, route_of
+from .platform.verdicts import settled_version
+from .traffic_state import Traffic
+
+if TYPE_CHECKING:
+    from .runtime import Vm
+
+MAX_EXCUSED_IN_A_ROW = 20
+MAX_FAILED_BODIES = 1_000
+NO_MOVE = 0
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """Tell which version a call uses, and by which move if there is one.
+
+    Parameters
+    ----------
+    version : str
+        Empty if nothing serves the stage.
+    share : float
+        With which probability, 0 to 1, the call went to the new version.
+    """
+
+    version: str
+    move: int = NO_MOVE
+    is_new: bool = False
+    share: float = 0.0
+
+
+def assign(
+    vm: Vm, call: StageCall, has_upstream: Callable[[str], bool]
+) -> Assignment:
+    """Return the version for a call.
+
+    Raises
+    ------
+    CuminstileError
+        With `NO_UPSTREAM` if the stage has no version.
+    """
+    settled = settled_version_of(vm, call.stage)
+    if not settled:
+        raise CuminstileError(
+            ErrorCode.NO_UPSTREAM, f"no upstream serves stage {call.stage}"
+        )
+    state = move_under_way(vm, call.stage, settled)
+    if state is None or not vm.traffic.is_informed():
+        return Assignment(settled)
+    share = state.share(vm.clock.wall_ms())
+    is_new = position_of(state.number, call.request, call.step) < share
+    version = state.move.to_version if is_new else settled
+    if has_upstream(version):
+        return Assignment(version, state.number, is_new, share)
+    other = settled if is_new else state.move.to_version
+    return Assignment(other if is_new and has_upstream(other) else version)
+
+
+def settled_version_of(vm: Vm, stage: str) -> str:
+    """Return the version that a stage uses apart from a move under way."""
+    if len(vm.objects.by_stage.get(stage, ())) <= 1:
+        return settled_version(vm.objects, (), stage)
+    verdicts = vm.traffic.verdicts.by_number.values()
+    return settled_version(vm.objects, verdicts, stage)
+
+
+def move_under_way(vm: Vm, stage: str, settled: str) -> MoveState | None:
+    """Return the state of the stage's move that goes on now, if there is one."""
+    for state in vm.traffic.moves.values():
+        if state.move.stage != stage or state.move.from_version != settled:
+            continue
+        is_published = state.move.name in vm.objects.moves
+        if is_published and not vm.traffic.verdicts.of(state.number):
+            return state
+    return None
+
+
+@contextmanager
+def watch_call(
+    vm: Vm, call: StageCall, assignment: Assignment, trace: RunTrace
+) -> Iterator[None]:
+    """Count how a call goes while the block runs, for its move and its stage."""
+    started_ms = vm.clock.now_ms()
+    is_answered = False
+    error: CuminstileError | None = None
+    try:
+        yield
+        is_answered = True
+    except CuminstileError as caught:
+        error = caught
+        raise
+    finally:
+        now_ms = vm.clock.now_ms()
+        elapsed_ms = now_ms - started_ms
+        state = vm.traffic.moves.get(assignment.move)
+        if state is not None:
+            late_above_ms = state.late_above_ms.get(route_of(call.pipeline))
+            is_late = late_above_ms is not None and elapsed_ms > late_above_ms
+            result = result_of(trace, is_answered, is_late, error)
+            result = excuse(state, assignment.is_new, trace, result)
+            if not fails_on_both(vm.traffic, call, assignment.is_new, result):
+                counter = state.ledger.own.setdefault(
+                    route_of(call.pipeline), Counter()
+                )
+                counter.count(result, assignment.is_new, assignment.share)
+        if is_answered and not trace.excused:
+            latencies = vm.traffic.latencies
+            latencies.record(call.version, call.pipeline, elapsed_ms, now_ms)
+
+
+def result_of(
+    trace: RunTrace, is_answered: bool, is_late: bool, error: CuminstileError | None
+) -> CallResult:
+    """Return what a call tells about its version, excuses left aside."""
+    if error is not None and error.code == ErrorCode.QUARANTINED:
+        return CallResult.LEFT_OUT
+    if trace.failures:
+        return CallResult.FAILED
+    if is_late:
+        return CallResult.LATE
+    if is_answered:
+        return CallResult.GOOD
+    return CallResult.FAILED if trace.excused else CallResult.LEFT_OUT
+
+
+def excuse(
+    state: MoveState, is_new: bool, trace: RunTrace, result: CallResult
+) -> CallResult:
+    """Leave a bad call out that a cold start or an absent process may explain.
+
+    A version that needs excuses again and again gets none after a while.
+    """
+    if result == CallResult.GOOD:
+        state.left_out[is_new] = 0
+        return result
+    if not trace.excused or trace.failures or result == CallResult.LEFT_OUT:
+        return result
+    used = state.left_out.get(is_new, 0) + 1
+    state.left_out[is_new] = used
+    return result if used > MAX_EXCUSED_IN_A_ROW else CallResult.LEFT_OUT
+
+
+def fails_on_both(
+    traffic: Traffic, call: StageCall, is_new: bool, result: CallResult
+) -> bool:
+    """Return whether a body failed that had failed on the other version too.
+
+    Such a body tells nothing about either version. One good answer to it, and it
+    counts again.
+    """
+    bodies = traffic.failed_bodies
+    if result != CallResult.FAILED and not bodies:
+        return False
+    digest = digest_of(call)
+    if result != CallResult.FAILED:
+        if result == CallResult.GOOD:
+            bodies.pop(digest, None)
+        return False
+    failed_on = bodies.get(digest, frozenset())
+    bodies[digest] = failed_on | {is_new}
+    bodies.move_to_end(digest)
+    while len(bodies) > MAX_FAILED_BODIES:
+        bodies.popitem(last=False)
+    return (not is_new) in failed_on
+
+
+def digest_of(call: StageCall) -> bytes:
+    """Return a digest of what the call asks for."""
+    body = cbor2.dumps([call.stage, call.input])
+    return hashlib.blake2b(body, digest_size=16).digest()
--- /dev/null
+++ b/cuminstile/traffic_state.py
@@ -0,0 +1,61 @@
+"""Hold what one VM knows about traffic moves and how long stages take."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from .latency import Latencies
+from .moves import MoveMark, MoveState
+from .platform.verdicts import VerdictState
+from .vm.messages import RouteEvidence
+
+MAX_EARLY_MARKS = 256
+
+
+@dataclass
+class SentEvidence:
+    """Hold what was last told about one route of one move, and when."""
+
+    entry: RouteEvidence
+    sent_ms: float
+
+
+@dataclass
+class Traffic:
+    """Hold the traffic moves as this VM sees them.
+
+    Parameters
+    ----------
+    moves : dict of int to MoveState
+        The moves that have started and have no recorded verdict, by number.
+    marks : dict of int to MoveMark
+        What other VMs told of moves that this VM does not know yet.
+    told : dict of str to dict
+        What each session's VM, by its name and incarnation, was told of the marks.
+    met : bool
+        Whether another VM has told its marks, so that this VM knows what was
+        decided before it started.
+    failed_bodies : dict of bytes to frozenset of bool
+        For the digest of each body that has failed and not been answered since:
+        whether it failed on the old version (`False`), on the new one, or on both.
+    """
+
+    moves: dict[int, MoveState] = field(default_factory=dict)
+    marks: OrderedDict[int, MoveMark] = field(default_factory=OrderedDict)
+    verdicts: VerdictState = field(default_factory=VerdictState)
+    latencies: Latencies = field(default_factory=Latencies)
+    told: dict[str, dict[int, MoveMark]] = field(default_factory=dict)
+    sent: dict[tuple[int, int], SentEvidence] = field(default_factory=dict)
+    met: bool = False
+    failed_bodies: OrderedDict[bytes, frozenset[bool]] = field(default_factory=OrderedDict)
+
+    def is_informed(self) -> bool:
+        """Return whether earlier decisions about moves are known here."""
+        return self.verdicts.caught_up or self.met
+
+    def keep_mark(self, number: int, mark: MoveMark) -> None:
+        """Keep a mark for a move that this VM may learn of later."""
+        self.marks[number] = mark
+        while len(self.marks) > MAX_EARLY_MARKS:
+            self.marks.popitem(last=False)
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -89,6 +89,8 @@
 
 def outcome_of(message: Any, trace: RunTrace, repeatable: bool) -> StageOutcome:
     """Return the outcome that the other VM gave, or raise its refusal."""
+    trace.failures += message.failures
+    trace.excused = trace.excused or message.excused
     if isinstance(message, StageDone):
         return StageOutcome(
             message.output,
@@ -176,7 +178,9 @@
         outcome = await vm.run_stage(vm, call, trace, on_tokens, False)
     except CuminstileError as error:
         ran = Ran.UNKNOWN if trace.maybe_ran else error.ran
-        return StageRefused(number, error.code, error.message, ran)
+        return StageRefused(
+            number, error.code, error.message, ran, trace.failures, trace.excused
+        )
     except Exception as error:
         refused = internal_error(vm, error)
         return StageRefused(number, refused.code, refused.message, refused.ran)
@@ -189,4 +193,6 @@
         outcome.vm,
         outcome.attempts,
         outcome.elapsed_ms,
+        trace.failures,
+        trace.excused,
     )
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -110,16 +110,20 @@
     vm: str
     attempts: int
     elapsed_ms: float
+    failures: int = 0
+    excused: bool = False
 
 
 @dataclass(frozen=True)
 class StageRefused(Message):
-    """Tell that a stage gave no output."""
+    """Tell that a stage gave no output; `failures` and `excused` as in a `RunTrace`."""
 
     call: int
     code: ErrorCode
     message: str
     ran: Ran
+    failures: int = 0
+    excused: bool = False
 
 
 @dataclass(frozen=True)
@@ -144,6 +148,56 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class RouteEvidence(Message):
+    """Give what the sender has counted for one pipeline of a traffic move.
+
+    Parameters
+    ----------
+    move, route : int
+        The numbers of the move and of the pipeline.
+    log_bets : tuple of int
+        The sums of the test's log bets, in hundredths of a nat.
+    late_above_ms : int
+        Above which duration a call is late, 0 if not known.
+    """
+
+    move: int
+    route: int
+    new_good: int
+    new_failed: int
+    new_late: int
+    old_good: int
+    old_failed: int
+    old_late: int
+    log_bets: tuple[int, ...]
+    late_above_ms: int
+
+
+@dataclass(frozen=True)
+class MoveEvidence(Message):
+    """Give evidence about traffic moves, what has changed most first."""
+
+    entries: tuple[RouteEvidence, ...]
+
+
+@dataclass(frozen=True)
+class MoveStep(Message):
+    """Tell how far a traffic move has come at the sender, and if it is taken back."""
+
+    move: int
+    step: int
+    taken_back: bool
+    reason: str
+
+
+@dataclass(frozen=True)
+class MoveVerdict(Message):
+    """Give the verdict on a traffic move as its record stands in the log."""
+
+    payload: bytes
+
+
 CODEC = make_codec(
     (
         (1, Challenge),
@@ -157,5 +211,8 @@
         (24, StageCancel),
         (30, ConfigAsk),
         (31, ConfigGive),
+        (60, MoveEvidence),
+        (61, MoveStep),
+        (62, MoveVerdict),
     )
 )
