--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -32,6 +32,7 @@
 from ..pipeline import internal_error
 from ..wire import MAX_MESSAGE_BYTES, Message
 from .authentication import is_proved, prove
+from .configuration import on_newer_version
 from .membership import Member
 from .messages import CODEC, Challenge, Heartbeat, Hello, Welcome
 from .topology import linked
@@ -142,7 +143,9 @@
     if not is_valid or hello.name == own:
         raise unauthenticated(hello.name)
     proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
-    welcome = Welcome(own, vm.settings.data_centre, vm.incarnation, proof)
+    welcome = Welcome(
+        own, vm.settings.data_centre, vm.incarnation, proof, vm.own_operator_address
+    )
     await connection.send(CODEC.encode(welcome))
     return hello
 
@@ -256,6 +259,7 @@
         vm.own_address,
         nonce,
         prove(own.vm_keys[0], "connect", own.name, challenge.nonce),
+        vm.own_operator_address,
     )
     await connection.send(CODEC.encode(hello))
     welcome: Welcome = await receive(connection, Welcome)
@@ -278,6 +282,7 @@
             vm.clock.now_ms(),
         )
         async with registered(vm, session):
+            vm.members.introduce(peer.name, peer.operator_address)
             tasks.start_soon(send_heartbeats, vm, session)
             await receive_messages(vm, session)
             tasks.cancel_scope.cancel()
@@ -292,8 +297,6 @@
         old.tasks.cancel_scope.cancel()
     member = vm.members.by_name.get(session.name)
     if member is not None:
-        if member.incarnation != session.incarnation:
-            member.leaving = False
         member.incarnation = session.incarnation
     vm.members.hear(session.name, vm.clock.now_ms())
     vm.journal.record(
@@ -398,3 +401,4 @@
         return
     member.config_version = message.config_version
     member.leaving = message.leaving
+    await on_newer_version(vm, session, message.config_version)
