Decide traffic moves by evidence and wire them into the daemon

Share state is a join of a growing step and an absorbing take-back; evidence travels as registers that only grow, and the first verdict in the log ends a move. A trial runs whole moves over several VMs in one process on a virtual clock.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -18,10 +18,13 @@
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
+from .moving import keep_moving
 from .operator.app import make_app as make_operator_app
+from .operator.moves import moves_reporter
 from .platform.client import make_platform_client
 from .platform.follow import follow_configuration, follow_vm_list
 from .platform.renewal import renew_configuration
+from .platform.verdict_log import follow_verdicts, record_verdicts
 from .runtime import Vm
 from .settings import Settings, check_ports, load_settings
 from .stages import run_stage
@@ -34,12 +37,16 @@
     ConfigAsk,
     ConfigGive,
     Heartbeat,
+    MoveEvidence,
+    MoveStep,
+    MoveVerdict,
     RunStage,
     StageCancel,
     StageDone,
     StageRefused,
     StageTokens,
 )
+from .vm.move_exchange import on_move_evidence, on_move_step, on_move_verdict
 from .vm.sessions import keep_dialling, listen, on_heartbeat
 from .vm.shutdown import drain
 
@@ -86,6 +93,9 @@
             StageCancel: on_stage_cancel,
             ConfigAsk: on_config_ask,
             ConfigGive: on_config_give,
+            MoveEvidence: on_move_evidence,
+            MoveStep: on_move_step,
+            MoveVerdict: on_move_verdict,
         },
         members=members,
         server_tls=server_context(settings.tls),
@@ -130,9 +140,10 @@
 
 def start(vm: Vm, tasks: TaskGroup) -> list[QuietServer]:
     """Start every task of a VM and return its HTTP servers."""
+    operator_app = make_operator_app(vm, (moves_reporter(vm),))
     servers = [
         make_server(vm.settings, make_app(vm), vm.settings.caller_port),
-        make_server(vm.settings, make_operator_app(vm), vm.settings.operator_port),
+        make_server(vm.settings, operator_app, vm.settings.operator_port),
     ]
     for task in BACKGROUND:
         tasks.start_soon(keep_running, vm, task)
--- a/cuminstile/evidence.py
+++ b/cuminstile/evidence.py
@@ -94,8 +94,10 @@
 
 def one_call(result: CallResult, is_new: bool) -> Evidence:
     """Return the evidence of one call, without its bets."""
-    counts = [int(result == kind) for kind in COUNTED]
-    return Evidence(*counts, 0, 0, 0) if is_new else Evidence(0, 0, 0, *counts)
+    good, failed, late = (int(result == kind) for kind in COUNTED)
+    if is_new:
+        return Evidence(good, failed, late)
+    return Evidence(old_good=good, old_failed=failed, old_late=late)
 
 
 @dataclass
--- a/cuminstile/moves.py
+++ b/cuminstile/moves.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import hashlib
-import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .evidence import LOG_UNITS_PER_NAT, Evidence, Ledger
+from .evidence import Evidence, Ledger
+from .judging import ALL_ROUTES, Judge, Judgement, Suspicion, by_bets
 from .objects.model import TrafficMove
-from .sequential import Detector
 
 SHARES = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.9, 1.0)
 LAST_STEP = len(SHARES) - 1
-FALSE_TAKE_BACK_LIMIT = 0.005
-DETECTOR_WINDOW_MS = 5_000
 ENOUGH_CALLS = 20
 LEAST_CALLS = 3
 STEP_CALLS = 10
@@ -21,7 +19,6 @@
 SHORT_OF_CALLS_FRACTION = 0.4
 MIN_STEP_FRACTION = 0.05
 MAX_MIN_STEP_MS = 60_000
-ALL_ROUTES = 0
 MAX_REASON_LENGTH = 200
 
 
@@ -67,13 +64,13 @@
 
 def route_of(pipeline: str) -> int:
     """Return the number by which VMs name a route: one pipeline."""
-    return number_of_text(pipeline) or 1
+    return number_of_text(pipeline)
 
 
 def number_of_text(text: str) -> int:
-    """Return a number of 32 bits for a text, the same on every VM."""
+    """Return a number of 32 bits, never 0, for a text; the same on every VM."""
     digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
-    return int.from_bytes(digest, "big")
+    return int.from_bytes(digest, "big") or 1
 
 
 def position_of(move: int, request: str, step: str) -> float:
@@ -92,8 +89,8 @@
 
     Parameters
     ----------
-    detectors : dict of int to Detector
-        By route number; `ALL_ROUTES` stands for all of them together.
+    suspicion : Suspicion
+        What the test of the evidence has come to.
     step_since_ms : int
         Time of day at which this VM saw the present step begin.
     step_calls : int
@@ -111,10 +108,10 @@
     number: int
     mark: MoveMark = MoveMark()
     ledger: Ledger = field(default_factory=Ledger)
-    detectors: dict[int, Detector] = field(default_factory=dict)
+    suspicion: Suspicion = field(default_factory=Suspicion)
     step_since_ms: int = 0
     step_calls: int = 0
-    log_gain: float = -math.inf
+    judgement: Judgement = Judgement()
     wanted_since_ms: float | None = None
     late_above_ms: dict[int, float] = field(default_factory=dict)
     left_out: dict[bool, int] = field(default_factory=dict)
@@ -141,18 +138,29 @@
         return self.mark.step == LAST_STEP and not self.mark.taken_back
 
 
-def advance(state: MoveState, wall_ms: int) -> bool:
+@dataclass(frozen=True)
+class MovePolicy:
+    """Decide when a move grows and when its version counts as bad."""
+
+    judge: Judge
+    may_grow: Callable[[MoveState, int], bool]
+
+
+def advance(state: MoveState, wall_ms: int, policy: MovePolicy) -> bool:
     """Decide once from the evidence held; return whether the mark changed."""
     move = state.move
     if wall_ms < move.start_at_ms or state.mark.taken_back or state.is_complete():
         return False
-    state.step_since_ms = state.step_since_ms or wall_ms
-    route, state.log_gain = detect(state, wall_ms)
-    if state.log_gain >= log_limit(state):
-        return take_back(state, why_bad(state, route), wall_ms)
+    elapsed_ms = wall_ms - move.start_at_ms
+    duration_ms = move.finish_by_ms - move.start_at_ms
+    state.judgement = policy.judge(
+        state.ledger.by_route(), state.suspicion, elapsed_ms, duration_ms
+    )
+    if state.judgement.is_bad:
+        return take_back(state, why_bad(state, state.judgement.route), wall_ms)
     if wall_ms >= move.finish_by_ms:
         return take_back(state, why_unfinished(state), wall_ms)
-    if may_grow(state, wall_ms):
+    if policy.may_grow(state, wall_ms):
         return state.merge(MoveMark(state.mark.step + 1), wall_ms)
     return False
 
@@ -162,40 +170,6 @@
     return state.merge(MoveMark(0, True, reason[:MAX_REASON_LENGTH]), wall_ms)
 
 
-def detect(state: MoveState, wall_ms: int) -> tuple[int, float]:
-    """Return the route that looks worst and the logarithm of its bets' gain."""
-    sums = {
-        route: tuple(value / LOG_UNITS_PER_NAT for value in evidence.log_bets)
-        for route, evidence in state.ledger.by_route().items()
-    }
-    if len(sums) > 1:
-        sums[ALL_ROUTES] = tuple(
-            map(sum, zip(*sums.values(), strict=True))  # type: ignore[arg-type]
-        )
-    window = int((wall_ms - state.move.start_at_ms) // DETECTOR_WINDOW_MS)
-    worst, worst_gain = ALL_ROUTES, -math.inf
-    for route, values in sums.items():
-        detector = state.detectors.setdefault(route, Detector(windows_of(state.move)))
-        gain = detector.take(values, window)
-        if gain > worst_gain:
-            worst, worst_gain = route, gain
-    return worst, worst_gain
-
-
-def windows_of(move: TrafficMove) -> int:
-    """Return the number of the detector's windows in a move."""
-    duration_ms = move.finish_by_ms - move.start_at_ms
-    return max(1, math.ceil(duration_ms / DETECTOR_WINDOW_MS))
-
-
-def log_limit(state: MoveState) -> float:
-    """Return the logarithm of the gain at which the version counts as bad.
-
-    Several routes are tested at once, so that each gets its part of the limit.
-    """
-    return math.log(max(1, len(state.detectors)) / FALSE_TAKE_BACK_LIMIT)
-
-
 def may_grow(state: MoveState, wall_ms: int) -> bool:
     """Return whether the share may grow to the next step now."""
     move = state.move
@@ -206,7 +180,7 @@
     least_ms = min(MAX_MIN_STEP_MS, MIN_STEP_FRACTION * duration_ms)
     if elapsed_ms < planned_ms or wall_ms - state.step_since_ms < least_ms:
         return False
-    if state.log_gain > log_limit(state) / 2.0:
+    if state.judgement.is_held:
         return False
     calls = state.ledger.total().new_total
     hurried = elapsed_ms >= SHORT_OF_CALLS_FRACTION * duration_ms
@@ -215,6 +189,9 @@
     return hurried or calls - state.step_calls >= STEP_CALLS
 
 
+BY_EVIDENCE = MovePolicy(by_bets, may_grow)
+
+
 def why_bad(state: MoveState, route: int) -> str:
     """Return the reason for taking a bad version back."""
     by_route = state.ledger.by_route()
@@ -230,6 +207,11 @@
     return f"not done by its time, at {share:.0%}: {counts_of(state, total)}"
 
 
+def why_done(state: MoveState) -> str:
+    """Return the reason for ending a move with the new version."""
+    return f"moved by its time: {counts_of(state, state.ledger.total())}"
+
+
 def counts_of(state: MoveState, evidence: Evidence) -> str:
     """Return the evidence in words."""
     old_total = evidence.total - evidence.new_total
--- a/cuminstile/moving.py
+++ b/cuminstile/moving.py
@@ -46,7 +46,7 @@
     take_back_withdrawn(vm, wall_ms)
     for state in vm.traffic.moves.values():
         update_late_limits(vm, state)
-        if advance(state, wall_ms):
+        if advance(state, wall_ms, vm.traffic.policy):
             note_mark(vm, state)
         note_wanted(vm, state)
 
@@ -69,9 +69,15 @@
         state = vm.traffic.moves.get(number)
         if state is not None:
             state.move = move
-        elif wall_ms >= move.start_at_ms and not vm.traffic.verdicts.of(number):
-            if not has_earlier(vm, move):
-                start(vm, move, number, wall_ms)
+        elif is_due(vm, move, number, wall_ms):
+            start(vm, move, number, wall_ms)
+
+
+def is_due(vm: Vm, move: TrafficMove, number: int, wall_ms: int) -> bool:
+    """Return whether a move that has no state yet goes on now."""
+    if wall_ms < move.start_at_ms or vm.traffic.verdicts.of(number):
+        return False
+    return not has_earlier(vm, move)
 
 
 def start_of(move: TrafficMove) -> int:
--- a/cuminstile/objects/checks.py
+++ b/cuminstile/objects/checks.py
@@ -243,6 +243,53 @@
         )
 
 
+def check_settled(catalogue: Catalogue) -> Iterator[Finding]:
+    """Refuse versions of a stage of which no move says when they are used."""
+    moves = tuple(item for _, item in catalogue.items(TrafficMove))
+    for _, stage in catalogue.items(Stage):
+        versions = [
+            (placed, item)
+            for placed, item in catalogue.items(UpstreamVersion)
+            if item.stage == stage.name
+        ]
+        own = sorted(
+            (move for move in moves if move.stage == stage.name),
+            key=lambda move: (move.start_at_ms, move.name),
+        )
+        named = {name for move in own for name in (move.from_version, move.to_version)}
+        if len(versions) > 1:
+            yield from (
+                placed.finding(
+                    "name",
+                    "ambiguous_version",
+                    f"stage {stage.name} has several versions, and no traffic_move"
+                    f" names {item.name}; take it out or publish a move",
+                )
+                for placed, item in versions
+                if item.name not in named
+            )
+
+
+def check_move_order(catalogue: Catalogue) -> Iterator[Finding]:
+    """Refuse a move from a version that no move before it can have left in use."""
+    reached: dict[str, set[str]] = {}
+    ordered = sorted(
+        catalogue.items(TrafficMove),
+        key=lambda pair: (pair[1].start_at_ms, pair[1].name),
+    )
+    for placed, move in ordered:
+        earlier = reached.get(move.stage)
+        if earlier is not None and move.from_version not in earlier:
+            yield placed.finding(
+                "from_version",
+                "unreached_version",
+                f"no earlier move of stage {move.stage} can leave"
+                f" {move.from_version} in use; one of"
+                f" {', '.join(sorted(earlier))} is expected",
+            )
+        reached.setdefault(move.stage, {move.from_version}).add(move.to_version)
+
+
 def overlap(move: TrafficMove, other: TrafficMove) -> bool:
     """Return whether two moves of one stage share a moment."""
     return (
@@ -279,4 +326,6 @@
     check_pipelines,
     check_organisations,
     check_moves,
+    check_settled,
+    check_move_order,
 )
--- a/cuminstile/platform/verdict_log.py
+++ b/cuminstile/platform/verdict_log.py
@@ -8,10 +8,10 @@
 from ..const import CONFIG_RENEWAL_INTERVAL_MS, MOVE_STREAM, RECONNECT_MAX_MS
 from ..events import Event
 from ..exceptions import CuminstileError, PlatformAwayError, TrimmedError
-from ..moves import MoveState
+from ..moves import MoveState, why_done
 from ..rendezvous import rank
 from .client import Record
-from .verdicts import RECORDS, KnownVerdict, Verdict, make_verdict
+from .verdicts import RECORDS, KnownVerdict, Verdict, VerdictRecord, make_verdict
 
 if TYPE_CHECKING:
     from ..runtime import Vm
@@ -74,15 +74,20 @@
 async def record_verdicts(vm: Vm) -> None:
     """Append the verdicts that are due, and copies of old ones, for ever."""
     while True:
-        for state in tuple(vm.traffic.moves.values()):
-            if is_own_turn(vm, state):
-                await append_verdict(vm, state)
-        for known in tuple(vm.traffic.verdicts.by_number.values()):
-            if needs_copy(vm, known):
-                await append_copy(vm, known)
+        await record_once(vm)
         await vm.clock.sleep_ms(RECORD_INTERVAL_MS)
 
 
+async def record_once(vm: Vm) -> None:
+    """Append what is due here now."""
+    for state in tuple(vm.traffic.moves.values()):
+        if is_own_turn(vm, state):
+            await append_verdict(vm, state)
+    for known in tuple(vm.traffic.verdicts.by_number.values()):
+        if needs_copy(vm, known):
+            await append_copy(vm, known)
+
+
 def is_own_turn(vm: Vm, state: MoveState) -> bool:
     """Return whether this VM should append the verdict on a move now.
 
@@ -115,7 +120,7 @@
         state.wanted_since_ms = vm.clock.now_ms() + RETRY_MS
 
 
-def verdict_on(vm: Vm, state: MoveState):  # type: ignore[no-untyped-def]
+def verdict_on(vm: Vm, state: MoveState) -> VerdictRecord:
     """Return the verdict that this VM has come to."""
     mark = state.mark
     verdict = Verdict.TAKEN_BACK if mark.taken_back else Verdict.DONE
@@ -123,7 +128,7 @@
         state.move,
         state.number,
         verdict,
-        mark.reason or done_reason(state),
+        mark.reason or why_done(state),
         vm.settings.name,
         secrets.token_hex(8),
     )
--- a/cuminstile/traffic.py
+++ b/cuminstile/traffic.py
@@ -15,14 +15,13 @@
 from .exceptions import CuminstileError, ErrorCode
 from .moves import MoveState, position_of, route_of
 from .platform.verdicts import settled_version
-from .traffic_state import Traffic
+from .traffic_state import NO_MOVE, Traffic
 
 if TYPE_CHECKING:
     from .runtime import Vm
 
 MAX_EXCUSED_IN_A_ROW = 20
 MAX_FAILED_BODIES = 1_000
-NO_MOVE = 0
 
 
 @dataclass(frozen=True)
@@ -43,9 +42,7 @@
     share: float = 0.0
 
 
-def assign(
-    vm: Vm, call: StageCall, has_upstream: Callable[[str], bool]
-) -> Assignment:
+def assign(vm: Vm, call: StageCall, has_upstream: Callable[[str], bool]) -> Assignment:
     """Return the version for a call.
 
     Raises
@@ -104,22 +101,35 @@
         error = caught
         raise
     finally:
-        now_ms = vm.clock.now_ms()
-        elapsed_ms = now_ms - started_ms
-        state = vm.traffic.moves.get(assignment.move)
-        if state is not None:
-            late_above_ms = state.late_above_ms.get(route_of(call.pipeline))
-            is_late = late_above_ms is not None and elapsed_ms > late_above_ms
-            result = result_of(trace, is_answered, is_late, error)
-            result = excuse(state, assignment.is_new, trace, result)
-            if not fails_on_both(vm.traffic, call, assignment.is_new, result):
-                counter = state.ledger.own.setdefault(
-                    route_of(call.pipeline), Counter()
-                )
-                counter.count(result, assignment.is_new, assignment.share)
-        if is_answered and not trace.excused:
-            latencies = vm.traffic.latencies
-            latencies.record(call.version, call.pipeline, elapsed_ms, now_ms)
+        elapsed_ms = vm.clock.now_ms() - started_ms
+        note_call(vm, call, assignment, trace, elapsed_ms, is_answered, error)
+
+
+def note_call(
+    vm: Vm,
+    call: StageCall,
+    assignment: Assignment,
+    trace: RunTrace,
+    elapsed_ms: float,
+    is_answered: bool,
+    error: CuminstileError | None,
+) -> None:
+    """Count how a call went, for its move and its stage."""
+    state = vm.traffic.moves.get(assignment.move)
+    route = route_of(call.pipeline)
+    is_new = assignment.is_new
+    if state is not None:
+        limit_ms = state.late_above_ms.get(route)
+        is_late = limit_ms is not None and elapsed_ms > limit_ms
+        result = result_of(trace, is_answered, is_late, error)
+        result = excuse(state, is_new, trace, result)
+        if not fails_on_both(vm.traffic, call, is_new, result):
+            counter = state.ledger.own.setdefault(route, Counter())
+            counter.count(result, is_new, assignment.share)
+    if is_answered and not trace.excused:
+        vm.traffic.latencies.record(
+            call.version, call.pipeline, elapsed_ms, vm.clock.now_ms()
+        )
 
 
 def result_of(
--- a/cuminstile/traffic_state.py
+++ b/cuminstile/traffic_state.py
@@ -4,13 +4,18 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from .latency import Latencies
-from .moves import MoveMark, MoveState
+from .moves import BY_EVIDENCE, MoveMark, MovePolicy, MoveState
 from .platform.verdicts import VerdictState
 from .vm.messages import RouteEvidence
 
+if TYPE_CHECKING:
+    from .vm.sessions import Session
+
 MAX_EARLY_MARKS = 256
+NO_MOVE = 0
 
 
 @dataclass
@@ -21,18 +26,29 @@
     sent_ms: float
 
 
+@dataclass
+class Told:
+    """Hold what the other VM of one session was told about traffic moves."""
+
+    session: Session
+    marks: dict[int, MoveMark] = field(default_factory=dict)
+    verdicts: set[int] = field(default_factory=set)
+
+
 @dataclass
 class Traffic:
     """Hold the traffic moves as this VM sees them.
 
     Parameters
     ----------
+    policy : MovePolicy
+        What decides about the moves.
     moves : dict of int to MoveState
         The moves that have started and have no recorded verdict, by number.
     marks : dict of int to MoveMark
         What other VMs told of moves that this VM does not know yet.
-    told : dict of str to dict
-        What each session's VM, by its name and incarnation, was told of the marks.
+    told : dict of str to Told
+        What each other VM was told, by its name.
     met : bool
         Whether another VM has told its marks, so that this VM knows what was
         decided before it started.
@@ -41,14 +57,17 @@
         whether it failed on the old version (`False`), on the new one, or on both.
     """
 
+    policy: MovePolicy = BY_EVIDENCE
     moves: dict[int, MoveState] = field(default_factory=dict)
     marks: OrderedDict[int, MoveMark] = field(default_factory=OrderedDict)
     verdicts: VerdictState = field(default_factory=VerdictState)
     latencies: Latencies = field(default_factory=Latencies)
-    told: dict[str, dict[int, MoveMark]] = field(default_factory=dict)
+    told: dict[str, Told] = field(default_factory=dict)
     sent: dict[tuple[int, int], SentEvidence] = field(default_factory=dict)
     met: bool = False
-    failed_bodies: OrderedDict[bytes, frozenset[bool]] = field(default_factory=OrderedDict)
+    failed_bodies: OrderedDict[bytes, frozenset[bool]] = field(
+        default_factory=OrderedDict
+    )
 
     def is_informed(self) -> bool:
         """Return whether earlier decisions about moves are known here."""
--- a/cuminstile/vm/move_exchange.py
+++ b/cuminstile/vm/move_exchange.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import astuple
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from ..const import FORMAT, HEARTBEAT_REMOTE_INTERVAL_MS
-from ..evidence import Evidence
 from ..events import Event
+from ..evidence import Evidence
 from ..exceptions import CuminstileError
 from ..moves import LAST_STEP, MoveMark, MoveState
 from ..platform.verdicts import RECORDS, decode_verdict
-from ..traffic_state import SentEvidence
+from ..traffic_state import NO_MOVE, SentEvidence, Told
 from .messages import MoveEvidence, MoveStep, MoveVerdict, RouteEvidence
 
 if TYPE_CHECKING:
@@ -27,50 +26,49 @@
 
 async def tell_marks(vm: Vm) -> None:
     """Tell each other VM the marks and verdicts that it has not been told."""
-    traffic = vm.traffic
-    marks = {number: state.mark for number, state in traffic.moves.items()}
-    sessions = tuple(vm.sessions.by_name.values())
-    present = {source_of(session) for session in sessions}
-    for source in tuple(traffic.told):
-        if source not in present:
-            del traffic.told[source]
-    for session in sessions:
+    for session in tuple(vm.sessions.by_name.values()):
         try:
-            await tell_one(vm, session, marks)
+            await tell_one(vm, session)
         except CuminstileError:
-            traffic.told.pop(source_of(session), None)
+            # The session has broken; the next one is told everything again.
+            vm.traffic.told.pop(session.name, None)
 
 
-async def tell_one(vm: Vm, session: Session, marks: dict[int, MoveMark]) -> None:
-    """Tell one other VM what it has not been told; an empty mark opens."""
+async def tell_one(vm: Vm, session: Session) -> None:
+    """Tell one other VM what it has not been told in this session."""
     traffic = vm.traffic
-    source = source_of(session)
-    told = traffic.told.get(source)
-    if told is None:
-        told = traffic.told.setdefault(source, {})
-        if traffic.is_informed():
-            await session.send(MoveStep(0, 0, False, ""))
-    for number, mark in marks.items():
-        if told.get(number) != mark:
-            told[number] = mark
+    told = traffic.told.get(session.name)
+    if told is None or told.session is not session:
+        if not traffic.is_informed():
+            return
+        told = traffic.told[session.name] = Told(session)
+    for number in verdicts_to_tell(vm):
+        if number not in told.verdicts:
+            told.verdicts.add(number)
+            record = traffic.verdicts.by_number[number].record
+            await session.send(MoveVerdict(RECORDS.encode(record)))
+    for number, mark in marks_to_tell(vm).items():
+        if told.marks.get(number) != mark:
+            told.marks[number] = mark
             await session.send(
                 MoveStep(number, mark.step, mark.taken_back, mark.reason)
             )
-    for number in verdicts_to_tell(vm, told):
-        told[number] = MoveMark(LAST_STEP + 1)
-        record = traffic.verdicts.by_number[number].record
-        await session.send(MoveVerdict(RECORDS.encode(record)))
 
 
-def verdicts_to_tell(vm: Vm, told: dict[int, MoveMark]) -> list[int]:
-    """Return the numbers of the verdicts that another VM has not been told."""
+def marks_to_tell(vm: Vm) -> dict[int, MoveMark]:
+    """Return the marks by the moves' numbers; the empty one says that is all."""
+    marks = {number: state.mark for number, state in vm.traffic.moves.items()}
+    return {**marks, NO_MOVE: MoveMark()}
+
+
+def verdicts_to_tell(vm: Vm) -> list[int]:
+    """Return the numbers of the verdicts on stages that there still are."""
     current = vm.configuration.current
     stages = current.objects.stages if current else {}
     return [
         number
         for number, known in vm.traffic.verdicts.by_number.items()
         if known.record.stage in stages
-        and told.get(number, MoveMark()).step <= LAST_STEP
     ]
 
 
@@ -130,17 +128,22 @@
     return tuple(chosen)
 
 
-def entries_of(state: MoveState) -> Iterable[RouteEvidence]:
-    """Return this VM's own evidence on one move."""
-    return (
-        RouteEvidence(
+def entries_of(state: MoveState) -> Iterator[RouteEvidence]:
+    """Yield this VM's own evidence on one move."""
+    for route, counter in state.ledger.own.items():
+        evidence = counter.evidence
+        yield RouteEvidence(
             state.number,
             route,
-            *astuple(counter.evidence),
-            late_above_ms=round(state.late_above_ms.get(route, 0.0)),
+            evidence.new_good,
+            evidence.new_failed,
+            evidence.new_late,
+            evidence.old_good,
+            evidence.old_failed,
+            evidence.old_late,
+            evidence.log_bets,
+            round(state.late_above_ms.get(route, 0.0)),
         )
-        for route, counter in state.ledger.own.items()
-    )
 
 
 def source_of(session: Session) -> str:
@@ -170,8 +173,8 @@
 
 async def on_move_step(vm: Vm, session: Session, message: MoveStep) -> None:
     """Join another VM's mark of a move to this VM's own."""
-    vm.traffic.met = True
-    if not message.move:
+    if message.move == NO_MOVE:
+        vm.traffic.met = True
         return
     step = max(0, min(LAST_STEP, message.step))
     mark = MoveMark(step, message.taken_back, message.reason)
--- /dev/null
+++ b/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions in one process, on a virtual clock and over seeds."""
--- /dev/null
+++ b/trials/behaviours.py
@@ -0,0 +1,92 @@
+"""Describe good and bad versions for the trials of traffic moves."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from .moves import Answer, Behaviour, Moment
+
+MEDIAN_MS = 300.0
+BACKGROUND_FAILURES = 0.01
+QUIET, NOISY = 0.3, 0.8
+FAILED_AFTER_MS = 50.0
+
+
+def good(spread: float = QUIET, swing: float = 0.0) -> Behaviour:
+    """Return a version that works.
+
+    Parameters
+    ----------
+    spread : float
+        The deviation of the latency's logarithm.
+    swing : float
+        By how much the load on the whole system slows every version at times, and
+        data centres differ; 0 for not at all.
+    """
+
+    def behave(moment: Moment, rng: random.Random) -> Answer:
+        common = 1.0 + swing * (1.0 + math.sin(moment.progress * 25.0)) / 2.0
+        if swing and moment.data_centre == "dc1":
+            common *= 1.5
+        elapsed_ms = MEDIAN_MS * common * math.exp(rng.gauss(0.0, spread))
+        # A busy system fails more, whatever the version.
+        failures = BACKGROUND_FAILURES * (1.0 + 4.0 * (common - 1.0))
+        return Answer(rng.random() >= failures, elapsed_ms)
+
+    return behave
+
+
+def failing(fraction: float) -> Behaviour:
+    """Return a version that fails a fraction of its calls."""
+    healthy = good()
+
+    def behave(moment: Moment, rng: random.Random) -> Answer:
+        if rng.random() < fraction:
+            return Answer(False, FAILED_AFTER_MS)
+        return healthy(moment, rng)
+
+    return behave
+
+
+def slow(factor: float) -> Behaviour:
+    """Return a version that takes longer."""
+    healthy = good()
+
+    def behave(moment: Moment, rng: random.Random) -> Answer:
+        answer = healthy(moment, rng)
+        return Answer(answer.is_good, answer.elapsed_ms * factor)
+
+    return behave
+
+
+def later(bad: Behaviour, progress: float) -> Behaviour:
+    """Return a version that turns bad after a part of the move's time."""
+    healthy = good()
+
+    def behave(moment: Moment, rng: random.Random) -> Answer:
+        is_bad = moment.progress >= progress
+        return (bad if is_bad else healthy)(moment, rng)
+
+    return behave
+
+
+def under_load(bad: Behaviour, in_flight: int) -> Behaviour:
+    """Return a version that is bad while it has many calls in flight."""
+    healthy = good()
+
+    def behave(moment: Moment, rng: random.Random) -> Answer:
+        is_bad = moment.in_flight >= in_flight
+        return (bad if is_bad else healthy)(moment, rng)
+
+    return behave
+
+
+def on_route(bad: Behaviour, route: str) -> Behaviour:
+    """Return a version that is bad for one pipeline only."""
+    healthy = good()
+
+    def behave(moment: Moment, rng: random.Random) -> Answer:
+        return (bad if moment.route == route else healthy)(moment, rng)
+
+    return behave
--- /dev/null
+++ b/trials/moves.py
@@ -0,0 +1,400 @@
+"""Run one traffic move over several VMs in one process, on a virtual clock."""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from cuminstile.calls import RunTrace, StageCall
+from cuminstile.clock import VirtualClock
+from cuminstile.daemon import make_vm
+from cuminstile.events import Journal
+from cuminstile.exceptions import CuminstileError, ErrorCode, PlatformAwayError
+from cuminstile.moves import BY_EVIDENCE, MovePolicy, number_of
+from cuminstile.moving import move_once
+from cuminstile.objects.collection import collect
+from cuminstile.objects.model import (
+    AnyObject,
+    DataCentre,
+    Pipeline,
+    Role,
+    Stage,
+    Step,
+    TrafficMove,
+    Upstream,
+    UpstreamVersion,
+)
+from cuminstile.platform.client import Record, Records
+from cuminstile.platform.config_record import make_record
+from cuminstile.platform.configuration import Configuration
+from cuminstile.platform.verdict_log import read_verdicts, record_once
+from cuminstile.platform.verdicts import Verdict
+from cuminstile.runtime import Vm
+from cuminstile.settings import Settings
+from cuminstile.traffic import Assignment, assign, note_call
+from cuminstile.vm.move_exchange import tell_evidence, tell_marks
+from cuminstile.vm.sessions import Session, receive_one
+
+TICK_MS = 250.0
+WARM_UP_MS = 30_000.0
+OLD, NEW = "generate-1", "generate-2"
+ROUTES = ("chat", "draft", "quote")
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold what an upstream does with one call."""
+
+    is_good: bool
+    elapsed_ms: float
+
+
+@dataclass(frozen=True)
+class Moment:
+    """Describe a call for the behaviour of a version.
+
+    Parameters
+    ----------
+    progress : float
+        The time since the move's start as a fraction of its whole time.
+    in_flight : int
+        Calls at the same version at that moment.
+    """
+
+    progress: float
+    route: str
+    in_flight: int
+    data_centre: str
+
+
+Behaviour = Callable[[Moment, random.Random], Answer]
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Describe one trial.
+
+    Parameters
+    ----------
+    calls_per_s : float
+        Over all VMs.
+    data_centres : tuple of int
+        The number of VMs in each.
+    """
+
+    new: Behaviour
+    old: Behaviour
+    calls_per_s: float = 20.0
+    duration_ms: int = 300_000
+    data_centres: tuple[int, ...] = (3, 3)
+    policy: MovePolicy = BY_EVIDENCE
+
+
+@dataclass
+class MemoryPlatform:
+    """Keep streams in memory; `away` lists the VMs that get no answer."""
+
+    clock: VirtualClock
+    streams: dict[str, list[Record]] = field(default_factory=dict)
+    away: set[str] = field(default_factory=set)
+    lost_appends: int = 0
+
+
+@dataclass
+class PlatformEnd:
+    """Be one VM's client of the platform."""
+
+    platform: MemoryPlatform
+    vm: str
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Append, unless the platform is away; an answer may be lost."""
+        if self.vm in self.platform.away:
+            raise PlatformAwayError("away")
+        records = self.platform.streams.setdefault(stream, [])
+        records.append(Record(len(records), self.platform.clock.wall_ms(), payload))
+        if self.platform.lost_appends:
+            self.platform.lost_appends -= 1
+            raise PlatformAwayError("lost")
+        return len(records) - 1
+
+    async def read(
+        self, stream: str, offset: int, limit: int = 500, wait_ms: int = 0
+    ) -> Records:
+        """Read, unless the platform is away."""
+        if self.vm in self.platform.away:
+            raise PlatformAwayError("away")
+        records = tuple(self.platform.streams.get(stream, [])[offset:][:limit])
+        return Records(records, offset + len(records), 0)
+
+
+@dataclass
+class Wire:
+    """Deliver messages to the other VM of a session, and count their bytes."""
+
+    sender: str
+    receiver: Vm
+    sent_bytes: int = 0
+
+    async def send(self, data: bytes) -> None:
+        """Deliver one message at once."""
+        self.sent_bytes += len(data)
+        session = self.receiver.sessions.by_name.get(self.sender)
+        if session is not None:
+            await receive_one(self.receiver, session, data)
+
+
+@dataclass
+class Tally:
+    """Count what callers of the trial got.
+
+    Parameters
+    ----------
+    new_at_ms : list of float
+        When calls went to the new version, in ms since the move's start.
+    bad_at_ms : list of float
+        When the new version failed or was late, the same way.
+    """
+
+    calls: int = 0
+    new_at_ms: list[float] = field(default_factory=list)
+    bad_at_ms: list[float] = field(default_factory=list)
+
+
+@dataclass
+class Trial:
+    """Hold one run of a move."""
+
+    plan: Plan
+    seed: int
+    clock: VirtualClock = field(default_factory=VirtualClock)
+    tally: Tally = field(default_factory=Tally)
+    vms: list[Vm] = field(default_factory=list)
+    wires: list[Wire] = field(default_factory=list)
+    queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    in_flight: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Make the VMs and put the objects in force on them."""
+        self.random = random.Random(self.seed)
+        self.order = itertools.count()
+        self.platform = MemoryPlatform(self.clock)
+        start_ms = self.clock.wall_ms() + int(WARM_UP_MS)
+        self.move = TrafficMove(
+            kind="traffic_move",
+            name=f"move-{self.seed}",
+            stage="generate",
+            from_version=OLD,
+            to_version=NEW,
+            start_at_ms=start_ms,
+            finish_by_ms=start_ms + self.plan.duration_ms,
+        )
+        for index, count in enumerate(self.plan.data_centres):
+            for place in range(count):
+                self.add_vm(f"vm-{index}-{place}", f"dc{index}")
+        self.at(0.0, self.arrive)
+
+    def add_vm(self, name: str, data_centre: str) -> Vm:
+        """Start one VM and connect it to the others."""
+        vm = make_vm(make_settings(name, data_centre))
+        vm.clock = self.clock
+        vm.journal = Journal(name, self.clock)
+        vm.platform = PlatformEnd(self.platform, name)  # type: ignore[assignment]
+        vm.random = random.Random(f"{self.seed}{name}")
+        vm.traffic.policy = self.plan.policy
+        publish(vm, objects_of(self.plan, self.move))
+        for other in self.vms:
+            connect(self, vm, other)
+        self.vms.append(vm)
+        self.at(self.random.uniform(0.0, TICK_MS), lambda: self.tick(vm))
+        return vm
+
+    def at(self, at_ms: float, action: Callable[[], None]) -> None:
+        """Do something at a monotonic time."""
+        heapq.heappush(self.queue, (at_ms, next(self.order), action))
+
+    def run_to(self, progress: float) -> None:
+        """Run until a fraction of the move's time has passed."""
+        end_ms = WARM_UP_MS + progress * self.plan.duration_ms
+        while self.queue and self.queue[0][0] <= end_ms:
+            self.clock.at_ms, _, action = heapq.heappop(self.queue)
+            action()
+        self.clock.at_ms = end_ms
+
+    def since_start_ms(self) -> float:
+        """Return the time since the move's start."""
+        return self.clock.at_ms - WARM_UP_MS
+
+    def tick(self, vm: Vm) -> None:
+        """Do once what the background tasks of a VM do."""
+        if vm not in self.vms:
+            return
+        with contextlib.suppress(PlatformAwayError):
+            run_now(read_verdicts(vm, 0))
+        move_once(vm)
+        run_now(tell_marks(vm))
+        run_now(tell_evidence(vm))
+        run_now(record_once(vm))
+        self.at(self.clock.at_ms + TICK_MS, lambda: self.tick(vm))
+
+    def arrive(self) -> None:
+        """Let one request come to one of the VMs, and plan the next."""
+        gap_ms = self.random.expovariate(self.plan.calls_per_s) * 1000.0
+        self.at(self.clock.at_ms + gap_ms, self.arrive)
+        vm = self.random.choice(self.vms)
+        route = self.random.choice(ROUTES)
+        number = next(self.order)
+        call = StageCall(
+            request=f"r{self.seed}-{number}",
+            organisation="org",
+            pipeline=route,
+            step="generate",
+            stage="generate",
+            version="",
+            input=number,
+            stream=False,
+            priority=0,
+            deadline_ms=0.0,
+        )
+        assignment = assign(vm, call, lambda version: True)
+        self.call(vm, call, assignment)
+
+    def call(self, vm: Vm, call: StageCall, assignment: Assignment) -> None:
+        """Run one call at the version that was chosen."""
+        version = assignment.version
+        is_new = version == NEW
+        behaviour = self.plan.new if is_new else self.plan.old
+        moment = Moment(
+            self.since_start_ms() / self.plan.duration_ms,
+            call.pipeline,
+            self.in_flight.get(version, 0),
+            vm.settings.data_centre,
+        )
+        answer = behaviour(moment, self.random)
+        self.tally.calls += 1
+        if is_new:
+            self.tally.new_at_ms.append(self.since_start_ms())
+        self.in_flight[version] = self.in_flight.get(version, 0) + 1
+        chosen = StageCall(**{**call.__dict__, "version": version})
+
+        def finish() -> None:
+            self.in_flight[version] -= 1
+            self.finish(vm, chosen, assignment, answer)
+
+        self.at(self.clock.at_ms + answer.elapsed_ms, finish)
+
+    def finish(
+        self, vm: Vm, call: StageCall, assignment: Assignment, answer: Answer
+    ) -> None:
+        """Count the answer as the VM does."""
+        trace = RunTrace()
+        error = None
+        if not answer.is_good:
+            trace.note_failure("failed", "warm")
+            error = CuminstileError(ErrorCode.UPSTREAM_FAILED, "failed")
+        note_call(vm, call, assignment, trace, answer.elapsed_ms, answer.is_good, error)
+
+    def verdict(self) -> Verdict:
+        """Return the verdict as the first VM knows it."""
+        return self.vms[0].traffic.verdicts.of(number_of(self.move))
+
+    def reason(self) -> str:
+        """Return the reason of the recorded verdict, empty without one."""
+        known = self.vms[0].traffic.verdicts.by_number.get(number_of(self.move))
+        return known.record.reason if known else ""
+
+    def cut(self, data_centre: str) -> None:
+        """Cut a data centre off from the others and from the platform."""
+        inside = [vm for vm in self.vms if vm.settings.data_centre == data_centre]
+        for vm in inside:
+            self.platform.away.add(vm.settings.name)
+            for other in self.vms:
+                if other not in inside:
+                    vm.sessions.by_name.pop(other.settings.name, None)
+                    other.sessions.by_name.pop(vm.settings.name, None)
+
+    def heal(self) -> None:
+        """Undo every cut and outage."""
+        self.platform.away.clear()
+        for one, other in itertools.combinations(self.vms, 2):
+            if other.settings.name not in one.sessions.by_name:
+                connect(self, one, other)
+
+
+def run_now(work: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine that never waits."""
+    try:
+        work.send(None)
+    except StopIteration:
+        return
+    raise RuntimeError("the coroutine waits")
+
+
+def connect(trial: Trial, one: Vm, other: Vm) -> None:
+    """Open a session between two VMs."""
+    for vm, peer in ((one, other), (other, one)):
+        name = peer.settings.name
+        vm.members.add(name, peer.settings.data_centre, "127.0.0.1:1")
+        wire = Wire(vm.settings.name, peer)
+        trial.wires.append(wire)
+        vm.sessions.by_name[name] = Session(
+            name,
+            peer.settings.data_centre,
+            peer.incarnation,
+            wire,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            0.0,
+        )
+
+
+def publish(vm: Vm, objects: tuple[AnyObject, ...], version: int = 0) -> None:
+    """Put objects in force on one VM."""
+    record = make_record(-1, "trial", objects)
+    vm.configuration.current = Configuration(version, collect(objects), record)
+
+
+def make_settings(name: str, data_centre: str) -> Settings:
+    """Return settings of a VM that opens no port."""
+    return Settings(
+        name=name,
+        data_centre=data_centre,
+        host="127.0.0.1",
+        caller_port=1,
+        operator_port=2,
+        vm_port=3,
+        platform="127.0.0.1:4",
+        operator_keys=("a-key-for-operators-1",),
+        vm_keys=("a-key-for-the-vms-1",),
+    )
+
+
+def objects_of(plan: Plan, *moves: TrafficMove) -> tuple[AnyObject, ...]:
+    """Return one stage with two versions, used by several pipelines."""
+    centres = [f"dc{index}" for index in range(len(plan.data_centres))]
+    objects: list[AnyObject] = [
+        DataCentre(kind="data_centre", name=name, region="r") for name in centres
+    ]
+    objects.append(Stage(kind="stage", name="generate", role=Role.ENGINE, streams=True))
+    for version in (OLD, NEW):
+        objects.append(
+            UpstreamVersion(kind="upstream_version", name=version, stage="generate")
+        )
+    for index, name in enumerate(centres):
+        objects.append(
+            Upstream(
+                kind="upstream",
+                name=f"engine-{name}",
+                data_centre=name,
+                address=f"127.0.0.1:{9000 + index}",
+                versions=(OLD, NEW),
+            )
+        )
+    step = Step(name="generate", stage="generate")
+    for name in ROUTES:
+        objects.append(Pipeline(kind="pipeline", name=name, steps=(step,)))
+    return (*objects, *moves)
