Share out the limit on false take-backs by where badness is likely

Causes, one after another: the stake was spread evenly over all windows of the move (now half is for badness from the start); other data centres heard evidence only every 5 s (now each second while it speaks against a version); entries told to VMs here counted as told elsewhere (two records now); the old version's fraction of bad calls was learnt from too few calls at first (50 calls are assumed now).

--- a/cuminstile/judging.py
+++ b/cuminstile/judging.py
@@ -10,7 +10,7 @@
 from .sequential import Detector
 
 ALL_ROUTES = 0
-FALSE_TAKE_BACK_LIMIT = 0.005
+FALSE_TAKE_BACK_LIMIT = 0.01
 DETECTOR_WINDOW_MS = 5_000
 HELD_FRACTION = 0.5
 CRITICAL_Z = 2.58
@@ -61,7 +61,8 @@
 ) -> Judgement:
     """Judge by the bets on each route and on all of them together.
 
-    Each of them gets its part of the limit on false take-backs.
+    The limit on false take-backs is divided: one half is for all routes together,
+    the rest for each of them alike.
     """
     window = elapsed_ms // DETECTOR_WINDOW_MS
     windows = max(1, math.ceil(duration_ms / DETECTOR_WINDOW_MS))
@@ -72,9 +73,19 @@
         gains[route] = detector.take(sums, window)
     if not gains:
         return Judgement()
-    worst = max(gains, key=lambda route: gains[route])
-    limit = math.log(len(gains) / FALSE_TAKE_BACK_LIMIT)
-    return Judgement(worst, gains[worst] / limit)
+    strengths = {
+        route: gain / math.log(parts_of(route, len(gains)) / FALSE_TAKE_BACK_LIMIT)
+        for route, gain in gains.items()
+    }
+    worst = max(strengths, key=lambda route: strengths[route])
+    return Judgement(worst, strengths[worst])
+
+
+def parts_of(route: int, tests: int) -> int:
+    """Return which part of the limit a route's test has: one in so many."""
+    if tests == 1:
+        return 1
+    return 2 if route == ALL_ROUTES else 2 * (tests - 1)
 
 
 def by_confidence_bounds(
--- a/cuminstile/latency.py
+++ b/cuminstile/latency.py
@@ -7,16 +7,16 @@
 from hdrh.histogram import HdrHistogram
 
 WINDOW_MS = 60_000
-LOWEST_US = 10
-HIGHEST_US = 3_600_000_000
+UNITS_PER_MS = 10
+LOWEST_UNITS = 1
+HIGHEST_UNITS = 36_000_000
 SIGNIFICANT_DIGITS = 2
-US_PER_MS = 1_000
 MAX_SERIES = 2_000
 
 
 def make_histogram() -> HdrHistogram:
-    """Return an empty histogram of microseconds."""
-    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+    """Return an empty histogram of tenths of a millisecond."""
+    return HdrHistogram(LOWEST_UNITS, HIGHEST_UNITS, SIGNIFICANT_DIGITS)
 
 
 @dataclass
@@ -46,7 +46,7 @@
         merged.add(self.previous)
         merged.add(self.present)
         value = merged.get_value_at_percentile(quantile * 100.0)
-        return float(value) / US_PER_MS
+        return float(value) / UNITS_PER_MS
 
 
 @dataclass
@@ -65,8 +65,8 @@
                 self.series.pop(next(iter(self.series)))
             held = self.series.setdefault((version, pipeline), Series())
         held.turn(int(now_ms // WINDOW_MS))
-        value_us = int(elapsed_ms * US_PER_MS)
-        held.present.record_value(min(HIGHEST_US, max(LOWEST_US, value_us)))
+        units = int(elapsed_ms * UNITS_PER_MS)
+        held.present.record_value(min(HIGHEST_UNITS, max(LOWEST_UNITS, units)))
 
     def quantile_ms(
         self, version: str, pipeline: str, quantile: float, least: int
--- a/cuminstile/moves.py
+++ b/cuminstile/moves.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -99,6 +100,8 @@
         Monotonic time since which a verdict has been due here.
     late_above_ms : dict of int to float
         For each route, above which duration a call is late.
+    limits_at_ms : float
+        Monotonic time at which these limits were set.
     left_out : dict of bool to int
         For the new and the old version, how many bad calls were excused since the
         last good one.
@@ -114,6 +117,7 @@
     judgement: Judgement = Judgement()
     wanted_since_ms: float | None = None
     late_above_ms: dict[int, float] = field(default_factory=dict)
+    limits_at_ms: float = -math.inf
     left_out: dict[bool, int] = field(default_factory=dict)
 
     def merge(self, mark: MoveMark, wall_ms: int) -> bool:
--- a/cuminstile/moving.py
+++ b/cuminstile/moving.py
@@ -21,6 +21,7 @@
     from .runtime import Vm
 
 TICK_MS = 250
+LATE_LIMIT_INTERVAL_MS = 2_000
 LATE_QUANTILE = 0.95
 LATE_FACTOR = 1.25
 LEAST_RUNS = 10
@@ -57,9 +58,10 @@
     for number in tuple(traffic.moves):
         if traffic.verdicts.of(number):
             del traffic.moves[number]
-    for key in tuple(traffic.sent):
-        if key[0] not in traffic.moves:
-            del traffic.sent[key]
+    for rounds in (traffic.here, traffic.elsewhere):
+        for key in tuple(rounds.sent):
+            if key[0] not in traffic.moves:
+                del rounds.sent[key]
 
 
 def start_due(vm: Vm, wall_ms: int) -> None:
@@ -120,6 +122,10 @@
     The old version's own recent calls say so, so that both versions are measured
     alike; other VMs' limits serve while this VM has seen too few.
     """
+    now_ms = vm.clock.now_ms()
+    if now_ms - state.limits_at_ms < LATE_LIMIT_INTERVAL_MS:
+        return
+    state.limits_at_ms = now_ms
     move = state.move
     for pipeline in vm.objects.pipelines.values():
         if all(step.stage != move.stage for step in pipeline.steps):
--- a/cuminstile/platform/verdict_log.py
+++ b/cuminstile/platform/verdict_log.py
@@ -10,6 +10,7 @@
 from ..exceptions import CuminstileError, PlatformAwayError, TrimmedError
 from ..moves import MoveState, why_done
 from ..rendezvous import rank
+from ..traffic import settled_version_of
 from .client import Record
 from .verdicts import RECORDS, KnownVerdict, Verdict, VerdictRecord, make_verdict
 
@@ -123,11 +124,13 @@
 def verdict_on(vm: Vm, state: MoveState) -> VerdictRecord:
     """Return the verdict that this VM has come to."""
     mark = state.mark
-    verdict = Verdict.TAKEN_BACK if mark.taken_back else Verdict.DONE
+    move = state.move
+    settled = settled_version_of(vm, move.stage) or move.from_version
     return make_verdict(
-        state.move,
+        move,
         state.number,
-        verdict,
+        Verdict.TAKEN_BACK if mark.taken_back else Verdict.DONE,
+        settled if mark.taken_back else move.to_version,
         mark.reason or why_done(state),
         vm.settings.name,
         secrets.token_hex(8),
--- a/cuminstile/platform/verdicts.py
+++ b/cuminstile/platform/verdicts.py
@@ -37,12 +37,16 @@
         The move's number; see `moves.number_of`.
     nonce : str
         Tells apart the appends of different VMs, for whoever reads the log.
+    version_in_use : str
+        The version that the stage uses once the move has ended. A move that was
+        void from its start leaves what was in use before.
     """
 
     format: int
     number: int
     nonce: str
     verdict: Verdict
+    version_in_use: str
     reason: str
     vm: str
     name: str
@@ -134,7 +138,13 @@
 
 
 def make_verdict(
-    move: TrafficMove, number: int, verdict: Verdict, reason: str, vm: str, nonce: str
+    move: TrafficMove,
+    number: int,
+    verdict: Verdict,
+    version_in_use: str,
+    reason: str,
+    vm: str,
+    nonce: str,
 ) -> VerdictRecord:
     """Return the record of a verdict on a move."""
     return VerdictRecord(
@@ -142,6 +152,7 @@
         number,
         nonce,
         verdict,
+        version_in_use,
         reason,
         vm,
         move.name,
@@ -166,7 +177,7 @@
     if len(names) <= 1:
         return names[0] if names else ""
     ended = sorted(
-        (known.record.start_at_ms, known.offset, outcome_of(known.record))
+        (known.record.start_at_ms, known.offset, known.record.version_in_use)
         for known in verdicts
         if known.record.stage == stage
     )
@@ -181,13 +192,6 @@
     return starts[0][1] if starts else sorted(names)[0]
 
 
-def outcome_of(record: VerdictRecord) -> str:
-    """Return the version that is in use after a move with this verdict."""
-    if record.verdict == Verdict.DONE:
-        return record.to_version
-    return record.from_version
-
-
 def decode_verdict(payload: bytes) -> VerdictRecord | None:
     """Return the verdict in a payload from another VM, nothing if it is malformed."""
     try:
--- a/cuminstile/sequential.py
+++ b/cuminstile/sequential.py
@@ -21,8 +21,8 @@
 class BadFraction:
     """Hold the fraction of the old version's recent calls that were bad."""
 
-    calls: float = 1.0
-    bad: float = 0.02
+    calls: float = 50.0
+    bad: float = 1.0
 
     def add(self, is_bad: bool) -> None:
         """Count one call; older ones weigh less and less."""
@@ -104,11 +104,23 @@
 
     def stake(self, window: int) -> None:
         """Put the new window's part on each bet."""
-        late = max(0, window - self.windows + 1)
-        part = 0.5 / self.windows if not late else 0.5 / (late * (late + 1.0))
-        self.log_gains = [add_logs(gain, math.log(part)) for gain in self.log_gains]
+        log_part = math.log(self.part_of(window))
+        self.log_gains = [add_logs(gain, log_part) for gain in self.log_gains]
         self.window = window
 
+    def part_of(self, window: int) -> float:
+        """Return the part of the stake that is for badness from this window on.
+
+        Half is for badness from the start, a quarter for the planned time after it
+        and a quarter for all time after that.
+        """
+        if self.window < 0:
+            return 0.5
+        late = window - self.windows + 1
+        if late <= 0:
+            return 0.25 / self.windows
+        return 0.25 / (late * (late + 1.0))
+
     def log_gain(self) -> float:
         """Return the logarithm of the average over the bets."""
         total = -math.inf
--- a/cuminstile/traffic_state.py
+++ b/cuminstile/traffic_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -26,6 +27,25 @@
     sent_ms: float
 
 
+@dataclass
+class EvidenceRounds:
+    """Hold what the VMs here, or those of other data centres, were told last.
+
+    Parameters
+    ----------
+    told_ms : float
+        Monotonic time of the last round.
+    log_bets : int
+        This VM's evidence against new versions at that time.
+    sent : dict of (int, int) to SentEvidence
+        By move and route.
+    """
+
+    told_ms: float = -math.inf
+    log_bets: int = 0
+    sent: dict[tuple[int, int], SentEvidence] = field(default_factory=dict)
+
+
 @dataclass
 class Told:
     """Hold what the other VM of one session was told about traffic moves."""
@@ -49,6 +69,8 @@
         What other VMs told of moves that this VM does not know yet.
     told : dict of str to Told
         What each other VM was told, by its name.
+    here, elsewhere : EvidenceRounds
+        What the VMs of this data centre and of the others were told of evidence.
     met : bool
         Whether another VM has told its marks, so that this VM knows what was
         decided before it started.
@@ -63,7 +85,8 @@
     verdicts: VerdictState = field(default_factory=VerdictState)
     latencies: Latencies = field(default_factory=Latencies)
     told: dict[str, Told] = field(default_factory=dict)
-    sent: dict[tuple[int, int], SentEvidence] = field(default_factory=dict)
+    here: EvidenceRounds = field(default_factory=EvidenceRounds)
+    elsewhere: EvidenceRounds = field(default_factory=EvidenceRounds)
     met: bool = False
     failed_bodies: OrderedDict[bytes, frozenset[bool]] = field(
         default_factory=OrderedDict
--- a/cuminstile/vm/move_exchange.py
+++ b/cuminstile/vm/move_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -11,7 +13,7 @@
 from ..exceptions import CuminstileError
 from ..moves import LAST_STEP, MoveMark, MoveState
 from ..platform.verdicts import RECORDS, decode_verdict
-from ..traffic_state import NO_MOVE, SentEvidence, Told
+from ..traffic_state import NO_MOVE, EvidenceRounds, SentEvidence, Told
 from .messages import MoveEvidence, MoveStep, MoveVerdict, RouteEvidence
 
 if TYPE_CHECKING:
@@ -22,6 +24,7 @@
 REPEAT_INTERVAL_MS = 30_000
 ENTRIES_PER_ROUND = 24
 MAX_ENTRIES = 8
+URGENT_LOG_BETS = 100
 
 
 async def tell_marks(vm: Vm) -> None:
@@ -78,54 +81,84 @@
     How much goes out at once depends on the number of sessions, so that the bytes a
     second stay the same in a large data centre.
     """
+    sessions = tuple(vm.sessions.by_name.values())
+    if not sessions or not vm.traffic.moves:
+        return
+    own = vm.settings.data_centre
+    limit = max(1, min(MAX_ENTRIES, ENTRIES_PER_ROUND // len(sessions)))
+    here = [session for session in sessions if session.data_centre == own]
+    elsewhere = [session for session in sessions if session.data_centre != own]
+    await tell_group(vm, vm.traffic.here, here, EVIDENCE_INTERVAL_MS, limit)
+    # Other data centres are told less often, unless there is news against a version.
+    news = evidence_against(vm) - vm.traffic.elsewhere.log_bets
+    is_urgent = news >= URGENT_LOG_BETS
+    interval_ms = EVIDENCE_INTERVAL_MS if is_urgent else HEARTBEAT_REMOTE_INTERVAL_MS
+    await tell_group(vm, vm.traffic.elsewhere, elsewhere, interval_ms, limit)
+
+
+async def tell_group(
+    vm: Vm,
+    rounds: EvidenceRounds,
+    sessions: list[Session],
+    interval_ms: float,
+    limit: int,
+) -> None:
+    """Tell some VMs the same entries if their time has come."""
     now_ms = vm.clock.now_ms()
-    due = [session for session in vm.sessions.by_name.values() if is_due(vm, session)]
-    if not due:
+    if now_ms - rounds.told_ms < interval_ms:
         return
-    limit = max(1, min(MAX_ENTRIES, ENTRIES_PER_ROUND // len(vm.sessions.by_name)))
-    entries = choose_entries(vm, now_ms, limit)
-    for session in due:
-        session.told_evidence_ms = now_ms
-        if not entries:
-            continue
-        try:
+    rounds.told_ms = now_ms
+    rounds.log_bets = evidence_against(vm)
+    entries = choose_entries(vm, rounds, limit)
+    if not entries:
+        return
+    for session in sessions:
+        with contextlib.suppress(CuminstileError):
             await session.send(MoveEvidence(entries))
-        except CuminstileError:
-            continue
 
 
-def is_due(vm: Vm, session: Session) -> bool:
-    """Return whether a session gets evidence in this round."""
-    own = session.data_centre == vm.settings.data_centre
-    interval_ms = EVIDENCE_INTERVAL_MS if own else HEARTBEAT_REMOTE_INTERVAL_MS
-    return vm.clock.now_ms() - session.told_evidence_ms >= interval_ms
+def evidence_against(vm: Vm) -> int:
+    """Return this VM's evidence against new versions, in hundredths of a nat."""
+    return sum(
+        max(counter.evidence.log_bets)
+        for state in vm.traffic.moves.values()
+        for counter in state.ledger.own.values()
+    )
 
 
-def choose_entries(vm: Vm, now_ms: float, limit: int) -> tuple[RouteEvidence, ...]:
+def choose_entries(
+    vm: Vm, rounds: EvidenceRounds, limit: int
+) -> tuple[RouteEvidence, ...]:
     """Return the entries that matter most to the others now."""
-    sent = vm.traffic.sent
-    entries = [
+    now_ms = vm.clock.now_ms()
+    entries = (
         entry for state in vm.traffic.moves.values() for entry in entries_of(state)
-    ]
-
-    def urgency(entry: RouteEvidence) -> tuple[float, float]:
-        last = sent.get((entry.move, entry.route))
-        if last is None:
-            return (float("inf"), 0.0)
-        changes = zip(entry.log_bets, last.entry.log_bets, strict=True)
-        change = max(abs(new - old) for new, old in changes)
-        return (float(change), now_ms - last.sent_ms)
-
-    def is_news(entry: RouteEvidence) -> bool:
-        last = sent.get((entry.move, entry.route))
-        if last is None or last.entry != entry:
-            return True
-        return now_ms - last.sent_ms >= REPEAT_INTERVAL_MS
-
-    chosen = sorted(filter(is_news, entries), key=urgency, reverse=True)[:limit]
-    for entry in chosen:
-        sent[entry.move, entry.route] = SentEvidence(entry, now_ms)
-    return tuple(chosen)
+    )
+    news = [entry for entry in entries if is_news(rounds, entry, now_ms)]
+    news.sort(key=lambda entry: urgency(rounds, entry, now_ms), reverse=True)
+    for entry in news[:limit]:
+        rounds.sent[entry.move, entry.route] = SentEvidence(entry, now_ms)
+    return tuple(news[:limit])
+
+
+def is_news(rounds: EvidenceRounds, entry: RouteEvidence, now_ms: float) -> bool:
+    """Return whether an entry has changed, or was told long ago."""
+    last = rounds.sent.get((entry.move, entry.route))
+    if last is None or last.entry != entry:
+        return True
+    return now_ms - last.sent_ms >= REPEAT_INTERVAL_MS
+
+
+def urgency(
+    rounds: EvidenceRounds, entry: RouteEvidence, now_ms: float
+) -> tuple[float, float]:
+    """Return by how much an entry speaks against a version, and for how long."""
+    last = rounds.sent.get((entry.move, entry.route))
+    if last is None:
+        return (float(max(entry.log_bets)), math.inf)
+    changes = zip(entry.log_bets, last.entry.log_bets, strict=True)
+    against = max(new - old for new, old in changes)
+    return (max(0.0, float(against)), now_ms - last.sent_ms)
 
 
 def entries_of(state: MoveState) -> Iterator[RouteEvidence]:
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -55,8 +55,6 @@
         The other VM's calls that run here, by call number.
     busy_since_ms : float or None
         Monotonic time since which calls have been in progress, in either direction.
-    told_evidence_ms : float
-        Monotonic time at which the other VM was last told evidence about moves.
     """
 
     name: str
@@ -69,7 +67,6 @@
     calls: dict[int, MemoryObjectSendStream[Message]] = field(default_factory=dict)
     serving: dict[int, anyio.CancelScope] = field(default_factory=dict)
     busy_since_ms: float | None = None
-    told_evidence_ms: float = -math.inf
 
     async def send(self, message: Message) -> None:
         """Send one message.
--- /dev/null
+++ b/tests/test_evidence.py
@@ -0,0 +1,42 @@
+"""Test cuminstile.evidence."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cuminstile.evidence import CallResult, Counter, Evidence, Ledger
+
+MESSAGES = [
+    (source, route, Evidence(new_good=count, old_good=3 * count))
+    for source in ("vm-1/x", "vm-1/y", "vm-2/x")
+    for route in (1, 2)
+    for count in (1, 5, 9)
+]
+
+
+@given(st.permutations(MESSAGES), st.lists(st.sampled_from(MESSAGES)))
+def test_evidence_is_the_same_in_any_order_and_when_told_again(
+    messages: list, again: list
+) -> None:
+    ledger = Ledger()
+    for source, route, evidence in (*messages, *again):
+        ledger.hear(source, route, evidence)
+    # Three sources, each with nine good calls of the new version at the last.
+    assert ledger.by_route() == {
+        1: Evidence(new_good=27, old_good=81),
+        2: Evidence(new_good=27, old_good=81),
+    }
+
+
+def test_counter_bets_against_the_new_version_only_for_its_own_badness() -> None:
+    worse, better = Counter(), Counter()
+    for _ in range(20):
+        worse.count(CallResult.FAILED, True, 0.5)
+        better.count(CallResult.FAILED, False, 0.5)
+    assert min(worse.evidence.log_bets) > 0
+    assert max(better.evidence.log_bets) < 0
+
+
+def test_what_is_left_out_changes_nothing() -> None:
+    counter = Counter()
+    counter.count(CallResult.LEFT_OUT, True, 0.5)
+    assert counter.evidence == Evidence()
--- a/trials/behaviours.py
+++ b/trials/behaviours.py
@@ -43,7 +43,7 @@
 
     def behave(moment: Moment, rng: random.Random) -> Answer:
         if rng.random() < fraction:
-            return Answer(False, FAILED_AFTER_MS)
+            return Answer(False, FAILED_AFTER_MS, is_bad=True)
         return healthy(moment, rng)
 
     return behave
@@ -55,7 +55,7 @@
 
     def behave(moment: Moment, rng: random.Random) -> Answer:
         answer = healthy(moment, rng)
-        return Answer(answer.is_good, answer.elapsed_ms * factor)
+        return Answer(answer.is_good, answer.elapsed_ms * factor, is_bad=True)
 
     return behave
 
--- a/trials/moves.py
+++ b/trials/moves.py
@@ -48,10 +48,17 @@
 
 @dataclass(frozen=True)
 class Answer:
-    """Hold what an upstream does with one call."""
+    """Hold what an upstream does with one call.
+
+    Parameters
+    ----------
+    is_bad : bool
+        Whether the badness that the trial puts in made this answer.
+    """
 
     is_good: bool
     elapsed_ms: float
+    is_bad: bool = False
 
 
 @dataclass(frozen=True)
@@ -155,16 +162,23 @@
 
     Parameters
     ----------
+    at_ms : list of float
+        When calls came, in ms since the move's start.
     new_at_ms : list of float
         When calls went to the new version, in ms since the move's start.
     bad_at_ms : list of float
-        When the new version failed or was late, the same way.
+        When the new version gave an answer that was bad, the same way.
     """
 
-    calls: int = 0
+    at_ms: list[float] = field(default_factory=list)
     new_at_ms: list[float] = field(default_factory=list)
     bad_at_ms: list[float] = field(default_factory=list)
 
+    @property
+    def calls(self) -> int:
+        """Return the number of calls."""
+        return len(self.at_ms)
+
 
 @dataclass
 class Trial:
@@ -276,13 +290,15 @@
             vm.settings.data_centre,
         )
         answer = behaviour(moment, self.random)
-        self.tally.calls += 1
+        self.tally.at_ms.append(self.since_start_ms())
         if is_new:
             self.tally.new_at_ms.append(self.since_start_ms())
         self.in_flight[version] = self.in_flight.get(version, 0) + 1
         chosen = StageCall(**{**call.__dict__, "version": version})
 
         def finish() -> None:
+            if is_new and answer.is_bad:
+                self.tally.bad_at_ms.append(self.since_start_ms())
             self.in_flight[version] -= 1
             self.finish(vm, chosen, assignment, answer)
 
@@ -308,6 +324,27 @@
         known = self.vms[0].traffic.verdicts.by_number.get(number_of(self.move))
         return known.record.reason if known else ""
 
+    def shown_at_ms(self, calls: int) -> float:
+        """Return when badness showed, in ms since the move's start.
+
+        That is with so many bad answers; with the last one if there were fewer.
+        """
+        bad_at_ms = self.tally.bad_at_ms
+        return bad_at_ms[min(calls, len(bad_at_ms)) - 1]
+
+    def reverse_move(self, delay_ms: int) -> TrafficMove:
+        """Return a move back that starts a while after this one's end."""
+        start_ms = self.move.finish_by_ms + delay_ms
+        return TrafficMove(
+            kind="traffic_move",
+            name=f"{self.move.name}-back",
+            stage=self.move.stage,
+            from_version=self.move.to_version,
+            to_version=self.move.from_version,
+            start_at_ms=start_ms,
+            finish_by_ms=start_ms + self.plan.duration_ms,
+        )
+
     def cut(self, data_centre: str) -> None:
         """Cut a data centre off from the others and from the platform."""
         inside = [vm for vm in self.vms if vm.settings.data_centre == data_centre]
