--- /dev/null
+++ b/tests/vm/test_move_exchange.py
@@ -0,0 +1,70 @@
+"""Test cuminstile.vm.move_exchange."""
+
+from cuminstile.moves import number_of
+from cuminstile.platform.verdicts import Verdict
+from cuminstile.vm.messages import CODEC, MoveStep, MoveVerdict
+from cuminstile.vm.move_exchange import on_move_step, on_move_verdict
+from trials.behaviours import failing, good
+from trials.moves import Plan, Trial
+
+# Half of what heartbeats (1.4 KB/s) leave of the target's 4 KB/s.
+BYTES_PER_S = 1_300.0
+TARGET_VMS = 20
+FRAME_BYTES = 8
+
+
+def test_move_costs_a_vm_little_of_its_bytes_in_a_large_data_centre() -> None:
+    plan = Plan(good(), good(), 60.0, 60_000, data_centres=(TARGET_VMS,))
+    trial = Trial(plan, 1)
+    trial.run_to(0.1)
+    before = trial.sent_by("vm-0-0")
+    trial.run_to(0.9)
+    sent = trial.sent_by("vm-0-0")
+    seconds = 0.8 * 60.0
+    total = sent.count_bytes - before.count_bytes
+    total += FRAME_BYTES * (sent.messages - before.messages)
+    assert total / seconds < BYTES_PER_S
+
+
+def test_new_vm_learns_the_verdict_from_others_while_the_platform_is_away() -> None:
+    trial = Trial(Plan(failing(1.0), good(), duration_ms=60_000), 1)
+    trial.run_to(1.05)
+    late = trial.add_vm("vm-0-9", "dc0")
+    trial.platform.away.add("vm-0-9")
+    trial.run_for_ms(1_000)
+    assert late.traffic.verdicts.of(number_of(trial.move)) == Verdict.TAKEN_BACK
+
+
+def test_new_vm_sends_nothing_to_a_new_version_before_it_is_informed() -> None:
+    trial = Trial(Plan(good(), good(), duration_ms=60_000), 1)
+    trial.run_to(0.5)
+    late = trial.add_vm("vm-1-9", "dc1")
+    trial.platform.away.add("vm-1-9")
+    for vm in trial.vms:
+        late.sessions.by_name.pop(vm.settings.name, None)
+        vm.sessions.by_name.pop("vm-1-9", None)
+    trial.run_to(0.9)
+    assert not late.traffic.moves
+
+
+async def test_step_out_of_range_is_bounded_and_a_wrong_verdict_refused() -> None:
+    trial = Trial(Plan(good(), good(), duration_ms=60_000), 1)
+    trial.run_to(0.05)
+    vm = trial.vms[0]
+    session = next(iter(vm.sessions.by_name.values()))
+    number = number_of(trial.move)
+    await on_move_step(vm, session, MoveStep(number, 1_000, False, ""))
+    assert vm.traffic.moves[number].share(trial.clock.wall_ms()) == 1.0
+    await on_move_verdict(vm, session, MoveVerdict(b"\x00"))
+    assert vm.traffic.verdicts.of(number) == Verdict.NONE
+
+
+def test_marks_told_before_the_move_is_known_are_kept() -> None:
+    trial = Trial(Plan(failing(1.0), good(), duration_ms=60_000), 1)
+    vm = trial.vms[0]
+    number = number_of(trial.move)
+    data = CODEC.encode(MoveStep(number, 0, True, "bad"))
+    trial.deliver(vm, data)
+    trial.run_to(0.5)
+    assert trial.reason() == "bad"
+    assert not trial.tally.new_at_ms
--- a/trials/moves.py
+++ b/trials/moves.py
@@ -14,7 +14,12 @@
 from cuminstile.clock import VirtualClock
 from cuminstile.daemon import make_vm
 from cuminstile.events import Journal
-from cuminstile.exceptions import CuminstileError, ErrorCode, PlatformAwayError
+from cuminstile.exceptions import (
+    CuminstileError,
+    ErrorCode,
+    PlatformAwayError,
+    TrimmedError,
+)
 from cuminstile.moves import BY_EVIDENCE, MovePolicy, number_of
 from cuminstile.moving import move_once
 from cuminstile.objects.collection import collect
@@ -110,6 +115,17 @@
     streams: dict[str, list[Record]] = field(default_factory=dict)
     away: set[str] = field(default_factory=set)
     lost_appends: int = 0
+    first: int = 0
+
+    def append_now(self, stream: str, payload: bytes) -> int:
+        """Append one record."""
+        records = self.streams.setdefault(stream, [])
+        records.append(Record(len(records), self.clock.wall_ms(), payload))
+        return len(records) - 1
+
+    def trim(self, stream: str, first: int) -> None:
+        """Forget the records before an offset."""
+        self.first = first
 
 
 @dataclass
@@ -123,12 +139,11 @@
         """Append, unless the platform is away; an answer may be lost."""
         if self.vm in self.platform.away:
             raise PlatformAwayError("away")
-        records = self.platform.streams.setdefault(stream, [])
-        records.append(Record(len(records), self.platform.clock.wall_ms(), payload))
+        offset = self.platform.append_now(stream, payload)
         if self.platform.lost_appends:
             self.platform.lost_appends -= 1
             raise PlatformAwayError("lost")
-        return len(records) - 1
+        return offset
 
     async def read(
         self, stream: str, offset: int, limit: int = 500, wait_ms: int = 0
@@ -136,6 +151,8 @@
         """Read, unless the platform is away."""
         if self.vm in self.platform.away:
             raise PlatformAwayError("away")
+        if offset < self.platform.first:
+            raise TrimmedError(stream, self.platform.first)
         records = tuple(self.platform.streams.get(stream, [])[offset:][:limit])
         return Records(records, offset + len(records), 0)
 
@@ -147,15 +164,25 @@
     sender: str
     receiver: Vm
     sent_bytes: int = 0
+    messages: int = 0
 
     async def send(self, data: bytes) -> None:
         """Deliver one message at once."""
         self.sent_bytes += len(data)
+        self.messages += 1
         session = self.receiver.sessions.by_name.get(self.sender)
         if session is not None:
             await receive_one(self.receiver, session, data)
 
 
+@dataclass(frozen=True)
+class Sent:
+    """Hold what one VM has sent: messages, and the bytes in them."""
+
+    messages: int
+    count_bytes: int
+
+
 @dataclass
 class Tally:
     """Count what callers of the trial got.
@@ -235,6 +262,11 @@
     def run_to(self, progress: float) -> None:
         """Run until a fraction of the move's time has passed."""
         end_ms = WARM_UP_MS + progress * self.plan.duration_ms
+        self.run_for_ms(end_ms - self.clock.at_ms)
+
+    def run_for_ms(self, duration_ms: float) -> None:
+        """Run for a while."""
+        end_ms = self.clock.at_ms + duration_ms
         while self.queue and self.queue[0][0] <= end_ms:
             self.clock.at_ms, _, action = heapq.heappop(self.queue)
             action()
@@ -345,6 +377,22 @@
             finish_by_ms=start_ms + self.plan.duration_ms,
         )
 
+    def numbers(self) -> set[int]:
+        """Return the numbers of the moves that have a verdict."""
+        return {number for vm in self.vms for number in vm.traffic.verdicts.by_number}
+
+    def sent_by(self, name: str) -> Sent:
+        """Return what one VM has sent so far about moves."""
+        own = [wire for wire in self.wires if wire.sender == name]
+        return Sent(
+            sum(wire.messages for wire in own), sum(wire.sent_bytes for wire in own)
+        )
+
+    def deliver(self, vm: Vm, data: bytes) -> None:
+        """Give a VM a message as if another one had sent it."""
+        session = next(iter(vm.sessions.by_name.values()))
+        run_now(receive_one(vm, session, data))
+
     def cut(self, data_centre: str) -> None:
         """Cut a data centre off from the others and from the platform."""
         inside = [vm for vm in self.vms if vm.settings.data_centre == data_centre]
