Refuse objects that leave a stage's version open

A stage with several versions needs moves that name each of them, and a move must start from what an earlier one can have left in use. Other VMs tell with a forwarded stage's answer what may excuse its version, and the moves' part of the daemon's loop is what the trials run.

--- a/cuminstile/moving.py
+++ b/cuminstile/moving.py
@@ -30,13 +30,18 @@
 async def keep_moving(vm: Vm) -> None:
     """Decide about the traffic moves and tell the other VMs, for ever."""
     while True:
-        if vm.configuration.current is not None:
-            move_once(vm)
-        await tell_marks(vm)
-        await tell_evidence(vm)
+        await move_and_tell(vm)
         await vm.clock.sleep_ms(TICK_MS)
 
 
+async def move_and_tell(vm: Vm) -> None:
+    """Decide once about the traffic moves and tell the other VMs what is new."""
+    if vm.configuration.current is not None:
+        move_once(vm)
+    await tell_marks(vm)
+    await tell_evidence(vm)
+
+
 def move_once(vm: Vm) -> None:
     """Take in what was published, then decide once about each move."""
     if not vm.traffic.is_informed():
--- a/tests/objects/test_checks.py
+++ b/tests/objects/test_checks.py
@@ -81,6 +81,7 @@
         ("to-2", lambda o: o.update(finish_by_ms=1_000), "finish_by_ms", "no_time"),
         ("back", lambda o: o.update(start_at_ms=1_500), "start_at_ms",
          "overlapping_moves"),
+        ("embed-1", lambda o: o.update(stage="draft"), "name", "ambiguous_version"),
     ],
 )  # fmt: skip
 def test_each_mistake_is_found_at_its_place(
@@ -89,6 +90,21 @@
     assert (f"[{index_of(name)}].{path}", code) in found(edited(name, edit))
 
 
+def test_move_from_a_version_that_no_earlier_one_leaves_in_use_is_found() -> None:
+    third = {"kind": "upstream_version", "name": "draft-3", "stage": "draft"}
+    objects = [*edited("back", lambda item: item.update(from_version="draft-3")), third]
+    place = f"[{index_of('back')}].from_version"
+    assert (place, "unreached_version") in found(objects)
+
+
+def test_several_versions_without_a_move_are_found() -> None:
+    objects = [item for item in GOOD_SET if item["kind"] != "traffic_move"]
+    assert found(objects) == {
+        (f"[{index_of(name)}].name", "ambiguous_version")
+        for name in ("draft-1", "draft-2")
+    }
+
+
 def test_unserved_stages_and_versions_are_found() -> None:
     objects = [item for item in GOOD_SET if item["kind"] != "upstream"]
     assert (f"[{index_of('draft-1')}].name", "no_upstream") in found(objects)
--- /dev/null
+++ b/tests/test_stages.py
@@ -0,0 +1,78 @@
+"""Test cuminstile.stages with traffic moves, over fake upstreams."""
+
+from typing import Any
+
+from anyio.abc import SocketStream
+
+from cuminstile.calls import RunTrace, StageCall, drop_tokens
+from cuminstile.exceptions import CuminstileError
+from cuminstile.moves import MoveMark, number_of
+from cuminstile.moving import move_once
+from cuminstile.objects.model import TrafficMove, Upstream, UpstreamVersion
+from cuminstile.stages import run_stage
+
+from .fakes.objects import small_set
+from .fakes.upstreams import send_json, upstream
+from .fakes.vms import make_test_vm, put_in_force
+
+
+def make_call(number: int) -> StageCall:
+    return StageCall(
+        request=f"r{number}", organisation="org", pipeline="chat", step="g",
+        stage="generate", version="", input=number, stream=False, priority=0,
+        deadline_ms=1e12,
+    )  # fmt: skip
+
+
+async def test_each_call_uses_one_version_and_counts_once_however_often_it_is_tried(
+) -> None:  # fmt: skip
+    vm = make_test_vm("vm-a1", "a")
+
+    async def answer(body: dict[str, Any], stream: SocketStream) -> None:
+        is_bad = body["version"] == "generate-2"
+        body = {"attempt": body["attempt"], "output": 1, "state": "warm"}
+        await send_json(stream, 500 if is_bad else 200, body)
+
+    async with upstream(answer) as one, upstream(answer) as other:
+        now_ms = vm.clock.wall_ms()
+        move = TrafficMove(
+            kind="traffic_move", name="m", stage="generate",
+            from_version="generate-1", to_version="generate-2",
+            start_at_ms=now_ms - 1, finish_by_ms=now_ms + 60_000,
+        )  # fmt: skip
+        objects = [
+            item
+            for item in small_set({"gen-a": one.address})
+            if not isinstance(item, Upstream)
+        ]
+        objects += [
+            UpstreamVersion(
+                kind="upstream_version", name="generate-2", stage="generate"
+            ),
+            move,
+        ]
+        for name, fake in (("gen1-a", one), ("gen2-a", other)):
+            versions = ("generate-1", "generate-2")
+            objects.append(
+                Upstream(
+                    kind="upstream", name=name, data_centre="a", versions=versions,
+                    address=fake.address,
+                )
+            )  # fmt: skip
+        put_in_force(vm, tuple(objects))
+        vm.traffic.met = True
+        move_once(vm)
+        state = vm.traffic.moves[number_of(move)]
+        state.merge(MoveMark(3), now_ms)
+        refused = 0
+        for number in range(30):
+            try:
+                await run_stage(vm, make_call(number), RunTrace(), drop_tokens, False)
+            except CuminstileError:
+                refused += 1
+        total = state.ledger.total()
+        calls = one.calls + other.calls
+    assert 0 < refused < 30
+    assert (total.new_failed, total.old_good) == (refused, 30 - refused)
+    # Each bad call was tried on both upstreams, always with the same version.
+    assert sum(call["version"] == "generate-2" for call in calls) == 2 * refused
--- a/tests/vm/test_forwarding.py
+++ b/tests/vm/test_forwarding.py
@@ -84,6 +84,28 @@
     assert tuple(collected.tokens) == TOKENS
 
 
+@pytest.mark.parametrize(
+    ("status", "code", "told"), [(500, "failed", (1, False)), (429, "cold", (0, True))]
+)
+async def test_other_vm_tells_what_may_excuse_a_version(
+    status: int, code: str, told: tuple[int, bool]
+) -> None:
+    near = make_test_vm("vm-a1", "a")
+    far = make_test_vm("vm-b1", "b")
+    trace = RunTrace()
+
+    async def refuse(body: dict[str, Any], stream: SocketStream) -> None:
+        answer = {"attempt": body["attempt"], "code": code, "state": code}
+        await send_json(stream, status, answer)
+
+    async with upstream(refuse) as fake, connected(near, far):
+        for vm in (near, far):
+            put_in_force(vm, small_set({"gen-b": fake.address}))
+        with pytest.raises(CuminstileError):
+            await run_stage(near, make_call(near), trace, Collected().take, True)
+    assert (trace.failures > 0, trace.excused) == (told[0] > 0, told[1])
+
+
 async def test_stream_resumes_after_the_session_is_cut() -> None:
     near = make_test_vm("vm-a1", "a")
     far = [make_test_vm("vm-b1", "b"), make_test_vm("vm-b2", "b")]
--- a/tests/vm/test_move_exchange.py
+++ b/tests/vm/test_move_exchange.py
@@ -14,13 +14,14 @@
 
 
 def test_move_costs_a_vm_little_of_its_bytes_in_a_large_data_centre() -> None:
-    plan = Plan(good(), good(), 60.0, 60_000, data_centres=(TARGET_VMS,))
+    routes = tuple(f"route-{index}" for index in range(10))
+    plan = Plan(good(), good(), 200.0, 20_000, (TARGET_VMS,), routes=routes)
     trial = Trial(plan, 1)
     trial.run_to(0.1)
     before = trial.sent_by("vm-0-0")
     trial.run_to(0.9)
     sent = trial.sent_by("vm-0-0")
-    seconds = 0.8 * 60.0
+    seconds = 0.8 * 20.0
     total = sent.count_bytes - before.count_bytes
     total += FRAME_BYTES * (sent.messages - before.messages)
     assert total / seconds < BYTES_PER_S
--- a/trials/measure_moves.py
+++ b/trials/measure_moves.py
@@ -114,16 +114,26 @@
     }
 
 
-def measure_good(seeds: int = 40) -> None:
-    """Print how many good versions were done in time."""
+def measure_good(seeds: int = 40, case: str = "", policy: str = "") -> None:
+    """Print how many good versions were done in time.
+
+    Parameters
+    ----------
+    case, policy : str
+        Leave the others out; empty for all.
+    """
     print("| good version | policy | done in time | taken back |")
     print("| --- | --- | --- | --- |")
-    for name, case in good_cases().items():
-        for label, policy in POLICIES.items():
+    for name, good_case in good_cases().items():
+        if case not in ("", name):
+            continue
+        for label, chosen in POLICIES.items():
+            if policy not in ("", label):
+                continue
             done = taken_back = 0
             for seed in range(seeds):
-                trial = Trial(replace(case.plan, policy=policy), seed)
-                case.run(trial)
+                trial = Trial(replace(good_case.plan, policy=chosen), seed)
+                good_case.run(trial)
                 done += trial.verdict() == Verdict.DONE
                 taken_back += trial.verdict() == Verdict.TAKEN_BACK
             cells = (name, label, f"{done} of {seeds}", f"{taken_back} of {seeds}")
--- a/trials/moves.py
+++ b/trials/moves.py
@@ -21,7 +21,7 @@
     TrimmedError,
 )
 from cuminstile.moves import BY_EVIDENCE, MovePolicy, number_of
-from cuminstile.moving import move_once
+from cuminstile.moving import move_and_tell
 from cuminstile.objects.collection import collect
 from cuminstile.objects.model import (
     AnyObject,
@@ -42,7 +42,6 @@
 from cuminstile.runtime import Vm
 from cuminstile.settings import Settings
 from cuminstile.traffic import Assignment, assign, note_call
-from cuminstile.vm.move_exchange import tell_evidence, tell_marks
 from cuminstile.vm.sessions import Session, receive_one
 
 TICK_MS = 250.0
@@ -104,6 +103,7 @@
     calls_per_s: float = 20.0
     duration_ms: int = 300_000
     data_centres: tuple[int, ...] = (3, 3)
+    routes: tuple[str, ...] = ROUTES
     policy: MovePolicy = BY_EVIDENCE
 
 
@@ -162,7 +162,7 @@
     """Deliver messages to the other VM of a session, and count their bytes."""
 
     sender: str
-    receiver: Vm
+    receiver: Vm = field(repr=False)
     sent_bytes: int = 0
     messages: int = 0
 
@@ -207,7 +207,7 @@
         return len(self.at_ms)
 
 
-@dataclass
+@dataclass(repr=False)
 class Trial:
     """Hold one run of a move."""
 
@@ -282,9 +282,7 @@
             return
         with contextlib.suppress(PlatformAwayError):
             run_now(read_verdicts(vm, 0))
-        move_once(vm)
-        run_now(tell_marks(vm))
-        run_now(tell_evidence(vm))
+        run_now(move_and_tell(vm))
         run_now(record_once(vm))
         self.at(self.clock.at_ms + TICK_MS, lambda: self.tick(vm))
 
@@ -293,7 +291,7 @@
         gap_ms = self.random.expovariate(self.plan.calls_per_s) * 1000.0
         self.at(self.clock.at_ms + gap_ms, self.arrive)
         vm = self.random.choice(self.vms)
-        route = self.random.choice(ROUTES)
+        route = self.random.choice(self.plan.routes)
         number = next(self.order)
         call = StageCall(
             request=f"r{self.seed}-{number}",
@@ -480,6 +478,6 @@
             )
         )
     step = Step(name="generate", stage="generate")
-    for name in ROUTES:
+    for name in plan.routes:
         objects.append(Pipeline(kind="pipeline", name=name, steps=(step,)))
     return (*objects, *moves)
