--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 COLD = "cold"
-EXCUSED_REASONS = ("connect", "refused", "busy", COLD, "version_missing")
+BROKEN_REASONS = ("lost", "truncated")
+EXCUSED_REASONS = ("lease", "connect", "refused", "busy", COLD, "version_missing")
 TokenSink = Callable[[int, tuple[str, ...]], Awaitable[None]]
 
 
@@ -25,6 +26,13 @@
         Empty for a request without one.
     issued_at_ms : int
         When the caller issued its key, in ms since 1970 UTC.
+    avoid : tuple of str
+        Upstreams that have failed this call already.
+    may_wait : bool
+        Whether the call may wait for a slot; else it is refused without a free one.
+    handed_over : bool
+        Whether another data centre has handed the call to this one, which then
+        keeps it.
     """
 
     request: str
@@ -40,6 +48,9 @@
     resume_at: int = 0
     idempotency_key: str = ""
     issued_at_ms: int = 0
+    avoid: tuple[str, ...] = ()
+    handed_over: bool = False
+    may_wait: bool = True
 
 
 @dataclass(frozen=True)
@@ -80,9 +91,13 @@
     failures: int = 0
     excused: bool = False
 
-    def note_failure(self, reason: str, state: str) -> None:
-        """Note an attempt that an upstream in `state` failed for `reason`."""
-        if state == COLD or reason in EXCUSED_REASONS:
+    def note_failure(self, reason: str, was_cold: bool) -> None:
+        """Note a failed attempt; `was_cold` tells how the upstream stood before.
+
+        A cold upstream may break down; one that answers that a call failed has run
+        it, and then it is the version that failed.
+        """
+        if reason in EXCUSED_REASONS or (was_cold and reason in BROKEN_REASONS):
             self.excused = True
         else:
             self.failures += 1
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -26,17 +26,30 @@
 from .platform.renewal import renew_configuration
 from .platform.verdict_log import follow_verdicts, record_verdicts
 from .runtime import Vm
-from .settings import Settings, check_ports, load_settings
+from .settings import Settings, bad_settings, load_settings, port_findings
 from .stages import run_stage
 from .supervision import Background, keep_running
-from .tls import client_context, server_context
+from .tls import client_context, server_context, tls_findings
+from .upstream.crashes import on_crash_notice
+from .upstream.leases import (
+    keep_leases,
+    on_lease_answer,
+    on_lease_ask,
+    on_lease_release,
+)
+from .upstream.load import keep_polling, on_load_digest
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
     ConfigAsk,
     ConfigGive,
+    CrashNotice,
     Heartbeat,
+    LeaseAnswer,
+    LeaseAsk,
+    LeaseRelease,
+    LoadDigest,
     MoveEvidence,
     MoveStep,
     MoveVerdict,
@@ -60,6 +73,8 @@
     keep_moving,
     follow_verdicts,
     record_verdicts,
+    keep_polling,
+    keep_leases,
 )
 
 
@@ -91,6 +106,11 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            LoadDigest: on_load_digest,
+            LeaseAsk: on_lease_ask,
+            LeaseAnswer: on_lease_answer,
+            LeaseRelease: on_lease_release,
+            CrashNotice: on_crash_notice,
             ConfigAsk: on_config_ask,
             ConfigGive: on_config_give,
             MoveEvidence: on_move_evidence,
@@ -159,6 +179,19 @@
             return
 
 
+def check_machine(settings: Settings) -> None:
+    """Check that the machine has the ports and files that the settings name.
+
+    Raises
+    ------
+    CuminstileError
+        With `BAD_SETTINGS` and every finding.
+    """
+    findings = (*port_findings(settings), *tls_findings(settings.tls))
+    if findings:
+        raise bad_settings(findings)
+
+
 def run(settings: str) -> None:
     """Run one VM of the system until SIGTERM.
 
@@ -169,7 +202,7 @@
     """
     try:
         checked = load_settings(Path(settings))
-        check_ports(checked)
+        check_machine(checked)
     except CuminstileError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -11,6 +11,9 @@
 from .clock import Clock
 from .const import EVENT_RING_SIZE
 
+MAX_STAMP_LEAD_MS = 60_000
+MAX_STAMP_COUNT = 2**32
+
 Value = str | int | float | bool | None
 
 
@@ -47,6 +50,13 @@
     STAGE_FORWARDED = 2104
     ANSWER_DROPPED = 2105
     STAGE_RETRIED = 2106
+    STAGE_SPILLED = 2107
+    UPSTREAM_COLD = 2201
+    UPSTREAM_WARM = 2202
+    UPSTREAM_EJECTED = 2203
+    REQUEST_SUSPECTED = 2204
+    REQUEST_QUARANTINED = 2205
+    REQUEST_CLEARED = 2206
     MOVE_STARTED = 2401
     MOVE_STEP = 2402
     MOVE_TAKEN_BACK = 2403
@@ -109,8 +119,14 @@
         return self.last
 
     def see(self, stamp: Stamp) -> None:
-        """Make later stamps later than one that another process sent."""
-        self.last = max(self.last, stamp)
+        """Make later stamps later than one that another process sent.
+
+        A stamp too far ahead of this VM's clock is left out, so that one wrong clock
+        does not shift the time line of all VMs.
+        """
+        lead_ms = stamp.wall_ms - self.clock.wall_ms()
+        if lead_ms <= MAX_STAMP_LEAD_MS and stamp.count <= MAX_STAMP_COUNT:
+            self.last = max(self.last, stamp)
 
     def record(self, event: Event, **fields: Value) -> None:
         """Record one event with its fields."""
--- a/cuminstile/platform/verdicts.py
+++ b/cuminstile/platform/verdicts.py
@@ -8,7 +8,6 @@
 
 from pydantic.dataclasses import dataclass as wire_dataclass
 
-from ..const import FORMAT
 from ..exceptions import CuminstileError
 from ..objects.collection import ObjectSet
 from ..objects.model import TrafficMove
@@ -16,6 +15,7 @@
 from .client import Record
 
 FROM_PEER_OFFSET = -1
+VERDICT_FORMAT = 1
 MAX_VERDICTS = 4_096
 
 
@@ -148,7 +148,7 @@
 ) -> VerdictRecord:
     """Return the record of a verdict on a move."""
     return VerdictRecord(
-        FORMAT,
+        VERDICT_FORMAT,
         number,
         nonce,
         verdict,
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -9,8 +9,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import httpcore
-
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
 from .clock import Clock
 from .events import Journal
@@ -20,9 +18,15 @@
 from .platform.client import PlatformClient
 from .platform.configuration import ConfigurationState
 from .settings import Settings
+from .spilling import SpillState
 from .traffic_state import Traffic
-from .upstream.client import make_pool
+from .upstream.crashes import CrashTable
+from .upstream.leases import Leases
+from .upstream.load import LoadExchange
+from .upstream.pools import UpstreamPool
+from .upstream.retries import RetryBudget
 from .upstream.table import UpstreamTable
+from .upstream.waiting import WaitingLines
 from .vm.membership import Members
 from .vm.sessions import Session, Sessions
 from .wire import Message
@@ -77,7 +81,13 @@
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
-    upstream_pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+    load: LoadExchange = field(default_factory=LoadExchange)
+    leases: Leases = field(default_factory=Leases)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    crashes: CrashTable = field(default_factory=CrashTable)
+    line: WaitingLines = field(default_factory=WaitingLines)
+    upstream_pool: UpstreamPool = field(default_factory=UpstreamPool)
+    spilling: SpillState = field(default_factory=SpillState)
     traffic: Traffic = field(default_factory=Traffic)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -1,8 +1,8 @@
 """Read and check the settings of a VM."""
 
-import json
 import socket
 from dataclasses import dataclass, field
+from enum import StrEnum
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -10,12 +10,25 @@
 
 from .exceptions import CuminstileError, ErrorCode, Finding
 from .objects.model import Name
+from .strict_json import loads
 from .validation import validate
 
 STRICT = ConfigDict(extra="forbid")
+
+
+class ChoiceName(StrEnum):
+    """Name the ways to choose among upstreams; see `upstream/choice.py`."""
+
+    LEAST_LOADED = "least_loaded"
+    LEAST_IN_FLIGHT = "least_in_flight"
+    ROUND_ROBIN = "round_robin"
+
+
 Port = Annotated[int, Field(ge=0, le=65_535)]
 Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:\d{1,5}$")]
-Key = Annotated[str, Field(min_length=16, max_length=256)]
+Key = Annotated[str, Field(min_length=16, max_length=256, pattern=r"^[!-~]+$")]
+OptionalKey = Annotated[str, Field(max_length=256, pattern=r"^[!-~]*$")]
+Keys = Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
 
 
 @with_config(STRICT)
@@ -43,7 +56,8 @@
 class LimitSettings:
     """Hold the policy of limits, choice and retries; the defaults are the advice."""
 
-    choice: Annotated[str, Field(pattern=r"^[a-z_]+$")] = "least_loaded"
+    spill: bool = True
+    choice: ChoiceName = ChoiceName.LEAST_LOADED
     retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
 
@@ -65,6 +79,8 @@
         `host:port` of the platform.
     operator_keys, vm_keys : tuple of str
         Up to two keys each, so that they can be rolled; the first is shown to others.
+    platform_key : str
+        Shown to the platform; empty where it wants none.
     log_file : str
         Where the log goes; `-` is the standard error.
     shutdown_linger_ms : int
@@ -78,9 +94,9 @@
     operator_port: Port
     vm_port: Port
     platform: Address
-    operator_keys: Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
-    vm_keys: Annotated[tuple[Key, ...], Field(min_length=1, max_length=2)]
-    platform_key: str = ""
+    operator_keys: Keys = field(repr=False)
+    vm_keys: Keys = field(repr=False)
+    platform_key: OptionalKey = field(default="", repr=False)
     peers: tuple[PeerSettings, ...] = ()
     tls: TlsSettings | None = None
     log_file: str = "-"
@@ -100,7 +116,7 @@
         With `BAD_SETTINGS` and every finding.
     """
     try:
-        data: Any = json.loads(path.read_text("utf-8"))
+        data: Any = loads(path.read_bytes())
     except (OSError, ValueError) as error:
         finding = Finding(str(path), "", "unreadable", str(error))
         raise bad_settings((finding,)) from error
@@ -110,19 +126,11 @@
     return checked.value
 
 
-def check_ports(settings: Settings) -> None:
-    """Check that the VM can listen where its settings say.
-
-    Raises
-    ------
-    CuminstileError
-        With `BAD_SETTINGS` and a finding for each port that cannot be had.
-    """
+def port_findings(settings: Settings) -> tuple[Finding, ...]:
+    """Return a finding for each port on which the VM can't listen."""
     names = ("caller_port", "operator_port", "vm_port")
     findings = [port_finding(settings, name) for name in names]
-    present = tuple(finding for finding in findings if finding is not None)
-    if present:
-        raise bad_settings(present)
+    return tuple(finding for finding in findings if finding is not None)
 
 
 def port_finding(settings: Settings, name: str) -> Finding | None:
--- a/cuminstile/traffic.py
+++ b/cuminstile/traffic.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from .runtime import Vm
 
-MAX_EXCUSED_IN_A_ROW = 20
+MAX_EXCUSED_IN_A_ROW = 5
 MAX_FAILED_BODIES = 1_000
 
 
--- /dev/null
+++ b/cuminstile/upstream/peers.py
@@ -0,0 +1,104 @@
+"""Know which VMs of the own data centre share its upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from ..exceptions import CuminstileError
+from ..objects.model import Upstream
+from ..vm.sessions import Session
+from ..wire import Message
+from .ranking import ranked
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+
+WORKING_FOR_MS = 20
+GONE_AFTER_MS = 1_000
+FROZEN_AFTER_MS = 2_500
+
+
+def alive_here(vm: Vm) -> frozenset[str]:
+    """Return the VMs of the own data centre that are there now, with this VM.
+
+    One that keeps its session but says nothing is frozen; when it wakes it forgets
+    what it knew. One without a session may be about to connect again.
+    """
+    now_ms = vm.clock.now_ms()
+    own = vm.settings
+    names = {own.name}
+    for member in vm.members.by_name.values():
+        if member.data_centre != own.data_centre:
+            continue
+        connected = member.name in vm.sessions.by_name
+        limit_ms = FROZEN_AFTER_MS if connected else GONE_AFTER_MS
+        if now_ms - member.heard_ms <= limit_ms:
+            names.add(member.name)
+    return frozenset(names)
+
+
+def known_here(vm: Vm) -> frozenset[str]:
+    """Return every VM of the own data centre that is listed or there now."""
+    own = vm.settings.data_centre
+    every = vm.members.by_name.values()
+    listed = {item.name for item in every if item.data_centre == own and item.listed}
+    return alive_here(vm) | listed
+
+
+def working_here(vm: Vm) -> tuple[str, ...]:
+    """Return the VMs of the own data centre that take part in the work, sorted.
+
+    They are worked out anew after a while only: shares and ownership hang on them,
+    no promise does.
+    """
+    table = vm.upstreams
+    now_ms = vm.clock.now_ms()
+    if now_ms - table.working_ms >= WORKING_FOR_MS:
+        table.working = present_here(vm)
+        table.working_ms = now_ms
+    return table.working
+
+
+def present_here(vm: Vm) -> tuple[str, ...]:
+    """Return the VMs here that do not leave, sorted; all of them if all leave."""
+    names = alive_here(vm)
+    members = vm.members.by_name
+    leaving = {name for name in names if name in members and members[name].leaving}
+    if vm.leaving:
+        leaving.add(vm.settings.name)
+    return tuple(sorted(names - leaving or names))
+
+
+def owner_of(vm: Vm, upstream: str) -> str:
+    """Return the VM that polls an upstream, and calls it alone while it is cold."""
+    return ranked(working_here(vm), upstream)[0]
+
+
+def is_owner(vm: Vm, upstream: str) -> bool:
+    """Return whether this VM owns an upstream."""
+    return owner_of(vm, upstream) == vm.settings.name
+
+
+def upstreams_here(vm: Vm) -> tuple[Upstream, ...]:
+    """Return the upstreams of the own data centre; none without a configuration."""
+    if vm.configuration.current is None:
+        return ()
+    every = vm.objects.upstreams.values()
+    own = vm.settings.data_centre
+    return tuple(item for item in every if item.data_centre == own)
+
+
+def sessions_here(vm: Vm) -> tuple[Session, ...]:
+    """Return the open sessions with VMs of the own data centre."""
+    return vm.sessions.of_data_centre(vm.settings.data_centre)
+
+
+async def send_each(sessions: Iterable[Session], message: Message) -> None:
+    """Send one message over several sessions; a broken one is left out."""
+    for session in tuple(sessions):
+        try:
+            await session.send(message)
+        except CuminstileError:
+            continue
--- a/cuminstile/vm/move_exchange.py
+++ b/cuminstile/vm/move_exchange.py
@@ -7,12 +7,12 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from ..const import FORMAT, HEARTBEAT_REMOTE_INTERVAL_MS
+from ..const import HEARTBEAT_REMOTE_INTERVAL_MS
 from ..events import Event
 from ..evidence import Evidence
 from ..exceptions import CuminstileError
 from ..moves import LAST_STEP, MoveMark, MoveState
-from ..platform.verdicts import RECORDS, decode_verdict
+from ..platform.verdicts import RECORDS, VERDICT_FORMAT, decode_verdict
 from ..traffic_state import NO_MOVE, EvidenceRounds, SentEvidence, Told
 from .messages import MoveEvidence, MoveStep, MoveVerdict, RouteEvidence
 
@@ -224,7 +224,7 @@
 async def on_move_verdict(vm: Vm, session: Session, message: MoveVerdict) -> None:
     """Take over a verdict that another VM has read from the log."""
     record = decode_verdict(message.payload)
-    if record is None or record.format != FORMAT:
+    if record is None or record.format != VERDICT_FORMAT:
         vm.journal.record(
             Event.PEER_MESSAGE_REFUSED, peer=session.name, reason="not a verdict"
         )
--- a/trials/moves.py
+++ b/trials/moves.py
@@ -341,7 +341,7 @@
         trace = RunTrace()
         error = None
         if not answer.is_good:
-            trace.note_failure("failed", "warm")
+            trace.note_failure("failed", was_cold=False)
             error = CuminstileError(ErrorCode.UPSTREAM_FAILED, "failed")
         note_call(vm, call, assignment, trace, answer.elapsed_ms, answer.is_good, error)
 
