--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -38,6 +38,7 @@
     on_lease_release,
 )
 from .upstream.load import keep_polling, on_load_digest
+from .upstream.silence import keep_probing
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
@@ -75,6 +76,7 @@
     record_verdicts,
     keep_polling,
     keep_leases,
+    keep_probing,
 )
 
 
