--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+COLD = "cold"
+BROKEN_REASONS = ("lost", "truncated")
+EXCUSED_REASONS = ("lease", "connect", "refused", "busy", COLD, "version_missing")
 TokenSink = Callable[[int, tuple[str, ...]], Awaitable[None]]
 
 
@@ -75,17 +78,41 @@
 
 @dataclass
 class RunTrace:
-    """Note whether a byte of a call that may not be repeated may have left.
+    """Note what became of the attempts at one call.
 
     Parameters
     ----------
+    maybe_ran : bool
+        Whether a byte of a call that may not be repeated may have left.
+    failures : int
+        How many attempts failed with nothing to excuse the upstream's version.
     check_send : callable
         Called right before the first byte leaves; raises if it may not any more.
+    excused : bool
+        Whether a cold start, or a process that is away or full, may be the reason
+        for a failure or for a late answer.
     """
 
     maybe_ran: bool = False
+    failures: int = 0
+    excused: bool = False
     check_send: Callable[[], None] = allow_send
 
+    def note_failure(self, reason: str, was_cold: bool) -> None:
+        """Note a failed attempt; `was_cold` tells how the upstream stood before.
+
+        A cold upstream may break down; one that answers that a call failed has run
+        it, and then it is the version that failed.
+        """
+        if reason in EXCUSED_REASONS or (was_cold and reason in BROKEN_REASONS):
+            self.excused = True
+        else:
+            self.failures += 1
+
+    def note_answer(self, state: str) -> None:
+        """Note an answer of an upstream in `state`."""
+        self.excused = self.excused or state == COLD
+
 
 async def drop_tokens(index: int, tokens: tuple[str, ...]) -> None:
     """Take tokens that nobody waits for."""
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -59,6 +59,11 @@
     REQUEST_CLEARED = 2206
     CLAIM_RECORD_REFUSED = 2301
     CLAIM_REPLAYED = 2302
+    MOVE_STARTED = 2401
+    MOVE_STEP = 2402
+    MOVE_TAKEN_BACK = 2403
+    MOVE_VERDICT = 2404
+    MOVE_VERDICT_REFUSED = 2405
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -20,6 +20,7 @@
 from .platform.configuration import ConfigurationState
 from .settings import Settings
 from .spilling import SpillState
+from .traffic_state import Traffic
 from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
 from .upstream.load import LoadExchange
@@ -96,6 +97,7 @@
     upstream_pool: UpstreamPool = field(default_factory=UpstreamPool)
     claims: Claims = field(default_factory=Claims)
     spilling: SpillState = field(default_factory=SpillState)
+    traffic: Traffic = field(default_factory=Traffic)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -13,6 +13,7 @@
 from .exceptions import CuminstileError, ErrorCode, Ran
 from .routing import choose_peer, serving
 from .spilling import may_spill, spill
+from .traffic import Assignment, assign, watch_call
 from .upstream import limits
 from .upstream.client import UpstreamError, call_upstream, refusal
 from .upstream.crashes import refuse_quarantined
@@ -55,8 +56,23 @@
     CuminstileError
         With what is known about the run.
     """
+    if call.version:
+        return await run_version(vm, call, trace, on_tokens, may_forward)
+    assignment = choose_version(vm, call)
+    call = replace(call, version=assignment.version)
+    with watch_call(vm, call, assignment, trace):
+        return await run_version(vm, call, trace, on_tokens, may_forward)
+
+
+async def run_version(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    on_tokens: TokenSink,
+    may_forward: bool,
+) -> StageOutcome:
+    """Run one stage on upstreams of the call's version, with retries."""
     started_ms = vm.clock.now_ms()
-    call = call if call.version else replace(call, version=choose_version(vm, call))
     counter = TokenCounter(on_tokens, call.resume_at)
     tried = list(call.avoid)
     while True:
@@ -83,12 +99,9 @@
         )
 
 
-def choose_version(vm: Vm, call: StageCall) -> str:
-    """Return the upstream version that serves this call."""
-    versions = vm.objects.by_stage.get(call.stage, ())
-    if not versions:
-        raise no_upstream(call)
-    return versions[0].name
+def choose_version(vm: Vm, call: StageCall) -> Assignment:
+    """Return the upstream version that serves this call, and why."""
+    return assign(vm, call, has_upstream=lambda name: bool(serving(vm, name)))
 
 
 async def is_decided_later(
@@ -209,6 +222,7 @@
         vm.journal.record(
             Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
         )
+        was_cold = slot.state.condition is Condition.COLD
         try:
             answer = await call_upstream(
                 vm.upstream_pool,
@@ -226,10 +240,12 @@
                 tried.remove(name)
             await limits.note_failed(vm, slot, error, candidates)
             note_failure(vm, call, slot.state, error)
+            trace.note_failure(error.reason, was_cold)
             ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
             raise refusal(error, ran) from error
         await limits.note_answered(vm, slot, answer)
     note_success(vm, call, slot.state)
+    trace.note_answer(answer.state)
     own = vm.settings
     return StageOutcome(
         answer.output, call.version, name, own.data_centre, own.name, 1, 0.0
