Write the pages for callers and operators, with a small system to try

Callers and operators had only the design notes. A test holds the table of alarms and ProblemCode together; it was seen red with the line of vm_lagging taken out.

--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,10 +7,12 @@
 
 from cuminstile.objects.checks import check_directory
 from cuminstile.objects.collection import collect
+from cuminstile.settings import load_settings
 from standins.arrangement import caller_key, load_objects, within
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 FIRMS = ("falrendszer", "inzuki")
+SMALL_VMS = ("vac-1", "cegled-1")
 
 
 @pytest.mark.parametrize("firm", FIRMS)
@@ -35,3 +37,10 @@
     objects = collect(kept)
     assert set(objects.by_stage) == set(objects.stages)
     assert set(objects.data_centres) == {"budapest", "budaors"}
+
+
+def test_the_small_example_can_be_published_and_its_vms_started() -> None:
+    small = EXAMPLES / "small"
+    assert check_directory(small / "objects").findings == ()
+    names = [load_settings(small / f"{name}.json").name for name in SMALL_VMS]
+    assert names == list(SMALL_VMS)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -14,6 +14,7 @@
 from cuminstile.objects.files import raw_objects
 from cuminstile.objects.model import Step
 from cuminstile.objects.parse import CLASSES
+from cuminstile.operator.report import ProblemCode
 from cuminstile.settings import (
     SETTINGS,
     LimitSettings,
@@ -106,3 +107,8 @@
 
 def test_the_example_settings_are_valid() -> None:
     assert validate(SETTINGS, example_of("A VM's settings")).findings == ()
+
+
+def test_every_problem_has_its_line_and_no_other() -> None:
+    alarms = (DOCS / "OPERATIONS.md").read_text().split("\n## Alarms\n")[1]
+    assert [row[0] for row in rows_of(alarms)] == [code.value for code in ProblemCode]
