--- a/cuminstile/upstream/leases.py
+++ b/cuminstile/upstream/leases.py
@@ -3,9 +3,9 @@
 The owner of a cold upstream asks every VM of its data centre to leave the upstream to
 it for the length of a lease. The lease holds while each VM that is heard has promised
 so, and those that have promised are a majority of all VMs known there (of an exact
-half, the one with the first name). A VM promises an upstream to one VM at a time. A VM
-that has just started may have promised something before, and abstains for the length
-of a lease.
+half, the one with the first name), or all others are known to be dead or frozen. A VM
+promises an upstream to one VM at a time. A VM that has just started may have promised
+something before, and abstains for the length of a lease.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 )
 from .ranking import compact_id
 from .shares import share
+from .silence import PROBE_VALID_MS, Probes, cannot_act
 from .table import NEVER_MS, Condition, UpstreamState
 
 if TYPE_CHECKING:
@@ -87,8 +88,12 @@
         By the compact number of the upstream's name.
     abstaining : dict of str to float
         Until when each other VM is taken as too young to promise.
+    as_young : dict of str to float
+        The same, learned while this VM was too young itself; no lease hangs on it.
     asked_ms : dict of int to float
         When each of the latest rounds was sent.
+    probes : Probes
+        What was found at the VMs that are not heard.
     """
 
     abstains_until_ms: float = float("inf")
@@ -96,10 +101,12 @@
     holdings: dict[str, Holding] = field(default_factory=dict)
     asked_ms: dict[int, float] = field(default_factory=dict)
     abstaining: dict[str, float] = field(default_factory=dict)
+    as_young: dict[str, float] = field(default_factory=dict)
     round_number: int = 0
     asked_names: frozenset[str] = frozenset()
     asked_sessions: tuple[Session, ...] = ()
     last_round_ms: float = NEVER_MS
+    probes: Probes = field(default_factory=Probes)
 
     def granted_to(self, upstream: str, now_ms: float) -> str:
         """Return the VM that an upstream is promised to; empty for none."""
@@ -147,10 +154,15 @@
     vm.leases.holdings.clear()
 
 
+def is_young(vm: Vm) -> bool:
+    """Return whether this VM still keeps to what an earlier one may have promised."""
+    return vm.clock.now_ms() < vm.leases.abstains_until_ms
+
+
 def wanted(vm: Vm) -> frozenset[str]:
     """Return the cold upstreams that this VM owns and is free to ask for."""
     now_ms = vm.clock.now_ms()
-    if now_ms < vm.leases.abstains_until_ms:
+    if is_young(vm):
         return frozenset()
     own = vm.settings.name
     return frozenset(
@@ -168,11 +180,15 @@
     names = wanted(vm)
     if names - leases.asked_names or sessions_here(vm) != leases.asked_sessions:
         return True
-    return bool(names) and vm.clock.now_ms() - leases.last_round_ms >= LEASE_ROUND_MS
+    asks = bool(names) or is_young(vm)
+    return asks and vm.clock.now_ms() - leases.last_round_ms >= LEASE_ROUND_MS
 
 
 async def ask_round(vm: Vm) -> None:
-    """Ask every VM of the data centre for every wanted upstream."""
+    """Ask every VM of the data centre for every wanted upstream.
+
+    A young VM asks for nothing, to learn which others are young.
+    """
     leases = vm.leases
     names = wanted(vm)
     leases.last_round_ms = vm.clock.now_ms()
@@ -183,7 +199,7 @@
     leases.asked_ms.pop(leases.round_number - ROUNDS_KEPT, None)
     for name in names:
         leases.holdings.setdefault(name, Holding())
-    if not names:
+    if not names and not is_young(vm):
         return
     for session in leases.asked_sessions:
         # What is wanted may have changed while the others were sent to.
@@ -225,7 +241,9 @@
     broke = now_ms > holding.valid_until_ms
     heard = alive_here(vm) & holding.until_ms.keys()
     ends = (holding.until_ms[other] for other in heard)
-    holding.valid_until_ms = min(ends, default=now_ms + LEASE_MS)
+    # A probe counts for a while after the VM that it found dead has started again.
+    alone_until_ms = now_ms + LEASE_MS - PROBE_VALID_MS
+    holding.valid_until_ms = min(ends, default=alone_until_ms)
     if broke or holding.since_ms > now_ms:
         holding.restart(now_ms)
         vm.line.wake()
@@ -248,7 +266,15 @@
     if not heard <= promised:
         return False
     known = known_here(vm)
-    promised &= known
+    if is_majority(promised & known, known):
+        return True
+    started_ms = leases.abstains_until_ms - LEASE_MS
+    silent = known - promised
+    return all(cannot_act(vm, other, started_ms, now_ms) for other in silent)
+
+
+def is_majority(promised: frozenset[str] | set[str], known: frozenset[str]) -> bool:
+    """Return whether no other set of VMs could promise the same to somebody else."""
     if 2 * len(promised) == len(known):
         return min(known) in promised
     return 2 * len(promised) > len(known)
@@ -311,10 +337,14 @@
     asked_ms = leases.asked_ms.get(message.number)
     if asked_ms is None or vm.sessions.by_name.get(session.name) is not session:
         return
+    if message.abstains and asked_ms < leases.abstains_until_ms:
+        leases.as_young[session.name] = asked_ms + ABSTAINS_MS
+        return
     if message.abstains:
         leases.abstaining[session.name] = asked_ms + ABSTAINS_MS
         return
     leases.abstaining.pop(session.name, None)
+    leases.as_young.pop(session.name, None)
     granted = frozenset(message.granted)
     for name, holding in leases.holdings.items():
         if compact_id(name) in granted:
