Report upstreams and quarantined requests in the status

The status showed VMs alone: an upstream that was cold, ejected or away had to be found in the logs. A reporter of the upstreams now gives each one of the own data centre with its state, calls and limit, and makes a problem of what keeps work away. An upstream that can't be reached or leaves had no problem code; it has upstream_away. While a data centre is out its upstreams are cold on purpose and make no problems.

Where one VM had never used an upstream that another saw warm, the merged status said unknown; the worst known state goes first now.

--- a/cuminstile/commands/show.py
+++ b/cuminstile/commands/show.py
@@ -35,7 +35,7 @@
     if report.upstreams:
         rows = [("UPSTREAM", "DATA CENTRE", "STATE", "IN FLIGHT", "LIMIT")]
         rows += (
-            (item.name, item.data_centre, item.state, str(item.in_flight),
+            (item.name, item.data_centre, item.state.value, str(item.in_flight),
              str(item.limit))
             for item in report.upstreams
         )  # fmt: skip
--- a/cuminstile/commands/survey.py
+++ b/cuminstile/commands/survey.py
@@ -13,12 +13,14 @@
     ProblemCode,
     StatusReport,
     UpstreamReport,
+    UpstreamStanding,
     VmReport,
     VmState,
 )
 from .client import Target, UnreachableError, call, checked
 
 SURVEY_TIMEOUT_MS = 3_000
+STANDINGS = tuple(UpstreamStanding)
 SPEAKING = (VmState.LIVE, VmState.LEAVING)
 STATUS: TypeAdapter[StatusReport] = TypeAdapter(StatusReport)
 
@@ -134,14 +136,17 @@
 
 
 def merge_upstreams(reports: list[StatusReport]) -> tuple[UpstreamReport, ...]:
-    """Return every upstream once, with the calls of all VMs added up."""
+    """Return every upstream once, with the calls of all VMs added up.
+
+    Where VMs see one differently, the worst goes first, and the unknown last.
+    """
     merged: dict[str, UpstreamReport] = {}
     for upstream in (item for report in reports for item in report.upstreams):
         held = merged.get(upstream.name)
         if held is None:
             merged[upstream.name] = upstream
             continue
-        state = held.state if held.state not in ("unknown", "warm") else upstream.state
+        state = max(held.state, upstream.state, key=STANDINGS.index)
         merged[upstream.name] = replace(
             held,
             state=state,
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -19,6 +19,7 @@
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
 from .operator.app import make_app as make_operator_app
+from .operator.upstreams import upstreams_reporter
 from .platform.client import make_platform_client
 from .platform.follow import follow_configuration, follow_vm_list
 from .platform.renewal import renew_configuration
@@ -149,9 +150,10 @@
 
 def start(vm: Vm, tasks: TaskGroup) -> list[QuietServer]:
     """Start every task of a VM and return its HTTP servers."""
+    operator_app = make_operator_app(vm, (upstreams_reporter(vm),))
     servers = [
         make_server(vm.settings, make_app(vm), vm.settings.caller_port),
-        make_server(vm.settings, make_operator_app(vm), vm.settings.operator_port),
+        make_server(vm.settings, operator_app, vm.settings.operator_port),
     ]
     for task in BACKGROUND:
         tasks.start_soon(keep_running, vm, task)
--- a/cuminstile/operator/report.py
+++ b/cuminstile/operator/report.py
@@ -18,6 +18,19 @@
     MISSING = "missing"
 
 
+class UpstreamStanding(StrEnum):
+    """Tell how an upstream stands, as a VM sees it.
+
+    An `AWAY` one leaves or can't be reached; an `EJECTED` one failed several times.
+    """
+
+    UNKNOWN = "unknown"
+    WARM = "warm"
+    COLD = "cold"
+    EJECTED = "ejected"
+    AWAY = "away"
+
+
 class ProblemCode(StrEnum):
     """Enumerate what can be wrong at a glance; docs/OPERATIONS.md says what to do."""
 
@@ -28,6 +41,7 @@
     VM_UNREACHABLE = "vm_unreachable"
     RECORD_REFUSED = "record_refused"
     DATA_CENTRE_OUT = "data_centre_out"
+    UPSTREAM_AWAY = "upstream_away"
     UPSTREAM_COLD = "upstream_cold"
     UPSTREAM_EJECTED = "upstream_ejected"
     REQUEST_QUARANTINED = "request_quarantined"
@@ -87,8 +101,8 @@
 
     Parameters
     ----------
-    state : str
-        `warm`, `cold`, `ejected` or `unknown`.
+    state : UpstreamStanding
+        How it stands for this VM.
     in_flight : int
         This VM's calls at the upstream.
     limit : int
@@ -97,7 +111,7 @@
 
     name: str
     data_centre: str
-    state: str
+    state: UpstreamStanding
     in_flight: int = 0
     limit: int = 0
 
--- /dev/null
+++ b/cuminstile/operator/upstreams.py
@@ -0,0 +1,116 @@
+"""Report the upstreams of this VM's data centre to operators."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from ..objects.model import Upstream
+from ..upstream.crashes import Suspicion
+from ..upstream.ejection import is_ejected
+from ..upstream.limits import own_limit
+from ..upstream.table import NEVER_MS, Condition, UpstreamState
+from ..upstream.taken_out import is_out
+from .report import (
+    PartReport,
+    Problem,
+    ProblemCode,
+    Reporter,
+    UpstreamReport,
+    UpstreamStanding,
+)
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+
+MAX_SHOWN_QUARANTINES = 20
+SHOWN_FINGERPRINT_BYTES = 6
+STANDINGS = {
+    Condition.COLD: UpstreamStanding.COLD,
+    Condition.WARM: UpstreamStanding.WARM,
+    Condition.AWAY: UpstreamStanding.AWAY,
+}
+
+
+def upstreams_reporter(vm: Vm) -> Reporter:
+    """Return what reports the upstreams that one VM uses."""
+
+    def report() -> PartReport:
+        upstreams = tuple(report_of(vm, item) for item in upstreams_here(vm))
+        problems = (*upstream_problems(vm, upstreams), *quarantines(vm))
+        return PartReport(problems=problems, upstreams=upstreams)
+
+    return report
+
+
+def upstreams_here(vm: Vm) -> list[Upstream]:
+    """Return the upstreams of this VM's data centre in the order of their names."""
+    current = vm.configuration.current
+    every = current.objects.upstreams.values() if current else ()
+    here = (item for item in every if item.data_centre == vm.settings.data_centre)
+    return sorted(here, key=lambda item: item.name)
+
+
+def report_of(vm: Vm, upstream: Upstream) -> UpstreamReport:
+    """Return how one upstream stands; one that was never used or asked is unknown."""
+    state = vm.upstreams.by_name.get(upstream.name)
+    if state is None:
+        unknown = UpstreamStanding.UNKNOWN
+        return UpstreamReport(upstream.name, upstream.data_centre, unknown)
+    now_ms = vm.clock.now_ms()
+    return UpstreamReport(
+        upstream.name,
+        upstream.data_centre,
+        standing_of(state, now_ms),
+        state.in_flight,
+        own_limit(vm, state, now_ms),
+    )
+
+
+def standing_of(state: UpstreamState, now_ms: float) -> UpstreamStanding:
+    """Return how an upstream stands; what keeps work from it goes first."""
+    if state.condition is Condition.AWAY:
+        return UpstreamStanding.AWAY
+    if is_ejected(state, now_ms):
+        return UpstreamStanding.EJECTED
+    if max(state.evidence_ms, state.reported_ms) == NEVER_MS:
+        return UpstreamStanding.UNKNOWN
+    return STANDINGS[state.condition]
+
+
+def upstream_problems(
+    vm: Vm, upstreams: tuple[UpstreamReport, ...]
+) -> Iterator[Problem]:
+    """Yield the upstreams that get little work or none.
+
+    While the data centre is out its upstreams are taken as cold on purpose.
+    """
+    for item in upstreams:
+        match item.state:
+            case UpstreamStanding.AWAY:
+                text = "leaves, or can't be reached"
+                yield Problem(ProblemCode.UPSTREAM_AWAY, item.name, text)
+            case UpstreamStanding.EJECTED:
+                text = "failed several times and gets no work for now"
+                yield Problem(ProblemCode.UPSTREAM_EJECTED, item.name, text)
+            case UpstreamStanding.COLD if not is_out(vm):
+                text = "is cold and gets little work"
+                yield Problem(ProblemCode.UPSTREAM_COLD, item.name, text)
+
+
+def quarantines(vm: Vm) -> Iterator[Problem]:
+    """Yield the requests that are refused because they crashed upstreams."""
+    now_ms = vm.clock.now_ms()
+    refused = (
+        (fingerprint, suspect)
+        for fingerprint, suspect in vm.crashes.by_fingerprint.items()
+        if suspect.suspicion is Suspicion.QUARANTINED and suspect.until_ms > now_ms
+    )
+    for fingerprint, suspect in islice(refused, MAX_SHOWN_QUARANTINES):
+        left_s = (suspect.until_ms - now_ms) / 1000.0
+        yield Problem(
+            ProblemCode.REQUEST_QUARANTINED,
+            f"request {fingerprint[:SHOWN_FINGERPRINT_BYTES].hex()}",
+            f"crashed upstreams and is refused for {left_s:.0f} s more",
+        )
