Measure each promise with a metric

Attainment, refusals, the configuration, the platform's absence, sessions, control bytes, upstreams and waiting calls had no metric. Counters are kept where the thing happens; gauges are sampled when they are asked for, so that they cost nothing between. Answers of other VMs that no call waits for were recorded, but not counted.

A refusal after admission of a request that wants a whole answer was recorded twice, once without its request; now once. The tests were seen red with that second record, without the count in streams, with the age reset by a repeated note, without states that have no upstream, and without the bytes of ended sessions.

--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -20,12 +20,13 @@
 from ..const import MAX_BODY_BYTES
 from ..events import Event
 from ..exceptions import HTTP_STATUS, CuminstileError, ErrorCode
+from ..gauges import sample
 from ..http_body import read_body
 from ..objects.model import Organisation, Pipeline
 from ..pipeline import Request, internal_error
 from ..readiness import unready_reason
 from .bodies import RunBody, error_body, parse_run_body
-from .serving import TokenStream, answer_whole
+from .serving import TokenStream, answer_whole, count_refusal
 
 if TYPE_CHECKING:
     from ..runtime import Vm
@@ -39,11 +40,17 @@
     async def run(http: HttpRequest) -> Response | TokenStream:
         try:
             request = await admit(vm, http)
+        except CuminstileError as error:
+            count_refusal(vm, error)
+            vm.journal.record(Event.REQUEST_REFUSED, code=error.code.value)
+            return refuse(error)
+        except Exception as error:
+            return refuse(internal_error(vm, error))
+        try:
             if request.stream:
                 return TokenStream(vm, request)
             return await answer_whole(vm, request, http)
         except CuminstileError as error:
-            vm.journal.record(Event.REQUEST_REFUSED, code=error.code.value)
             return refuse(error)
         except Exception as error:
             return refuse(internal_error(vm, error))
@@ -56,6 +63,7 @@
         return PlainTextResponse(reason or "ready", 503 if reason else 200)
 
     async def metrics(http: HttpRequest) -> Response:
+        sample(vm)
         content, headers = render(vm.metrics.registry, [http.headers.get("accept", "")])
         return Response(content, headers=dict(headers))
 
--- a/cuminstile/caller/serving.py
+++ b/cuminstile/caller/serving.py
@@ -46,6 +46,7 @@
     except CuminstileError as error:
         error = with_truth(error, progress)
         note_end(vm, request, error.code.value, started_ms)
+        count_refusal(vm, error)
         raise error from error
     except anyio.get_cancelled_exc_class():
         note_end(vm, request, "cancelled", started_ms)
@@ -61,11 +62,30 @@
     return CuminstileError(error.code, error.message, ran, error.findings)
 
 
+def count_refusal(vm: Vm, error: CuminstileError) -> None:
+    """Count a refusal by its code and by what is known about the run."""
+    labels = {"code": error.code.value, "ran": error.ran.value}
+    vm.metrics.refusals_total.inc(labels)
+
+
+def count_deadline(vm: Vm, request: Request, result: str) -> None:
+    """Count whether an admitted request got its whole answer by its deadline.
+
+    One whose caller has left is not counted.
+    """
+    if result == "cancelled":
+        return
+    in_time = result == "answered" and vm.clock.now_ms() <= request.deadline_ms
+    labels = {"pipeline": request.pipeline.name, "met": "yes" if in_time else "no"}
+    vm.metrics.deadlines_total.inc(labels)
+
+
 def note_end(vm: Vm, request: Request, result: str, started_ms: float) -> None:
     """Record the end of a request."""
     elapsed_ms = vm.clock.now_ms() - started_ms
     pipeline = request.pipeline.name
     vm.metrics.requests_total.inc({"pipeline": pipeline, "result": result})
+    count_deadline(vm, request, result)
     if result == "answered":
         vm.metrics.request_ms.observe({"pipeline": pipeline}, elapsed_ms)
         event = Event.REQUEST_ANSWERED
--- /dev/null
+++ b/cuminstile/gauges.py
@@ -0,0 +1,50 @@
+"""Take the present values of a VM's gauges, whenever they are asked for."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from .operator.report import UpstreamStanding
+from .operator.upstreams import report_of, upstreams_here
+
+if TYPE_CHECKING:
+    from .runtime import Vm
+
+
+def sample(vm: Vm) -> None:
+    """Set every gauge to its present value."""
+    sample_configuration(vm)
+    sample_sessions(vm)
+    sample_upstreams(vm)
+    for version, line in vm.line.by_version.items():
+        vm.metrics.waiting_calls.set({"version": version}, len(line.waiting))
+    vm.metrics.requests_in_progress.set({}, vm.activity.requests)
+
+
+def sample_configuration(vm: Vm) -> None:
+    """Set what tells about the configuration and the platform."""
+    now_ms = vm.clock.now_ms()
+    version = vm.configuration.version
+    vm.metrics.config_version.set({}, version)
+    if vm.configuration.current is not None:
+        vm.metrics.config_age_ms.set({}, now_ms - vm.in_force.since_ms)
+    since_ms = vm.platform_away_since_ms
+    away_ms = 0.0 if since_ms is None else now_ms - since_ms
+    vm.metrics.platform_away_ms.set({}, away_ms)
+
+
+def sample_sessions(vm: Vm) -> None:
+    """Set the open sessions of each known data centre and the bytes sent."""
+    centres = {item.data_centre for item in vm.members.by_name.values()}
+    for centre in centres:
+        count = len(vm.sessions.of_data_centre(centre))
+        vm.metrics.sessions.set({"data_centre": centre}, count)
+    vm.metrics.control_sent_bytes_total.set({}, vm.sessions.control_bytes())
+
+
+def sample_upstreams(vm: Vm) -> None:
+    """Set the number of upstreams in each state, also where there are none."""
+    found = Counter(report_of(vm, item).state for item in upstreams_here(vm))
+    for standing in UpstreamStanding:
+        vm.metrics.upstreams.set({"state": standing.value}, found[standing])
--- a/cuminstile/metrics.py
+++ b/cuminstile/metrics.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from aioprometheus.collectors import Counter, Histogram, Registry
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_MS = [5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 450.0, 1e3, 2e3, 4e3, 1e4]
 
@@ -13,10 +13,20 @@
 
     registry: Registry
     requests_total: Counter
+    deadlines_total: Counter
+    refusals_total: Counter
     request_ms: Histogram
     stage_ms: Histogram
     stage_attempts_total: Counter
     answers_dropped_total: Counter
+    config_version: Gauge
+    config_age_ms: Gauge
+    platform_away_ms: Gauge
+    sessions: Gauge
+    control_sent_bytes_total: Counter
+    upstreams: Gauge
+    waiting_calls: Gauge
+    requests_in_progress: Gauge
 
 
 def make_metrics() -> Metrics:
@@ -29,6 +39,16 @@
             "Requests by pipeline and result",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_deadlines_total",
+            "Admitted requests by pipeline and whether the deadline was met",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_refusals_total",
+            "Refusals to callers by code and by what is known about the run",
+            registry=registry,
+        ),
         Histogram(
             "cuminstile_request_ms",
             "Time from a request's arrival to its whole answer",
@@ -48,7 +68,47 @@
         ),
         Counter(
             "cuminstile_answers_dropped_total",
-            "Answers that no call waited for",
+            "Answers that no call waited for, by reason",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_config_version",
+            "Version of the configuration in force, -1 for none",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_config_age_ms",
+            "Time since that version came into force on this VM",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_platform_away_ms",
+            "Time since the platform has not answered, 0 while it does",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_sessions",
+            "Open sessions with other VMs by data centre",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_control_sent_bytes_total",
+            "Bytes sent to other VMs, but for requests and their answers",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_upstreams",
+            "Upstreams of this data centre by state",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_waiting_calls",
+            "Calls that wait for an upstream by version",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_requests_in_progress",
+            "Requests of callers that run now",
             registry=registry,
         ),
     )
--- a/cuminstile/platform/configuration.py
+++ b/cuminstile/platform/configuration.py
@@ -48,6 +48,19 @@
     items: tuple[AnyObject, ...] = ()
 
 
+@dataclass
+class InForce:
+    """Hold since when a version has been in force on this VM, in monotonic ms."""
+
+    version: int = NO_VERSION
+    since_ms: float = 0.0
+
+    def note(self, version: int, now_ms: float) -> None:
+        """Note the version in force; the same one again changes nothing."""
+        if version != self.version:
+            self.version, self.since_ms = version, now_ms
+
+
 @dataclass(frozen=True)
 class Outcome:
     """Hold what came of a publication: its offset, and whether it was accepted."""
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -104,6 +104,7 @@
 def note_in_force(vm: Vm) -> None:
     """Record the version in force, if there is one."""
     if vm.configuration.current is not None:
+        vm.in_force.note(vm.configuration.version, vm.clock.now_ms())
         vm.journal.record(Event.CONFIG_IN_FORCE, version=vm.configuration.version)
 
 
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -16,7 +16,7 @@
 from .metrics import Metrics, make_metrics
 from .objects.collection import ObjectSet
 from .platform.client import PlatformClient
-from .platform.configuration import ConfigurationState
+from .platform.configuration import ConfigurationState, InForce
 from .settings import Settings
 from .spilling import SpillState
 from .upstream.crashes import CrashTable
@@ -78,6 +78,7 @@
     random: random.Random = field(default_factory=random.Random)
     incarnation: str = field(default_factory=lambda: secrets.token_hex(6))
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    in_force: InForce = field(default_factory=InForce)
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     load: LoadExchange = field(default_factory=LoadExchange)
--- a/cuminstile/vm/configuration.py
+++ b/cuminstile/vm/configuration.py
@@ -92,6 +92,7 @@
     if effect == Effect.NOTHING:
         return
     finish_catching_up(state)
+    vm.in_force.note(state.version, vm.clock.now_ms())
     vm.journal.record(
         Event.CONFIG_TAKEN_FROM_PEER,
         peer=session.name,
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -112,6 +112,7 @@
     """Hand an answer to the call that waits for it; drop one nobody waits for."""
     answers = session.calls.get(message.call)
     if answers is None:
+        vm.metrics.answers_dropped_total.inc({"reason": "no_call"})
         vm.journal.record(
             Event.ANSWER_DROPPED, source=session.name, reason="no call waits"
         )
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -35,7 +35,18 @@
 from .authentication import is_proved, prove
 from .configuration import on_newer_version
 from .membership import Member
-from .messages import CODEC, Challenge, Heartbeat, Hello, Welcome
+from .messages import (
+    CODEC,
+    Challenge,
+    Heartbeat,
+    Hello,
+    RunStage,
+    StageCancel,
+    StageDone,
+    StageRefused,
+    StageTokens,
+    Welcome,
+)
 from .topology import linked
 
 if TYPE_CHECKING:
@@ -45,6 +56,7 @@
 CLOSE_TIMEOUT_MS = 500
 HANDSHAKE_TIMEOUT_MS = 2_000
 SHOWN_NAME_LENGTH = 64
+WORK_MESSAGES = (RunStage, StageTokens, StageDone, StageRefused, StageCancel)
 
 
 @dataclass
@@ -59,6 +71,8 @@
         The other VM's calls that run here, by call number.
     sent_messages, sent_bytes : int
         What was sent so far, without the headers of websocket and below.
+    sent_control_bytes : int
+        The part of it that is neither a request nor an answer.
     busy_since_ms : float or None
         Monotonic time since which calls have been in progress, in either direction.
     """
@@ -75,6 +89,7 @@
     busy_since_ms: float | None = None
     sent_messages: int = 0
     sent_bytes: int = 0
+    sent_control_bytes: int = 0
 
     async def send(self, message: Message) -> None:
         """Send one message.
@@ -85,6 +100,8 @@
             With `PEER_LOST` if the session is closed.
         """
         data = CODEC.encode(message)
+        if not isinstance(message, WORK_MESSAGES):
+            self.sent_control_bytes += len(data)
         self.sent_messages += 1
         self.sent_bytes += len(data)
         try:
@@ -95,10 +112,22 @@
 
 @dataclass
 class Sessions:
-    """Hold the open sessions by the name of the other VM."""
+    """Hold the open sessions by the name of the other VM.
+
+    Parameters
+    ----------
+    past_control_bytes : int
+        What the sessions that have ended sent for control.
+    """
 
     by_name: dict[str, Session] = field(default_factory=dict)
     dialling: set[str] = field(default_factory=set)
+    past_control_bytes: int = 0
+
+    def control_bytes(self) -> int:
+        """Return what all sessions so far have sent for control."""
+        sessions = self.by_name.values()
+        return self.past_control_bytes + sum(s.sent_control_bytes for s in sessions)
 
     def of_data_centre(self, data_centre: str) -> tuple[Session, ...]:
         """Return the open sessions with VMs of a data centre."""
@@ -327,6 +356,7 @@
     try:
         yield
     finally:
+        vm.sessions.past_control_bytes += session.sent_control_bytes
         if vm.sessions.by_name.get(session.name) is session:
             del vm.sessions.by_name[session.name]
         for answers in session.calls.values():
--- /dev/null
+++ b/tests/caller/test_serving.py
@@ -0,0 +1,84 @@
+"""Test what cuminstile.caller.serving counts."""
+
+import hashlib
+import json
+from dataclasses import replace
+from typing import Any
+
+import anyio
+from httpcore import AsyncConnectionPool
+
+from cuminstile.caller.app import make_app
+from cuminstile.calls import RunTrace, StageCall, StageOutcome, TokenSink
+from cuminstile.events import Event
+from cuminstile.exceptions import CuminstileError, ErrorCode, Ran
+from cuminstile.objects.model import Organisation
+from cuminstile.runtime import Vm
+
+from ..fakes.asgi import ask, serving
+from ..fakes.objects import small_set
+from ..fakes.vms import make_test_vm, put_in_force
+
+KEY = "a-callers-key"
+PATH = "/v1/pipelines/chat"
+
+
+async def run(
+    vm: Vm, call: StageCall, trace: RunTrace, on_tokens: TokenSink, may_forward: bool
+) -> StageOutcome:
+    """Answer, be too slow or fail, as the input wants it."""
+    match call.input["request"]:
+        case "slow":
+            await anyio.sleep(5.0)
+        case "full":
+            raise CuminstileError(ErrorCode.OVERLOADED, "full", Ran.UNKNOWN)
+    return StageOutcome("x", call.version, "u", "a", "vm", 1, 0.0)
+
+
+def make_one() -> Vm:
+    vm = make_test_vm("vm-a1", "a")
+    vm.run_stage = run
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    objects = tuple(
+        replace(item, key_digests=(digest,)) if isinstance(item, Organisation) else item
+        for item in small_set({"gen-a": "127.0.0.1:9"})
+    )
+    put_in_force(vm, objects)
+    return vm
+
+
+async def send(vm: Vm, key: str = KEY, **body: Any) -> int:
+    return (await ask(make_app(vm), "POST", PATH, key, body)).status
+
+
+async def test_deadlines_met_and_missed_are_counted() -> None:
+    vm = make_one()
+    assert await send(vm, input="good") == 200
+    assert await send(vm, input="slow", deadline_ms=20) == 504
+    assert await send(vm, input="full") == 503
+    deadlines = vm.metrics.deadlines_total
+    assert deadlines.get({"pipeline": "chat", "met": "yes"}) == 1
+    assert deadlines.get({"pipeline": "chat", "met": "no"}) == 2
+
+
+async def test_each_refusal_is_counted_and_recorded_once() -> None:
+    vm = make_one()
+    assert await send(vm, input="full") == 503
+    assert await send(vm, "wrong", input="full") == 401
+    refusals = vm.metrics.refusals_total
+    assert refusals.get({"code": "overloaded", "ran": "unknown"}) == 1
+    assert refusals.get({"code": "unauthenticated", "ran": "not_run"}) == 1
+    events = [item.event for item in vm.journal.ring]
+    assert events.count(Event.REQUEST_REFUSED) == 2
+
+
+async def test_refusals_in_a_stream_are_counted_as_well() -> None:
+    vm = make_one()
+    body = json.dumps({"input": "full", "stream": True}).encode()
+    headers = {"authorization": f"Bearer {KEY}"}
+    async with serving(make_app(vm)) as address, AsyncConnectionPool() as pool:
+        url = f"http://{address}{PATH}"
+        reply = await pool.request("POST", url, headers=headers, content=body)
+    assert b"event: error" in reply.content
+    refusals = vm.metrics.refusals_total
+    assert refusals.get({"code": "overloaded", "ran": "unknown"}) == 1
--- /dev/null
+++ b/tests/test_gauges.py
@@ -0,0 +1,96 @@
+"""Test cuminstile.gauges."""
+
+from typing import Any, cast
+
+from cuminstile.gauges import sample
+from cuminstile.platform.follow import note_in_force
+from cuminstile.queueing import Ticket, Waiter, WaitingLine
+from cuminstile.runtime import Vm
+from cuminstile.upstream.table import Condition
+from cuminstile.upstream.waiting import leave_to_caller
+from cuminstile.vm.messages import Heartbeat, StageDone
+from cuminstile.vm.sessions import Session, registered
+from tests.fakes.objects import small_set
+from tests.fakes.virtual import make_platform, make_test_vm
+from tests.fakes.vms import put_in_force
+
+OBJECTS = small_set({"one-a": "127.0.0.1:1", "two-a": "127.0.0.1:2"})
+
+
+class Sink:
+    """Take what a session sends."""
+
+    async def send(self, data: bytes) -> None:
+        """Drop it."""
+
+
+def make_one() -> Vm:
+    vm = make_test_vm("vm1", make_platform(), data_centre="a")
+    put_in_force(vm, OBJECTS, 7)
+    note_in_force(vm)
+    return vm
+
+
+def value(vm: Vm, name: str, **labels: str) -> Any:
+    """Return the present value of one metric."""
+    sample(vm)
+    return getattr(vm.metrics, name).get(labels)
+
+
+def session_of(vm: Vm, name: str) -> Session:
+    return Session(name, "a", "i", cast(Any, Sink()), cast(Any, None), 0.0)
+
+
+async def test_the_age_of_a_version_counts_from_its_coming_into_force() -> None:
+    vm = make_one()
+    await vm.clock.advance_ms(500.0)  # type: ignore[attr-defined]
+    note_in_force(vm)
+    assert value(vm, "config_version") == 7
+    assert value(vm, "config_age_ms") == 500.0
+    put_in_force(vm, OBJECTS, 8)
+    note_in_force(vm)
+    assert value(vm, "config_age_ms") == 0.0
+
+
+async def test_the_platform_is_away_from_its_loss_to_its_return() -> None:
+    vm = make_one()
+    vm.platform_away_since_ms = vm.clock.now_ms()
+    await vm.clock.advance_ms(300.0)  # type: ignore[attr-defined]
+    assert value(vm, "platform_away_ms") == 300.0
+    vm.platform_away_since_ms = None
+    assert value(vm, "platform_away_ms") == 0.0
+
+
+async def test_upstreams_are_counted_in_each_state() -> None:
+    vm = make_one()
+    state = vm.upstreams.state_of(vm.objects.upstreams["one-a"])
+    state.condition, state.evidence_ms = Condition.WARM, 0.0
+    assert value(vm, "upstreams", state="warm") == 1
+    assert value(vm, "upstreams", state="unknown") == 1
+    state.condition = Condition.AWAY
+    assert value(vm, "upstreams", state="warm") == 0
+    assert value(vm, "upstreams", state="away") == 1
+
+
+async def test_waiting_calls_are_counted_by_version() -> None:
+    vm = make_one()
+    line: WaitingLine[Any] = WaitingLine(vm.clock, 8, leave_to_caller)
+    vm.line.by_version["generate-1"] = line
+    assert value(vm, "waiting_calls", version="generate-1") == 0
+    line.waiting.append(Waiter(Ticket("org", 1, 0.0, 0.0), 0, lambda: None))
+    assert value(vm, "waiting_calls", version="generate-1") == 1
+
+
+async def test_control_bytes_outlast_their_session_and_leave_work_out() -> None:
+    vm = make_one()
+    vm.members.add("vm2", "a", "127.0.0.1:3")
+    session = session_of(vm, "vm2")
+    async with registered(vm, session):
+        assert value(vm, "sessions", data_centre="a") == 1
+        await session.send(Heartbeat(1, 0, 7, False))
+        control = session.sent_bytes
+        await session.send(StageDone(0, "x", "v", "u", "a", "vm1", 1, 0.0))
+        assert session.sent_bytes > control > 0
+        assert value(vm, "control_sent_bytes_total") == control
+    assert value(vm, "sessions", data_centre="a") == 0
+    assert value(vm, "control_sent_bytes_total") == control
