--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -4,12 +4,11 @@
 
 import itertools
 import math
-import secrets
 import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
 import websockets
@@ -30,14 +29,12 @@
 from ..events import Event, Stamp
 from ..exceptions import CuminstileError, ErrorCode
 from ..pipeline import internal_error
-from ..tls import certificate_names
 from ..wire import MAX_MESSAGE_BYTES, Message
-from .authentication import is_proved, prove
 from .configuration import on_newer_version
+from .handshake import HANDSHAKE_TIMEOUT_MS, accept_hello, greet
 from .membership import Member
 from .messages import (
     CODEC,
-    Challenge,
     Heartbeat,
     Hello,
     RunStage,
@@ -54,8 +51,6 @@
 
 # A path that drops packets never ends the closing handshake.
 CLOSE_TIMEOUT_MS = 500
-HANDSHAKE_TIMEOUT_MS = 2_000
-SHOWN_NAME_LENGTH = 64
 WORK_MESSAGES = (RunStage, StageTokens, StageDone, StageRefused, StageCancel)
 
 
@@ -173,56 +168,6 @@
     await run_session(vm, connection, hello)
 
 
-async def accept_hello(vm: Vm, connection: Connection) -> Hello:
-    """Challenge the connecting VM, check its proof and prove this VM's own key."""
-    nonce = secrets.token_hex(16)
-    await connection.send(CODEC.encode(Challenge(nonce)))
-    hello: Hello = await receive(connection, Hello)
-    keys = vm.settings.vm_keys
-    own = vm.settings.name
-    is_valid = is_proved(keys, hello.proof, "connect", hello.name, nonce)
-    if not is_valid or hello.name == own:
-        raise unauthenticated(hello.name)
-    if vm.server_tls and hello.name not in certificate_names(connection.transport):
-        raise CuminstileError(
-            ErrorCode.UNAUTHENTICATED,
-            f"{hello.name!r} showed the certificate of another VM",
-        )
-    proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
-    welcome = Welcome(
-        own, vm.settings.data_centre, vm.incarnation, proof, vm.own_operator_address
-    )
-    await connection.send(CODEC.encode(welcome))
-    return hello
-
-
-def key_of(keys: tuple[str, ...], hello: Hello, nonce: str) -> str:
-    """Return the key that the connecting VM has proved; it knows that one for sure."""
-    proved = (
-        key
-        for key in keys
-        if is_proved((key,), hello.proof, "connect", hello.name, nonce)
-    )
-    return next(proved)
-
-
-def unauthenticated(name: str) -> CuminstileError:
-    """Return the error for a VM that proved no valid key."""
-    return CuminstileError(
-        ErrorCode.UNAUTHENTICATED,
-        f"{name[:SHOWN_NAME_LENGTH]!r} showed no valid VM key",
-    )
-
-
-async def receive(connection: Connection, kind: type[Any]) -> Any:
-    """Return the next message, which must be of one kind."""
-    data = await connection.recv()
-    message = CODEC.decode(data if isinstance(data, bytes) else b"")
-    if not isinstance(message, kind):
-        raise CuminstileError(ErrorCode.BAD_MESSAGE, f"expected {kind.__name__}")
-    return message
-
-
 async def keep_dialling(vm: Vm) -> None:
     """Start one dialling task for each VM that this one connects to, for ever.
 
@@ -298,29 +243,6 @@
         return
 
 
-async def greet(vm: Vm, connection: Connection, member: Member) -> Welcome:
-    """Answer the challenge and check the accepting VM's proof."""
-    challenge = await receive(connection, Challenge)
-    own = vm.settings
-    nonce = secrets.token_hex(16)
-    hello = Hello(
-        own.name,
-        own.data_centre,
-        vm.incarnation,
-        vm.own_address,
-        nonce,
-        prove(own.vm_keys[0], "connect", own.name, challenge.nonce),
-        vm.own_operator_address,
-    )
-    await connection.send(CODEC.encode(hello))
-    welcome: Welcome = await receive(connection, Welcome)
-    if not is_proved(own.vm_keys, welcome.proof, "accept", welcome.name, nonce):
-        raise unauthenticated(welcome.name)
-    if welcome.name != member.name:
-        raise CuminstileError(ErrorCode.BAD_MESSAGE, "another VM answers there")
-    return welcome
-
-
 async def run_session(vm: Vm, connection: Connection, peer: Hello | Welcome) -> None:
     """Run an authenticated session until it closes or falls silent."""
     async with anyio.create_task_group() as tasks:
