--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -22,6 +22,7 @@
 from .moving import keep_moving
 from .operator.app import make_app as make_operator_app
 from .operator.moves import moves_reporter
+from .operator.upstreams import upstreams_reporter
 from .platform.client import make_platform_client
 from .platform.follow import follow_configuration, follow_vm_list
 from .platform.renewal import renew_configuration
@@ -169,7 +170,8 @@
 
 def start(vm: Vm, tasks: TaskGroup) -> list[QuietServer]:
     """Start every task of a VM and return its HTTP servers."""
-    operator_app = make_operator_app(vm, (moves_reporter(vm),))
+    reporters = (moves_reporter(vm), upstreams_reporter(vm))
+    operator_app = make_operator_app(vm, reporters)
     servers = [
         make_server(vm.settings, make_app(vm), vm.settings.caller_port),
         make_server(vm.settings, operator_app, vm.settings.operator_port),
