--- a/cuminstile/claims.py
+++ b/cuminstile/claims.py
@@ -26,6 +26,7 @@
 )
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, PlatformAwayError, Ran
+from .pipeline import internal_error
 from .platform.claim_fold import Claim
 from .platform.claim_log import Partition, run_partition, wait_until
 from .platform.claim_records import (
@@ -281,8 +282,7 @@
         except CuminstileError as error:
             held.error = error
         except Exception as error:
-            vm.journal.record(Event.STAGE_FAILED, reason=repr(error), stage=call.stage)
-            held.error = CuminstileError(ErrorCode.INTERNAL, "internal error")
+            held.error = internal_error(vm, error)
 
     await run_until(vm.clock, limit_ms, run)
     if held.outcome is not None:
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -116,7 +116,10 @@
     local = local_upstreams(vm, call, tried)
     here = limits.served_here(vm, call, local)
     session: Session | None = None
-    if not vm.objects.stages[call.stage].repeatable:
+    stage = vm.objects.stages.get(call.stage)
+    if stage is None:
+        raise no_upstream(call)
+    if not stage.repeatable:
         if may_forward:
             session = claimant_for(vm, call, bool(here), local, tried)
         if here and session is None:
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -30,6 +30,7 @@
 from ..events import Event, Stamp
 from ..exceptions import CuminstileError, ErrorCode
 from ..pipeline import internal_error
+from ..tls import certificate_names
 from ..wire import MAX_MESSAGE_BYTES, Message
 from .authentication import is_proved, prove
 from .configuration import on_newer_version
@@ -41,6 +42,7 @@
     from ..runtime import Vm
 
 HANDSHAKE_TIMEOUT_MS = 2_000
+SHOWN_NAME_LENGTH = 64
 
 
 @dataclass
@@ -53,6 +55,8 @@
         Where the answers to this VM's own calls go, by call number.
     serving : dict of int to CancelScope
         The other VM's calls that run here, by call number.
+    sent_messages, sent_bytes : int
+        What was sent so far, without the headers of websocket and below.
     busy_since_ms : float or None
         Monotonic time since which calls have been in progress, in either direction.
     """
@@ -67,6 +71,8 @@
     calls: dict[int, MemoryObjectSendStream[Message]] = field(default_factory=dict)
     serving: dict[int, anyio.CancelScope] = field(default_factory=dict)
     busy_since_ms: float | None = None
+    sent_messages: int = 0
+    sent_bytes: int = 0
 
     async def send(self, message: Message) -> None:
         """Send one message.
@@ -76,8 +82,11 @@
         CuminstileError
             With `PEER_LOST` if the session is closed.
         """
+        data = CODEC.encode(message)
+        self.sent_messages += 1
+        self.sent_bytes += len(data)
         try:
-            await self.connection.send(CODEC.encode(message))
+            await self.connection.send(data)
         except websockets.ConnectionClosed as error:
             raise peer_lost(self.name) from error
 
@@ -142,6 +151,11 @@
     is_valid = is_proved(keys, hello.proof, "connect", hello.name, nonce)
     if not is_valid or hello.name == own:
         raise unauthenticated(hello.name)
+    if vm.server_tls and hello.name not in certificate_names(connection.transport):
+        raise CuminstileError(
+            ErrorCode.UNAUTHENTICATED,
+            f"{hello.name!r} showed the certificate of another VM",
+        )
     proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
     welcome = Welcome(
         own, vm.settings.data_centre, vm.incarnation, proof, vm.own_operator_address
@@ -163,7 +177,8 @@
 def unauthenticated(name: str) -> CuminstileError:
     """Return the error for a VM that proved no valid key."""
     return CuminstileError(
-        ErrorCode.UNAUTHENTICATED, f"{name!r} showed no valid VM key"
+        ErrorCode.UNAUTHENTICATED,
+        f"{name[:SHOWN_NAME_LENGTH]!r} showed no valid VM key",
     )
 
 
@@ -243,7 +258,10 @@
             await run_session(vm, connection, welcome)
     except CuminstileError as error:
         vm.journal.record(Event.PEER_REFUSED, peer=member.name, reason=error.message)
-    except (OSError, TimeoutError, ssl.SSLError, websockets.WebSocketException):
+    except ssl.SSLError as error:
+        reason = f"TLS failed: {error.reason}"
+        vm.journal.record(Event.PEER_REFUSED, peer=member.name, reason=reason)
+    except (OSError, TimeoutError, websockets.WebSocketException):
         return
 
 
--- a/tests/upstream/test_cut_calls.py
+++ b/tests/upstream/test_cut_calls.py
@@ -167,7 +167,8 @@
             except CuminstileError as error:
                 ran = Ran.UNKNOWN if trace.maybe_ran else error.ran
         tasks.cancel_scope.cancel()
-    await vm.upstream_pool.aclose()
+    for entry in vm.upstream_pool.by_address.values():
+        await entry.pool.aclose()
     assert service.runs <= 1
     if outcome is not None:
         assert service.runs == 1
