Let a scenario's move bring the new version along

A set that holds two versions of a stage without a move between them is refused at publication, rightly, so the scenarios start with one version: the step `move` has the upstreams load the new one and publishes version and move together.

--- a/standins/scenario_run.py
+++ b/standins/scenario_run.py
@@ -4,7 +4,7 @@
 import random
 import sys
 import tempfile
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
@@ -86,7 +86,7 @@
         message = "a scenario has one line 'start OBJECTS [VMS OF A CENTRE=NUMBER...]'"
         raise ScenarioError([place.finding("no_start", message)])
     arrangement = arrange(path, starts[0])
-    findings = check_names(scenario.steps, VERBS, names_of(arrangement))
+    findings = check_names(scenario.steps, VERBS, names_of(arrangement, scenario.steps))
     findings += check_sent(scenario.steps, VERBS)
     if findings:
         raise ScenarioError(findings)
@@ -124,15 +124,16 @@
     )
 
 
-def names_of(arrangement: Arrangement) -> Names:
+def names_of(arrangement: Arrangement, steps: Sequence[Step]) -> Names:
     """Return the names that the steps may use."""
     objects = collect(arrangement.objects)
+    moved = (step.options["new"] for step in steps if step.verb == "move")
     return Names(
         vms=frozenset(plan.name for plan in arrangement.vms),
         upstreams=frozenset(objects.upstreams),
         centres=frozenset(objects.data_centres),
         pipelines=frozenset(objects.pipelines),
-        versions=frozenset(objects.versions),
+        versions=frozenset((*objects.versions, *moved)),
         programs=frozenset(
             (
                 *(plan.name for plan in arrangement.vms),
--- a/standins/scenario_steps.py
+++ b/standins/scenario_steps.py
@@ -13,6 +13,8 @@
     DataCentreState,
     Organisation,
     TrafficMove,
+    Upstream,
+    UpstreamVersion,
 )
 
 from .caller import wall_ms
@@ -135,7 +137,7 @@
 async def move(
     session: Session, name: str, stage: str, *, old: str, new: str, seconds: float
 ) -> None:
-    """Publish a traffic move that starts now and finishes in some seconds."""
+    """Load a version beside the old one and publish a move to it, from now on."""
     now_ms = wall_ms()
     wanted = TrafficMove(
         kind="traffic_move",
@@ -146,7 +148,18 @@
         start_at_ms=now_ms,
         finish_by_ms=now_ms + int(seconds * 1000),
     )
-    await publish_set(session, "", (*session.objects, wanted))
+    version = UpstreamVersion(kind="upstream_version", name=new, stage=stage)
+    serving = session.index.by_version[old]
+    for upstream in serving:
+        versions = [*upstream.versions, new]
+        await session.fleet.control(upstream.name, versions=versions)
+    objects = tuple(
+        replace(item, versions=(*item.versions, new))
+        if isinstance(item, Upstream) and item in serving
+        else item
+        for item in session.objects
+    )
+    await publish_set(session, "", (*objects, version, wanted))
     session.marks[name] = now_ms
 
 
@@ -247,10 +260,10 @@
 
 
 async def go_bad(session: Session, version: str, **fault: str) -> None:
-    """Make a version bad on every upstream that serves it; values are JSON."""
+    """Make a version bad on every upstream that may serve it; values are JSON."""
     decoded = {name: json_or_text(value) for name, value in fault.items()}
-    for upstream in session.index.by_version[version]:
-        await session.fleet.control(upstream.name, version_faults={version: decoded})
+    for upstream in session.index.upstreams:
+        await session.fleet.control(upstream, version_faults={version: decoded})
     session.marks[version] = wall_ms()
 
 
