Take a broken stream of a running upstream for a failed call, not a restart

Where the upstream's load report shows the same process, warm, a connection that broke is now the call's failure alone. Ruled out: trusting only reports about a moment after the call, which a report lag of 500 ms makes useless.

--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -25,6 +25,7 @@
 )
 from .ejection import is_ejected, is_probed, note_call_failed, note_call_good
 from .evidence import (
+    LoadReport,
     mark_cold,
     mark_warm,
     take_good_answer,
@@ -346,15 +347,27 @@
 
 
 async def note_connection(vm: Vm, item: Slot, error: UpstreamError) -> None:
-    """Take a connection that broke or that could not be opened as a restart."""
+    """Take a connection that broke or that could not be opened as a restart.
+
+    Where the upstream's report shows the same process, warm, only the call failed:
+    a version that breaks its streams must not turn the others there cold.
+    """
     state = item.state
-    state.reserved_warm = False
-    if mark_cold(state, vm.clock.now_ms(), shown=True):
-        await note_cold(vm, state, "lost connection")
-    if error.reason == "connect" or not error.left:
-        return
-    report = await vm.load.fetch(vm, state.upstream)
-    await note_lost(vm, item.call, report, item.incarnation, item.alone)
+    report = None
+    if error.reason == "lost" and error.left:
+        report = await vm.load.fetch(vm, state.upstream)
+    if report is None or not is_same_and_warm(state, report):
+        state.reserved_warm = False
+        if mark_cold(state, vm.clock.now_ms(), shown=True):
+            await note_cold(vm, state, "lost connection")
+    if error.reason == "lost" and error.left:
+        await note_lost(vm, item.call, report, item.incarnation, item.alone)
+
+
+def is_same_and_warm(state: UpstreamState, report: LoadReport) -> bool:
+    """Return whether a report shows the process that was known, and warm."""
+    known = state.incarnation in (0, report.incarnation)
+    return known and report.condition is Condition.WARM
 
 
 async def note_cold(vm: Vm, state: UpstreamState, reason: str) -> None:
