Tell a VM again what is warm once it has another configuration

Change: the owner greets a VM again when its heartbeat tells of another configuration, and a digest is read against the present upstreams.

The new test was red before: 1 upstream of 4 known, after 1.5 s.

--- a/cuminstile/upstream/load.py
+++ b/cuminstile/upstream/load.py
@@ -50,6 +50,14 @@
     at_ms: float
 
 
+@dataclass(frozen=True)
+class Greeted:
+    """Hold with which session and configuration a VM was told everything."""
+
+    session: Session
+    config_version: int
+
+
 @dataclass
 class LoadExchange:
     """Hold what was polled and what was told.
@@ -62,13 +70,13 @@
         What the other VMs were last told.
     fetch : FetchLoad
         Asks an upstream for its load.
-    greeted : dict of str to Session
-        The session with each VM that was told about every owned upstream.
+    greeted : dict of str to Greeted
+        When each VM was last told about every owned upstream.
     """
 
     polled_ms: dict[str, float] = field(default_factory=dict)
     told: dict[str, Told] = field(default_factory=dict)
-    greeted: dict[str, Session] = field(default_factory=dict)
+    greeted: dict[str, Greeted] = field(default_factory=dict)
     digest_ms: float = NEVER_MS
     fetch: FetchLoad = fetch_load
 
@@ -190,11 +198,17 @@
 
 
 async def greet_new_sessions(vm: Vm) -> None:
-    """Tell each VM that has just connected what it may not know."""
+    """Tell each VM that has just connected what it may not know.
+
+    One that has another configuration in force than before is told again: it left out
+    what it was told about upstreams that it did not have yet.
+    """
     for session in tuple(vm.sessions.by_name.values()):
-        if vm.load.greeted.get(session.name) is session:
+        member = vm.members.by_name.get(session.name)
+        now = Greeted(session, member.config_version if member else -1)
+        if vm.load.greeted.get(session.name) == now:
             continue
-        vm.load.greeted[session.name] = session
+        vm.load.greeted[session.name] = now
         await greet_with_crashes(vm, session)
         if session.data_centre != vm.settings.data_centre:
             continue
@@ -248,6 +262,7 @@
     """Take over what another VM of the data centre tells about upstreams."""
     if session.data_centre != vm.settings.data_centre:
         return
+    vm.upstreams.keep(upstreams_here(vm))
     for entry in message.entries:
         state = vm.upstreams.by_id.get(entry.upstream)
         if state is not None:
--- a/cuminstile/upstream/table.py
+++ b/cuminstile/upstream/table.py
@@ -149,8 +149,11 @@
             self.by_id[number] = state
 
     def keep(self, upstreams: Iterable[Upstream]) -> None:
-        """Forget every upstream that is not among those given."""
-        names = {upstream.name for upstream in upstreams}
+        """Know the upstreams given, and forget every other one."""
+        names: set[str] = set()
+        for upstream in upstreams:
+            names.add(upstream.name)
+            self.state_of(upstream)
         for name in tuple(self.by_name):
             state = self.by_name[name]
             if name not in names and not state.calls:
--- a/tests/upstream/test_load.py
+++ b/tests/upstream/test_load.py
@@ -163,3 +163,23 @@
     # None is left out: the first and the last differ by one poll.
     assert len(polled) == 120
     assert max(polled.values()) - min(polled.values()) <= 1
+
+
+async def test_vm_that_got_its_configuration_late_learns_what_is_warm(monkeypatch):
+    async with running_centre(monkeypatch, 4, warm_after=0) as centre:
+        for fake in centre.upstreams.values():
+            fake.turn_cold(0)
+            fake.warm = True
+            fake.note()
+        late = await centre.start("vm-b")
+        in_force = late.configuration.current
+        late.configuration.current = None
+        late.upstreams.by_name.clear()
+        late.upstreams.by_id.clear()
+        await centre.start("vm-a")
+        await centre.clock.advance_ms(3_000.0)
+        late.configuration.current = in_force
+        # A heartbeat tells of the configuration, and the next tick of the warmth.
+        await centre.clock.advance_ms(1_500.0)
+        states = late.upstreams.by_name.values()
+        assert [state.condition for state in states] == [Condition.WARM] * 4
