--- a/cuminstile/claims.py
+++ b/cuminstile/claims.py
@@ -5,30 +5,26 @@
 import math
 import secrets
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
-from anyio.abc import TaskGroup
 
 from .calls import RunTrace, StageCall, StageOutcome
+from .claim_background import use_partition
 from .claim_outcomes import decode_outcome, encode_failure, encode_outcome
-from .claim_routing import claims_here
+from .claim_state import Held
 from .clock import Clock
 from .const import (
     CALLER_CLOCK_SKEW_MS,
     CLAIM_LOG_GRACE_MS,
-    CLAIM_MARK_INTERVAL_MS,
-    CLAIM_PARTITIONS,
-    CLAIM_POLL_WAIT_MS,
-    CLAIM_UNUSED_LIMIT_MS,
     RESEND_WINDOW_MS,
 )
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, PlatformAwayError, Ran
 from .pipeline import internal_error
 from .platform.claim_fold import Claim
-from .platform.claim_log import Partition, run_partition, wait_until
+from .platform.claim_log import Partition, wait_until
 from .platform.claim_records import (
     ClaimItem,
     OutcomeItem,
@@ -49,49 +45,6 @@
 RUN_GRACE_MS = 10_000
 
 
-@dataclass
-class Held:
-    """Hold a claim of this VM.
-
-    Parameters
-    ----------
-    finished : anyio.Event
-        Set when the claim was given up, or its run has ended.
-    recorded : bytes
-        The encoded outcome; empty if the claim was given up.
-    is_abandoned : bool
-        Whether its caller left before a byte of the call did.
-    """
-
-    item: ClaimItem
-    part: Partition
-    finished: anyio.Event = field(default_factory=anyio.Event)
-    finished_ms: float = math.inf
-    recorded: bytes = b""
-    outcome: StageOutcome | None = None
-    error: CuminstileError | None = None
-    is_abandoned: bool = False
-
-    def is_finished(self) -> bool:
-        """Return whether the claim was given up or its run has ended."""
-        return self.finished.is_set()
-
-
-@dataclass
-class Claims:
-    """Hold this VM's claims and the streams that it follows.
-
-    Parameters
-    ----------
-    tasks : TaskGroup or None
-        Runs what has to outlive the caller's request; None while not started.
-    """
-
-    partitions: dict[int, Partition] = field(default_factory=dict)
-    held: dict[bytes, Held] = field(default_factory=dict)
-    tasks: TaskGroup | None = None
-
-
 @dataclass
 class Told:
     """Hold what a claimant said of its claim.
@@ -161,20 +114,6 @@
     )
 
 
-def use_partition(vm: Vm, number: int) -> Partition:
-    """Return a partition, which this VM follows from now on."""
-    claims = vm.claims
-    part = claims.partitions.get(number)
-    if part is None:
-        if claims.tasks is None:
-            raise PlatformAwayError("the claims are not followed yet")
-        part = Partition(number)
-        claims.partitions[number] = part
-        claims.tasks.start_soon(run_partition, vm, part)
-    part.used_ms = vm.clock.now_ms()
-    return part
-
-
 async def claim(
     vm: Vm, part: Partition, call: StageCall, wanted: ClaimItem
 ) -> Held | None:
@@ -356,54 +295,3 @@
     if not told.recorded:
         told.gone_ms = vm.clock.now_ms()
     part.notify()
-
-
-async def keep_claims(vm: Vm) -> None:
-    """Run what the claims need in the background, for ever."""
-    async with anyio.create_task_group() as tasks:
-        vm.claims.tasks = tasks
-        for part in vm.claims.partitions.values():
-            # They were followed before an unexpected error ended that.
-            part.scope = anyio.CancelScope()
-            tasks.start_soon(run_partition, vm, part)
-        while True:
-            forget_finished(vm)
-            follow_own(vm)
-            leave_unused(vm)
-            await vm.clock.sleep_ms(CLAIM_POLL_WAIT_MS)
-
-
-def forget_finished(vm: Vm) -> None:
-    """Forget claims so old that no resend can ask for them."""
-    oldest_ms = vm.clock.now_ms() - RESEND_WINDOW_MS - 2 * CALLER_CLOCK_SKEW_MS
-    for name, held in tuple(vm.claims.held.items()):
-        if held.finished_ms < oldest_ms:
-            del vm.claims.held[name]
-
-
-def follow_own(vm: Vm) -> None:
-    """Follow the streams that this VM is to claim on, and keep them from running dry.
-
-    A stream whose records have all been trimmed tells nothing of keys issued before
-    its next record, so that record is written ahead of the first claim.
-    """
-    for number in range(CLAIM_PARTITIONS):
-        if not claims_here(vm, number):
-            continue
-        part = use_partition(vm, number)
-        now_ms = vm.clock.now_ms()
-        if now_ms - part.heard_ms >= CLAIM_MARK_INTERVAL_MS and part.is_idle():
-            part.pending.is_mark_due = True
-            part.request_append()
-
-
-def leave_unused(vm: Vm) -> None:
-    """Stop following streams that no call has needed for long."""
-    oldest_ms = vm.clock.now_ms() - CLAIM_UNUSED_LIMIT_MS
-    busy = {
-        held.part.number for held in vm.claims.held.values() if not held.is_finished()
-    }
-    for number, part in tuple(vm.claims.partitions.items()):
-        if part.used_ms < oldest_ms and part.is_idle() and number not in busy:
-            part.scope.cancel()
-            del vm.claims.partitions[number]
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -15,7 +15,7 @@
 from starlette.applications import Starlette
 
 from .caller.app import make_app
-from .claims import keep_claims
+from .claim_background import keep_claims
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
-from .claims import Claims
+from .claim_state import Claims
 from .clock import Clock
 from .events import Journal
 from .exceptions import CuminstileError, ErrorCode
--- a/tests/fakes/bookings.py
+++ b/tests/fakes/bookings.py
@@ -8,7 +8,8 @@
 import anyio
 
 from cuminstile.calls import RunTrace, StageCall, StageOutcome
-from cuminstile.claims import keep_claims, run_once
+from cuminstile.claim_background import keep_claims
+from cuminstile.claims import run_once
 from cuminstile.clock import Clock, VirtualClock
 from cuminstile.events import Journal
 from cuminstile.exceptions import CuminstileError, ErrorCode, Ran
--- a/tests/fakes/claim_log.py
+++ b/tests/fakes/claim_log.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from cuminstile.claims import keep_claims
+from cuminstile.claim_background import keep_claims
 from cuminstile.clock import Clock
 from cuminstile.exceptions import PlatformAwayError, TrimmedError
 from cuminstile.platform.claim_log import wait_until
