--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -17,9 +17,10 @@
 from .metrics import Metrics, make_metrics
 from .objects.collection import ObjectSet
 from .platform.client import PlatformClient
-from .platform.configuration import ConfigurationState
+from .platform.configuration import ConfigurationState, InForce
 from .settings import Settings
 from .spilling import SpillState
+from .traffic_state import Traffic
 from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
 from .upstream.load import LoadExchange
@@ -86,6 +87,7 @@
     random: random.Random = field(default_factory=random.Random)
     incarnation: str = field(default_factory=lambda: secrets.token_hex(6))
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    in_force: InForce = field(default_factory=InForce)
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     load: LoadExchange = field(default_factory=LoadExchange)
@@ -93,9 +95,10 @@
     retries: RetryBudget = field(default_factory=RetryBudget)
     crashes: CrashTable = field(default_factory=CrashTable)
     line: WaitingLines = field(default_factory=WaitingLines)
-    claims: Claims = field(default_factory=Claims)
     upstream_pool: UpstreamPool = field(default_factory=UpstreamPool)
+    claims: Claims = field(default_factory=Claims)
     spilling: SpillState = field(default_factory=SpillState)
+    traffic: Traffic = field(default_factory=Traffic)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
--- a/standins/claims_measure.py
+++ b/standins/claims_measure.py
@@ -110,7 +110,7 @@
     balancer = Balancer(fleet)
     await balancer.check()
     record = Record()
-    await run_load(load, balancer, record)
+    await run_load(load, balancer.send, record)
     return record
 
 
