--- a/standins/scenario_session.py
+++ b/standins/scenario_session.py
@@ -31,6 +31,7 @@
     """Hold one run of an upstream, as it recorded it itself."""
 
     upstream: str
+    attempt: str
     at_ms: int
     ended_ms: int
     stage: str
@@ -199,6 +200,7 @@
     """Return a run from its row."""
     return UpstreamRun(
         upstream,
+        row["attempt"],
         row["at_ms"],
         row["ended_ms"],
         row["stage"],
