Begin the command that measures both firms' service under failures

script/measure runs each firm's load, scaled to two data centres, with a burst, a pool that turns cold, an engine that crashes and a data centre that leaves and returns, for each policy of choice in the settings and several seeds. It writes out/measure.txt, .json and .png and names what is weakest.

Each version is now served in both.

Not run yet: the baselines, several seeds and the plot's look; traffic moves are not measured yet.

--- /dev/null
+++ b/standins/measure.py
@@ -0,0 +1,178 @@
+"""Measure deadline attainment, cost and service while a data centre moves."""
+
+import json
+import statistics
+import tempfile
+from collections.abc import Callable, Sequence
+from dataclasses import asdict
+from pathlib import Path
+
+import anyio
+import fire
+from matplotlib.figure import Figure
+
+from .fleet import ROOT
+from .measure_firms import FIRMS
+from .measure_run import Figures, measure
+
+CHOICES = ("least_loaded", "least_in_flight", "round_robin")
+OUT = ROOT / "out"
+PARTS = ("before", "leaving", "out", "returning")
+DURATION_MS = 12_000.0
+QUICK_MS = 8_000.0
+
+
+def spread(values: Sequence[float], scale: float = 100.0) -> str:
+    """Return the mean with the lowest and highest value."""
+    low, high = min(values) * scale, max(values) * scale
+    return f"{statistics.mean(values) * scale:5.1f} ({low:.1f}-{high:.1f})"
+
+
+def of_policy(every: Sequence[Figures], firm: str, choice: str) -> list[Figures]:
+    """Return the figures of one firm and policy."""
+    return [item for item in every if item.firm == firm and item.choice == choice]
+
+
+def table(every: Sequence[Figures]) -> str:
+    """Return the tables as text: mean, lowest and highest over the seeds."""
+    lines = ["requests answered whole and in time, % (lowest-highest over seeds)", ""]
+    head = "".join(f"{name:>22}" for name in ("all", *PARTS))
+    lines.append(f"{'firm':12}{'choice':16}{head}{'p95 ms':>10}{'wasted %':>10}")
+    for firm in FIRMS:
+        for choice in CHOICES:
+            group = of_policy(every, firm.name, choice)
+            if group:
+                lines.append(row(firm.name, choice, group))
+    lines += ["", "work by stage, ms a request, useful + wasted", ""]
+    for firm in FIRMS:
+        for choice in CHOICES:
+            group = of_policy(every, firm.name, choice)
+            if group:
+                lines.append(f"{firm.name:12}{choice:16}{cost_text(group)}")
+    return "\n".join([*lines, "", weakest(every)]) + "\n"
+
+
+def row(firm: str, choice: str, group: Sequence[Figures]) -> str:
+    """Return one line of the table of attainment."""
+    values = [[item.attained for item in group]]
+    values += [[getattr(item, part) for item in group] for part in PARTS]
+    cells = "".join(f"{spread(item):>22}" for item in values)
+    p95_ms = statistics.mean(item.p95_ms for item in group)
+    wasted = statistics.mean(wasted_part(item) for item in group)
+    return f"{firm:12}{choice:16}{cells}{p95_ms:10.0f}{100.0 * wasted:10.1f}"
+
+
+def wasted_part(item: Figures) -> float:
+    """Return which part of all upstream work helped no request."""
+    useful = sum(cost.useful_ms for cost in item.costs.values())
+    wasted = sum(cost.wasted_ms for cost in item.costs.values())
+    return wasted / max(1.0, useful + wasted)
+
+
+def cost_text(group: Sequence[Figures]) -> str:
+    """Return the work of each stage for one request, useful and wasted."""
+    requests = sum(item.requests for item in group)
+    stages = sorted({stage for item in group for stage in item.costs})
+    parts = []
+    for stage in stages:
+        costs = [item.costs[stage] for item in group if stage in item.costs]
+        useful = sum(cost.useful_ms for cost in costs) / requests
+        wasted = sum(cost.wasted_ms for cost in costs) / requests
+        parts.append(f"{stage} {useful:.1f}+{wasted:.1f}")
+    return ", ".join(parts)
+
+
+def weakest(every: Sequence[Figures]) -> str:
+    """Return which part of which firm's service is worst with the default policy."""
+    found = [
+        (statistics.mean(getattr(item, part) for item in group), firm.name, part)
+        for firm in FIRMS
+        for part in PARTS
+        if (group := of_policy(every, firm.name, CHOICES[0]))
+    ]
+    value, firm_name, part = min(found)
+    lost: dict[str, int] = {}
+    for item in of_policy(every, firm_name, CHOICES[0]):
+        for result, count in item.results.items():
+            lost[result] = lost.get(result, 0) + count
+    lost.pop("answered", None)
+    causes = ", ".join(f"{count} {name}" for name, count in sorted(lost.items()))
+    return (
+        f"Weakest with {CHOICES[0]}: {firm_name}, {part}: {100.0 * value:.1f} %"
+        f" in time. Over all parts there: {causes or 'nothing else'}."
+    )
+
+
+def plot(every: Sequence[Figures], path: Path) -> None:
+    """Draw attainment by part of the run for each firm and policy."""
+    figure = Figure(figsize=(10, 4.5), layout="constrained")
+    axes = figure.subplots(1, len(FIRMS), sharey=True)
+    width = 0.8 / len(CHOICES)
+    for axis, firm in zip(axes, FIRMS, strict=True):
+        for index, choice in enumerate(CHOICES):
+            group = of_policy(every, firm.name, choice)
+            if not group:
+                continue
+            values = [[100 * getattr(g, part) for g in group] for part in PARTS]
+            means = [statistics.mean(item) for item in values]
+            low = [m - min(v) for m, v in zip(means, values, strict=True)]
+            high = [max(v) - m for m, v in zip(means, values, strict=True)]
+            places = [n + (index - 1) * width for n in range(len(PARTS))]
+            axis.bar(places, means, width, yerr=[low, high], capsize=3, label=choice)
+        axis.set_xticks(range(len(PARTS)), PARTS)
+        axis.set_title(firm.name)
+        axis.set_ylim(0, 105)
+    axes[0].set_ylabel("answered whole and in time, %")
+    axes[0].legend(loc="lower left")
+    figure.suptitle("A data centre leaves and returns, under a burst and failures")
+    figure.savefig(path, dpi=110)
+
+
+async def measure_all(
+    seeds: Sequence[int], choices: Sequence[str], duration_ms: float, folder: Path
+) -> list[Figures]:
+    """Run every firm, policy and seed, one after another."""
+    every: list[Figures] = []
+    for firm in FIRMS:
+        for choice in choices:
+            for seed in seeds:
+                place = folder / f"{firm.name}-{choice}-{seed}"
+                found = await measure(firm, choice, seed, duration_ms, place)
+                print(f"{place.name}: {100 * found.attained:.1f} % in time", flush=True)
+                every.append(found)
+    return every
+
+
+def write(every: Sequence[Figures], show: Callable[[str], None]) -> None:
+    """Write tables and plot under out/ and show the text."""
+    OUT.mkdir(exist_ok=True)
+    text = table(every)
+    (OUT / "measure.txt").write_text(text)
+    rows = [asdict(item) for item in every]
+    (OUT / "measure.json").write_text(json.dumps(rows, indent=2) + "\n")
+    plot(every, OUT / "measure.png")
+    show(f"\n{text}")
+
+
+def main(seeds: int = 2, quick: bool = False) -> None:
+    """Measure and write out/measure.txt, out/measure.json and out/measure.png.
+
+    Parameters
+    ----------
+    seeds : int
+        How many seeds each firm and policy gets.
+    quick : bool
+        One seed, shorter, the default policy alone.
+    """
+    numbers = range(1, 2 if quick else seeds + 1)
+    choices = CHOICES[:1] if quick else CHOICES
+    duration_ms = QUICK_MS if quick else DURATION_MS
+    with tempfile.TemporaryDirectory(prefix="cuminstile-measure-") as folder:
+        every = anyio.run(
+            measure_all, tuple(numbers), choices, duration_ms, Path(folder)
+        )
+    write(every, print)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/measure_firms.py
@@ -0,0 +1,136 @@
+"""Describe both firms' sizes and workloads of today, scaled to one machine."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
+from typing import Any
+
+from cuminstile.objects.collection import collect
+from cuminstile.objects.model import AnyObject, Upstream
+
+from .arrangement import Arrangement, load_objects, plan_vms, within
+from .fleet import ROOT
+from .load import Burst, Kind, Load
+
+COLD_START = {"warm_after_runs": 4, "report_lag_ms": 500}
+CONTROLS: Mapping[str, Mapping[str, Any]] = {
+    "engine": {**COLD_START, "work_ms": 60, "token_ms": 8, "slowdown": 0.05},
+    "pool": {**COLD_START, "work_ms": 20, "jitter_ms": 10, "slowdown": 0.02},
+    "service": {**COLD_START, "work_ms": 30, "jitter_ms": 15, "slowdown": 0.02},
+}
+
+
+@dataclass(frozen=True)
+class Firm:
+    """Describe a firm on one machine.
+
+    Parameters
+    ----------
+    vms : mapping of str to int
+        VMs for each data centre; the last one is taken out and brought back.
+    engine, pool : str
+        The upstreams that a run disturbs, in the first data centre.
+    """
+
+    name: str
+    vms: Mapping[str, int]
+    organisations: tuple[tuple[str, float], ...]
+    kinds: tuple[Kind, ...]
+    rate_per_s: float
+    engine: str
+    pool: str
+
+    @property
+    def moving(self) -> str:
+        """Return the data centre that leaves and returns."""
+        return tuple(self.vms)[-1]
+
+    def arrange(self, choice: str) -> Arrangement:
+        """Return its arrangement with one policy of choice."""
+        objects = load_objects(ROOT / "examples" / self.name)
+        return Arrangement(
+            objects=everywhere(within(objects, set(self.vms))),
+            vms=plan_vms(self.vms),
+            controls=CONTROLS,
+            settings={"shutdown_linger_ms": 200, "limits": {"choice": choice}},
+        )
+
+    def load(self, duration_ms: float, seed: int) -> Load:
+        """Return its load, with a burst of three times the rate."""
+        burst = Burst(duration_ms * 0.2, duration_ms * 0.15, 3.0)
+        return Load(
+            self.kinds,
+            self.organisations,
+            self.rate_per_s,
+            duration_ms,
+            seed,
+            (burst,),
+            self.name,
+        )
+
+
+def everywhere(objects: Sequence[AnyObject]) -> tuple[AnyObject, ...]:
+    """Return the objects with every version served in each data centre.
+
+    Two of a firm's data centres alone leave some stages to one of them, which
+    could then not be taken out.
+    """
+    index = collect(objects)
+    more = [
+        replace(serving[0], name=f"{version}-{centre}", data_centre=centre)
+        for version, serving in index.by_version.items()
+        for centre in index.data_centres
+        if centre not in {item.data_centre for item in serving}
+    ]
+    only = [replace(item, versions=(version_of(item),)) for item in more]
+    return (*objects, *only)
+
+
+def version_of(copy: Upstream) -> str:
+    """Return the version after which a copy was named."""
+    return copy.name.removesuffix(f"-{copy.data_centre}")
+
+
+FIRMS = (
+    Firm(
+        "falrendszer",
+        {"budapest": 2, "budaors": 1},
+        (
+            ("kozpont", 4.0),
+            ("budapest-franchise", 4.0),
+            ("alfold-franchise", 2.0),
+            ("dunantul-franchise", 1.0),
+            ("eszak-franchise", 1.0),
+        ),
+        (
+            Kind("hire-contract", 4_000, 4.0, stream=True, max_tokens=40),
+            Kind("quote-summary", 4_000, 2.0, stream=True, max_tokens=24),
+            Kind("panel-chat", 4_000, 3.0, stream=True, max_tokens=24),
+            Kind("stock-lookup", 1_000, 4.0),
+            Kind("panel-booking", 2_000, 2.0, unrepeatable=True),
+        ),
+        20.0,
+        "engine-a-budapest",
+        "retriever-budapest",
+    ),
+    Firm(
+        "inzuki",
+        {"gasabo": 2, "kicukiro": 1},
+        (
+            ("hotel-group", 4.0),
+            ("kigali-schools", 2.0),
+            ("hilltop-hotel", 1.0),
+            ("lakeside-hotel", 1.0),
+            ("rooftop-cooperative", 1.0),
+        ),
+        (
+            Kind("inspection-report", 8_000, 2.0, stream=True, max_tokens=60),
+            Kind("swarm-note", 8_000, 2.0, stream=True, max_tokens=24),
+            Kind("keeper-chat", 6_000, 3.0, stream=True, max_tokens=24),
+            Kind("rental-lookup", 1_500, 4.0),
+            Kind("hive-placement", 3_000, 1.0, unrepeatable=True),
+        ),
+        12.0,
+        "engine-a-gasabo",
+        "retriever-gasabo",
+    ),
+)
