--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -105,6 +105,8 @@
     async def note(name: str, info: dict[str, Any]) -> None:
         if name.endswith("send_request_headers.started"):
             check()
+            if trace is not None:
+                trace.check_send()
             sending.left = True
         if sending.left and trace is not None:
             trace.maybe_ran = True
--- /dev/null
+++ b/cuminstile/vm/move_exchange.py
@@ -0,0 +1,239 @@
+"""Tell the other VMs about traffic moves, and hear from them."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from ..const import HEARTBEAT_REMOTE_INTERVAL_MS
+from ..events import Event
+from ..evidence import Evidence
+from ..exceptions import CuminstileError
+from ..moves import LAST_STEP, MoveMark, MoveState
+from ..platform.verdicts import RECORDS, VERDICT_FORMAT, decode_verdict
+from ..traffic_state import NO_MOVE, EvidenceRounds, SentEvidence, Told
+from .messages import MoveEvidence, MoveStep, MoveVerdict, RouteEvidence
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+    from .sessions import Session
+
+EVIDENCE_INTERVAL_MS = 1_000
+REPEAT_INTERVAL_MS = 30_000
+ENTRIES_PER_ROUND = 24
+MAX_ENTRIES = 8
+URGENT_LOG_BETS = 100
+
+
+async def tell_marks(vm: Vm) -> None:
+    """Tell each other VM the marks and verdicts that it has not been told."""
+    for session in tuple(vm.sessions.by_name.values()):
+        try:
+            await tell_one(vm, session)
+        except CuminstileError:
+            # The session has broken; the next one is told everything again.
+            vm.traffic.told.pop(session.name, None)
+
+
+async def tell_one(vm: Vm, session: Session) -> None:
+    """Tell one other VM what it has not been told in this session."""
+    traffic = vm.traffic
+    told = traffic.told.get(session.name)
+    if told is None or told.session is not session:
+        if not traffic.is_informed():
+            return
+        told = traffic.told[session.name] = Told(session)
+    for number in verdicts_to_tell(vm):
+        if number not in told.verdicts:
+            told.verdicts.add(number)
+            record = traffic.verdicts.by_number[number].record
+            await session.send(MoveVerdict(RECORDS.encode(record)))
+    for number, mark in marks_to_tell(vm).items():
+        if told.marks.get(number) != mark:
+            told.marks[number] = mark
+            await session.send(
+                MoveStep(number, mark.step, mark.taken_back, mark.reason)
+            )
+
+
+def marks_to_tell(vm: Vm) -> dict[int, MoveMark]:
+    """Return the marks by the moves' numbers; the empty one says that is all."""
+    marks = {number: state.mark for number, state in vm.traffic.moves.items()}
+    return {**marks, NO_MOVE: MoveMark()}
+
+
+def verdicts_to_tell(vm: Vm) -> list[int]:
+    """Return the numbers of the verdicts on stages that there still are."""
+    current = vm.configuration.current
+    stages = current.objects.stages if current else {}
+    return [
+        number
+        for number, known in vm.traffic.verdicts.by_number.items()
+        if known.record.stage in stages
+    ]
+
+
+async def tell_evidence(vm: Vm) -> None:
+    """Tell the other VMs this VM's evidence, what has changed most first.
+
+    How much goes out at once depends on the number of sessions, so that the bytes a
+    second stay the same in a large data centre.
+    """
+    sessions = tuple(vm.sessions.by_name.values())
+    if not sessions or not vm.traffic.moves:
+        return
+    own = vm.settings.data_centre
+    limit = max(1, min(MAX_ENTRIES, ENTRIES_PER_ROUND // len(sessions)))
+    here = [session for session in sessions if session.data_centre == own]
+    elsewhere = [session for session in sessions if session.data_centre != own]
+    await tell_group(vm, vm.traffic.here, here, EVIDENCE_INTERVAL_MS, limit)
+    # Other data centres are told less often, unless there is news against a version.
+    news = evidence_against(vm) - vm.traffic.elsewhere.log_bets
+    is_urgent = news >= URGENT_LOG_BETS
+    interval_ms = EVIDENCE_INTERVAL_MS if is_urgent else HEARTBEAT_REMOTE_INTERVAL_MS
+    await tell_group(vm, vm.traffic.elsewhere, elsewhere, interval_ms, limit)
+
+
+async def tell_group(
+    vm: Vm,
+    rounds: EvidenceRounds,
+    sessions: list[Session],
+    interval_ms: float,
+    limit: int,
+) -> None:
+    """Tell some VMs the same entries if their time has come."""
+    now_ms = vm.clock.now_ms()
+    if now_ms - rounds.told_ms < interval_ms:
+        return
+    rounds.told_ms = now_ms
+    rounds.log_bets = evidence_against(vm)
+    entries = choose_entries(vm, rounds, limit)
+    if not entries:
+        return
+    for session in sessions:
+        with contextlib.suppress(CuminstileError):
+            await session.send(MoveEvidence(entries))
+
+
+def evidence_against(vm: Vm) -> int:
+    """Return this VM's evidence against new versions, in hundredths of a nat."""
+    return sum(
+        max(counter.evidence.log_bets)
+        for state in vm.traffic.moves.values()
+        for counter in state.ledger.own.values()
+    )
+
+
+def choose_entries(
+    vm: Vm, rounds: EvidenceRounds, limit: int
+) -> tuple[RouteEvidence, ...]:
+    """Return the entries that matter most to the others now."""
+    now_ms = vm.clock.now_ms()
+    entries = (
+        entry for state in vm.traffic.moves.values() for entry in entries_of(state)
+    )
+    news = [entry for entry in entries if is_news(rounds, entry, now_ms)]
+    news.sort(key=lambda entry: urgency(rounds, entry, now_ms), reverse=True)
+    for entry in news[:limit]:
+        rounds.sent[entry.move, entry.route] = SentEvidence(entry, now_ms)
+    return tuple(news[:limit])
+
+
+def is_news(rounds: EvidenceRounds, entry: RouteEvidence, now_ms: float) -> bool:
+    """Return whether an entry has changed, or was told long ago."""
+    last = rounds.sent.get((entry.move, entry.route))
+    if last is None or last.entry != entry:
+        return True
+    return now_ms - last.sent_ms >= REPEAT_INTERVAL_MS
+
+
+def urgency(
+    rounds: EvidenceRounds, entry: RouteEvidence, now_ms: float
+) -> tuple[float, float]:
+    """Return by how much an entry speaks against a version, and for how long."""
+    last = rounds.sent.get((entry.move, entry.route))
+    if last is None:
+        return (float(max(entry.log_bets)), math.inf)
+    changes = zip(entry.log_bets, last.entry.log_bets, strict=True)
+    against = max(new - old for new, old in changes)
+    return (max(0.0, float(against)), now_ms - last.sent_ms)
+
+
+def entries_of(state: MoveState) -> Iterator[RouteEvidence]:
+    """Yield this VM's own evidence on one move."""
+    for route, counter in state.ledger.own.items():
+        evidence = counter.evidence
+        yield RouteEvidence(
+            state.number,
+            route,
+            evidence.new_good,
+            evidence.new_failed,
+            evidence.new_late,
+            evidence.old_good,
+            evidence.old_failed,
+            evidence.old_late,
+            evidence.log_bets,
+            round(state.late_above_ms.get(route, 0.0)),
+        )
+
+
+def source_of(session: Session) -> str:
+    """Return what names the other VM in its present incarnation."""
+    return f"{session.name}/{session.incarnation}"
+
+
+async def on_move_evidence(vm: Vm, session: Session, message: MoveEvidence) -> None:
+    """Take in another VM's evidence; the newest counts."""
+    for entry in message.entries:
+        state = vm.traffic.moves.get(entry.move)
+        if state is None or len(entry.log_bets) != len(Evidence().log_bets):
+            continue
+        evidence = Evidence(
+            entry.new_good,
+            entry.new_failed,
+            entry.new_late,
+            entry.old_good,
+            entry.old_failed,
+            entry.old_late,
+            entry.log_bets,
+        )
+        state.ledger.hear(source_of(session), entry.route, evidence)
+        if entry.late_above_ms:
+            state.late_above_ms.setdefault(entry.route, float(entry.late_above_ms))
+
+
+async def on_move_step(vm: Vm, session: Session, message: MoveStep) -> None:
+    """Join another VM's mark of a move to this VM's own."""
+    if message.move == NO_MOVE:
+        vm.traffic.met = True
+        return
+    step = max(0, min(LAST_STEP, message.step))
+    mark = MoveMark(step, message.taken_back, message.reason)
+    state = vm.traffic.moves.get(message.move)
+    if state is None:
+        vm.traffic.keep_mark(message.move, mark)
+    elif state.merge(mark, vm.clock.wall_ms()):
+        event = Event.MOVE_TAKEN_BACK if mark.taken_back else Event.MOVE_STEP
+        vm.journal.record(
+            event, move=state.move.name, step=state.mark.step, peer=session.name
+        )
+
+
+async def on_move_verdict(vm: Vm, session: Session, message: MoveVerdict) -> None:
+    """Take over a verdict that another VM has read from the log."""
+    record = decode_verdict(message.payload)
+    if record is None or record.format != VERDICT_FORMAT:
+        vm.journal.record(
+            Event.PEER_MESSAGE_REFUSED, peer=session.name, reason="not a verdict"
+        )
+        return
+    if vm.traffic.verdicts.hear(record):
+        vm.journal.record(
+            Event.MOVE_VERDICT,
+            move=record.name,
+            verdict=record.verdict.name.lower(),
+            reason=record.reason,
+            peer=session.name,
+        )
