--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -38,6 +38,7 @@
 from .upstream.load import keep_polling, on_load_digest
 from .upstream.silence import keep_probing
 from .vm.configuration import on_config_ask, on_config_give
+from .vm.dialling import keep_dialling
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
@@ -55,7 +56,7 @@
     StageRefused,
     StageTokens,
 )
-from .vm.sessions import keep_dialling, listen, on_heartbeat
+from .vm.sessions import listen, on_heartbeat
 from .vm.shutdown import drain
 
 EXIT_BAD_INPUT = 2
--- a/tests/fakes/vms.py
+++ b/tests/fakes/vms.py
@@ -15,7 +15,8 @@
 from cuminstile.settings import Settings
 from cuminstile.upstream.leases import keep_leases
 from cuminstile.upstream.load import keep_polling
-from cuminstile.vm.sessions import keep_dialling, listen
+from cuminstile.vm.dialling import keep_dialling
+from cuminstile.vm.sessions import listen
 
 VM_KEY = "a-key-for-the-vms-1"
 OPERATOR_KEY = "a-key-for-operators-1"
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -21,8 +21,8 @@
 from cuminstile.settings import TlsSettings
 from cuminstile.tls import client_context
 from cuminstile.vm.authentication import prove
+from cuminstile.vm.dialling import dial_once
 from cuminstile.vm.messages import CODEC, Hello, Welcome
-from cuminstile.vm.sessions import dial_once
 
 from .fakes.vms import (
     OPERATOR_KEY,
--- a/tests/vm/test_authentication.py
+++ b/tests/vm/test_authentication.py
@@ -15,6 +15,7 @@
 from cuminstile.runtime import Vm
 from cuminstile.vm import sessions
 from cuminstile.vm.authentication import prove
+from cuminstile.vm.dialling import dial_once
 from cuminstile.vm.messages import (
     CODEC,
     Challenge,
@@ -22,7 +23,7 @@
     Hello,
     Welcome,
 )
-from cuminstile.vm.sessions import dial_once, listen
+from cuminstile.vm.sessions import listen
 from cuminstile.wire import Message
 
 from ..fakes.vms import (
--- a/tests/vm/test_sessions.py
+++ b/tests/vm/test_sessions.py
@@ -4,7 +4,8 @@
 
 from cuminstile.events import Event
 from cuminstile.runtime import Vm
-from cuminstile.vm.sessions import Session, dials, keep_dialling, listen
+from cuminstile.vm.dialling import dials, keep_dialling
+from cuminstile.vm.sessions import Session, listen
 
 from ..fakes.vms import connected, introduce, make_test_vm
 
