--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -15,14 +15,18 @@
 from starlette.applications import Starlette
 
 from .caller.app import make_app
+from .claims import keep_claims
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
+from .moving import keep_moving
 from .operator.app import make_app as make_operator_app
+from .operator.moves import moves_reporter
 from .operator.upstreams import upstreams_reporter
 from .platform.client import make_platform_client
 from .platform.follow import follow_configuration, follow_vm_list
 from .platform.renewal import renew_configuration
+from .platform.verdict_log import follow_verdicts, record_verdicts
 from .runtime import Vm
 from .settings import Settings, bad_settings, load_settings, port_findings
 from .stages import run_stage
@@ -37,11 +41,14 @@
 )
 from .upstream.load import keep_polling, on_load_digest
 from .upstream.silence import keep_probing
+from .vm.claim_exchange import on_claim_ask
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.dialling import keep_dialling
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
+    ClaimAsk,
+    ClaimTell,
     ConfigAsk,
     ConfigGive,
     CrashNotice,
@@ -50,12 +57,16 @@
     LeaseAsk,
     LeaseRelease,
     LoadDigest,
+    MoveEvidence,
+    MoveStep,
+    MoveVerdict,
     RunStage,
     StageCancel,
     StageDone,
     StageRefused,
     StageTokens,
 )
+from .vm.move_exchange import on_move_evidence, on_move_step, on_move_verdict
 from .vm.sessions import listen, on_heartbeat
 from .vm.shutdown import drain
 
@@ -66,6 +77,10 @@
     follow_configuration,
     renew_configuration,
     follow_vm_list,
+    keep_claims,
+    keep_moving,
+    follow_verdicts,
+    record_verdicts,
     keep_polling,
     keep_leases,
     keep_probing,
@@ -100,6 +115,8 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            ClaimAsk: on_claim_ask,
+            ClaimTell: on_answer,
             LoadDigest: on_load_digest,
             LeaseAsk: on_lease_ask,
             LeaseAnswer: on_lease_answer,
@@ -107,6 +124,9 @@
             CrashNotice: on_crash_notice,
             ConfigAsk: on_config_ask,
             ConfigGive: on_config_give,
+            MoveEvidence: on_move_evidence,
+            MoveStep: on_move_step,
+            MoveVerdict: on_move_verdict,
         },
         members=members,
         server_tls=server_context(settings.tls),
@@ -151,7 +171,8 @@
 
 def start(vm: Vm, tasks: TaskGroup) -> list[QuietServer]:
     """Start every task of a VM and return its HTTP servers."""
-    operator_app = make_operator_app(vm, (upstreams_reporter(vm),))
+    reporters = (moves_reporter(vm), upstreams_reporter(vm))
+    operator_app = make_operator_app(vm, reporters)
     servers = [
         make_server(vm.settings, make_app(vm), vm.settings.caller_port),
         make_server(vm.settings, operator_app, vm.settings.operator_port),
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
+from .claims import Claims
 from .clock import Clock
 from .events import Journal
 from .exceptions import CuminstileError, ErrorCode
@@ -19,6 +20,7 @@
 from .platform.configuration import ConfigurationState, InForce
 from .settings import Settings
 from .spilling import SpillState
+from .traffic_state import Traffic
 from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
 from .upstream.load import LoadExchange
@@ -38,14 +40,21 @@
 
 @dataclass
 class Activity:
-    """Count the work in progress, so that a shutdown can wait for it."""
+    """Count the work in progress, so that a shutdown can wait for it.
+
+    Parameters
+    ----------
+    claims : int
+        Claims of this VM whose outcome or void is not recorded yet.
+    """
 
     requests: int = 0
     forwarded: int = 0
+    claims: int = 0
 
     def total(self) -> int:
         """Return how many pieces of work are in progress."""
-        return self.requests + self.forwarded
+        return self.requests + self.forwarded + self.claims
 
 
 @dataclass
@@ -87,7 +96,9 @@
     crashes: CrashTable = field(default_factory=CrashTable)
     line: WaitingLines = field(default_factory=WaitingLines)
     upstream_pool: UpstreamPool = field(default_factory=UpstreamPool)
+    claims: Claims = field(default_factory=Claims)
     spilling: SpillState = field(default_factory=SpillState)
+    traffic: Traffic = field(default_factory=Traffic)
     activity: Activity = field(default_factory=Activity)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -13,6 +13,7 @@
 from ..pipeline import internal_error
 from ..wire import Message
 from .messages import (
+    ClaimTell,
     RunStage,
     StageCancel,
     StageDone,
@@ -91,6 +92,8 @@
 
 def outcome_of(message: Any, trace: RunTrace, repeatable: bool) -> StageOutcome:
     """Return the outcome that the other VM gave, or raise its refusal."""
+    trace.failures += message.failures
+    trace.excused = trace.excused or message.excused
     if isinstance(message, StageDone):
         return StageOutcome(
             message.output,
@@ -107,7 +110,9 @@
 
 
 async def on_answer(
-    vm: Vm, session: Session, message: StageTokens | StageDone | StageRefused
+    vm: Vm,
+    session: Session,
+    message: StageTokens | StageDone | StageRefused | ClaimTell,
 ) -> None:
     """Hand an answer to the call that waits for it; drop one nobody waits for."""
     answers = session.calls.get(message.call)
@@ -183,7 +188,9 @@
         outcome = await vm.run_stage(vm, call, trace, on_tokens, call.handed_over)
     except CuminstileError as error:
         ran = Ran.UNKNOWN if trace.maybe_ran else error.ran
-        return StageRefused(number, error.code, error.message, ran)
+        return StageRefused(
+            number, error.code, error.message, ran, trace.failures, trace.excused
+        )
     except Exception as error:
         refused = internal_error(vm, error)
         return StageRefused(number, refused.code, refused.message, refused.ran)
@@ -196,4 +203,6 @@
         outcome.vm,
         outcome.attempts,
         outcome.elapsed_ms,
+        trace.failures,
+        trace.excused,
     )
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -128,16 +128,20 @@
     vm: str
     attempts: int
     elapsed_ms: Finite
+    failures: int = 0
+    excused: bool = False
 
 
 @dataclass(frozen=True)
 class StageRefused(Message):
-    """Tell that a stage gave no output."""
+    """Tell that a stage gave no output; `failures` and `excused` as in a `RunTrace`."""
 
     call: int
     code: ErrorCode
     message: str
     ran: Ran
+    failures: int = 0
+    excused: bool = False
 
 
 @dataclass(frozen=True)
@@ -162,6 +166,22 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class ClaimAsk(Message):
+    """Ask a claimant how the run of its claim ended; it answers when it has."""
+
+    call: int
+    claim: bytes
+
+
+@dataclass(frozen=True)
+class ClaimTell(Message):
+    """Give the outcome of a claim; empty if the claimant holds none."""
+
+    call: int
+    outcome: bytes
+
+
 @dataclass(frozen=True)
 class LoadEntry(Message):
     """Tell what the sender knows about one upstream.
@@ -241,6 +261,56 @@
     crashes: int
 
 
+@dataclass(frozen=True)
+class RouteEvidence(Message):
+    """Give what the sender has counted for one pipeline of a traffic move.
+
+    Parameters
+    ----------
+    move, route : int
+        The numbers of the move and of the pipeline.
+    log_bets : tuple of int
+        The sums of the test's log bets, in hundredths of a nat.
+    late_above_ms : int
+        Above which duration a call is late, 0 if not known.
+    """
+
+    move: int
+    route: int
+    new_good: int
+    new_failed: int
+    new_late: int
+    old_good: int
+    old_failed: int
+    old_late: int
+    log_bets: tuple[int, ...]
+    late_above_ms: int
+
+
+@dataclass(frozen=True)
+class MoveEvidence(Message):
+    """Give evidence about traffic moves, what has changed most first."""
+
+    entries: tuple[RouteEvidence, ...]
+
+
+@dataclass(frozen=True)
+class MoveStep(Message):
+    """Tell how far a traffic move has come at the sender, and if it is taken back."""
+
+    move: int
+    step: int
+    taken_back: bool
+    reason: str
+
+
+@dataclass(frozen=True)
+class MoveVerdict(Message):
+    """Give the verdict on a traffic move as its record stands in the log."""
+
+    payload: bytes
+
+
 CODEC = make_codec(
     (
         (1, Challenge),
@@ -254,6 +324,11 @@
         (24, StageCancel),
         (30, ConfigAsk),
         (31, ConfigGive),
+        (40, ClaimAsk),
+        (41, ClaimTell),
+        (60, MoveEvidence),
+        (61, MoveStep),
+        (62, MoveVerdict),
         (50, LoadDigest),
         (51, LeaseAsk),
         (52, LeaseAnswer),
--- a/tests/caller/test_serving.py
+++ b/tests/caller/test_serving.py
@@ -1,4 +1,4 @@
-"""Test what cuminstile.caller.serving counts."""
+"""Test cuminstile.caller.serving."""
 
 import hashlib
 import json
@@ -6,13 +6,17 @@
 from typing import Any
 
 import anyio
+import pytest
 from httpcore import AsyncConnectionPool
 
 from cuminstile.caller.app import make_app
+from cuminstile.caller.bodies import parse_run_body
+from cuminstile.caller.serving import with_truth
 from cuminstile.calls import RunTrace, StageCall, StageOutcome, TokenSink
 from cuminstile.events import Event
 from cuminstile.exceptions import CuminstileError, ErrorCode, Ran
-from cuminstile.objects.model import Organisation
+from cuminstile.objects.model import Organisation, Pipeline, Step
+from cuminstile.pipeline import Progress, Request
 from cuminstile.runtime import Vm
 
 from ..fakes.asgi import ask, serving
@@ -82,3 +86,27 @@
     assert b"event: error" in reply.content
     refusals = vm.metrics.refusals_total
     assert refusals.get({"code": "overloaded", "ran": "unknown"}) == 1
+
+
+@pytest.mark.parametrize(
+    ("maybe_ran", "is_resend", "ran"),
+    [
+        (False, False, Ran.NOT_RUN),
+        (True, False, Ran.UNKNOWN),
+        (False, True, Ran.UNKNOWN),
+    ],
+)
+def test_a_refusal_denies_a_run_only_where_none_can_be(
+    maybe_ran: bool, is_resend: bool, ran: Ran
+) -> None:
+    steps = (Step("book", "book"),)
+    pipeline = Pipeline(kind="pipeline", name="book", steps=steps)
+    request = Request("r", "org", pipeline, {}, False, 0.0, "k", 1, is_resend)
+    progress = Progress(traces={"book": RunTrace(maybe_ran)})
+    error = CuminstileError(ErrorCode.PLATFORM_AWAY, "away")
+    assert with_truth(error, request, progress).ran is ran
+
+
+def test_a_caller_marks_a_resend() -> None:
+    assert parse_run_body(b'{"input": 1, "resend": true}').resend
+    assert not parse_run_body(b'{"input": 1}').resend
