--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -43,6 +43,7 @@
 from .upstream.silence import keep_probing
 from .vm.claim_exchange import on_claim_ask
 from .vm.configuration import on_config_ask, on_config_give
+from .vm.dialling import keep_dialling
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
@@ -66,7 +67,7 @@
     StageTokens,
 )
 from .vm.move_exchange import on_move_evidence, on_move_step, on_move_verdict
-from .vm.sessions import keep_dialling, listen, on_heartbeat
+from .vm.sessions import listen, on_heartbeat
 from .vm.shutdown import drain
 
 EXIT_BAD_INPUT = 2
