--- a/tests/platform/test_verdicts.py
+++ b/tests/platform/test_verdicts.py
@@ -10,7 +10,8 @@
     settled_version,
 )
 from trials.behaviours import good
-from trials.moves import NEW, OLD, Plan, objects_of
+from trials.moves import Plan, objects_of
+from trials.setting import NEW, OLD
 
 
 def verdict(
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -17,7 +17,8 @@
     slow,
     under_load,
 )
-from trials.moves import NEW, OLD, Moment, Plan, Trial, objects_of, publish
+from trials.moves import Moment, Plan, Trial, objects_of
+from trials.setting import NEW, OLD, publish
 
 SEEDS = (1, 2, 3)
 ENOUGH_CALLS = 20
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -18,7 +18,8 @@
     watch_call,
 )
 from trials.behaviours import good
-from trials.moves import NEW, OLD, Plan, Trial
+from trials.moves import Plan, Trial
+from trials.setting import NEW, OLD
 
 FAILED = CuminstileError(ErrorCode.UPSTREAM_FAILED, "failed")
 CALL = StageCall(
--- a/trials/moves.py
+++ b/trials/moves.py
@@ -18,36 +18,24 @@
     CuminstileError,
     ErrorCode,
     PlatformAwayError,
-    TrimmedError,
 )
 from cuminstile.moves import BY_EVIDENCE, MovePolicy, number_of
 from cuminstile.moving import move_and_tell
-from cuminstile.objects.collection import collect
 from cuminstile.objects.model import (
     AnyObject,
-    DataCentre,
-    Pipeline,
-    Role,
-    Stage,
-    Step,
     TrafficMove,
-    Upstream,
-    UpstreamVersion,
 )
-from cuminstile.platform.client import Record, Records
-from cuminstile.platform.config_record import make_record
-from cuminstile.platform.configuration import Configuration
 from cuminstile.platform.verdict_log import read_verdicts, record_once
 from cuminstile.platform.verdicts import Verdict
 from cuminstile.runtime import Vm
-from cuminstile.settings import Settings
 from cuminstile.traffic import Assignment, assign, note_call
 from cuminstile.vm.sessions import Session, receive_one
 
+from .platform import MemoryPlatform, PlatformEnd
+from .setting import NEW, OLD, ROUTES, make_settings, objects_with, publish
+
 TICK_MS = 250.0
 WARM_UP_MS = 30_000.0
-OLD, NEW = "generate-1", "generate-2"
-ROUTES = ("chat", "draft", "quote")
 
 
 @dataclass(frozen=True)
@@ -107,56 +95,6 @@
     policy: MovePolicy = BY_EVIDENCE
 
 
-@dataclass
-class MemoryPlatform:
-    """Keep streams in memory; `away` lists the VMs that get no answer."""
-
-    clock: VirtualClock
-    streams: dict[str, list[Record]] = field(default_factory=dict)
-    away: set[str] = field(default_factory=set)
-    lost_appends: int = 0
-    first: int = 0
-
-    def append_now(self, stream: str, payload: bytes) -> int:
-        """Append one record."""
-        records = self.streams.setdefault(stream, [])
-        records.append(Record(len(records), self.clock.wall_ms(), payload))
-        return len(records) - 1
-
-    def trim(self, stream: str, first: int) -> None:
-        """Forget the records before an offset."""
-        self.first = first
-
-
-@dataclass
-class PlatformEnd:
-    """Be one VM's client of the platform."""
-
-    platform: MemoryPlatform
-    vm: str
-
-    async def append(self, stream: str, payload: bytes) -> int:
-        """Append, unless the platform is away; an answer may be lost."""
-        if self.vm in self.platform.away:
-            raise PlatformAwayError("away")
-        offset = self.platform.append_now(stream, payload)
-        if self.platform.lost_appends:
-            self.platform.lost_appends -= 1
-            raise PlatformAwayError("lost")
-        return offset
-
-    async def read(
-        self, stream: str, offset: int, limit: int = 500, wait_ms: int = 0
-    ) -> Records:
-        """Read, unless the platform is away."""
-        if self.vm in self.platform.away:
-            raise PlatformAwayError("away")
-        if offset < self.platform.first:
-            raise TrimmedError(stream, self.platform.first)
-        records = tuple(self.platform.streams.get(stream, [])[offset:][:limit])
-        return Records(records, offset + len(records), 0)
-
-
 @dataclass
 class Wire:
     """Deliver messages to the other VM of a session, and count their bytes."""
@@ -435,49 +373,6 @@
         )
 
 
-def publish(vm: Vm, objects: tuple[AnyObject, ...], version: int = 0) -> None:
-    """Put objects in force on one VM."""
-    record = make_record(-1, "trial", objects)
-    vm.configuration.current = Configuration(version, collect(objects), record)
-
-
-def make_settings(name: str, data_centre: str) -> Settings:
-    """Return settings of a VM that opens no port."""
-    return Settings(
-        name=name,
-        data_centre=data_centre,
-        host="127.0.0.1",
-        caller_port=1,
-        operator_port=2,
-        vm_port=3,
-        platform="127.0.0.1:4",
-        operator_keys=("a-key-for-operators-1",),
-        vm_keys=("a-key-for-the-vms-1",),
-    )
-
-
 def objects_of(plan: Plan, *moves: TrafficMove) -> tuple[AnyObject, ...]:
-    """Return one stage with two versions, used by several pipelines."""
-    centres = [f"dc{index}" for index in range(len(plan.data_centres))]
-    objects: list[AnyObject] = [
-        DataCentre(kind="data_centre", name=name, region="r") for name in centres
-    ]
-    objects.append(Stage(kind="stage", name="generate", role=Role.ENGINE, streams=True))
-    for version in (OLD, NEW):
-        objects.append(
-            UpstreamVersion(kind="upstream_version", name=version, stage="generate")
-        )
-    for index, name in enumerate(centres):
-        objects.append(
-            Upstream(
-                kind="upstream",
-                name=f"engine-{name}",
-                data_centre=name,
-                address=f"127.0.0.1:{9000 + index}",
-                versions=(OLD, NEW),
-            )
-        )
-    step = Step(name="generate", stage="generate")
-    for name in plan.routes:
-        objects.append(Pipeline(kind="pipeline", name=name, steps=(step,)))
-    return (*objects, *moves)
+    """Return the objects of a plan, with some moves."""
+    return objects_with(len(plan.data_centres), plan.routes, moves)
