--- a/cuminstile/calls.py
+++ b/cuminstile/calls.py
@@ -72,6 +72,10 @@
     elapsed_ms: float
 
 
+def allow_send() -> None:
+    """Let a call leave."""
+
+
 @dataclass
 class RunTrace:
     """Note what became of the attempts at one call.
@@ -82,6 +86,8 @@
         Whether a byte of a call that may not be repeated may have left.
     failures : int
         How many attempts failed with nothing to excuse the upstream's version.
+    check_send : callable
+        Called right before the first byte leaves; raises if it may not any more.
     excused : bool
         Whether a cold start, or a process that is away or full, may be the reason
         for a failure or for a late answer.
@@ -90,6 +96,7 @@
     maybe_ran: bool = False
     failures: int = 0
     excused: bool = False
+    check_send: Callable[[], None] = allow_send
 
     def note_failure(self, reason: str, was_cold: bool) -> None:
         """Note a failed attempt; `was_cold` tells how the upstream stood before.
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -15,12 +15,14 @@
 from starlette.applications import Starlette
 
 from .caller.app import make_app
+from .claims import keep_claims
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
 from .moving import keep_moving
 from .operator.app import make_app as make_operator_app
 from .operator.moves import moves_reporter
+from .operator.upstreams import upstreams_reporter
 from .platform.client import make_platform_client
 from .platform.follow import follow_configuration, follow_vm_list
 from .platform.renewal import renew_configuration
@@ -39,10 +41,13 @@
 )
 from .upstream.load import keep_polling, on_load_digest
 from .upstream.silence import keep_probing
+from .vm.claim_exchange import on_claim_ask
 from .vm.configuration import on_config_ask, on_config_give
 from .vm.forwarding import on_answer, on_run_stage, on_stage_cancel
 from .vm.membership import Members
 from .vm.messages import (
+    ClaimAsk,
+    ClaimTell,
     ConfigAsk,
     ConfigGive,
     CrashNotice,
@@ -71,6 +76,7 @@
     follow_configuration,
     renew_configuration,
     follow_vm_list,
+    keep_claims,
     keep_moving,
     follow_verdicts,
     record_verdicts,
@@ -108,6 +114,8 @@
             StageDone: on_answer,
             StageRefused: on_answer,
             StageCancel: on_stage_cancel,
+            ClaimAsk: on_claim_ask,
+            ClaimTell: on_answer,
             LoadDigest: on_load_digest,
             LeaseAsk: on_lease_ask,
             LeaseAnswer: on_lease_answer,
@@ -162,7 +170,8 @@
 
 def start(vm: Vm, tasks: TaskGroup) -> list[QuietServer]:
     """Start every task of a VM and return its HTTP servers."""
-    operator_app = make_operator_app(vm, (moves_reporter(vm),))
+    reporters = (moves_reporter(vm), upstreams_reporter(vm))
+    operator_app = make_operator_app(vm, reporters)
     servers = [
         make_server(vm.settings, make_app(vm), vm.settings.caller_port),
         make_server(vm.settings, operator_app, vm.settings.operator_port),
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -10,13 +10,14 @@
 from typing import Any
 
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
+from .claims import Claims
 from .clock import Clock
 from .events import Journal
 from .exceptions import CuminstileError, ErrorCode
 from .metrics import Metrics, make_metrics
 from .objects.collection import ObjectSet
 from .platform.client import PlatformClient
-from .platform.configuration import ConfigurationState
+from .platform.configuration import ConfigurationState, InForce
 from .settings import Settings
 from .spilling import SpillState
 from .traffic_state import Traffic
@@ -39,14 +40,21 @@
 
 @dataclass
 class Activity:
-    """Count the work in progress, so that a shutdown can wait for it."""
+    """Count the work in progress, so that a shutdown can wait for it.
+
+    Parameters
+    ----------
+    claims : int
+        Claims of this VM whose outcome or void is not recorded yet.
+    """
 
     requests: int = 0
     forwarded: int = 0
+    claims: int = 0
 
     def total(self) -> int:
         """Return how many pieces of work are in progress."""
-        return self.requests + self.forwarded
+        return self.requests + self.forwarded + self.claims
 
 
 @dataclass
@@ -79,6 +87,7 @@
     random: random.Random = field(default_factory=random.Random)
     incarnation: str = field(default_factory=lambda: secrets.token_hex(6))
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    in_force: InForce = field(default_factory=InForce)
     sessions: Sessions = field(default_factory=Sessions)
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     load: LoadExchange = field(default_factory=LoadExchange)
@@ -87,6 +96,7 @@
     crashes: CrashTable = field(default_factory=CrashTable)
     line: WaitingLines = field(default_factory=WaitingLines)
     upstream_pool: UpstreamPool = field(default_factory=UpstreamPool)
+    claims: Claims = field(default_factory=Claims)
     spilling: SpillState = field(default_factory=SpillState)
     traffic: Traffic = field(default_factory=Traffic)
     activity: Activity = field(default_factory=Activity)
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -13,6 +13,7 @@
 from ..pipeline import internal_error
 from ..wire import Message
 from .messages import (
+    ClaimTell,
     RunStage,
     StageCancel,
     StageDone,
@@ -109,11 +110,14 @@
 
 
 async def on_answer(
-    vm: Vm, session: Session, message: StageTokens | StageDone | StageRefused
+    vm: Vm,
+    session: Session,
+    message: StageTokens | StageDone | StageRefused | ClaimTell,
 ) -> None:
     """Hand an answer to the call that waits for it; drop one nobody waits for."""
     answers = session.calls.get(message.call)
     if answers is None:
+        vm.metrics.answers_dropped_total.inc({"reason": "no_call"})
         vm.journal.record(
             Event.ANSWER_DROPPED, source=session.name, reason="no call waits"
         )
--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -166,6 +166,22 @@
     payload: bytes
 
 
+@dataclass(frozen=True)
+class ClaimAsk(Message):
+    """Ask a claimant how the run of its claim ended; it answers when it has."""
+
+    call: int
+    claim: bytes
+
+
+@dataclass(frozen=True)
+class ClaimTell(Message):
+    """Give the outcome of a claim; empty if the claimant holds none."""
+
+    call: int
+    outcome: bytes
+
+
 @dataclass(frozen=True)
 class LoadEntry(Message):
     """Tell what the sender knows about one upstream.
@@ -308,6 +324,8 @@
         (24, StageCancel),
         (30, ConfigAsk),
         (31, ConfigGive),
+        (40, ClaimAsk),
+        (41, ClaimTell),
         (60, MoveEvidence),
         (61, MoveStep),
         (62, MoveVerdict),
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -4,12 +4,11 @@
 
 import itertools
 import math
-import secrets
 import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
 import websockets
@@ -30,12 +29,21 @@
 from ..events import Event, Stamp
 from ..exceptions import CuminstileError, ErrorCode
 from ..pipeline import internal_error
-from ..tls import certificate_names
 from ..wire import MAX_MESSAGE_BYTES, Message
-from .authentication import is_proved, prove
 from .configuration import on_newer_version
+from .handshake import HANDSHAKE_TIMEOUT_MS, accept_hello, greet
 from .membership import Member
-from .messages import CODEC, Challenge, Heartbeat, Hello, Welcome
+from .messages import (
+    CODEC,
+    Heartbeat,
+    Hello,
+    RunStage,
+    StageCancel,
+    StageDone,
+    StageRefused,
+    StageTokens,
+    Welcome,
+)
 from .topology import linked
 
 if TYPE_CHECKING:
@@ -43,8 +51,7 @@
 
 # A path that drops packets never ends the closing handshake.
 CLOSE_TIMEOUT_MS = 500
-HANDSHAKE_TIMEOUT_MS = 2_000
-SHOWN_NAME_LENGTH = 64
+WORK_MESSAGES = (RunStage, StageTokens, StageDone, StageRefused, StageCancel)
 
 
 @dataclass
@@ -59,6 +66,8 @@
         The other VM's calls that run here, by call number.
     sent_messages, sent_bytes : int
         What was sent so far, without the headers of websocket and below.
+    sent_control_bytes : int
+        The part of it that is neither a request nor an answer.
     busy_since_ms : float or None
         Monotonic time since which calls have been in progress, in either direction.
     """
@@ -75,6 +84,7 @@
     busy_since_ms: float | None = None
     sent_messages: int = 0
     sent_bytes: int = 0
+    sent_control_bytes: int = 0
 
     async def send(self, message: Message) -> None:
         """Send one message.
@@ -85,6 +95,8 @@
             With `PEER_LOST` if the session is closed.
         """
         data = CODEC.encode(message)
+        if not isinstance(message, WORK_MESSAGES):
+            self.sent_control_bytes += len(data)
         self.sent_messages += 1
         self.sent_bytes += len(data)
         try:
@@ -95,10 +107,22 @@
 
 @dataclass
 class Sessions:
-    """Hold the open sessions by the name of the other VM."""
+    """Hold the open sessions by the name of the other VM.
+
+    Parameters
+    ----------
+    past_control_bytes : int
+        What the sessions that have ended sent for control.
+    """
 
     by_name: dict[str, Session] = field(default_factory=dict)
     dialling: set[str] = field(default_factory=set)
+    past_control_bytes: int = 0
+
+    def control_bytes(self) -> int:
+        """Return what all sessions so far have sent for control."""
+        sessions = self.by_name.values()
+        return self.past_control_bytes + sum(s.sent_control_bytes for s in sessions)
 
     def of_data_centre(self, data_centre: str) -> tuple[Session, ...]:
         """Return the open sessions with VMs of a data centre."""
@@ -144,56 +168,6 @@
     await run_session(vm, connection, hello)
 
 
-async def accept_hello(vm: Vm, connection: Connection) -> Hello:
-    """Challenge the connecting VM, check its proof and prove this VM's own key."""
-    nonce = secrets.token_hex(16)
-    await connection.send(CODEC.encode(Challenge(nonce)))
-    hello: Hello = await receive(connection, Hello)
-    keys = vm.settings.vm_keys
-    own = vm.settings.name
-    is_valid = is_proved(keys, hello.proof, "connect", hello.name, nonce)
-    if not is_valid or hello.name == own:
-        raise unauthenticated(hello.name)
-    if vm.server_tls and hello.name not in certificate_names(connection.transport):
-        raise CuminstileError(
-            ErrorCode.UNAUTHENTICATED,
-            f"{hello.name!r} showed the certificate of another VM",
-        )
-    proof = prove(key_of(keys, hello, nonce), "accept", own, hello.nonce)
-    welcome = Welcome(
-        own, vm.settings.data_centre, vm.incarnation, proof, vm.own_operator_address
-    )
-    await connection.send(CODEC.encode(welcome))
-    return hello
-
-
-def key_of(keys: tuple[str, ...], hello: Hello, nonce: str) -> str:
-    """Return the key that the connecting VM has proved; it knows that one for sure."""
-    proved = (
-        key
-        for key in keys
-        if is_proved((key,), hello.proof, "connect", hello.name, nonce)
-    )
-    return next(proved)
-
-
-def unauthenticated(name: str) -> CuminstileError:
-    """Return the error for a VM that proved no valid key."""
-    return CuminstileError(
-        ErrorCode.UNAUTHENTICATED,
-        f"{name[:SHOWN_NAME_LENGTH]!r} showed no valid VM key",
-    )
-
-
-async def receive(connection: Connection, kind: type[Any]) -> Any:
-    """Return the next message, which must be of one kind."""
-    data = await connection.recv()
-    message = CODEC.decode(data if isinstance(data, bytes) else b"")
-    if not isinstance(message, kind):
-        raise CuminstileError(ErrorCode.BAD_MESSAGE, f"expected {kind.__name__}")
-    return message
-
-
 async def keep_dialling(vm: Vm) -> None:
     """Start one dialling task for each VM that this one connects to, for ever.
 
@@ -269,29 +243,6 @@
         return
 
 
-async def greet(vm: Vm, connection: Connection, member: Member) -> Welcome:
-    """Answer the challenge and check the accepting VM's proof."""
-    challenge = await receive(connection, Challenge)
-    own = vm.settings
-    nonce = secrets.token_hex(16)
-    hello = Hello(
-        own.name,
-        own.data_centre,
-        vm.incarnation,
-        vm.own_address,
-        nonce,
-        prove(own.vm_keys[0], "connect", own.name, challenge.nonce),
-        vm.own_operator_address,
-    )
-    await connection.send(CODEC.encode(hello))
-    welcome: Welcome = await receive(connection, Welcome)
-    if not is_proved(own.vm_keys, welcome.proof, "accept", welcome.name, nonce):
-        raise unauthenticated(welcome.name)
-    if welcome.name != member.name:
-        raise CuminstileError(ErrorCode.BAD_MESSAGE, "another VM answers there")
-    return welcome
-
-
 async def run_session(vm: Vm, connection: Connection, peer: Hello | Welcome) -> None:
     """Run an authenticated session until it closes or falls silent."""
     async with anyio.create_task_group() as tasks:
@@ -327,6 +278,7 @@
     try:
         yield
     finally:
+        vm.sessions.past_control_bytes += session.sent_control_bytes
         if vm.sessions.by_name.get(session.name) is session:
             del vm.sessions.by_name[session.name]
         for answers in session.calls.values():
