--- a/tests/vm/test_data_centre_return.py
+++ b/tests/vm/test_data_centre_return.py
@@ -72,7 +72,7 @@
                     loading.cancel()
 
                 tasks.start_soon(change_then_stop)
-                await run_load(load, balancer, record)
+                await run_load(load, balancer.send, record)
             tasks.cancel_scope.cancel()
         ended = [reply for reply in record.replies if reply.latency_ms != float("inf")]
         assert len(ended) > 500
--- a/tests/vm/test_rolling_restart.py
+++ b/tests/vm/test_rolling_restart.py
@@ -87,7 +87,7 @@
         while True:
             record = Record()
             load = Load((kind,), (("org", 1.0),), 10.0, 300.0, seed=1)
-            await run_load(load, balancer, record)
+            await run_load(load, balancer.send, record)
             if record.replies and all(reply.good for reply in record.replies):
                 return
 
@@ -123,7 +123,7 @@
                     rolling.cancel()
 
                 tasks.start_soon(roll_then_stop)
-                await run_load(load, balancer, record)
+                await run_load(load, balancer.send, record)
             tasks.cancel_scope.cancel()
         ended = [reply for reply in record.replies if reply.latency_ms != float("inf")]
         bad = [reply for reply in ended if not reply.good]
