--- a/standins/scenario_golden.py
+++ b/standins/scenario_golden.py
@@ -15,12 +15,21 @@
 
 # What timers alone decide is left out of golden files.
 UNTIMED = frozenset(
-    {"peer_connected", "peer_lost", "peer_refused", "platform_lost", "platform_back"}
+    {
+        "peer_connected",
+        "peer_lost",
+        "peer_refused",
+        "platform_lost",
+        "platform_back",
+        "upstream_cold",
+        "upstream_warm",
+    }
 )
 IDS = re.compile(r"\b[0-9a-f]{8,64}\b")
 TIMES = re.compile(r"\b1[6-9]\d{11}\b")
 MILLISECONDS = re.compile(r"(_ms['\"]?[=:] ?)-?\d+(\.\d+)?")
 PORTS = re.compile(rf"{re.escape(HOST)}:\d+")
+SHARDS = re.compile(r"^claims-\d+")
 LONG = 200
 READ_LIMIT_S = 2.0
 
@@ -33,7 +42,7 @@
 
     def text(self, text: str) -> str:
         """Return a text without its times and ids."""
-        text = TIMES.sub("TIME", text)
+        text = SHARDS.sub("claims-N", TIMES.sub("TIME", text))
         text = IDS.sub(self.id, text)
         text = PORTS.sub("ADDRESS", text)
         return MILLISECONDS.sub(r"\1N", text)
