Hold the first share strictly; answer failed calls of a new version by the old

At the first share each VM now counts: never more than 5 % of its calls so far. A retry goes to the old version unless tokens were passed on already.

Seen red: no cap, no fallback.

--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -61,7 +61,9 @@
     assignment = choose_version(vm, call)
     call = replace(call, version=assignment.version)
     with watch_call(vm, call, assignment, trace):
-        return await run_version(vm, call, trace, on_tokens, may_forward)
+        return await run_version(
+            vm, call, trace, on_tokens, may_forward, assignment.fallback
+        )
 
 
 async def run_version(
@@ -70,8 +72,13 @@
     trace: RunTrace,
     on_tokens: TokenSink,
     may_forward: bool,
+    fallback: str = "",
 ) -> StageOutcome:
-    """Run one stage on upstreams of the call's version, with retries."""
+    """Run one stage on upstreams of the call's version, with retries.
+
+    A retry goes to the version `fallback`, if there is one, unless tokens of the
+    call's own version have been passed on already.
+    """
     started_ms = vm.clock.now_ms()
     counter = TokenCounter(on_tokens, call.resume_at)
     tried = list(call.avoid)
@@ -89,6 +96,9 @@
             vm.journal.record(
                 Event.STAGE_RETRIED, request=call.request, stage=call.stage
             )
+            if fallback and counter.passed == call.resume_at:
+                call = replace(call, version=fallback)
+                tried = list(call.avoid)
             continue
         elapsed_ms = vm.clock.now_ms() - started_ms
         vm.metrics.stage_ms.observe({"stage": call.stage}, elapsed_ms)
--- a/cuminstile/traffic.py
+++ b/cuminstile/traffic.py
@@ -13,15 +13,16 @@
 from .calls import RunTrace, StageCall
 from .evidence import CallResult, Counter
 from .exceptions import CuminstileError, ErrorCode
-from .moves import MoveState, position_of, route_of
+from .moves import SHARES, MoveState, position_of, route_of
 from .platform.verdicts import settled_version
-from .traffic_state import NO_MOVE, Traffic
+from .traffic_state import NO_MOVE, Given, Traffic
 
 if TYPE_CHECKING:
     from .runtime import Vm
 
 MAX_EXCUSED_IN_A_ROW = 5
 MAX_FAILED_BODIES = 1_000
+FIRST_SHARE_DRAWS = 10.0
 
 
 @dataclass(frozen=True)
@@ -34,12 +35,15 @@
         Empty if nothing serves the stage.
     share : float
         With which probability, 0 to 1, the call went to the new version.
+    fallback : str
+        The version for a retry of a call to the new version that has failed.
     """
 
     version: str
     move: int = NO_MOVE
     is_new: bool = False
     share: float = 0.0
+    fallback: str = ""
 
 
 def assign(vm: Vm, call: StageCall, has_upstream: Callable[[str], bool]) -> Assignment:
@@ -59,14 +63,33 @@
     if state is None or not vm.traffic.is_informed():
         return Assignment(settled)
     share = state.share(vm.clock.wall_ms())
-    is_new = position_of(state.number, call.request, call.step) < share
+    is_new = is_drawn(vm, state, call, share)
     version = state.move.to_version if is_new else settled
     if has_upstream(version):
-        return Assignment(version, state.number, is_new, share)
+        fallback = settled if is_new and has_upstream(settled) else ""
+        return Assignment(version, state.number, is_new, share, fallback)
     other = settled if is_new else state.move.to_version
     return Assignment(other if is_new and has_upstream(other) else version)
 
 
+def is_drawn(vm: Vm, state: MoveState, call: StageCall, share: float) -> bool:
+    """Return whether a call goes to the new version.
+
+    At the first share this VM counts: chance alone would give a bad version more
+    than its share of the first calls. What the count allows is drawn at half of the
+    calls, so that the new version gets no fixed place in their order.
+    """
+    position = position_of(state.number, call.request, call.step)
+    if share > SHARES[0]:
+        return position < share
+    given = vm.traffic.given.setdefault(state.number, Given())
+    given.calls += 1
+    is_within = given.new + 1 <= share * given.calls
+    is_new = is_within and position < FIRST_SHARE_DRAWS * share
+    given.new += is_new
+    return is_new
+
+
 def settled_version_of(vm: Vm, stage: str) -> str:
     """Return the version that a stage uses apart from a move under way."""
     if len(vm.objects.by_stage.get(stage, ())) <= 1:
@@ -126,7 +149,8 @@
         if not fails_on_both(vm.traffic, call, is_new, result):
             counter = state.ledger.own.setdefault(route, Counter())
             counter.count(result, is_new, assignment.share)
-    if is_answered and not trace.excused:
+    is_own_answer = not (is_new and trace.failures)
+    if is_answered and is_own_answer and not trace.excused:
         vm.traffic.latencies.record(
             call.version, call.pipeline, elapsed_ms, vm.clock.now_ms()
         )
--- a/cuminstile/traffic_state.py
+++ b/cuminstile/traffic_state.py
@@ -46,6 +46,14 @@
     sent: dict[tuple[int, int], SentEvidence] = field(default_factory=dict)
 
 
+@dataclass
+class Given:
+    """Count the calls of a move at its first share, and those to the new version."""
+
+    calls: int = 0
+    new: int = 0
+
+
 @dataclass
 class Told:
     """Hold what the other VM of one session was told about traffic moves."""
@@ -71,6 +79,8 @@
         What each other VM was told, by its name.
     here, elsewhere : EvidenceRounds
         What the VMs of this data centre and of the others were told of evidence.
+    given : dict of int to Given
+        The calls of each move at its first share.
     met : bool
         Whether another VM has told its marks, so that this VM knows what was
         decided before it started.
@@ -88,6 +98,7 @@
     here: EvidenceRounds = field(default_factory=EvidenceRounds)
     elsewhere: EvidenceRounds = field(default_factory=EvidenceRounds)
     met: bool = False
+    given: dict[int, Given] = field(default_factory=dict)
     failed_bodies: OrderedDict[bytes, frozenset[bool]] = field(
         default_factory=OrderedDict
     )
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -136,3 +136,15 @@
         assignment = assign(vm, call, lambda name: name == OLD)
         assert assignment.version == OLD
         assert assignment.move == (state.number if assignment.share else 0)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_new_version_never_gets_more_than_its_first_share(seed: int) -> None:
+    vm, _ = moving()
+    vm.traffic.given.clear()
+    new = 0
+    for number in range(1, 401):
+        call = replace(CALL, request=f"{seed}-{number}")
+        new += assign(vm, call, lambda name: True).is_new
+        assert new <= 0.05 * number
+    assert new >= 0.04 * 400
