--- a/cuminstile/vm/messages.py
+++ b/cuminstile/vm/messages.py
@@ -326,13 +326,13 @@
         (31, ConfigGive),
         (40, ClaimAsk),
         (41, ClaimTell),
-        (60, MoveEvidence),
-        (61, MoveStep),
-        (62, MoveVerdict),
         (50, LoadDigest),
         (51, LeaseAsk),
         (52, LeaseAnswer),
         (53, LeaseRelease),
         (54, CrashNotice),
+        (60, MoveEvidence),
+        (61, MoveStep),
+        (62, MoveVerdict),
     )
 )
