Split the attempt at a stage by whether it may be repeated

One function decided four things; each kind of call now has its own, straight down. No change in behaviour: the tests of forwarding, stages, spilling, retries and claims pass unchanged.

--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -136,35 +136,68 @@
     tried: list[str],
 ) -> StageOutcome:
     """Try one upstream of this data centre, or one VM of another."""
-    local = local_upstreams(vm, call, tried)
-    here = limits.served_here(vm, call, local)
-    session: Session | None = None
     stage = vm.objects.stages.get(call.stage)
     if stage is None:
         raise no_upstream(call)
-    if not stage.repeatable:
-        if may_forward:
-            session = claimant_for(vm, call, bool(here), local, tried)
-        if here and session is None:
+    attempt = attempt_repeatable if stage.repeatable else attempt_claimed
+    return await attempt(vm, call, trace, counter, may_forward, tried)
 
-            async def dispatch() -> StageOutcome:
-                # Only now: the key of a resend may have run before the quarantine.
-                refuse_quarantined(vm, call)
-                return await run_here(vm, call, trace, counter, here, tried)
 
-            return await run_once(vm, call, trace, dispatch)
+async def attempt_claimed(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    may_forward: bool,
+    tried: list[str],
+) -> StageOutcome:
+    """Run a call that may not be repeated where its key is claimed."""
+    local = local_upstreams(vm, call, tried)
+    here = limits.served_here(vm, call, local)
+    session: Session | None = None
+    if may_forward:
+        session = claimant_for(vm, call, bool(here), local, tried)
+    if not here or session is not None:
         return await run_elsewhere(vm, call, trace, counter, session, tried)
-    refuse_quarantined(vm, call)
-    if here:
-        if may_forward and may_spill(vm, call) and limits.must_wait(vm, call, here):
-            outcome = await spill(vm, call, trace, counter.take, tried)
-            if outcome is not None:
-                return outcome
+
+    async def dispatch() -> StageOutcome:
+        # Only now: the key of a resend may have run before the quarantine.
+        refuse_quarantined(vm, call)
         return await run_here(vm, call, trace, counter, here, tried)
-    session = peer_here(vm, call, local, tried) if may_forward else None
-    if session is None and may_forward and not call.handed_over:
+
+    return await run_once(vm, call, trace, dispatch)
+
+
+async def attempt_repeatable(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    may_forward: bool,
+    tried: list[str],
+) -> StageOutcome:
+    """Run a call that may be repeated here, or else where it is served."""
+    refuse_quarantined(vm, call)
+    local = local_upstreams(vm, call, tried)
+    here = limits.served_here(vm, call, local)
+    if not here:
+        session = next_vm(vm, call, local, tried) if may_forward else None
+        return await run_elsewhere(vm, call, trace, counter, session, tried)
+    if may_forward and may_spill(vm, call) and limits.must_wait(vm, call, here):
+        outcome = await spill(vm, call, trace, counter.take, tried)
+        if outcome is not None:
+            return outcome
+    return await run_here(vm, call, trace, counter, here, tried)
+
+
+def next_vm(
+    vm: Vm, call: StageCall, local: list[UpstreamState], tried: list[str]
+) -> Session | None:
+    """Return a session with a VM here that serves the call, else elsewhere."""
+    session = peer_here(vm, call, local, tried)
+    if session is None and not call.handed_over:
         session = choose_peer(vm, call.version, tried)
-    return await run_elsewhere(vm, call, trace, counter, session, tried)
+    return session
 
 
 async def run_elsewhere(
