--- /dev/null
+++ b/cuminstile/attempts.py
@@ -0,0 +1,241 @@
+"""Try one stage once: here, on another VM, or where its key is claimed."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from .calls import RunTrace, StageCall, StageOutcome, TokenSink
+from .claim_routing import claimant_for
+from .claims import run_once
+from .events import Event
+from .exceptions import CuminstileError, ErrorCode, Ran
+from .routing import choose_peer, serving
+from .spilling import may_spill, spill
+from .upstream import limits
+from .upstream.client import UpstreamError, call_upstream, refusal
+from .upstream.crashes import refuse_quarantined
+from .upstream.table import Condition, UpstreamState
+from .vm.forwarding import run_on_peer
+from .vm.sessions import Session
+
+if TYPE_CHECKING:
+    from .runtime import Vm
+
+
+@dataclass
+class TokenCounter:
+    """Pass on tokens and count those passed, so that a stream can resume."""
+
+    on_tokens: TokenSink
+    passed: int
+
+    async def take(self, index: int, tokens: tuple[str, ...]) -> None:
+        """Pass on what was not passed yet."""
+        fresh = tokens[max(0, self.passed - index) :]
+        if not fresh:
+            return
+        await self.on_tokens(self.passed, fresh)
+        self.passed += len(fresh)
+
+
+async def attempt_once(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    may_forward: bool,
+    tried: list[str],
+) -> StageOutcome:
+    """Try one upstream of this data centre, or one VM of another."""
+    stage = vm.objects.stages.get(call.stage)
+    if stage is None:
+        raise no_upstream(call)
+    attempt = attempt_repeatable if stage.repeatable else attempt_claimed
+    return await attempt(vm, call, trace, counter, may_forward, tried)
+
+
+async def attempt_claimed(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    may_forward: bool,
+    tried: list[str],
+) -> StageOutcome:
+    """Run a call that may not be repeated where its key is claimed."""
+    local = local_upstreams(vm, call, tried)
+    here = limits.served_here(vm, call, local)
+    session: Session | None = None
+    if may_forward:
+        session = claimant_for(vm, call, bool(here), local, tried)
+    if not here or session is not None:
+        return await run_elsewhere(vm, call, trace, counter, session, tried)
+
+    async def dispatch() -> StageOutcome:
+        # Only now: the key of a resend may have run before the quarantine.
+        refuse_quarantined(vm, call)
+        return await run_here(vm, call, trace, counter, here, tried)
+
+    return await run_once(vm, call, trace, dispatch)
+
+
+async def attempt_repeatable(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    may_forward: bool,
+    tried: list[str],
+) -> StageOutcome:
+    """Run a call that may be repeated here, or else where it is served."""
+    refuse_quarantined(vm, call)
+    local = local_upstreams(vm, call, tried)
+    here = limits.served_here(vm, call, local)
+    if not here:
+        session = next_vm(vm, call, local, tried) if may_forward else None
+        return await run_elsewhere(vm, call, trace, counter, session, tried)
+    if may_forward and may_spill(vm, call) and limits.must_wait(vm, call, here):
+        outcome = await spill(vm, call, trace, counter.take, tried)
+        if outcome is not None:
+            return outcome
+    return await run_here(vm, call, trace, counter, here, tried)
+
+
+def next_vm(
+    vm: Vm, call: StageCall, local: list[UpstreamState], tried: list[str]
+) -> Session | None:
+    """Return a session with a VM here that serves the call, else elsewhere."""
+    session = peer_here(vm, call, local, tried)
+    if session is None and not call.handed_over:
+        session = choose_peer(vm, call.version, tried)
+    return session
+
+
+async def run_elsewhere(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    session: Session | None,
+    tried: list[str],
+) -> StageOutcome:
+    """Run the call on another VM, if there is one."""
+    if session is None:
+        raise no_upstream(call)
+    tried.append(session.name)
+    vm.journal.record(
+        Event.STAGE_FORWARDED, request=call.request, step=call.step, peer=session.name
+    )
+    avoid = tuple(name for name in tried if name in vm.upstreams.by_name)
+    handed_on = replace(call, avoid=avoid)
+    return await run_on_peer(vm, session, handed_on, trace, counter.take)
+
+
+def no_upstream(call: StageCall) -> CuminstileError:
+    """Return the error for a stage that nothing serves."""
+    return CuminstileError(
+        ErrorCode.NO_UPSTREAM, f"no upstream serves stage {call.stage}"
+    )
+
+
+def local_upstreams(vm: Vm, call: StageCall, tried: list[str]) -> list[UpstreamState]:
+    """Return the upstreams of this data centre that may run the call."""
+    own = vm.settings.data_centre
+    states = (
+        vm.upstreams.state_of(upstream)
+        for upstream in serving(vm, call.version)
+        if upstream.data_centre == own and upstream.name not in tried
+    )
+    return [state for state in states if state.condition is not Condition.AWAY]
+
+
+def peer_here(
+    vm: Vm, call: StageCall, local: list[UpstreamState], tried: list[str]
+) -> Session | None:
+    """Return a session with a VM here that may call one of the upstreams."""
+    names = limits.serving_vms(vm, call, local)
+    sessions = [
+        session
+        for session in vm.sessions.of_data_centre(vm.settings.data_centre)
+        if session.name in names and session.name not in tried
+    ]
+    return vm.random.choice(sessions) if sessions else None
+
+
+async def run_here(
+    vm: Vm,
+    call: StageCall,
+    trace: RunTrace,
+    counter: TokenCounter,
+    candidates: list[UpstreamState],
+    tried: list[str],
+) -> StageOutcome:
+    """Run the call on one of the candidates, as soon as one has a free slot."""
+    attempt = f"{call.request}.{call.step}.{secrets.token_hex(4)}"
+    repeatable = vm.objects.stages[call.stage].repeatable
+    async with limits.slot(vm, call, candidates, attempt) as slot:
+        name = slot.state.name
+        tried.append(name)
+        vm.journal.record(
+            Event.STAGE_STARTED, request=call.request, step=call.step, upstream=name
+        )
+        was_cold = slot.state.condition is Condition.COLD
+        try:
+            answer = await call_upstream(
+                vm.upstream_pool,
+                slot.state.upstream.address,
+                call,
+                attempt,
+                call.deadline_ms - vm.clock.now_ms(),
+                None if repeatable else trace,
+                counter.take,
+                slot.check,
+            )
+        except UpstreamError as error:
+            if error.reason == "lease":
+                # Nothing is wrong with this upstream.
+                tried.remove(name)
+            await limits.note_failed(vm, slot, error, candidates)
+            note_failure(vm, call, slot.state, error)
+            trace.note_failure(error.reason, was_cold)
+            ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
+            raise refusal(error, ran) from error
+        await limits.note_answered(vm, slot, answer)
+    note_success(vm, call, slot.state)
+    trace.note_answer(answer.state)
+    own = vm.settings
+    return StageOutcome(
+        answer.output, call.version, name, own.data_centre, own.name, 1, 0.0
+    )
+
+
+def note_failure(
+    vm: Vm, call: StageCall, chosen: UpstreamState, error: UpstreamError
+) -> None:
+    """Record an attempt that failed."""
+    vm.metrics.stage_attempts_total.inc({"stage": call.stage, "result": error.reason})
+    vm.journal.record(
+        Event.STAGE_FAILED,
+        request=call.request,
+        step=call.step,
+        upstream=chosen.upstream.name,
+        reason=error.reason,
+    )
+    if error.reason == "crossed":
+        vm.metrics.answers_dropped_total.inc({"reason": "crossed"})
+        vm.journal.record(
+            Event.ANSWER_DROPPED, source=chosen.upstream.name, reason="crossed"
+        )
+
+
+def note_success(vm: Vm, call: StageCall, chosen: UpstreamState) -> None:
+    """Record an attempt that gave the stage's output."""
+    vm.metrics.stage_attempts_total.inc({"stage": call.stage, "result": "good"})
+    vm.journal.record(
+        Event.STAGE_ANSWERED,
+        request=call.request,
+        step=call.step,
+        upstream=chosen.upstream.name,
+    )
--- a/tests/upstream/centre.py
+++ b/tests/upstream/centre.py
@@ -9,7 +9,7 @@
 import httpcore
 import websockets
 
-from cuminstile import stages
+from cuminstile import attempts, stages
 from cuminstile.calls import RunTrace, StageCall, drop_tokens
 from cuminstile.clock import Clock, VirtualClock
 from cuminstile.const import HEARTBEAT_LOCAL_INTERVAL_MS
@@ -487,7 +487,7 @@
     async with anyio.create_task_group() as tasks:
         fakes = make_upstreams(clock, upstreams, **fields)
         centre = Centre(clock, tasks, fakes, settings, seed)
-        monkeypatch.setattr(stages, "call_upstream", centre.call_upstream)
+        monkeypatch.setattr(attempts, "call_upstream", centre.call_upstream)
         monkeypatch.setattr(limits, "cancel_call", no_cancel)
         yield centre
         tasks.cancel_scope.cancel()
