Work out the target size from measured slopes

Found while adding up: the list of 320 VMs, read each second, would be 29 KB/s; it is now read the less often the longer it is (58 s at that size, a second today). Its test failed before, as the interval did not depend on the length.

--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -10,6 +10,8 @@
     CONFIG_STREAM,
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
+    VM_LIST_BYTES_PER_S,
+    VM_LIST_ENTRY_BYTES,
     VM_LIST_INTERVAL_MS,
 )
 from ..events import Event
@@ -131,4 +133,10 @@
             vm.members.take_list(await vm.platform.list_vms(), vm.clock.now_ms())
         except PlatformAwayError as error:
             note_platform(vm, error.message)
-        await vm.clock.sleep_ms(VM_LIST_INTERVAL_MS)
+        await vm.clock.sleep_ms(list_interval_ms(len(vm.members.by_name)))
+
+
+def list_interval_ms(vms: int) -> float:
+    """Return how often to read the list of VMs, so that a long one costs little."""
+    interval_ms = vms * VM_LIST_ENTRY_BYTES / VM_LIST_BYTES_PER_S * 1_000.0
+    return max(float(VM_LIST_INTERVAL_MS), interval_ms)
--- a/standins/capacity_memory.py
+++ b/standins/capacity_memory.py
@@ -4,6 +4,11 @@
 import hashlib
 import tracemalloc
 
+import eliot
+
+from cuminstile.clock import Clock
+from cuminstile.const import EVENT_RING_SIZE
+from cuminstile.events import Event, Journal
 from cuminstile.objects.collection import ObjectSet, collect
 from cuminstile.objects.model import (
     AnyObject,
@@ -21,6 +26,9 @@
 
 from .slopes import Point, Slope, fit
 
+# Without a destination the logging library would keep the events itself.
+eliot.add_destinations(lambda message: None)
+
 BYTES_PER_MB = 1024.0 * 1024.0
 STAGES = tuple(f"stage-{number}" for number in range(20))
 
@@ -86,6 +94,25 @@
     return size / BYTES_PER_MB
 
 
+def events_mb(count: int) -> float:
+    """Return the memory of events kept for the time line."""
+    gc.collect()
+    tracemalloc.start()
+    journal = Journal("vm", Clock())
+    for number in range(count):
+        journal.record(
+            Event.STAGE_ANSWERED,
+            request=f"{number:016x}",
+            step="generate",
+            upstream="engine-a-budapest",
+        )
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del journal
+    return size / BYTES_PER_MB
+
+
 def state_of_all(index: ObjectSet) -> UpstreamTable:
     """Return a table with the state of every upstream."""
     table = UpstreamTable()
@@ -107,4 +134,6 @@
         counts = [0, *(int(most * step) for step in steps)]
         points = [Point(float(n), held_mb(make(n), with_state)) for n in counts]
         lines.append(fit(f"memory of {what}", "objects", "MB", points))
+    events = [Point(float(n), events_mb(n)) for n in (0, 5_000, EVENT_RING_SIZE)]
+    lines.append(fit("memory of the time line", "events", "MB", events))
     return lines
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -7,7 +7,11 @@
 from cuminstile.events import Event
 from cuminstile.objects.model import DataCentre
 from cuminstile.platform.config_record import RECORDS, ConfigRecord, make_record
-from cuminstile.platform.follow import follow_configuration, read_configuration
+from cuminstile.platform.follow import (
+    follow_configuration,
+    list_interval_ms,
+    read_configuration,
+)
 from cuminstile.runtime import Vm
 
 from ..fakes.links import BOUND_MS
@@ -90,3 +94,10 @@
         tasks.cancel_scope.cancel()
     assert (vm.configuration.version, vm.configuration.anchored) == (6, True)
     assert Event.CONFIG_GAP in events(vm)
+
+
+def test_a_long_list_of_vms_is_read_less_often() -> None:
+    assert list_interval_ms(0) == list_interval_ms(5) == 1_000.0
+    bytes_per_s = 320 * 90 / (list_interval_ms(320) / 1_000.0)
+    # The list may take an eighth of a VM's 4 KB/s of control.
+    assert bytes_per_s <= 4_000 / 8
