Ask a report about a broken connection only for a version on trial

The report is asked first only where a traffic move brings in the call's version; all others turn cold at once, as before.

--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -349,23 +349,41 @@
 async def note_connection(vm: Vm, item: Slot, error: UpstreamError) -> None:
     """Take a connection that broke or that could not be opened as a restart.
 
-    Where the upstream's report shows the same process, warm, only the call failed:
-    a version that breaks its streams must not turn the others there cold.
+    A version that a move has on trial may break its calls and must not turn the others
+    there cold: for it, the call alone failed where the upstream's report shows the
+    same process, warm. Otherwise no report is asked first, since it lags and may be
+    of the time before the upstream turned cold.
     """
     state = item.state
-    report = None
-    if error.reason == "lost" and error.left:
-        report = await vm.load.fetch(vm, state.upstream)
-    if report is None or not is_same_and_warm(state, report):
-        state.reserved_warm = False
-        if mark_cold(state, vm.clock.now_ms(), shown=True):
-            await note_cold(vm, state, "lost connection")
-    if error.reason == "lost" and error.left:
-        await note_lost(vm, item.call, report, item.incarnation, item.alone)
-
-
-def is_same_and_warm(state: UpstreamState, report: LoadReport) -> bool:
+    was_sent = error.reason == "lost" and error.left
+    may_be_version = was_sent and is_on_trial(vm, item.call)
+    if not may_be_version:
+        await take_as_cold(vm, state)
+    if not was_sent:
+        return
+    report = await vm.load.fetch(vm, state.upstream)
+    if may_be_version and not is_same_and_warm(state, report):
+        await take_as_cold(vm, state)
+    await note_lost(vm, item.call, report, item.incarnation, item.alone)
+
+
+async def take_as_cold(vm: Vm, state: UpstreamState) -> None:
+    """Take an upstream as cold from now on, and tell everyone if it was warm."""
+    state.reserved_warm = False
+    if mark_cold(state, vm.clock.now_ms(), shown=True):
+        await note_cold(vm, state, "lost connection")
+
+
+def is_on_trial(vm: Vm, call: StageCall) -> bool:
+    """Return whether a traffic move brings in the version of a call."""
+    moves = vm.traffic.moves.values()
+    return any(state.move.to_version == call.version for state in moves)
+
+
+def is_same_and_warm(state: UpstreamState, report: LoadReport | None) -> bool:
     """Return whether a report shows the process that was known, and warm."""
+    if report is None:
+        return False
     known = state.incarnation in (0, report.incarnation)
     return known and report.condition is Condition.WARM
 
