--- a/cuminstile/attempts.py
+++ b/cuminstile/attempts.py
@@ -93,21 +93,24 @@
     refuse_quarantined(vm, call)
     local = local_upstreams(vm, call, tried)
     here = limits.served_here(vm, call, local)
-    session = peer_here(vm, call, local, tried) if may_forward and not here else None
-    has_to_wait = session is not None or (
-        bool(here) and limits.must_wait(vm, call, here)
-    )
-    if may_forward and has_to_wait and may_spill(vm, call):
-        # A line here, or at the one VM that calls a cold upstream, may be long while
-        # another data centre has slots free.
-        outcome = await spill(vm, call, trace, counter.take, tried, session)
+    if not here:
+        session = next_vm(vm, call, local, tried) if may_forward else None
+        return await run_elsewhere(vm, call, trace, counter, session, tried)
+    if may_forward and may_spill(vm, call) and limits.must_wait(vm, call, here):
+        outcome = await spill(vm, call, trace, counter.take, tried)
         if outcome is not None:
             return outcome
-    if here:
-        return await run_here(vm, call, trace, counter, here, tried)
-    if session is None and may_forward and not call.handed_over:
+    return await run_here(vm, call, trace, counter, here, tried)
+
+
+def next_vm(
+    vm: Vm, call: StageCall, local: list[UpstreamState], tried: list[str]
+) -> Session | None:
+    """Return a session with a VM here that serves the call, else elsewhere."""
+    session = peer_here(vm, call, local, tried)
+    if session is None and not call.handed_over:
         session = choose_peer(vm, call.version, tried)
-    return await run_elsewhere(vm, call, trace, counter, session, tried)
+    return session
 
 
 async def run_elsewhere(
--- a/cuminstile/spilling.py
+++ b/cuminstile/spilling.py
@@ -58,24 +58,16 @@
 
 
 async def spill(
-    vm: Vm,
-    call: StageCall,
-    trace: RunTrace,
-    on_tokens: TokenSink,
-    tried: list[str],
-    first: Session | None = None,
+    vm: Vm, call: StageCall, trace: RunTrace, on_tokens: TokenSink, tried: list[str]
 ) -> StageOutcome | None:
     """Run a call where a slot is free now; return nothing if none was found.
 
-    `first` is the VM here that serves the call while this one does not; else any
-    VM here may.
-
     Raises
     ------
     CuminstileError
         If a VM took the call and then failed.
     """
-    for session in places(vm, call, tried, first):
+    for session in places(vm, call, tried):
         place = place_of(vm, call, session)
         vm.journal.record(
             Event.STAGE_SPILLED, request=call.request, step=call.step, peer=session.name
@@ -92,14 +84,11 @@
     return None
 
 
-def places(
-    vm: Vm, call: StageCall, tried: list[str], first: Session | None
-) -> list[Session]:
+def places(vm: Vm, call: StageCall, tried: list[str]) -> list[Session]:
     """Return a VM here and one of another data centre that may have a free slot."""
-    here = vm.sessions.of_data_centre(vm.settings.data_centre)
     siblings = [
         session
-        for session in ((first,) if first is not None else here)
+        for session in vm.sessions.of_data_centre(vm.settings.data_centre)
         if session.name not in tried
         and not is_leaving(vm, session)
         and is_open(vm, call, session)
