--- a/tests/test_spilling.py
+++ b/tests/test_spilling.py
@@ -142,3 +142,18 @@
                 await run_stage(vm, call, RunTrace(), drop_tokens, False)
             tasks.cancel_scope.cancel()
     assert caught.value.code is ErrorCode.OVERLOADED
+
+
+@pytest.mark.parametrize("caller", [0, 1])
+async def test_no_call_waits_for_a_cold_upstream_beside_a_free_slot(
+    caller: int,
+) -> None:
+    here = [make_test_vm("vm-a1", "a"), make_test_vm("vm-a2", "a")]
+    far = make_test_vm("vm-b1", "b")
+    async with upstream(work) as near, upstream(work) as there, connected(*here, far):
+        for vm in (*here, far):
+            put_in_force(vm, one_slot_each(a=near.address, b=there.address))
+        warm_up(far)
+        # Nobody has a lease for the cold upstream of data centre a yet.
+        results = await run_many(here[caller], 1)
+    assert results == ["b"]
