--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -14,7 +14,6 @@
 from .fakes.upstreams import send_json, upstream
 from .fakes.vms import connected, make_test_vm, put_in_force
 
-
 # Which calls a move draws depends on its start: a fixed one draws the same ones in
 # every run, and no more than the retry budget allows.
 START_AT_MS = 2
