Build the programs of pools, services and engines in one place

Cause: the three stand-ins of upstreams each had the same command line, the same docstring and the same reading of control values and of the log of runs.

Change: standins/upstream_program.py makes the program; each module keeps what its upstream does.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import random
-from pathlib import Path
 from typing import Any
 
 import fire
@@ -12,10 +11,10 @@
 from starlette.routing import Route
 
 from .calls import Active, Call, RunLog, marks_of, values_under
-from .control import UPSTREAM, read_control
+from .control import UpstreamControl
 from .prefix_cache import PrefixCache
 from .upstream import Upstream, make_upstream, now_ms, wait_ms
-from .upstream_http import serve_upstream
+from .upstream_program import make_program
 
 WORDS = (
     "panel",
@@ -107,32 +106,21 @@
     return random.Random(seed * 1_000_003 + seq).random() < fraction
 
 
-def main(
-    port: int = 0, control: str = "{}", name: str = "engine", runs: str = ""
-) -> None:
-    """Serve an engine until SIGTERM.
-
-    Parameters
-    ----------
-    port : int
-        TCP port; 0 takes a free one, which the line `ready PORT` tells.
-    control : str
-        Control values at the start, as JSON.
-    name : str
-        Name of the engine.
-    runs : str
-        File that keeps the runs over restarts; empty for none.
-    """
-    values = read_control(UPSTREAM, control, slowdown=DEFAULT_SLOWDOWN)
+def serve_engine() -> None:
+    """Serve an engine, with the cache of this process."""
     cache = PrefixCache()
 
     async def perform(upstream: Upstream, active: Active) -> None:
         await generate(upstream, active, cache)
 
-    log = RunLog(Path(runs) if runs else None)
-    upstream = make_upstream(name, values, perform, log)
-    serve_upstream(upstream, port, [cache_route(upstream, cache)])
+    def make_engine(name: str, values: UpstreamControl, log: RunLog) -> Upstream:
+        return make_upstream(name, values, perform, log)
+
+    def more(upstream: Upstream) -> list[Route]:
+        return [cache_route(upstream, cache)]
+
+    fire.Fire(make_program("engine", make_engine, DEFAULT_SLOWDOWN, more))
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    serve_engine()
--- a/standins/pool.py
+++ b/standins/pool.py
@@ -2,14 +2,13 @@
 
 import hashlib
 import json
-from pathlib import Path
 
 import fire
 
 from .calls import Active, RunLog, marks_of
-from .control import UPSTREAM, read_control
+from .control import UpstreamControl
 from .upstream import Upstream, make_upstream, wait_ms
-from .upstream_http import serve_upstream
+from .upstream_program import make_program
 
 DIGEST_DIGITS = 16
 
@@ -27,27 +26,10 @@
     }
 
 
-def main(
-    port: int = 0, control: str = "{}", name: str = "pool", runs: str = ""
-) -> None:
-    """Serve a pool until SIGTERM.
-
-    Parameters
-    ----------
-    port : int
-        TCP port; 0 takes a free one, which the line `ready PORT` tells.
-    control : str
-        Control values at the start, as JSON.
-    name : str
-        Name of the pool.
-    runs : str
-        File that keeps the runs over restarts; empty for none.
-    """
-    values = read_control(UPSTREAM, control)
-    log = RunLog(Path(runs) if runs else None)
-    upstream = make_upstream(name, values, transform, log)
-    serve_upstream(upstream, port)
+def make_pool(name: str, values: UpstreamControl, log: RunLog) -> Upstream:
+    """Return a pool that has just started."""
+    return make_upstream(name, values, transform, log)
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    fire.Fire(make_program("pool", make_pool))
