Order upstreams to load and unload versions, with fencing numbers from the log

Cause: objects named the versions of an upstream, and nothing made the upstream load them; a call for a missing version cost a refusal and a retry each time.

Change: the VM that polls an upstream compares its report with its object. It takes a load out of the weight store's rate, announces the order in the `orders` stream, and sends it under the record's offset. An upstream that checks fencing numbers refuses an older order itself. For one that checks nothing, a VM leaves the upstream alone for 5 s after it read another process's announcement; of two announcements at once the one that stands first goes ahead; no byte of an order leaves more than 3 s after its announcement was begun. Loads that a move needs soonest go first; what no object names is unloaded after 20 s. While the platform is away orders wait. Calls pass over an upstream known to lack their version.

Seen red: without the wait for other announcements, and without the second read of the log, three VMs that all take themselves for the owner order at once; without the check before the bytes, a VM frozen for 3 s after its announcement sends its order.

Ruled out: the platform's time of the records for the wait (a step of its clock would end it too early); a second record that ends an order (one more append, and a VM that dies leaves it open all the same).

Changing an engine's role is not built: no object asks for it.

--- a/cuminstile/attempts.py
+++ b/cuminstile/attempts.py
@@ -16,6 +16,7 @@
 from .upstream import limits
 from .upstream.client import UpstreamError, call_upstream, refusal
 from .upstream.crashes import refuse_quarantined
+from .upstream.loaded import may_serve
 from .upstream.table import Condition, UpstreamState
 from .vm.forwarding import run_on_peer
 from .vm.sessions import Session
@@ -148,7 +149,11 @@
         for upstream in serving(vm, call.version)
         if upstream.data_centre == own and upstream.name not in tried
     )
-    return [state for state in states if state.condition is not Condition.AWAY]
+    return [
+        state
+        for state in states
+        if state.condition is not Condition.AWAY and may_serve(vm, state, call.version)
+    ]
 
 
 def peer_here(
@@ -223,6 +228,8 @@
         upstream=chosen.upstream.name,
         reason=error.reason,
     )
+    if error.reason == "version_missing":
+        chosen.loaded.note_missing(call.version, vm.clock.now_ms())
     if error.reason == "crossed":
         vm.metrics.answers_dropped_total.inc({"reason": "crossed"})
         vm.journal.record(
--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -40,6 +40,7 @@
     on_lease_release,
 )
 from .upstream.load import keep_polling, on_load_digest
+from .upstream.orders import keep_orders
 from .upstream.silence import keep_probing
 from .vm.claim_exchange import on_claim_ask
 from .vm.configuration import on_config_ask, on_config_give
@@ -83,6 +84,7 @@
     record_verdicts,
     keep_polling,
     keep_leases,
+    keep_orders,
     keep_probing,
 )
 
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -64,6 +64,8 @@
     MOVE_TAKEN_BACK = 2403
     MOVE_VERDICT = 2404
     MOVE_VERDICT_REFUSED = 2405
+    ORDER_GIVEN = 2501
+    ORDER_RECORD_REFUSED = 2502
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/metrics.py
+++ b/cuminstile/metrics.py
@@ -19,6 +19,7 @@
     stage_ms: Histogram
     stage_attempts_total: Counter
     answers_dropped_total: Counter
+    orders_total: Counter
     config_version: Gauge
     config_age_ms: Gauge
     platform_away_ms: Gauge
@@ -71,6 +72,11 @@
             "Answers that no call waited for, by reason",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_orders_total",
+            "Orders to upstreams by action and result",
+            registry=registry,
+        ),
         Gauge(
             "cuminstile_config_version",
             "Version of the configuration in force, -1 for none",
--- a/cuminstile/platform/client.py
+++ b/cuminstile/platform/client.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 import anyio
 import cbor2
@@ -140,10 +141,23 @@
         except ValidationError as error:
             raise PlatformAwayError("the platform's VM list is malformed") from error
 
+    async def take_weights(self, name: str) -> int:
+        """Ask the weight store for one load; return how long to wait before, in ms.
+
+        0 means that it is granted.
+
+        Raises
+        ------
+        PlatformAwayError
+            If no answer came.
+        """
+        body = await self.exchange("POST", f"/weights/{quote(name, safe='')}", b"")
+        return offset_of(body, "retry_after_ms") if "granted" not in body else 0
+
     async def exchange(
         self, method: str, path: str, content: bytes, wait_ms: int = 0
     ) -> dict[str, Any]:
-        """Send one request and return the decoded body of 200 or 410."""
+        """Send one request and return the decoded body of 200, 410 or 429."""
         headers = [("authorization", f"Bearer {self.key}")] if self.key else []
         timeout_s = (PLATFORM_TIMEOUT_MS + wait_ms) / 1000.0
         try:
@@ -157,7 +171,7 @@
                 )
         except NO_ANSWER as error:
             raise PlatformAwayError(f"{method} got no answer") from error
-        if response.status not in (200, 410):
+        if response.status not in (200, 410, 429):
             raise PlatformAwayError(f"the platform answered {response.status}")
         try:
             body = cbor2.loads(response.content)
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -24,6 +24,7 @@
 from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
 from .upstream.load import LoadExchange
+from .upstream.orders import Orders
 from .upstream.pools import UpstreamPool
 from .upstream.retries import RetryBudget
 from .upstream.table import UpstreamTable
@@ -92,6 +93,7 @@
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     load: LoadExchange = field(default_factory=LoadExchange)
     leases: Leases = field(default_factory=Leases)
+    orders: Orders = field(default_factory=Orders)
     retries: RetryBudget = field(default_factory=RetryBudget)
     crashes: CrashTable = field(default_factory=CrashTable)
     line: WaitingLines = field(default_factory=WaitingLines)
--- a/cuminstile/upstream/evidence.py
+++ b/cuminstile/upstream/evidence.py
@@ -21,6 +21,10 @@
     ----------
     about_ms : float
         Monotonic time of this VM that the report is about.
+    process : str
+        The incarnation as the upstream names it.
+    versions : frozenset of str
+        What it has loaded; empty if it doesn't tell.
     """
 
     incarnation: int
@@ -28,6 +32,8 @@
     in_flight: int
     capacity: int
     about_ms: float
+    process: str = ""
+    versions: frozenset[str] = frozenset()
 
 
 def mark_cold(state: UpstreamState, about_ms: float, shown: bool) -> bool:
--- a/cuminstile/upstream/load.py
+++ b/cuminstile/upstream/load.py
@@ -150,6 +150,7 @@
         await note_unread(vm, state)
         return
     state.unread_polls = 0
+    state.loaded.take(report.versions, report.process, vm.clock.now_ms())
     if take_report(state, report):
         await announce(vm, (state,))
     vm.leases.count_foreign(state, report)
--- /dev/null
+++ b/cuminstile/upstream/loaded.py
@@ -0,0 +1,63 @@
+"""Know which versions an upstream has loaded."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..runtime import Vm
+    from .table import UpstreamState
+
+LOADED_FOR_MS = 3_000
+MISSING_FOR_MS = 1_000
+
+
+@dataclass
+class Loaded:
+    """Hold the versions that an upstream has loaded, as far as this VM knows.
+
+    Parameters
+    ----------
+    versions : frozenset of str
+        What its newest report names; empty if it doesn't tell.
+    incarnation : str
+        Of the process that reported.
+    at_ms : float
+        When this VM read the report.
+    missing_until_ms : dict of str to float
+        Until when a version counts as missing because a call was refused for it.
+    """
+
+    versions: frozenset[str] = frozenset()
+    incarnation: str = ""
+    at_ms: float = float("-inf")
+    missing_until_ms: dict[str, float] = field(default_factory=dict)
+
+    def is_fresh(self, now_ms: float) -> bool:
+        """Return whether a report that names versions was read lately."""
+        return bool(self.versions) and now_ms < self.at_ms + LOADED_FOR_MS
+
+    def lacks(self, version: str, now_ms: float) -> bool:
+        """Return whether a version is known to be missing."""
+        if self.is_fresh(now_ms):
+            return version not in self.versions
+        return now_ms < self.missing_until_ms.get(version, float("-inf"))
+
+    def take(self, versions: frozenset[str], incarnation: str, now_ms: float) -> None:
+        """Take over a report."""
+        self.versions = versions
+        self.incarnation = incarnation
+        self.at_ms = now_ms
+        self.missing_until_ms.clear()
+
+    def note_missing(self, version: str, now_ms: float) -> None:
+        """Note that a call was refused because the version is not loaded."""
+        self.missing_until_ms[version] = now_ms + MISSING_FOR_MS
+        # A report that names the version is older than the refusal.
+        self.versions = self.versions - {version}
+
+
+def may_serve(vm: Vm, state: UpstreamState, version: str) -> bool:
+    """Return whether an upstream is not known to lack a version."""
+    return not state.loaded.lacks(version, vm.clock.now_ms())
--- a/cuminstile/upstream/reports.py
+++ b/cuminstile/upstream/reports.py
@@ -36,6 +36,7 @@
     capacity: int
     report_age_ms: float
     leaving: bool = False
+    versions: tuple[str, ...] = ()
 
 
 LOAD_BODY: TypeAdapter[LoadBody] = TypeAdapter(LoadBody)
@@ -69,6 +70,8 @@
         max(0, body.in_flight),
         max(0, body.capacity),
         asked_ms - max(0.0, body.report_age_ms),
+        body.incarnation,
+        frozenset(body.versions),
     )
 
 
--- a/cuminstile/upstream/table.py
+++ b/cuminstile/upstream/table.py
@@ -6,6 +6,7 @@
 from itertools import count
 
 from ..objects.model import Upstream
+from .loaded import Loaded
 from .ranking import compact_id
 
 NEVER_MS = float("-inf")
@@ -56,6 +57,8 @@
         Suspected requests that wait for the upstream or have it for themselves.
     reserved_warm : bool
         Whether it is taken as cold only for their sake.
+    loaded : Loaded
+        Which versions it has loaded.
     """
 
     upstream: Upstream
@@ -79,6 +82,7 @@
     unread_polls: int = 0
     suspects: int = 0
     reserved_warm: bool = False
+    loaded: Loaded = field(default_factory=Loaded)
 
     def __post_init__(self) -> None:
         """Start with what the upstream's object allows."""
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -32,6 +32,8 @@
     streams: dict[str, list[Record]] = field(default_factory=dict)
     first: dict[str, int] = field(default_factory=dict)
     listed: tuple[ListedVm, ...] = ()
+    weights: list[str] = field(default_factory=list)
+    weights_wait_ms: int = 0
 
     def end(self, stream: str) -> int:
         """Return the offset that the next record gets."""
@@ -92,6 +94,13 @@
         next_offset = records[-1].offset + 1 if records else offset
         return Records(tuple(records), next_offset, first)
 
+    async def take_weights(self, name: str) -> int:
+        """Grant a load, or tell how long to wait."""
+        if self.away:
+            await self.fail()
+        self.weights.append(name)
+        return self.weights_wait_ms
+
     async def list_vms(self) -> tuple[ListedVm, ...]:
         """Return the scripted list."""
         if self.away:
