Deny no run of a resend on a VM that has no configuration yet

Until it has a configuration it refused resends with no_configuration and not_run, though the page for callers says that no refusal of a resend tells not_run: the request was refused before its body, and so its mark, was read. The same holds for a pipeline that a VM with an older configuration does not know.

Change: such a VM reads the body first, within the usual limits of size and time, and says `unknown` of a marked resend. A key of an unknown organisation is still refused unread: a stranger's body is not taken by a VM that can tell who is one. Ruled out: saying `unknown` always, which would deny a first sending its true word.

Test: tests/caller/test_serving.py, seen red with the old cuminstile/caller/app.py for the marked resend.

--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -19,7 +19,7 @@
 
 from ..const import MAX_BODY_BYTES
 from ..events import Event
-from ..exceptions import HTTP_STATUS, CuminstileError, ErrorCode
+from ..exceptions import HTTP_STATUS, CuminstileError, ErrorCode, Ran
 from ..gauges import sample
 from ..http_body import read_body
 from ..objects.model import Organisation, Pipeline
@@ -114,11 +114,15 @@
 async def admit(vm: Vm, http: HttpRequest) -> Request:
     """Check one HTTP request and return the caller's request."""
     arrived_ms = vm.clock.now_ms()
+    if vm.configuration.current is None:
+        raise await unconfigured(http)
     organisation = authenticate(vm, http.headers.get("authorization", ""))
+    body = parse_run_body(await read_body(http, MAX_BODY_BYTES))
     pipeline = vm.objects.pipelines.get(http.path_params["name"])
     if pipeline is None:
-        raise CuminstileError(ErrorCode.UNKNOWN_PIPELINE, "there is no such pipeline")
-    body = parse_run_body(await read_body(http, MAX_BODY_BYTES))
+        raise CuminstileError(
+            ErrorCode.UNKNOWN_PIPELINE, "there is no such pipeline", ran_before(body)
+        )
     check_key(vm, pipeline, body)
     request = Request(
         name=secrets.token_hex(8),
@@ -140,6 +144,22 @@
     return request
 
 
+async def unconfigured(http: HttpRequest) -> CuminstileError:
+    """Return the refusal of a VM that has no configuration yet.
+
+    The body is read first: a resend's mark decides what may be said of its run.
+    """
+    body = parse_run_body(await read_body(http, MAX_BODY_BYTES))
+    return CuminstileError(
+        ErrorCode.NO_CONFIGURATION, "no configuration is in force yet", ran_before(body)
+    )
+
+
+def ran_before(body: RunBody) -> Ran:
+    """Return what is known of the run of a request that this VM takes no step for."""
+    return Ran.UNKNOWN if body.resend else Ran.NOT_RUN
+
+
 def authenticate(vm: Vm, header: str) -> Organisation:
     """Return the organisation whose key the caller shows.
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -50,6 +50,8 @@
         Empty for none.
     issued_at_ms : int
         When the key was issued, in ms since 1970 UTC.
+    is_resend : bool
+        Whether the key was sent before.
     """
 
     pipeline: str
@@ -59,6 +61,7 @@
     stream: bool = False
     idempotency_key: str = ""
     issued_at_ms: int = 0
+    is_resend: bool = False
     input: Mapping[str, Any] = field(default_factory=dict)
 
 
@@ -126,6 +129,7 @@
     if ask.idempotency_key:
         body["idempotency_key"] = ask.idempotency_key
         body["issued_at_ms"] = ask.issued_at_ms
+        body["resend"] = ask.is_resend
     return json.dumps(body).encode()
 
 
--- a/tests/caller/test_serving.py
+++ b/tests/caller/test_serving.py
@@ -110,3 +110,13 @@
 def test_a_caller_marks_a_resend() -> None:
     assert parse_run_body(b'{"input": 1, "resend": true}').resend
     assert not parse_run_body(b'{"input": 1}').resend
+
+
+@pytest.mark.parametrize("is_resend", [False, True])
+async def test_a_vm_that_cannot_know_denies_no_run_of_a_resend(is_resend: bool) -> None:
+    fresh = make_test_vm("vm-a1", "a")
+    behind = make_one()
+    for vm, path in ((fresh, PATH), (behind, "/v1/pipelines/newer")):
+        body = {"input": "good", "resend": is_resend}
+        reply = await ask(make_app(vm), "POST", path, KEY, body)
+        assert reply.body["error"]["ran"] == ("unknown" if is_resend else "not_run")
