Take an upstream's output that can't be passed on for a malformed answer

Cause: the JSON library reads 1024 levels and writes 254. An output in between was taken, and failed later where it was written again: into the next step's call, to another VM or to the caller, as `internal`. The bodies of callers had the same gap for the last levels: what fits alone does not fit inside an upstream's call (252, 253).

Change: an output, like a caller's body, is checked where it enters with 8 levels around it, more than any message of ours adds. Such an answer is `malformed`: `upstream_failed`, for a booking with `unknown`, and its resend gets the same.

--- a/cuminstile/strict_json.py
+++ b/cuminstile/strict_json.py
@@ -8,6 +8,8 @@
 import orjson
 
 SHOWN_KEY_LENGTH = 64
+# A value is carried inside others: an upstream's call, another step's input, an answer.
+OUTER_LEVELS = 8
 
 
 def loads(data: bytes | str) -> Any:
@@ -30,12 +32,26 @@
             parse_float=finite,
             parse_constant=refuse_constant,
         )
-        orjson.dumps(value)
     except RecursionError as error:
         raise ValueError("the value is nested too deeply") from error
+    check_carried(value)
+    return value
+
+
+def check_carried(value: Any) -> None:
+    """Refuse a decoded value that could not be passed on inside others.
+
+    Raises
+    ------
+    ValueError
+        If it is nested too deeply, or holds what JSON can't.
+    """
+    for _ in range(OUTER_LEVELS):
+        value = [value]
+    try:
+        orjson.dumps(value)
     except orjson.JSONEncodeError as error:
         raise ValueError(f"the value can't be carried: {error}") from error
-    return value
 
 
 def unique_keys(pairs: Iterable[tuple[str, Any]]) -> dict[str, Any]:
--- a/cuminstile/upstream/client.py
+++ b/cuminstile/upstream/client.py
@@ -12,6 +12,7 @@
 from ..calls import RunTrace, StageCall, TokenSink
 from ..const import CONNECT_TIMEOUT_MS, MAX_ANSWER_BYTES
 from ..exceptions import CuminstileError, ErrorCode, Ran
+from ..strict_json import check_carried
 from .pools import UpstreamPool
 
 
@@ -210,6 +211,10 @@
     """Return the typed answer in a checked body."""
     if "output" not in body:
         raise UpstreamError("malformed", True)
+    try:
+        check_carried(body["output"])
+    except ValueError as error:
+        raise UpstreamError("malformed", True) from error
     work_ms = body.get("work_ms", 0.0)
     return UpstreamAnswer(
         str(body.get("incarnation", "")),
