Count claims, and mark resends in the tool and the stand-ins

Metrics, listed on the page for operators: claims by what became of them, the time until they are read back, appends and their bytes, streams followed, and claims whose end is not in the log yet, which is what a shutdown waits for.

--- a/cuminstile/claims.py
+++ b/cuminstile/claims.py
@@ -87,6 +87,7 @@
         trace.maybe_ran = True
         recorded = await outcome_of(vm, part, standing, call.deadline_ms)
         if recorded:
+            vm.metrics.claims_total.inc({"result": "replayed"})
             vm.journal.record(
                 Event.CLAIM_REPLAYED, request=call.request, step=call.step
             )
@@ -127,6 +128,7 @@
     check_health(vm, part, call)
     vm.claims.held[name] = held
     vm.activity.claims += 1
+    began_ms = vm.clock.now_ms()
     part.pending.claims.append(item)
     part.request_append()
     try:
@@ -135,6 +137,7 @@
             until_ms = min(call.deadline_ms, vm.clock.now_ms() + HEALTH_CHECK_MS)
             await wait_until(vm.clock, part.changed, until_ms)
         read_back = part.fold.by_claim[name]
+        vm.metrics.claims_read_back_ms.observe({}, vm.clock.now_ms() - began_ms)
         check_window(part, read_back, call)
     except BaseException:
         give_up(vm, held)
@@ -142,6 +145,7 @@
     if part.fold.standing(item.key) is not read_back:
         give_up(vm, held)
         return None
+    vm.metrics.claims_total.inc({"result": "first"})
     return held
 
 
@@ -172,6 +176,7 @@
 
 def give_up(vm: Vm, held: Held) -> None:
     """Take back a claim that is not dispatched, so that a resend can run."""
+    vm.metrics.claims_total.inc({"result": "given_up"})
     held.finished_ms = vm.clock.now_ms()
     held.finished.set()
     pending = held.part.pending
--- a/cuminstile/cli.py
+++ b/cuminstile/cli.py
@@ -248,6 +248,7 @@
     stream: bool = False,
     idempotency_key: str = "",
     issued_at_ms: int | None = None,
+    resend: bool = False,
     key_file: str = "",
     authority: str = "",
     json: bool = False,
@@ -271,6 +272,8 @@
     issued_at_ms : int
         When the key was issued, in ms since 1970 UTC; by default now. Give the
         same time when you send the same request again.
+    resend : bool
+        Say that the key was sent before, so that no refusal denies its run.
     key_file : str
         File with the caller's key; else CUMINSTILE_CALLER_KEY is used.
     authority : str
@@ -292,6 +295,7 @@
             stream,
             idempotency_key or None,
             issued,
+            resend,
         )
         async for received in sending.send(target, request):
             if json:
--- a/cuminstile/commands/send.py
+++ b/cuminstile/commands/send.py
@@ -35,6 +35,8 @@
         The same when the same request is sent again.
     issued_at_ms : int or None
         When the key was issued, in ms since 1970 UTC.
+    resend : bool
+        Whether the key was sent before.
     """
 
     pipeline: str
@@ -43,6 +45,7 @@
     stream: bool = False
     idempotency_key: str | None = None
     issued_at_ms: int | None = None
+    resend: bool = False
 
     def body(self) -> dict[str, Any]:
         """Return the body of the call."""
@@ -52,6 +55,7 @@
             "stream": self.stream,
             "idempotency_key": self.idempotency_key,
             "issued_at_ms": self.issued_at_ms,
+            "resend": self.resend or None,
         }
         return {name: value for name, value in fields.items() if value is not None}
 
--- a/cuminstile/gauges.py
+++ b/cuminstile/gauges.py
@@ -20,6 +20,8 @@
     for version, line in vm.line.by_version.items():
         vm.metrics.waiting_calls.set({"version": version}, len(line.waiting))
     vm.metrics.requests_in_progress.set({}, vm.activity.requests)
+    vm.metrics.claims_streams.set({}, len(vm.claims.partitions))
+    vm.metrics.claims_unrecorded.set({}, vm.activity.claims)
 
 
 def sample_configuration(vm: Vm) -> None:
--- a/cuminstile/metrics.py
+++ b/cuminstile/metrics.py
@@ -27,6 +27,12 @@
     upstreams: Gauge
     waiting_calls: Gauge
     requests_in_progress: Gauge
+    claims_total: Counter
+    claims_read_back_ms: Histogram
+    claims_appends_total: Counter
+    claims_appended_bytes_total: Counter
+    claims_streams: Gauge
+    claims_unrecorded: Gauge
 
 
 def make_metrics() -> Metrics:
@@ -111,4 +117,35 @@
             "Requests of callers that run now",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_claims_total",
+            "Claims of idempotency keys by what became of them",
+            registry=registry,
+        ),
+        Histogram(
+            "cuminstile_claims_read_back_ms",
+            "Time from a claim to its place in the log",
+            registry=registry,
+            buckets=LATENCY_BUCKETS_MS,
+        ),
+        Counter(
+            "cuminstile_claims_appends_total",
+            "Appends to the streams of claims, repeated ones included",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_claims_appended_bytes_total",
+            "Bytes of those appends",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_claims_streams",
+            "Streams of claims that this VM follows",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_claims_unrecorded",
+            "Claims whose end does not stand in the log yet",
+            registry=registry,
+        ),
     )
--- a/cuminstile/platform/claim_log.py
+++ b/cuminstile/platform/claim_log.py
@@ -283,6 +283,8 @@
     payload = BATCHES.encode(batch)
     backoff_ms = float(RECONNECT_MIN_MS)
     while batch.nonce not in part.fold.seen:
+        vm.metrics.claims_appends_total.inc({})
+        vm.metrics.claims_appended_bytes_total.add({}, len(payload))
         try:
             await vm.platform.append(part.stream, payload)
             break
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -131,9 +131,9 @@
     first, *_, last = fleet.vms
     flags = ("--idempotency_key", BOOKING_KEY, "--issued_at_ms", issued)
     booking = json.dumps({"panels": 40, "mark": "demo-booking"})
-    for vm in (first, last):
-        target = callers(fleet, vm)
-        await tool("send", "panel-booking", "--vm", target, "--input", booking, *flags)
+    for vm, more in ((first, ()), (last, ("--resend",))):
+        sent = ("--vm", callers(fleet, vm), "--input", booking, *flags, *more)
+        await tool("send", "panel-booking", *sent)
     runs = 0
     for name in collect(fleet.objects).upstreams:
         told = await fleet.ask("GET", fleet.upstream_ports[name], "/runs")
--- a/standins/rounds_faults.py
+++ b/standins/rounds_faults.py
@@ -1,8 +1,9 @@
 """Cause faults in a running fleet while bookings are under way, and end them all."""
 
 import random
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -30,37 +31,45 @@
     ----------
     centres : tuple of str
         The data centres, each linked to the other and to the platform.
+    disturbed : set of str
+        The VMs that are killed or frozen at present.
     """
 
     fleet: Fleet
     draws: random.Random
     centres: tuple[str, str]
+    disturbed: set[str] = field(default_factory=set)
 
     async def last(self, longest_ms: float = LONGEST_FAULT_MS) -> None:
         """Let a fault last for a while."""
         await anyio.sleep(self.draws.uniform(50.0, longest_ms) / 1000.0)
 
+    @contextmanager
+    def one_vm(self) -> Iterator[str]:
+        """Choose a VM that nothing is done to at present."""
+        name = self.draws.choice(sorted(set(self.fleet.vms) - self.disturbed))
+        self.disturbed.add(name)
+        try:
+            yield name
+        finally:
+            self.disturbed.discard(name)
+
 
 async def kill(faults: Faults) -> None:
     """End a VM at once and replace it at the same address."""
-    name = faults.draws.choice(list(faults.fleet.vms))
-    program = faults.fleet.programs.by_name[name]
-    if program.frozen or not program.runs():
-        return
-    program.kill()
-    await faults.last(1_000.0)
-    await faults.fleet.restart(name)
+    with faults.one_vm() as name:
+        faults.fleet.programs.by_name[name].kill()
+        await faults.last(1_000.0)
+        await faults.fleet.restart(name)
 
 
 async def freeze(faults: Faults) -> None:
     """Stop a VM in the middle of whatever it does, and let it go on."""
-    name = faults.draws.choice(list(faults.fleet.vms))
-    program = faults.fleet.programs.by_name[name]
-    if program.frozen or not program.runs():
-        return
-    program.freeze()
-    await faults.last()
-    program.resume()
+    with faults.one_vm() as name:
+        program = faults.fleet.programs.by_name[name]
+        program.freeze()
+        await faults.last()
+        program.resume()
 
 
 async def cut_sessions(faults: Faults) -> None:
--- a/standins/scenario_requests.py
+++ b/standins/scenario_requests.py
@@ -35,7 +35,8 @@
         input={"prompt": "How many panels?"},
     )
     if keyed in session.issued:
-        ask = replace(ask, issued_at_ms=session.issued[keyed])
+        issued_at_ms = session.issued[keyed]
+        ask = replace(ask, issued_at_ms=issued_at_ms, is_resend=True)
     elif ask.issued_at_ms:
         session.issued[keyed] = ask.issued_at_ms
     sent = session.sent[name] = Sent()
--- a/standins/scenario_session.py
+++ b/standins/scenario_session.py
@@ -3,7 +3,7 @@
 import json
 import secrets
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
@@ -162,7 +162,7 @@
             if reply.result is Result.ANSWERED:
                 break
             await anyio.sleep(RESEND_PAUSE_MS / 1000.0)
-            reply = await once(ask)
+            reply = await once(replace(ask, is_resend=bool(ask.idempotency_key)))
             session.every.append(reply)
         return reply
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -321,6 +321,7 @@
         options = ("--vm", f"127.0.0.1:9,{address}", "--input", '{"x": null}')
         key = ("--idempotency_key", "17")
         assert await run_async("send", "contract", *options, *key) == 0
+        assert await run_async("send", "contract", *options, *key, "--resend") == 0
         assert "engine1" in capsys.readouterr().out
         assert await run_async("send", "contract", *options, "--stream", "--json") == 0
         lines = capsys.readouterr().out.splitlines()
@@ -329,6 +330,7 @@
     assert received[0]["idempotency_key"] == "17"
     assert received[0]["issued_at_ms"] > 0
     assert received[0]["key"] == "Bearer a-callers-key"
+    assert [body.get("resend", False) for body in received] == [False, True, False]
 
 
 @pytest.mark.usefixtures("keys")
--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -2,6 +2,8 @@
 
 from typing import Any, cast
 
+import anyio
+
 from cuminstile.gauges import sample
 from cuminstile.platform.follow import note_in_force
 from cuminstile.queueing import Ticket, Waiter, WaitingLine
@@ -10,6 +12,7 @@
 from cuminstile.upstream.waiting import leave_to_caller
 from cuminstile.vm.messages import Heartbeat, StageDone
 from cuminstile.vm.sessions import Session, registered
+from tests.fakes.bookings import Cluster
 from tests.fakes.objects import small_set
 from tests.fakes.virtual import make_platform, make_test_vm
 from tests.fakes.vms import put_in_force
@@ -94,3 +97,31 @@
         assert value(vm, "control_sent_bytes_total") == control
     assert value(vm, "sessions", data_centre="a") == 0
     assert value(vm, "control_sent_bytes_total") == control
+
+
+async def test_claims_are_counted_by_what_became_of_them() -> None:
+    async with anyio.create_task_group() as tasks:
+        made = Cluster(tasks)
+        one = (await made.start("a1", "a")).vm
+        other = (await made.start("a2", "a")).vm
+        put_in_force(one, OBJECTS)
+        call = made.call("k")
+        for vm in (one, other):
+            tasks.start_soon(made.send, vm.settings.name, call)
+        await made.clock.advance_ms(10.0)
+        assert value(one, "claims_unrecorded") == 1
+        await made.clock.advance_ms(2_000.0)
+        results = [
+            [
+                vm.metrics.claims_total.values.get({"result": result}, 0)
+                for vm in (one, other)
+            ]
+            for result in ("first", "given_up", "replayed")
+        ]
+        assert sorted(results[0]) == [0, 1]
+        assert results[0] == results[1][::-1] == results[2][::-1]
+        assert value(one, "claims_unrecorded") == 0
+        assert value(one, "claims_streams") >= 1
+        assert value(one, "claims_appends_total") >= 2
+        assert value(one, "claims_appended_bytes_total") >= 100
+        tasks.cancel_scope.cancel()
