Count upstreams tried before among those of which half may be ejected

Cause: the limit of half was worked out over the candidates of an attempt, and a repeated call leaves out the upstreams it has tried. Where every upstream failed, the third attempt saw two candidates, none of them ejected, and ejected one: three of four were out.

Change: all upstreams here that serve the call's version count, whatever the call has tried. The signature of note_failed stays.

The new test watches three VMs over four failing upstreams.

--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -33,7 +33,7 @@
 )
 from .leases import holds, usable
 from .load import PAUSE_LIMIT_MS, announce
-from .peers import is_owner, owner_of, working_here
+from .peers import is_owner, owner_of, upstreams_here, working_here
 from .shares import share
 from .table import Condition, UpstreamState
 from .waiting import is_line, wait_for_slot
@@ -324,10 +324,28 @@
     return state.condition is Condition.COLD and state.ramp >= state.capacity
 
 
+def with_tried(
+    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]
+) -> list[UpstreamState]:
+    """Return the candidates and those that the call has tried before."""
+    every = {state.name: state for state in candidates}
+    for upstream in upstreams_here(vm):
+        state = vm.upstreams.state_of(upstream)
+        if call.version in upstream.versions and state.condition is not Condition.AWAY:
+            every[state.name] = state
+    return list(every.values())
+
+
 async def note_failed(
-    vm: Vm, item: Slot, error: UpstreamError, siblings: Sequence[UpstreamState]
+    vm: Vm, item: Slot, error: UpstreamError, candidates: Sequence[UpstreamState]
 ) -> None:
-    """Take the evidence of a call that gave no good answer."""
+    """Take the evidence of a call that gave no good answer.
+
+    Parameters
+    ----------
+    candidates : sequence of UpstreamState
+        The upstreams that the call could go to; not those that it tried before.
+    """
     state = item.state
     now_ms = vm.clock.now_ms()
     item.settled = error.reason in SETTLED
@@ -338,6 +356,7 @@
         if take_refusal(state, error.reason, error.incarnation, now_ms):
             await note_cold(vm, state, "refusal")
         return
+    siblings = with_tried(vm, item.call, candidates)
     if note_call_failed(state, siblings, now_ms, vm.random.random()):
         vm.journal.record(
             Event.UPSTREAM_EJECTED, upstream=state.name, failures=state.failures
--- a/tests/upstream/test_ejection.py
+++ b/tests/upstream/test_ejection.py
@@ -1,5 +1,7 @@
 """Test cuminstile.upstream.ejection: bad upstreams leave, never all at once."""
 
+import pytest
+
 from cuminstile.objects.model import Upstream
 from cuminstile.upstream.ejection import (
     EJECTION_MAX_MS,
@@ -76,3 +78,20 @@
         before = len(bad.history)
         await load_for(centre, 2_000.0, results)
         assert (len(bad.history) - before) / 2 > 30
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_retried_calls_never_eject_more_than_half(monkeypatch, seed):
+    async with running_centre(monkeypatch, 4, seed, warm=True) as centre:
+        await start_three(centre)
+        await centre.clock.advance_ms(3_000.0)
+        for fake in centre.upstreams.values():
+            fake.failing = 1.0
+        most = 0
+        for _ in range(200):
+            await load_for(centre, 10.0, [])
+            for vm in centre.vms.values():
+                states = vm.upstreams.by_name.values()
+                now_ms = centre.clock.now_ms()
+                most = max(most, sum(is_ejected(state, now_ms) for state in states))
+        assert most == 2
--- /dev/null
+++ b/trials/policy_ejection.py
@@ -0,0 +1,152 @@
+"""Compare ejection of bad upstreams with no ejection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from cuminstile.upstream import limits
+from cuminstile.upstream.ejection import is_ejected, note_call_failed
+from cuminstile.upstream.table import UpstreamState
+
+from .policy_tables import Study, figure
+from .policy_trial import (
+    Load,
+    PolicyTrial,
+    good_fraction,
+    policy_trial,
+    start_vms,
+    starts_between,
+)
+
+BEFORE_MS = 2_000.0
+FAULT_MS = 6_000.0
+AFTER_MS = 14_000.0
+REST_MS = 5_000.0
+QUIET_MS = 500.0
+BACK_MS = 1_000.0
+BACK_FRACTION = 0.5
+NEVER_S = float("inf")
+NoteFailed = Callable[[UpstreamState, Sequence[UpstreamState], float, float], bool]
+
+
+def never_eject(
+    state: UpstreamState,
+    siblings: Sequence[UpstreamState],
+    now_ms: float,
+    jitter: float,
+) -> bool:
+    """Leave every upstream in use: the baseline."""
+    return False
+
+
+@dataclass(frozen=True)
+class EjectionCase:
+    """Describe how many of the four upstreams are bad, and how.
+
+    Parameters
+    ----------
+    slower : float
+        Factor on the work time of the bad ones.
+    """
+
+    bad: int
+    failing: float = 1.0
+    slower: float = 1.0
+
+
+@dataclass(frozen=True)
+class EjectionResult:
+    """Hold the figures of one trial of ejection."""
+
+    answered: float = figure("answered in the fault", 3)
+    after: float = figure("answered in the 14 s after it", 3)
+    share: float = figure("calls at the bad ones, of their even share")
+    quiet_s: float = figure("s until a bad one gets no call for 0.5 s", 1)
+    back_s: float = figure("s after the fault until it gets half its share", 1)
+    most_ejected: float = figure("most ejected at once, of 4", 0)
+
+
+@dataclass
+class EjectedWatch:
+    """Note the most upstreams that any VM had ejected at once."""
+
+    trial: PolicyTrial
+    most: int = 0
+    bad: list[str] = field(default_factory=list)
+
+    def look(self) -> None:
+        """Look at every VM once."""
+        now_ms = self.trial.now_ms
+        for vm in self.trial.centre.vms.values():
+            states = vm.upstreams.by_name.values()
+            ejected = sum(is_ejected(state, now_ms) for state in states)
+            self.most = max(self.most, ejected)
+
+
+async def run(case: EjectionCase, note: NoteFailed, seed: int) -> EjectionResult:
+    """Run one trial."""
+    async with policy_trial(Load(), seed) as trial:
+        trial.patch.setattr(limits, "note_call_failed", note)
+        await start_vms(trial)
+        watch = EjectedWatch(trial)
+        await trial.offer(BEFORE_MS)
+        start_ms = trial.now_ms
+        bad = trial.upstreams[: case.bad]
+        for fake in bad:
+            fake.failing = case.failing
+            fake.base_ms *= case.slower
+        await trial.offer(FAULT_MS, watch.look)
+        end_ms = trial.now_ms
+        for fake, base_ms in zip(trial.upstreams, trial.load.base_ms, strict=True):
+            fake.failing = 0.0
+            fake.base_ms = base_ms
+        await trial.offer(AFTER_MS, watch.look)
+        last_ms = trial.now_ms
+        await trial.centre.clock.advance_ms(REST_MS)
+    even = trial.load.calls_per_s / len(trial.upstreams)
+    at_bad = starts_between(bad, start_ms, end_ms) / len(bad)
+    first = bad[0].starts
+    return EjectionResult(
+        good_fraction(trial.between(start_ms, end_ms)),
+        good_fraction(trial.between(end_ms, last_ms)),
+        at_bad / (even * FAULT_MS / 1_000.0),
+        first_gap_s(first, start_ms, end_ms),
+        first_busy_s(first, end_ms, last_ms, even * BACK_FRACTION),
+        float(watch.most),
+    )
+
+
+def first_gap_s(starts: list[float], start_ms: float, end_ms: float) -> float:
+    """Return after how many seconds an upstream first got no call for a while."""
+    inside = [at_ms for at_ms in starts if start_ms <= at_ms < end_ms]
+    moments = [start_ms, *inside, end_ms]
+    for before_ms, after_ms in zip(moments, moments[1:], strict=False):
+        if after_ms - before_ms >= QUIET_MS:
+            return (before_ms - start_ms) / 1_000.0
+    return NEVER_S
+
+
+def first_busy_s(
+    starts: list[float], start_ms: float, end_ms: float, calls_per_s: float
+) -> float:
+    """Return when the first second with so many calls begins, from `start_ms` on."""
+    inside = [at_ms for at_ms in starts if start_ms <= at_ms < end_ms]
+    wanted = int(calls_per_s * BACK_MS / 1_000.0)
+    for at_ms, later_ms in zip(inside, inside[wanted:], strict=False):
+        if later_ms - at_ms <= BACK_MS:
+            return (at_ms - start_ms) / 1_000.0
+    return NEVER_S
+
+
+STUDY = Study(
+    {
+        "1 of 4 fails all": EjectionCase(1),
+        "1 of 4 fails all within 5 ms": EjectionCase(1, slower=0.05),
+        "1 of 4 fails half": EjectionCase(1, failing=0.5),
+        "2 of 4 fail all": EjectionCase(2),
+        "4 of 4 fail all": EjectionCase(4),
+    },
+    {"ejection": note_call_failed, "no ejection": never_eject},
+    run,
+)
--- /dev/null
+++ b/trials/policy_quarantine.py
@@ -0,0 +1,147 @@
+"""Compare the quarantine of requests that crash upstreams with none."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cuminstile.calls import StageCall
+from cuminstile.runtime import Vm
+from cuminstile.upstream import limits
+from cuminstile.upstream.crashes import Suspicion, note_lost, suspicion_of
+from cuminstile.upstream.evidence import LoadReport
+
+from .policy_tables import Study, figure
+from .policy_trial import (
+    Load,
+    PolicyTrial,
+    Served,
+    good_fraction,
+    policy_trial,
+    quantile,
+    start_vms,
+)
+
+POISON = "poison"
+BEFORE_MS = 2_000.0
+REST_MS = 6_000.0
+
+
+@dataclass(frozen=True)
+class PoisonCase:
+    """Describe the requests that crash their upstreams.
+
+    Parameters
+    ----------
+    bodies : int
+        How many different ones there are.
+    sendings : int
+        How often each is sent.
+    every_ms : float
+        Time between sendings; 0 for all at once.
+    """
+
+    bodies: int
+    sendings: int
+    every_ms: float
+
+
+@dataclass(frozen=True)
+class PoisonResult:
+    """Hold the figures of one trial of poisoned requests."""
+
+    crashed: float = figure("upstreams crashed for each poison body", 1)
+    answered: float = figure("innocents answered", 3)
+    p95_ms: float = figure("innocents' p95, ms", 0)
+    held: float = figure("innocents suspected", 1)
+    held_ms: float = figure("their mean time, ms", 0)
+    longest_ms: float = figure("their longest, ms", 0)
+    held_lost: float = figure("of them not answered", 1)
+
+
+@dataclass
+class Suspects:
+    """Note the innocent requests that came under suspicion.
+
+    Parameters
+    ----------
+    quarantines : bool
+        Whether lost calls are judged at all.
+    """
+
+    quarantines: bool
+    names: set[str] = field(default_factory=set)
+
+    async def note_lost(
+        self,
+        vm: Vm,
+        call: StageCall,
+        report: LoadReport | None,
+        incarnation: int,
+        alone: bool,
+    ) -> None:
+        """Judge a lost call, unless there is no quarantine."""
+        if not self.quarantines:
+            return
+        await note_lost(vm, call, report, incarnation, alone)
+        suspected = suspicion_of(vm, call) is not Suspicion.NONE
+        if suspected and POISON not in call.input:
+            self.names.add(call.request)
+
+
+async def run(case: PoisonCase, quarantines: bool, seed: int) -> PoisonResult:
+    """Run one trial."""
+    suspects = Suspects(quarantines)
+    async with policy_trial(Load(), seed) as trial:
+        trial.patch.setattr(limits, "note_lost", suspects.note_lost)
+        await start_vms(trial)
+        await trial.offer(BEFORE_MS)
+        for fake in trial.upstreams:
+            fake.crash_on = POISON
+        start_ms = trial.now_ms
+        for number in range(case.sendings):
+            send_poison(trial, case, number)
+            if case.every_ms:
+                await trial.offer(case.every_ms)
+        await trial.offer(REST_MS)
+        last_ms = trial.now_ms
+        await trial.centre.clock.advance_ms(REST_MS)
+    crashes = sum(fake.crashes for fake in trial.upstreams)
+    innocents = [
+        item for item in trial.between(start_ms, last_ms) if POISON not in item.request
+    ]
+    held = [item for item in innocents if item.request in suspects.names]
+    return result_of(crashes / case.bodies, innocents, held)
+
+
+def send_poison(trial: PolicyTrial, case: PoisonCase, number: int) -> None:
+    """Send each poisoned body once."""
+    for body in range(case.bodies):
+        name = f"{POISON}-{body}"
+        trial.send(trial.centre.call(f"{name}-{number}", input=name))
+
+
+def result_of(
+    crashed: float, innocents: list[Served], held: list[Served]
+) -> PoisonResult:
+    """Return the figures from the requests that crash nothing."""
+    times = [item.elapsed_ms for item in held]
+    return PoisonResult(
+        crashed,
+        good_fraction(innocents),
+        quantile((item.elapsed_ms for item in innocents), 0.95),
+        float(len(held)),
+        sum(times) / len(times) if times else 0.0,
+        max(times, default=0.0),
+        float(sum(not item.is_good for item in held)),
+    )
+
+
+STUDY = Study(
+    {
+        "1 body, 12 times, 0.7 s apart": PoisonCase(1, 12, 700.0),
+        "1 body, 12 times at once": PoisonCase(1, 12, 0.0),
+        "3 bodies, 6 times, 1 s apart": PoisonCase(3, 6, 1_000.0),
+    },
+    {"quarantine": True, "no quarantine": False},
+    run,
+)
