Compare policies with their baselines over seeds

Change: script/measure-policies runs the real VMs' code of three VMs over the fake upstreams of the tests, on the virtual clock, under a seeded load, and prints a table in Markdown and JSON: retries, ejection, quarantine, ramp, choice. A policy is put in place of ours as a closure. The fakes fall over when cold and overloaded, as the stand-ins do, and may slow down with their load.

Ruled out: real processes, since limits and retries turn on milliseconds that a busy machine moves; they are measured whole by script/measure. A model of its own for the upstreams: the tests' one is used.

tests/trials holds the studies' own checks.

--- /dev/null
+++ b/tests/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Test the trials of policies."""
--- a/trials/measure_policies.py
+++ b/trials/measure_policies.py
@@ -7,13 +7,21 @@
 
 import fire
 
-from . import policy_ejection, policy_quarantine, policy_retries
+from . import (
+    policy_choice,
+    policy_ejection,
+    policy_quarantine,
+    policy_ramp,
+    policy_retries,
+)
 from .policy_tables import Study, as_json, measure
 
 STUDIES: dict[str, Study[Any, Any]] = {
     "retries": policy_retries.STUDY,
     "ejection": policy_ejection.STUDY,
     "quarantine": policy_quarantine.STUDY,
+    "ramp": policy_ramp.STUDY,
+    "choice": policy_choice.STUDY,
 }
 
 
--- a/trials/policy_ejection.py
+++ b/trials/policy_ejection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from cuminstile.upstream import limits
 from cuminstile.upstream.ejection import is_ejected, note_call_failed
@@ -53,6 +53,7 @@
     bad: int
     failing: float = 1.0
     slower: float = 1.0
+    calls_per_s: float = 80.0
 
 
 @dataclass(frozen=True)
@@ -73,7 +74,6 @@
 
     trial: PolicyTrial
     most: int = 0
-    bad: list[str] = field(default_factory=list)
 
     def look(self) -> None:
         """Look at every VM once."""
@@ -86,7 +86,7 @@
 
 async def run(case: EjectionCase, note: NoteFailed, seed: int) -> EjectionResult:
     """Run one trial."""
-    async with policy_trial(Load(), seed) as trial:
+    async with policy_trial(Load(calls_per_s=case.calls_per_s), seed) as trial:
         trial.patch.setattr(limits, "note_call_failed", note)
         await start_vms(trial)
         watch = EjectedWatch(trial)
@@ -146,6 +146,7 @@
         "1 of 4 fails half": EjectionCase(1, failing=0.5),
         "2 of 4 fail all": EjectionCase(2),
         "4 of 4 fail all": EjectionCase(4),
+        "4 of 4 fail 30 %, 85 % of full load": EjectionCase(4, 0.3, calls_per_s=130.0),
     },
     {"ejection": note_call_failed, "no ejection": never_eject},
     run,
--- a/trials/policy_quarantine.py
+++ b/trials/policy_quarantine.py
@@ -24,6 +24,7 @@
 POISON = "poison"
 BEFORE_MS = 2_000.0
 REST_MS = 6_000.0
+RUNNING_MS = 500.0
 
 
 @dataclass(frozen=True)
@@ -97,7 +98,8 @@
         await trial.offer(BEFORE_MS)
         for fake in trial.upstreams:
             fake.crash_on = POISON
-        start_ms = trial.now_ms
+        # What runs already when the poison comes may be hit as well.
+        start_ms = trial.now_ms - RUNNING_MS
         for number in range(case.sendings):
             send_poison(trial, case, number)
             if case.every_ms:
--- a/trials/policy_trial.py
+++ b/trials/policy_trial.py
@@ -5,13 +5,13 @@
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import pytest
 
 from cuminstile.calls import StageCall
 from cuminstile.settings import LimitSettings
-from cuminstile.upstream.client import UpstreamAnswer
+from cuminstile.upstream.client import UpstreamAnswer, UpstreamError
 from tests.upstream.centre import Centre, FakeUpstream, running_centre
 
 VMS = ("vm-a", "vm-b", "vm-c")
@@ -45,7 +45,7 @@
 
 @dataclass
 class TrialUpstream(FakeUpstream):
-    """Be a fake upstream that slows down with its load and notes its calls.
+    """Be a fake upstream that falls over when cold, slows down and notes its calls.
 
     Parameters
     ----------
@@ -55,19 +55,35 @@
         By which fraction each other call in flight makes a call longer.
     starts : list of float
         When each call began.
+    fallen : set of str
+        Calls that fail since they were too many for a cold upstream.
     """
 
     base_ms: float = 100.0
     slowdown: float = 0.0
     starts: list[float] = field(default_factory=list)
+    fallen: set[str] = field(default_factory=set)
 
     async def run(self, attempt: str, value: object) -> UpstreamAnswer:
-        """Run one call."""
+        """Run one call; one too many makes a cold upstream fail all and begin anew."""
         if self.alive:
             self.starts.append(self.clock.now_ms())
-        self.work_ms = self.base_ms * (1.0 + self.slowdown * len(self.running))
+        others = len(self.running)
+        if not self.warm and others >= self.upstream.cold_capacity:
+            self.fallen.update(self.running, (attempt,))
+            self.runs = 0
+        self.work_ms = self.base_ms * (1.0 + self.slowdown * others)
         return await super().run(attempt, value)
 
+    def finish(self, attempt: str) -> UpstreamAnswer:
+        """End one run and return its answer."""
+        if attempt not in self.fallen:
+            return super().finish(attempt)
+        self.fallen.remove(attempt)
+        self.running.pop(attempt, None)
+        self.note()
+        raise UpstreamError("failed", True)
+
 
 @dataclass(frozen=True)
 class Load:
@@ -88,6 +104,7 @@
     report_lag_ms: float = 200.0
     is_warm: bool = True
     warm_after: int = 8
+    cold_capacity: int = 1
     settings: LimitSettings = field(default_factory=LimitSettings)
 
 
@@ -175,8 +192,14 @@
 async def policy_trial(load: Load, seed: int) -> AsyncIterator[PolicyTrial]:
     """Run three VMs over fake upstreams until the block ends."""
     with pytest.MonkeyPatch.context() as patch:
-        fields = {"capacity": load.capacity, "settings": load.settings}
-        async with running_centre(patch, len(load.base_ms), seed, **fields) as centre:
+        async with running_centre(
+            patch,
+            len(load.base_ms),
+            seed,
+            settings=load.settings,
+            capacity=load.capacity,
+            cold_capacity=load.cold_capacity,
+        ) as centre:
             for number, name in enumerate(sorted(centre.upstreams)):
                 centre.upstreams[name] = make_fake(centre, name, load, number, seed)
             draws = random.Random(f"load-{seed}")
@@ -188,7 +211,7 @@
 ) -> TrialUpstream:
     """Return one upstream of a trial."""
     fake = TrialUpstream(
-        replace(centre.upstreams[name].upstream, capacity=load.capacity),
+        centre.upstreams[name].upstream,
         centre.clock,
         warm_after=load.warm_after,
         warm=load.is_warm,
@@ -201,8 +224,8 @@
     return fake
 
 
-async def start_vms(trial: PolicyTrial) -> None:
+async def start_vms(trial: PolicyTrial, rest_ms: float = START_MS) -> None:
     """Start the VMs and let them find out what bears how much."""
     for name in VMS:
         await trial.centre.start(name)
-    await trial.centre.clock.advance_ms(START_MS)
+    await trial.centre.clock.advance_ms(rest_ms)
