Give the measured firms the model runners that they have

Cause: `script/measure` put one model runner into each data centre. It crashes one of them at 30 % of the run, which leaves it cold for about 6 s (4 runs of 1.3 s, one at a time), and takes the other data centre out at 50 %: the one runner left bore 0.75 calls a second of about 12. The firms have two or three runners in a data centre.

Ruled out: more calls in flight at a cold runner, since it bears one; taking the data centre out later, which would only hide that nothing was left.

Conclusion: the measure now tells routing from lack of capacity.

--- a/standins/measure_firms.py
+++ b/standins/measure_firms.py
@@ -5,12 +5,13 @@
 from typing import Any
 
 from cuminstile.objects.collection import collect
-from cuminstile.objects.model import AnyObject, Upstream
+from cuminstile.objects.model import AnyObject, Role, Upstream
 
 from .arrangement import Arrangement, load_objects, plan_vms, within
 from .fleet import ROOT
 from .load import Burst, Kind, Load
 
+RUNNERS_PER_DATA_CENTRE = 2
 COLD_START = {"warm_after_runs": 4, "report_lag_ms": 500}
 CONTROLS: Mapping[str, Mapping[str, Any]] = {
     "engine": {**COLD_START, "work_ms": 60, "token_ms": 8, "slowdown": 0.05},
@@ -48,7 +49,7 @@
         """Return its arrangement with one policy of choice."""
         objects = load_objects(ROOT / "examples" / self.name)
         return Arrangement(
-            objects=everywhere(within(objects, set(self.vms))),
+            objects=with_runners(everywhere(within(objects, set(self.vms)))),
             vms=plan_vms(self.vms),
             controls=CONTROLS,
             settings={"shutdown_linger_ms": 200, "limits": {"choice": choice}},
@@ -68,6 +69,22 @@
         )
 
 
+def with_runners(objects: Sequence[AnyObject]) -> tuple[AnyObject, ...]:
+    """Return the objects with as many model runners in each data centre as it has.
+
+    Both firms have two or three there. With one, a crash and a data centre that is
+    out leave nothing that any way of routing could use.
+    """
+    index = collect(objects)
+    more = [
+        replace(item, name=f"{item.name}-{number}")
+        for item in index.upstreams.values()
+        if index.stages[index.versions[item.versions[0]].stage].role is Role.ENGINE
+        for number in range(2, RUNNERS_PER_DATA_CENTRE + 1)
+    ]
+    return (*objects, *more)
+
+
 def everywhere(objects: Sequence[AnyObject]) -> tuple[AnyObject, ...]:
     """Return the objects with every version served in each data centre.
 
