Let a call that waits look elsewhere again

Cause: a call looked for a free slot elsewhere once, before it waited, and then waited until its deadline, although another data centre came back or got a slot free.

--- a/cuminstile/queueing.py
+++ b/cuminstile/queueing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
@@ -31,12 +32,19 @@
         Latest monotonic time at which the call can start and still be in time.
     work_ms : float
         How long the call is expected to hold its slot.
+    patient_until_ms : float
+        Monotonic time at which the call leaves the line to look elsewhere.
     """
 
     organisation: str
     weight: int
     start_by_ms: float
     work_ms: float
+    patient_until_ms: float = math.inf
+
+
+class StillWaiting(Exception):
+    """Tell that a call found no slot for as long as it is patient."""
 
 
 @dataclass(eq=False)
@@ -48,7 +56,7 @@
     try_take: Callable[[], Slot | None]
     done: anyio.Event = field(default_factory=anyio.Event)
     slot: Slot | None = None
-    refusal: CuminstileError | None = None
+    refusal: CuminstileError | StillWaiting | None = None
 
 
 @dataclass
@@ -151,6 +159,8 @@
         CuminstileError
             With `OVERLOADED` if too many wait, with `DEADLINE_PASSED` once the call
             cannot be in time any more; the call was not run.
+        StillWaiting
+            At the end of the call's patience.
         """
         waiter = Waiter(ticket, next(self.sequence), try_take)
         self.enter(waiter)
@@ -220,7 +230,9 @@
         waiter.slot = slot
         waiter.done.set()
 
-    def refuse(self, waiter: Waiter[Slot], error: CuminstileError) -> None:
+    def refuse(
+        self, waiter: Waiter[Slot], error: CuminstileError | StillWaiting
+    ) -> None:
         """End the wait of a call without a slot."""
         self.leave(waiter)
         waiter.refusal = error
@@ -250,10 +262,13 @@
             tasks.cancel_scope.cancel()
 
     async def expire(self, waiter: Waiter[Slot]) -> None:
-        """Refuse a call at the moment when it is too late for a slot."""
-        await self.clock.sleep_ms(waiter.ticket.start_by_ms - self.clock.now_ms())
+        """End a call's wait when it is too late for a slot or patient no more."""
+        ticket = waiter.ticket
+        is_patient = ticket.start_by_ms <= ticket.patient_until_ms
+        until_ms = min(ticket.start_by_ms, ticket.patient_until_ms)
+        await self.clock.sleep_ms(until_ms - self.clock.now_ms())
         if not waiter.done.is_set():
-            self.refuse(waiter, late())
+            self.refuse(waiter, late() if is_patient else StillWaiting())
 
 
 def late() -> CuminstileError:
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -171,7 +172,11 @@
 
 @asynccontextmanager
 async def slot(
-    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState], attempt: str
+    vm: Vm,
+    call: StageCall,
+    candidates: Sequence[UpstreamState],
+    attempt: str,
+    patience_ms: float = math.inf,
 ) -> AsyncIterator[Slot]:
     """Wait for a slot at one of the candidates and hold it.
 
@@ -181,6 +186,8 @@
     ------
     CuminstileError
         With `OVERLOADED` or `DEADLINE_PASSED`; nothing has run then.
+    StillWaiting
+        After `patience_ms` in line; nothing has run then.
     """
     taken: list[Slot] = []
     waited: Slot | Moved
@@ -206,7 +213,7 @@
             yield taken_or_moved(waited)
         else:
             refuse_to_wait(vm, call, candidates)
-            waited = await wait_for_slot(vm, call, candidates, try_take)
+            waited = await wait_for_slot(vm, call, candidates, try_take, patience_ms)
             yield taken_or_moved(waited)
     finally:
         for item in taken:
--- a/cuminstile/upstream/waiting.py
+++ b/cuminstile/upstream/waiting.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from ..calls import StageCall
@@ -40,6 +41,7 @@
     call: StageCall,
     candidates: Sequence[UpstreamState],
     try_take: Callable[[], T | None],
+    patience_ms: float = math.inf,
 ) -> T:
     """Return what `try_take` gives, waiting in line while it gives nothing.
 
@@ -47,12 +49,17 @@
     ------
     CuminstileError
         With `OVERLOADED` or `DEADLINE_PASSED`; nothing has run.
+    StillWaiting
+        After `patience_ms`; nothing has run.
     """
     line = vm.line.by_version.get(call.version)
     if line is None:
         line = WaitingLine(vm.clock, vm.settings.limits.queue_length, leave_to_caller)
         vm.line.by_version[call.version] = line
-    slot: T = await line.acquire(ticket_of(vm, call, candidates), try_take)
+    ticket = ticket_of(vm, call, candidates)
+    patient_until_ms = vm.clock.now_ms() + patience_ms
+    ticket = replace(ticket, patient_until_ms=patient_until_ms)
+    slot: T = await line.acquire(ticket, try_take)
     return slot
 
 
