--- a/cuminstile/queueing.py
+++ b/cuminstile/queueing.py
@@ -11,6 +11,7 @@
 
 from .clock import Clock
 from .exceptions import CuminstileError, ErrorCode
+from .settings import OrderName
 
 Slot = TypeVar("Slot")
 
@@ -115,6 +116,13 @@
     return (float(sequence),)
 
 
+ORDERS: dict[OrderName, Order] = {
+    OrderName.FAIR_THEN_EARLIEST: fair_then_earliest,
+    OrderName.EARLIEST_FIRST: earliest_first,
+    OrderName.FIRST_COME: first_come,
+}
+
+
 @dataclass
 class WaitingLine(Generic[Slot]):
     """Hold the calls that wait for slots of one group of upstreams.
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -24,6 +24,14 @@
     ROUND_ROBIN = "round_robin"
 
 
+class OrderName(StrEnum):
+    """Name the orders in which waiting calls are served; see `queueing.py`."""
+
+    FAIR_THEN_EARLIEST = "fair_then_earliest"
+    EARLIEST_FIRST = "earliest_first"
+    FIRST_COME = "first_come"
+
+
 Port = Annotated[int, Field(ge=0, le=65_535)]
 Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:\d{1,5}$")]
 Key = Annotated[str, Field(min_length=16, max_length=256, pattern=r"^[!-~]+$")]
@@ -54,10 +62,17 @@
 @with_config(STRICT)
 @dataclass(frozen=True)
 class LimitSettings:
-    """Hold the policy of limits, choice and retries; the defaults are the advice."""
+    """Hold the policy of limits, choice and retries; the defaults are the advice.
+
+    Parameters
+    ----------
+    order : OrderName
+        The order in which calls that wait for an upstream are served.
+    """
 
     spill: bool = True
     choice: ChoiceName = ChoiceName.LEAST_LOADED
+    order: OrderName = OrderName.FAIR_THEN_EARLIEST
     retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
 
--- a/cuminstile/upstream/waiting.py
+++ b/cuminstile/upstream/waiting.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from ..calls import StageCall
-from ..queueing import Ticket, WaitingLine
+from ..queueing import ORDERS, Ticket, WaitingLine
 from .table import UpstreamState
 
 if TYPE_CHECKING:
@@ -50,7 +50,9 @@
     """
     line = vm.line.by_version.get(call.version)
     if line is None:
-        line = WaitingLine(vm.clock, vm.settings.limits.queue_length, leave_to_caller)
+        limits = vm.settings.limits
+        order = ORDERS[limits.order]
+        line = WaitingLine(vm.clock, limits.queue_length, leave_to_caller, order)
         vm.line.by_version[call.version] = line
     slot: T = await line.acquire(ticket_of(vm, call, candidates), try_take)
     return slot
