--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -26,6 +26,14 @@
     PREFIX_AFFINITY = "prefix_affinity"
 
 
+class OrderName(StrEnum):
+    """Name the orders in which waiting calls are served; see `queueing.py`."""
+
+    FAIR_THEN_EARLIEST = "fair_then_earliest"
+    EARLIEST_FIRST = "earliest_first"
+    FIRST_COME = "first_come"
+
+
 Port = Annotated[int, Field(ge=0, le=65_535)]
 Address = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:\d{1,5}$")]
 Key = Annotated[str, Field(min_length=16, max_length=256, pattern=r"^[!-~]+$")]
@@ -62,11 +70,14 @@
     ----------
     choice, engine_choice : ChoiceName
         How an upstream is chosen, for stages of engines by the second.
+    order : OrderName
+        The order in which calls that wait for an upstream are served.
     """
 
     spill: bool = True
     choice: ChoiceName = ChoiceName.SHORTEST_TIME
     engine_choice: ChoiceName = ChoiceName.PREFIX_AFFINITY
+    order: OrderName = OrderName.FAIR_THEN_EARLIEST
     retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
 
