--- a/cuminstile/evidence.py
+++ b/cuminstile/evidence.py
@@ -76,9 +76,7 @@
 
     evidence: Evidence = Evidence()
     old_failed: BadFraction = field(default_factory=BadFraction)
-    old_late: BadFraction = field(
-        default_factory=lambda: BadFraction(bad=PRIOR_LATE)
-    )
+    old_late: BadFraction = field(default_factory=lambda: BadFraction(bad=PRIOR_LATE))
     sums: list[float] = field(default_factory=lambda: [0.0] * len(NO_BETS))
 
     def count(self, result: CallResult, is_new: bool, share: float) -> None:
