Keep a session when a message is too large for it

Cause: an upstream's answer may have 4 MiB as JSON, and so may a message between VMs; but short decimals grow from 4 bytes to 9 on the way. The other VM then closed the session, and every other call on it was lost with the large one.

Change: what is above the limit is not sent. In place of such an answer goes `upstream_failed`; a call with such an input is refused with `body_too_large`, and has not run.

Tests: tests/vm/test_large_answers.py with a lowered limit, seen red without the change (the other call failed, the session was lost).

--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -44,7 +44,7 @@
     try:
         if not repeatable:
             trace.maybe_ran = True
-        await session.send(make_run_stage(vm, number, call))
+        await send_call(session, make_run_stage(vm, number, call), trace)
         async for message in incoming:
             if isinstance(message, StageTokens):
                 await on_tokens(message.index, message.tokens)
@@ -59,6 +59,31 @@
                 await cancel_on_peer(session, number)
 
 
+async def send_call(session: Session, message: RunStage, trace: RunTrace) -> None:
+    """Send a call; one that is too large has not run."""
+    try:
+        await session.send(message)
+    except CuminstileError as error:
+        if error.code is ErrorCode.BODY_TOO_LARGE:
+            trace.maybe_ran = False
+        raise
+
+
+async def send_answer(session: Session, answer: StageDone | StageRefused) -> None:
+    """Send an answer; in place of one that is too large goes a refusal."""
+    try:
+        await session.send(answer)
+    except CuminstileError as error:
+        if error.code is not ErrorCode.BODY_TOO_LARGE:
+            raise
+        text = f"the upstream's answer: {error.message}"
+        code = ErrorCode.UPSTREAM_FAILED
+        refused = StageRefused(
+            answer.call, code, text, Ran.UNKNOWN, answer.failures, answer.excused
+        )
+        await session.send(refused)
+
+
 async def cancel_on_peer(session: Session, number: int) -> None:
     """Tell the other VM that nobody waits any more, if it can be told."""
     try:
@@ -166,7 +191,7 @@
         vm.activity.forwarded += 1
         try:
             answer = await answer_stage(vm, call, message.call, on_tokens)
-            await session.send(answer)
+            await send_answer(session, answer)
         except CuminstileError:
             # The session broke: the other VM sees that itself.
             return
--- a/cuminstile/vm/sessions.py
+++ b/cuminstile/vm/sessions.py
@@ -84,9 +84,15 @@
         Raises
         ------
         CuminstileError
-            With `PEER_LOST` if the session is closed.
+            With `PEER_LOST` if the session is closed, or `BODY_TOO_LARGE` for what
+            the other side would close it for; nothing has been sent then.
         """
         data = CODEC.encode(message)
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise CuminstileError(
+                ErrorCode.BODY_TOO_LARGE,
+                f"at most {MAX_MESSAGE_BYTES} bytes go from one VM to another",
+            )
         if not isinstance(message, WORK_MESSAGES):
             self.sent_control_bytes += len(data)
         self.sent_messages += 1
