--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -72,12 +72,15 @@
         How an upstream is chosen, for stages of engines by the second.
     order : OrderName
         The order in which calls that wait for an upstream are served.
+    predict : bool
+        Whether work is refused that by the recent times cannot be in time.
     """
 
     spill: bool = True
     choice: ChoiceName = ChoiceName.SHORTEST_TIME
     engine_choice: ChoiceName = ChoiceName.PREFIX_AFFINITY
     order: OrderName = OrderName.FAIR_THEN_EARLIEST
+    predict: bool = True
     retry_fraction: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     queue_length: Annotated[int, Field(ge=0, le=100_000)] = 256
 
