--- a/standins/arrangement.py
+++ b/standins/arrangement.py
@@ -52,6 +52,9 @@
         Control values of upstreams at their start, by upstream, stage or role.
     settings : mapping
         Settings of every VM besides the usual ones.
+    tls : Path or None
+        Folder with `authority.pem`, and `NAME.pem` and `NAME.key` for each VM; None
+        for no TLS.
     """
 
     objects: tuple[AnyObject, ...]
@@ -60,6 +63,12 @@
     platform: Mapping[str, Any] = field(default_factory=dict)
     controls: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
     settings: Mapping[str, Any] = field(default_factory=dict)
+    tls: Path | None = None
+
+    @property
+    def authority(self) -> Path | None:
+        """Return the file with the certificate authority, if there is TLS."""
+        return self.tls / "authority.pem" if self.tls else None
 
 
 def load_objects(directory: Path) -> tuple[AnyObject, ...]:
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -55,7 +55,7 @@
             tried.add(vm)
             port = self.fleet.vms[vm].caller
             try:
-                return await send(self.fleet.pool, vm, port, ask)
+                return await send(self.fleet.pool, vm, port, ask, self.fleet.scheme)
             except ConnectionRefusedError:
                 continue
         elapsed_ms = now_ms() - started_ms
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -93,8 +93,10 @@
 async def publish(fleet: Fleet) -> None:
     """Publish the objects and wait until every VM is ready."""
     folder = str(fleet.objects_folder)
+    authority = fleet.arrangement.authority
+    flags = ("--authority", str(authority)) if authority else ()
     await tool("check", folder)
-    await tool("publish", folder, "--vm", operators(fleet))
+    await tool("publish", folder, "--vm", operators(fleet), *flags)
     for name in fleet.vms:
         await wait_until_healthy(fleet, name, "/readyz")
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -59,6 +59,11 @@
     seen: dict[str, dict[str, str]] = field(default_factory=dict)
     pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
 
+    @property
+    def scheme(self) -> str:
+        """Return the scheme of the VMs' ports for callers and operators."""
+        return "https" if self.arrangement.tls else "http"
+
     @property
     def objects_folder(self) -> Path:
         """Return the folder that an operator publishes."""
@@ -123,7 +128,7 @@
 
 async def is_good(fleet: Fleet, name: str, path: str) -> bool:
     """Return whether a VM answers a path of its caller port with 200."""
-    url = f"http://{HOST}:{fleet.vms[name].caller}{path}"
+    url = f"{fleet.scheme}://{HOST}:{fleet.vms[name].caller}{path}"
     timeout = {"timeout": {"connect": 0.5, "read": 0.5}}
     try:
         response = await fleet.pool.request("GET", url, extensions=timeout)
--- a/standins/startup.py
+++ b/standins/startup.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 
@@ -28,6 +29,7 @@
     path_name,
     wait_until_healthy,
 )
+from .http import make_pool
 from .processes import Program, wait_until_ready
 from .serving import HOST
 
@@ -42,7 +44,7 @@
         If a program does not become ready.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(arrangement, folder)
+    fleet = Fleet(arrangement, folder, pool=make_pool(arrangement.authority))
     try:
         await start_platform(fleet)
         await start_upstreams(fleet)
@@ -153,6 +155,20 @@
     await fleet.control(PLATFORM, vms=rows, seen_addresses=fleet.seen)
 
 
+def tls_of(arrangement: Arrangement, plan: VmPlan) -> dict[str, Any]:
+    """Return the part of a VM's settings that names its files for TLS."""
+    folder = arrangement.tls
+    if folder is None:
+        return {}
+    return {
+        "tls": {
+            "certificate": str(folder / f"{plan.name}.pem"),
+            "key": str(folder / f"{plan.name}.key"),
+            "authority": str(arrangement.authority),
+        }
+    }
+
+
 def write_settings(fleet: Fleet, plan: VmPlan, platform_port: int) -> Path:
     """Write the settings of a VM and return their file."""
     ports = fleet.vms[plan.name]
@@ -179,6 +195,7 @@
         "vm_keys": [VM_KEY],
         "peers": peers,
         "log_file": str(fleet.folder / f"{plan.name}.log"),
+        **tls_of(fleet.arrangement, plan),
         **fleet.arrangement.settings,
     }
     path = fleet.folder / f"{plan.name}.json"
