Take back the second look of waiting calls, and mix no versions in one answer

Mixed answers: version-bad-at-once failed with "the tokens are not those of the whole answer". Cause: since a call whose version nothing serves any more went to the old version even when tokens of the new one had been passed on. Now only while none has.

Seen red: test_tokens_of_two_versions_never_make_one_answer and the scenario. After: tests/test_stages.py and both scenarios of bad versions pass.

--- a/cuminstile/attempts.py
+++ b/cuminstile/attempts.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import math
 import secrets
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -13,9 +11,8 @@
 from .claims import run_once
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, Ran
-from .queueing import StillWaiting
 from .routing import choose_peer, serving
-from .spilling import look_again, may_spill, patience_ms, spill
+from .spilling import may_spill, spill
 from .upstream import limits
 from .upstream.client import UpstreamError, call_upstream, refusal
 from .upstream.crashes import refuse_quarantined
@@ -27,11 +24,6 @@
 if TYPE_CHECKING:
     from .runtime import Vm
 
-Look = Callable[
-    ["Vm", StageCall, RunTrace, TokenSink, list[str], bool],
-    Awaitable[StageOutcome | None],
-]
-
 
 @dataclass
 class TokenCounter:
@@ -98,36 +90,7 @@
     may_forward: bool,
     tried: list[str],
 ) -> StageOutcome:
-    """Run a call that may be repeated here, or else where it is served.
-
-    While it waits here it looks elsewhere again and again.
-    """
-    look = spill
-    while True:
-        try:
-            return await attempt_for_a_while(
-                vm, call, trace, counter, may_forward, tried, look
-            )
-        except StillWaiting:
-            look = look_again
-
-
-async def attempt_for_a_while(
-    vm: Vm,
-    call: StageCall,
-    trace: RunTrace,
-    counter: TokenCounter,
-    may_forward: bool,
-    tried: list[str],
-    look: Look,
-) -> StageOutcome:
-    """Run the call where a slot is free, or here within the call's patience.
-
-    Raises
-    ------
-    StillWaiting
-        If no slot was free within that time; nothing has run.
-    """
+    """Run a call that may be repeated here, or else where it is served."""
     refuse_quarantined(vm, call)
     local = local_upstreams(vm, call, tried)
     here = limits.served_here(vm, call, local)
@@ -135,11 +98,10 @@
         session = next_vm(vm, call, local, tried) if may_forward else None
         return await run_elsewhere(vm, call, trace, counter, session, tried)
     if may_spill(vm, call) and limits.must_wait(vm, call, here):
-        outcome = await look(vm, call, trace, counter.take, tried, may_forward)
+        outcome = await spill(vm, call, trace, counter.take, tried, may_forward)
         if outcome is not None:
             return outcome
-    patience = patience_ms(vm, call)
-    return await run_here(vm, call, trace, counter, here, tried, patience)
+    return await run_here(vm, call, trace, counter, here, tried)
 
 
 def next_vm(
@@ -215,12 +177,11 @@
     counter: TokenCounter,
     candidates: list[UpstreamState],
     tried: list[str],
-    patience: float = math.inf,
 ) -> StageOutcome:
     """Run the call on one of the candidates, as soon as one has a free slot."""
     attempt = f"{call.request}.{call.step}.{secrets.token_hex(4)}"
     repeatable = vm.objects.stages[call.stage].repeatable
-    async with limits.slot(vm, call, candidates, attempt, patience) as slot:
+    async with limits.slot(vm, call, candidates, attempt) as slot:
         name = slot.state.name
         tried.append(name)
         vm.journal.record(
--- a/cuminstile/queueing.py
+++ b/cuminstile/queueing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
@@ -33,19 +32,12 @@
         Latest monotonic time at which the call can start and still be in time.
     work_ms : float
         How long the call is expected to hold its slot.
-    patient_until_ms : float
-        Monotonic time at which the call leaves the line to look elsewhere.
     """
 
     organisation: str
     weight: int
     start_by_ms: float
     work_ms: float
-    patient_until_ms: float = math.inf
-
-
-class StillWaiting(Exception):
-    """Tell that a call found no slot for as long as it is patient."""
 
 
 @dataclass(eq=False)
@@ -57,7 +49,7 @@
     try_take: Callable[[], Slot | None]
     done: anyio.Event = field(default_factory=anyio.Event)
     slot: Slot | None = None
-    refusal: CuminstileError | StillWaiting | None = None
+    refusal: CuminstileError | None = None
 
 
 @dataclass
@@ -167,8 +159,6 @@
         CuminstileError
             With `OVERLOADED` if too many wait, with `DEADLINE_PASSED` once the call
             cannot be in time any more; the call was not run.
-        StillWaiting
-            At the end of the call's patience.
         """
         waiter = Waiter(ticket, next(self.sequence), try_take)
         self.enter(waiter)
@@ -238,9 +228,7 @@
         waiter.slot = slot
         waiter.done.set()
 
-    def refuse(
-        self, waiter: Waiter[Slot], error: CuminstileError | StillWaiting
-    ) -> None:
+    def refuse(self, waiter: Waiter[Slot], error: CuminstileError) -> None:
         """End the wait of a call without a slot."""
         self.leave(waiter)
         waiter.refusal = error
@@ -270,13 +258,10 @@
             tasks.cancel_scope.cancel()
 
     async def expire(self, waiter: Waiter[Slot]) -> None:
-        """End a call's wait when it is too late for a slot or patient no more."""
-        ticket = waiter.ticket
-        is_patient = ticket.start_by_ms <= ticket.patient_until_ms
-        until_ms = min(ticket.start_by_ms, ticket.patient_until_ms)
-        await self.clock.sleep_ms(until_ms - self.clock.now_ms())
+        """Refuse a call at the moment when it is too late for a slot."""
+        await self.clock.sleep_ms(waiter.ticket.start_by_ms - self.clock.now_ms())
         if not waiter.done.is_set():
-            self.refuse(waiter, late() if is_patient else StillWaiting())
+            self.refuse(waiter, late())
 
 
 def late() -> CuminstileError:
--- a/cuminstile/spilling.py
+++ b/cuminstile/spilling.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -23,8 +22,6 @@
     from .runtime import Vm
 
 LEFT_ALONE_MS = 100
-PATIENCE_MS = 100
-LOOK_AGAIN_MS = 200
 PACE_MS = 10
 NO_SLOT = (ErrorCode.OVERLOADED, ErrorCode.NO_UPSTREAM, ErrorCode.SHUTTING_DOWN)
 MIN_REMAINING_MS = 100
@@ -40,16 +37,9 @@
 
 @dataclass
 class SpillState:
-    """Hold until when each place that has refused is left alone.
-
-    Parameters
-    ----------
-    again_ms : dict of str to float
-        By version, from when on one of the calls that wait may look elsewhere again.
-    """
+    """Hold until when each place that has refused is left alone."""
 
     until_ms: dict[Place, float] = field(default_factory=dict)
-    again_ms: dict[str, float] = field(default_factory=dict)
 
 
 def may_spill(vm: Vm, call: StageCall) -> bool:
@@ -67,35 +57,6 @@
     )
 
 
-def patience_ms(vm: Vm, call: StageCall) -> float:
-    """Return how long a call waits here before it looks elsewhere again."""
-    if not may_spill(vm, call) or not vm.sessions.by_name:
-        return math.inf
-    return PATIENCE_MS * (0.5 + vm.random.random())
-
-
-async def look_again(
-    vm: Vm,
-    call: StageCall,
-    trace: RunTrace,
-    on_tokens: TokenSink,
-    tried: list[str],
-    may_forward: bool,
-) -> StageOutcome | None:
-    """Let a call that has waited here look elsewhere, one of a version at a time.
-
-    However many wait, a version's calls ask five times a second if nothing is free.
-    """
-    now_ms = vm.clock.now_ms()
-    if now_ms < vm.spilling.again_ms.get(call.version, 0.0):
-        return None
-    vm.spilling.again_ms[call.version] = now_ms + PACE_MS
-    outcome = await spill(vm, call, trace, on_tokens, tried, may_forward)
-    if outcome is None:
-        vm.spilling.again_ms[call.version] = vm.clock.now_ms() + LOOK_AGAIN_MS
-    return outcome
-
-
 async def spill(
     vm: Vm,
     call: StageCall,
--- a/cuminstile/stages.py
+++ b/cuminstile/stages.py
@@ -68,7 +68,8 @@
         except CuminstileError as error:
             if may_forward and await is_decided_later(vm, present, error, tried):
                 continue
-            if fallback not in ("", call.version) and is_unserved(error):
+            is_whole = counter.passed == call.resume_at
+            if is_whole and fallback not in ("", call.version) and is_unserved(error):
                 # Nothing ran, and the version is not to blame.
                 trace.excused = True
                 call = replace(call, version=fallback)
@@ -78,7 +79,7 @@
             vm.journal.record(
                 Event.STAGE_RETRIED, request=call.request, stage=call.stage
             )
-            if fallback and counter.passed == call.resume_at:
+            if fallback and is_whole:
                 call = replace(call, version=fallback)
                 tried = list(call.avoid)
             continue
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -173,11 +172,7 @@
 
 @asynccontextmanager
 async def slot(
-    vm: Vm,
-    call: StageCall,
-    candidates: Sequence[UpstreamState],
-    attempt: str,
-    patience_ms: float = math.inf,
+    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState], attempt: str
 ) -> AsyncIterator[Slot]:
     """Wait for a slot at one of the candidates and hold it.
 
@@ -187,8 +182,6 @@
     ------
     CuminstileError
         With `OVERLOADED` or `DEADLINE_PASSED`; nothing has run then.
-    StillWaiting
-        After `patience_ms` in line; nothing has run then.
     """
     taken: list[Slot] = []
     waited: Slot | Moved
@@ -215,9 +208,7 @@
         else:
             refuse_to_wait(vm, call, candidates)
             is_free = bool(with_free_slot(vm, candidates))
-            waited = await wait_for_slot(
-                vm, call, candidates, try_take, is_free, patience_ms
-            )
+            waited = await wait_for_slot(vm, call, candidates, try_take, is_free)
             yield taken_or_moved(waited)
     finally:
         for item in taken:
--- a/cuminstile/upstream/waiting.py
+++ b/cuminstile/upstream/waiting.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from ..admission import refuse_long_wait, start_by, weight_of
@@ -42,7 +41,6 @@
     candidates: Sequence[UpstreamState],
     try_take: Callable[[], T | None],
     is_free: bool,
-    patience_ms: float = math.inf,
 ) -> T:
     """Return what `try_take` gives, waiting in line while it gives nothing.
 
@@ -52,8 +50,6 @@
     ------
     CuminstileError
         With `OVERLOADED`, `DEADLINE_TOO_SHORT` or `DEADLINE_PASSED`; nothing has run.
-    StillWaiting
-        After `patience_ms`; nothing has run.
     """
     line = vm.line.by_version.get(call.version)
     if line is None:
@@ -63,8 +59,6 @@
         vm.line.by_version[call.version] = line
     must_wait = bool(line.waiting) or not is_free
     ticket = ticket_of(vm, call, candidates, must_wait)
-    patient_until_ms = vm.clock.now_ms() + patience_ms
-    ticket = replace(ticket, patient_until_ms=patient_until_ms)
     if must_wait:
         refuse_long_wait(vm, call, line, ticket)
     slot: T = await line.acquire(ticket, try_take)
