--- a/cuminstile/attempts.py
+++ b/cuminstile/attempts.py
@@ -17,6 +17,7 @@
 from .upstream.client import UpstreamError, call_upstream, refusal
 from .upstream.crashes import refuse_quarantined
 from .upstream.loaded import may_be_loaded
+from .upstream.results import note_answered, note_failed
 from .upstream.table import Condition, UpstreamState
 from .vm.forwarding import run_on_peer
 from .vm.sessions import Session
@@ -203,12 +204,12 @@
             if error.reason == "lease":
                 # Nothing is wrong with this upstream.
                 tried.remove(name)
-            await limits.note_failed(vm, slot, error, candidates)
+            await note_failed(vm, slot, error)
             note_failure(vm, call, slot.state, error)
             trace.note_failure(error.reason, was_cold)
             ran = Ran.UNKNOWN if trace.maybe_ran else Ran.NOT_RUN
             raise refusal(error, ran) from error
-        await limits.note_answered(vm, slot, answer)
+        await note_answered(vm, slot, answer)
     note_success(vm, call, slot.state)
     trace.note_answer(answer.state)
     own = vm.settings
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -10,31 +10,21 @@
 import anyio
 
 from ..calls import StageCall
-from ..events import Event
 from ..exceptions import CuminstileError, ErrorCode, Ran
 from ..objects.model import Role
 from .alone import give_up, may_start, reserve, wait_for_turn
 from .choice import CHOICES
-from .client import UpstreamAnswer, UpstreamError, cancel_call, refusal
+from .client import UpstreamError, cancel_call, refusal
 from .crashes import (
     Suspicion,
-    note_lost,
-    note_survived,
     place_for_suspect,
     refuse_quarantined,
     suspicion_of,
 )
-from .ejection import is_ejected, is_probed, note_call_failed, note_call_good
-from .evidence import (
-    LoadReport,
-    mark_cold,
-    mark_warm,
-    take_good_answer,
-    take_refusal,
-)
+from .ejection import is_ejected, is_probed
 from .leases import holds, usable
-from .load import PAUSE_LIMIT_MS, announce
-from .peers import is_owner, owner_of, upstreams_here, working_here
+from .load import PAUSE_LIMIT_MS
+from .peers import is_owner, owner_of, working_here
 from .shares import share
 from .table import Condition, UpstreamState
 from .waiting import is_line, wait_for_slot
@@ -45,8 +35,6 @@
 CANCEL_TIMEOUT_MS = 300
 NEVER_LEFT_MS = float("inf")
 PROBE_LIMIT = 1
-REFUSALS = ("busy", "cold", "version_missing", "refused")
-SETTLED = (*REFUSALS, "failed", "connect", "lease")
 
 
 @dataclass
@@ -309,120 +297,3 @@
     now_ms = vm.clock.now_ms()
     if holding is not None and holds(vm, item.state.name, now_ms):
         holding.restart(now_ms)
-
-
-async def note_answered(vm: Vm, item: Slot, answer: UpstreamAnswer) -> None:
-    """Take the evidence of a good answer."""
-    item.settled = True
-    state = item.state
-    now_ms = vm.clock.now_ms()
-    sent_ms = item.sent_ms
-    call = item.call
-    vm.stage_times.note_run(call.version, call.pipeline, now_ms - sent_ms, now_ms)
-    vm.retries.earn(item.call.stage, vm.settings.limits.retry_fraction, now_ms)
-    if item.alone:
-        await note_survived(vm, item.call)
-    note_call_good(state)
-    turned = take_good_answer(state, answer.state, answer.incarnation, sent_ms, now_ms)
-    if turned:
-        await note_cold(vm, state, "answer")
-    elif is_ramped_up(vm, state):
-        mark_warm(state, now_ms)
-        vm.journal.record(Event.UPSTREAM_WARM, upstream=state.name)
-        await announce(vm, (state,))
-
-
-def is_ramped_up(vm: Vm, state: UpstreamState) -> bool:
-    """Return whether a held upstream has borne its whole capacity step by step."""
-    if state.suspects:
-        return False
-    return state.condition is Condition.COLD and state.ramp >= state.capacity
-
-
-def with_tried(
-    vm: Vm, call: StageCall, candidates: Sequence[UpstreamState]
-) -> list[UpstreamState]:
-    """Return the candidates and those that the call has tried before."""
-    every = {state.name: state for state in candidates}
-    for upstream in upstreams_here(vm):
-        state = vm.upstreams.state_of(upstream)
-        if call.version in upstream.versions and state.condition is not Condition.AWAY:
-            every[state.name] = state
-    return list(every.values())
-
-
-async def note_failed(
-    vm: Vm, item: Slot, error: UpstreamError, candidates: Sequence[UpstreamState]
-) -> None:
-    """Take the evidence of a call that gave no good answer.
-
-    Parameters
-    ----------
-    candidates : sequence of UpstreamState
-        The upstreams that the call could go to; not those that it tried before.
-    """
-    state = item.state
-    now_ms = vm.clock.now_ms()
-    item.settled = error.reason in SETTLED
-    item.lost = error.reason == "lost"
-    if error.reason == "lease":
-        return
-    if error.reason in REFUSALS:
-        if take_refusal(state, error.reason, error.incarnation, now_ms):
-            await note_cold(vm, state, "refusal")
-        return
-    siblings = with_tried(vm, item.call, candidates)
-    if note_call_failed(state, siblings, now_ms, vm.random.random()):
-        vm.journal.record(
-            Event.UPSTREAM_EJECTED, upstream=state.name, failures=state.failures
-        )
-    if error.reason in ("lost", "connect"):
-        await note_connection(vm, item, error)
-
-
-async def note_connection(vm: Vm, item: Slot, error: UpstreamError) -> None:
-    """Take a connection that broke or that could not be opened as a restart.
-
-    A version that a move has on trial may break its calls and must not turn the others
-    there cold: for it, the call alone failed where the upstream's report shows the
-    same process, warm. Otherwise no report is asked first, since it lags and may be
-    of the time before the upstream turned cold.
-    """
-    state = item.state
-    was_sent = error.reason == "lost" and error.left
-    may_be_version = was_sent and is_on_trial(vm, item.call)
-    if not may_be_version:
-        await take_as_cold(vm, state)
-    if not was_sent:
-        return
-    report = await vm.load.fetch(vm, state.upstream)
-    if may_be_version and not is_same_and_warm(state, report):
-        await take_as_cold(vm, state)
-    await note_lost(vm, item.call, report, item.incarnation, item.alone)
-
-
-async def take_as_cold(vm: Vm, state: UpstreamState) -> None:
-    """Take an upstream as cold from now on, and tell everyone if it was warm."""
-    state.reserved_warm = False
-    if mark_cold(state, vm.clock.now_ms(), shown=True):
-        await note_cold(vm, state, "lost connection")
-
-
-def is_on_trial(vm: Vm, call: StageCall) -> bool:
-    """Return whether a traffic move brings in the version of a call."""
-    moves = vm.traffic.moves.values()
-    return any(state.move.to_version == call.version for state in moves)
-
-
-def is_same_and_warm(state: UpstreamState, report: LoadReport | None) -> bool:
-    """Return whether a report shows the process that was known, and warm."""
-    if report is None:
-        return False
-    known = state.incarnation in (0, report.incarnation)
-    return known and report.condition is Condition.WARM
-
-
-async def note_cold(vm: Vm, state: UpstreamState, reason: str) -> None:
-    """Tell everyone that a warm upstream turned cold."""
-    vm.journal.record(Event.UPSTREAM_COLD, upstream=state.name, reason=reason)
-    await announce(vm, (state,))
--- a/trials/policy_ejection.py
+++ b/trials/policy_ejection.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from cuminstile.upstream import limits
+from cuminstile.upstream import results
 from cuminstile.upstream.ejection import is_ejected, note_call_failed
 from cuminstile.upstream.table import UpstreamState
 
@@ -87,7 +87,7 @@
 async def run(case: EjectionCase, note: NoteFailed, seed: int) -> EjectionResult:
     """Run one trial."""
     async with policy_trial(Load(calls_per_s=case.calls_per_s), seed) as trial:
-        trial.patch.setattr(limits, "note_call_failed", note)
+        trial.patch.setattr(results, "note_call_failed", note)
         await start_vms(trial)
         watch = EjectedWatch(trial)
         await trial.offer(BEFORE_MS)
--- a/trials/policy_quarantine.py
+++ b/trials/policy_quarantine.py
@@ -6,7 +6,7 @@
 
 from cuminstile.calls import StageCall
 from cuminstile.runtime import Vm
-from cuminstile.upstream import limits
+from cuminstile.upstream import results
 from cuminstile.upstream.crashes import Suspicion, note_lost, suspicion_of
 from cuminstile.upstream.evidence import LoadReport
 
@@ -93,7 +93,7 @@
     """Run one trial."""
     suspects = Suspects(quarantines)
     async with policy_trial(Load(), seed) as trial:
-        trial.patch.setattr(limits, "note_lost", suspects.note_lost)
+        trial.patch.setattr(results, "note_lost", suspects.note_lost)
         await start_vms(trial)
         await trial.offer(BEFORE_MS)
         for fake in trial.upstreams:
