--- a/cuminstile/gateway/board.py
+++ b/cuminstile/gateway/board.py
@@ -23,14 +23,7 @@
     out_of_time,
 )
 from .model import BatchSpec
-from .stage_queue import (
-    HeldResult,
-    ServiceQueue,
-    Worker,
-    urgency,
-    waits_for_room,
-    waits_for_zone,
-)
+from .stage_queue import HeldResult, ServiceQueue, Worker, urgency, waits_for_zone
 
 MAX_PIECE_FAILURES = 4
 """How often one piece is given out before its chain fails."""
@@ -87,10 +80,6 @@
             if worker.usable or worker.calls
         }
 
-    def workers(self) -> list[Worker]:
-        """Return the upstreams of all services that may get calls."""
-        return [w for queue in self.queues.values() for w in queue.usable_workers()]
-
     def can_run(self, spec: ChainSpec) -> bool:
         """Tell whether every stage has an upstream."""
         return all(
@@ -194,19 +183,15 @@
         if now_ms < worker.full_until_ms:
             room = min(room, worker.full_size - 1)
         batch: list[Piece] = []
-        without_room = 0
         for piece in sorted(queue.ready, key=lambda p: urgency(p, worker, now_ms)):
             if len(batch) == queue.spec.batch:
                 break
             if piece.stage.result_bytes > room:
-                without_room += 1
                 continue
             if waits_for_zone(piece, worker, queue, now_ms):
                 continue
             room -= piece.stage.result_bytes
             batch.append(piece)
-        if waits_for_room(worker, queue.spec, len(batch), without_room, now_ms):
-            return []
         for piece in batch:
             piece.queued = False
             piece.running_on = worker.id
--- a/cuminstile/gateway/dialect.py
+++ b/cuminstile/gateway/dialect.py
@@ -152,14 +152,8 @@
         Decodes the body of an answer, in the order of the items.
     free_request : callable
         Returns the bytes of a call that gives up results by their handles.
-    room_request : bytes
-        The call that asks an upstream for its free room.
-    read_room : callable
-        Decodes the body of its answer: free bytes, None if they are not told.
     """
 
     run_request: Callable[[str, Sequence[StageItem]], bytes]
     read_outcomes: Callable[[bytes], tuple[StageOutcome, ...]]
     free_request: Callable[[Sequence[str]], bytes]
-    room_request: bytes
-    read_room: Callable[[bytes], int | None]
--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -10,7 +10,6 @@
 from .chain import Result
 from .dialect import Dialect, StageDialect, StageItem, StageOutcome
 from .http_client import (
-    AnswerHead,
     ConnectionLostError,
     ConnectionPool,
     HttpConnection,
@@ -24,9 +23,8 @@
 again elsewhere, and still be in time."""
 CALL_TIMEOUT_EXTRA_MS = 300.0
 """Time on top of that for fetching inputs over slow links."""
-SIDE_TIMEOUT_MS = 1_000.0
-"""How long an upstream may take to free results, which lapse by themselves too, or to
-tell its room."""
+FREE_TIMEOUT_MS = 1_000.0
+"""How long an upstream may take to free results; they lapse by themselves too."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,14 +69,14 @@
         slowness = max(1.0, worker.slowness_at(self.clock.now_ms()))
         limit_ms = expected_ms * slowness * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_MS
         request = self.stage_dialect.run_request(worker.id, items)
-        head, body = await self.exchange(worker.id, worker.address, request, limit_ms)
-        fields = self.dialect.read_answer(head.status, head.headers)
-        if head.status != 200:
-            return StageAnswer(head.status, fields.not_run, ())
-        outcomes = self.stage_dialect.read_outcomes(body)
-        if len(outcomes) != len(items):
+        try:
+            async with asyncio.timeout(limit_ms / 1000.0):
+                answer = await self.exchange(worker.id, worker.address, request)
+        except TimeoutError as error:
+            raise ConnectionLostError("no answer in time", sent=True) from error
+        if answer.status == 200 and len(answer.outcomes) != len(items):
             raise ConnectionLostError("answer does not fit the call", sent=True)
-        return StageAnswer(head.status, fields.not_run, outcomes)
+        return answer
 
     async def free(self, upstream_id: str, address: str, handles: list[str]) -> None:
         """Have an upstream free results.
@@ -89,47 +87,19 @@
             If it gave no answer in time; they lapse by themselves then.
         """
         request = self.stage_dialect.free_request(handles)
-        key = side_key(upstream_id)
-        await self.exchange(key, address, request, SIDE_TIMEOUT_MS)
-
-    async def free_room(self, worker: Worker) -> int | None:
-        """Return the room in bytes that an upstream says is free, None if unknown.
-
-        Raises
-        ------
-        ConnectionLostError
-            If it gave no answer in time.
-        """
-        request = self.stage_dialect.room_request
-        key = side_key(worker.id)
-        head, body = await self.exchange(key, worker.address, request, SIDE_TIMEOUT_MS)
-        return self.stage_dialect.read_room(body) if head.status == 200 else None
+        try:
+            async with asyncio.timeout(FREE_TIMEOUT_MS / 1000.0):
+                await self.exchange(f"{upstream_id} free", address, request)
+        except TimeoutError as error:
+            raise ConnectionLostError("no answer in time", sent=True) from error
 
     def drop(self, upstream_id: str) -> None:
         """Close the idle connections of an upstream that is gone."""
         self.pool.drop(upstream_id)
-        self.pool.drop(side_key(upstream_id))
+        self.pool.drop(f"{upstream_id} free")
 
-    async def exchange(
-        self, key: str, address: str, request: bytes, limit_ms: float
-    ) -> tuple[AnswerHead, bytes]:
-        """Return the answer to a request on a connection that is kept under a key.
-
-        Raises
-        ------
-        ConnectionLostError
-            If there is no whole answer within `limit_ms`.
-        """
-        try:
-            async with asyncio.timeout(limit_ms / 1000.0):
-                return await self.exchange_whole(key, address, request)
-        except TimeoutError as error:
-            raise ConnectionLostError("no answer in time", sent=True) from error
-
-    async def exchange_whole(
-        self, key: str, address: str, request: bytes
-    ) -> tuple[AnswerHead, bytes]:
-        """Return head and body of the answer to a request, however long it takes."""
+    async def exchange(self, key: str, address: str, request: bytes) -> StageAnswer:
+        """Return the answer to a request on a connection that is kept under a key."""
         connection: HttpConnection | None = self.pool.take(key, self.clock.now_ms())
         if connection is None:
             connection = await open_connection(address)
@@ -141,12 +111,11 @@
         except BaseException:
             connection.close("call given up")
             raise
-        return head, body
-
-
-def side_key(upstream_id: str) -> str:
-    """Return the key of the connections for what may not wait behind a call."""
-    return f"{upstream_id} side"
+        fields = self.dialect.read_answer(head.status, head.headers)
+        outcomes: tuple[StageOutcome, ...] = ()
+        if head.status == 200:
+            outcomes = self.stage_dialect.read_outcomes(body)
+        return StageAnswer(head.status, fields.not_run, outcomes)
 
 
 def by_upstream(results: Sequence[Result]) -> dict[str, list[Result]]:
--- a/cuminstile/gateway/stage_queue.py
+++ b/cuminstile/gateway/stage_queue.py
@@ -4,7 +4,6 @@
 
 import math
 from dataclasses import dataclass, field
-from enum import IntEnum
 
 from .chain import HOPELESS_AFTER_MS, SLACK_STEP_MS, Piece
 from .model import BatchSpec
@@ -19,12 +18,6 @@
 while stays so for some seconds."""
 SLOWNESS_WEIGHT = 0.4
 """Weight of the newest call in the measured slowness."""
-ONE_CALL_MS = 400.0
-"""Slack below which a piece can't wait for another call: the time of a full one."""
-ROOM_WAIT_MS = 200.0
-"""How long a call waits for room at most: the fixed cost of a call."""
-ROOM_AGE_MS = 400.0
-"""How long counts what an upstream said of its room: about one call."""
 TOO_SLOW = 1.6
 """Slowness against the fastest upstream from which one gets work only if it would be
 done sooner there than at the others."""
@@ -52,10 +45,6 @@
         The results that lie there, by handle, the oldest first.
     free_at_ms : float
         When it may be given a call again after it refused one.
-    foreign_bytes : int
-        Room taken by results that this scheduler does not know, when last asked.
-    ask_room_at_ms : float
-        When that is asked again, if there were any.
     full_until_ms : float
         Until when it gets no piece whose result is as large as `full_size`: it had
         less room than is known here.
@@ -75,9 +64,6 @@
     busy_until_ms: float = 0.0
     full_until_ms: float = 0.0
     full_size: int = 0
-    room_wait_since_ms: float | None = None
-    foreign_bytes: int = 0
-    ask_room_at_ms: float = 0.0
     slowness: float = 1.0
     measured_ms: float = 0.0
 
@@ -102,10 +88,6 @@
         self.measured_ms = now_ms
 
     def room_used(self, now_ms: float) -> int:
-        """Return the room taken or reserved, also by results of unknown handles."""
-        return self.own_room_used(now_ms) + self.foreign_bytes
-
-    def own_room_used(self, now_ms: float) -> int:
         """Return the room taken or reserved, without results that have lapsed."""
         for handle, result in list(self.held.items()):
             if result.lapses_ms > now_ms:
@@ -113,16 +95,6 @@
             del self.held[handle]
         return self.reserved + sum(result.size for result in self.held.values())
 
-    def note_room(self, room_bytes: int, free_bytes: int, now_ms: float) -> None:
-        """Take over how much room the upstream says is free.
-
-        What this scheduler does not know of was made for another one, or in calls that
-        were given up; it lapses some time, so the upstream is asked again then.
-        """
-        taken_bytes = room_bytes - free_bytes
-        self.foreign_bytes = max(0, taken_bytes - self.own_room_used(now_ms))
-        self.ask_room_at_ms = now_ms + ROOM_AGE_MS
-
     def note_full(self, size: int, now_ms: float) -> None:
         """Take back what was thought of its room: a result of this size had none."""
         if now_ms >= self.full_until_ms or size < self.full_size:
@@ -153,22 +125,14 @@
         return [worker for worker in self.workers.values() if worker.usable]
 
     def capacity(self, now_ms: float) -> float:
-        """Return how many upstreams of nominal speed and room the usable ones make."""
-        shares = (
-            self.room_share(worker) / worker.slowness_at(now_ms)
-            for worker in self.usable_workers()
-        )
-        return max(0.1, sum(shares))
-
-    def room_share(self, worker: Worker) -> float:
-        """Return the share of an upstream's room that this scheduler can use."""
-        return 1.0 - min(1.0, worker.foreign_bytes / self.spec.room_bytes)
+        """Return how many upstreams of nominal speed the usable ones amount to."""
+        speeds = [1.0 / w.slowness_at(now_ms) for w in self.usable_workers()]
+        return max(0.1, sum(speeds))
 
     def mean_slowness(self, now_ms: float) -> float:
         """Return how many times a call takes what it should, on average."""
-        workers = self.usable_workers()
-        speed = sum(1.0 / worker.slowness_at(now_ms) for worker in workers)
-        return max(1.0, len(workers) / speed) if workers else 1.0
+        count = len(self.usable_workers())
+        return max(1.0, count / self.capacity(now_ms))
 
     def piece_ms(self) -> float:
         """Return the time of one piece with its share of a full call."""
@@ -234,67 +198,20 @@
     return free_ms + ZONE_SPARE_MS < piece.latest_start_ms
 
 
-def waits_for_room(
-    worker: Worker, spec: BatchSpec, taken: int, without_room: int, now_ms: float
-) -> bool:
-    """Tell whether an upstream waits until results are freed before its next call.
-
-    A call with few pieces costs nearly as much as a full one. If others are left out
-    only because the upstream has no room for their results, it waits if half a batch
-    after the longest wait would still make more pieces in the same time.
-
-    Parameters
-    ----------
-    taken, without_room : int
-        Pieces that the call would have, and pieces that are left out for their room.
-    """
-    half = min(spec.batch, taken + without_room) / 2
-    waited_rate = half / (ROOM_WAIT_MS + spec.call_ms + spec.item_ms * half)
-    rate = taken / (spec.call_ms + spec.item_ms * taken)
-    if not without_room or rate >= waited_rate:
-        worker.room_wait_since_ms = None
-        return False
-    if worker.room_wait_since_ms is None:
-        worker.room_wait_since_ms = now_ms
-    if now_ms - worker.room_wait_since_ms < ROOM_WAIT_MS:
-        return True
-    worker.room_wait_since_ms = None
-    return False
-
-
-class Haste(IntEnum):
-    """Tell how soon a piece has to start, the soonest first."""
-
-    THIS_CALL = 0
-    LATER_CALL = 1
-    TOO_LATE = 2
-
-
-def haste_of(piece: Piece, now_ms: float) -> Haste:
-    """Tell whether a piece must be in this call, may wait for another, or is late."""
-    slack_ms = piece.latest_start_ms - now_ms
-    if slack_ms < -HOPELESS_AFTER_MS:
-        return Haste.TOO_LATE
-    return Haste.THIS_CALL if slack_ms < ONE_CALL_MS else Haste.LATER_CALL
-
-
 def urgency(
     piece: Piece, worker: Worker, now_ms: float
-) -> tuple[Haste, int, int, bool, float]:
+) -> tuple[bool, int, int, bool, float]:
     """Return the rank of a piece, the lowest first.
 
-    Pieces that would be late after another call go first, so that more urgent work
-    does not use up slack that it does not need. Pieces that can't be in time go behind
-    the others, those nearest to their end first, as most work is in them. Within these
-    classes the more urgent requests go first, then those with the least slack; among
-    pieces of about the same slack, those that had better be made in the upstream's
-    data centre.
+    Pieces that can't be in time go behind the others, those nearest to their end
+    first, as most work is in them. Of the others the more urgent requests go first,
+    then those with the least slack; among pieces of about the same slack, those that
+    had better be made in the upstream's data centre.
     """
-    haste = haste_of(piece, now_ms)
+    late = piece.latest_start_ms + HOPELESS_AFTER_MS < now_ms
     priority = piece.chain.spec.priority
     elsewhere = bool(piece.zone) and piece.zone != worker.zone
-    if haste is Haste.TOO_LATE:
-        progress = -piece.stage.number
-        return (haste, progress, priority, elsewhere, piece.latest_start_ms)
+    if late:
+        return (True, -piece.stage.number, priority, elsewhere, piece.latest_start_ms)
     slack = int(piece.latest_start_ms // SLACK_STEP_MS)
-    return (haste, priority, slack, elsewhere, piece.latest_start_ms)
+    return (False, priority, slack, elsewhere, piece.latest_start_ms)
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
 
 from ..clock import Clock
@@ -28,9 +28,6 @@
 FREE_INTERVAL_MS = 40.0
 """How long results that are given up wait for others at the same upstream: a tenth of a
 call, as the room for results is about two calls."""
-REST_MS = 4_000.0
-"""Time without new work after which the rooms of all upstreams are asked for again:
-another VM may have scheduled meanwhile, or this one has just started."""
 PUMP_INTERVAL_MS = 25.0
 """How often pieces that wait for their own data centre are looked at again."""
 
@@ -78,8 +75,6 @@
     addresses: dict[str, str] = field(default_factory=dict)
     next_pump_ms: float = 0.0
     returns: Returns = field(default_factory=Returns)
-    submitted_ms: float = -REST_MS
-    asking: set[str] = field(default_factory=set)
 
     def configure(self, manifest: Manifest, table: UpstreamTable) -> None:
         """Take over services and upstreams."""
@@ -111,9 +106,6 @@
             forecast then.
         """
         now_ms = self.clock.now_ms()
-        if now_ms - self.submitted_ms >= REST_MS:
-            self.ask_rooms(self.board.workers())
-        self.submitted_ms = now_ms
         waited_ms = self.returns.waited_ms(spec.key, now_ms)
         spec = replace(spec, target_at_ms=spec.target_at_ms - waited_ms)
         verdict = judge(self.board, spec, now_ms, again, waited_ms > 0)
@@ -241,7 +233,6 @@
         fault = outcome.fault is not StageFault.NO_ROOM
         if not fault:
             worker.note_full(piece.stage.result_bytes, now_ms)
-            self.ask_rooms((worker,))
         self.journal.record(
             Event.STAGE_PIECE_FAILED,
             request=piece.chain.spec.request_id,
@@ -307,13 +298,7 @@
         """Look again at waiting pieces and expired chains, without end."""
         while True:
             await self.clock.sleep_ms(PUMP_INTERVAL_MS)
-            now_ms = self.clock.now_ms()
-            self.drop_hopeless(now_ms)
-            self.ask_rooms(
-                worker
-                for worker in self.board.workers()
-                if worker.foreign_bytes and now_ms >= worker.ask_room_at_ms
-            )
+            self.drop_hopeless(self.clock.now_ms())
             self.pump()
 
     def drop_hopeless(self, now_ms: float) -> None:
@@ -324,42 +309,6 @@
             retry_ms = come_back_late_ms(chain.spec, now_ms)
             self.tell(chain, ChainAnswer((), "overtaken", retry_ms))
 
-    def ask_rooms(self, workers: Iterable[Worker]) -> None:
-        """Ask upstreams for their free room, each one once at a time."""
-        for worker in workers:
-            if worker.id not in self.asking:
-                self.asking.add(worker.id)
-                self.start(self.ask_room(worker))
-
-    async def ask_room(self, worker: Worker) -> None:
-        """Take over how much room an upstream says is free."""
-        try:
-            free_bytes = await self.caller.free_room(worker)
-            reason = "not told"
-        except ConnectionLostError as error:
-            free_bytes, reason = None, str(error)
-        finally:
-            self.asking.discard(worker.id)
-        if free_bytes is None:
-            worker.foreign_bytes = 0
-            self.journal.record(
-                Event.STAGE_ROOM_UNKNOWN, upstream=worker.id, reason=reason
-            )
-            return
-        now_ms = self.clock.now_ms()
-        room_bytes = self.board.queues[worker.service].spec.room_bytes
-        worker.note_room(room_bytes, free_bytes, now_ms)
-        self.journal.record(
-            Event.STAGE_ROOM_TOLD,
-            service=worker.service,
-            upstream=worker.id,
-            room_bytes=room_bytes,
-            free_bytes=free_bytes,
-            own_bytes=worker.own_room_used(now_ms),
-            foreign_bytes=worker.foreign_bytes,
-        )
-        self.pump()
-
     async def keep_freeing(self) -> None:
         """Free results that were given up, without end."""
         while True:
--- a/cuminstile/platform/stage_calls.py
+++ b/cuminstile/platform/stage_calls.py
@@ -12,10 +12,8 @@
 
 RUN_PATH = b"/api/stage-run"
 FREE_PATH = b"/api/stage-free"
-REPORT_PATH = b"/api/report"
 JSON_HEADER = (b"Content-Type", b"application/json")
 HOST_HEADER = (b"Host", b"upstream")
-MB = 1_000_000
 FAULTS = {
     "late": StageFault.LATE,
     "gone": StageFault.INPUT_GONE,
@@ -73,22 +71,4 @@
     return render_request(b"POST", FREE_PATH, (HOST_HEADER, JSON_HEADER), body)
 
 
-def read_room(body: bytes) -> int | None:
-    """Return the free room for results in bytes, at the most.
-
-    The wire tells whole MB, rounded down: up to one more may be free.
-    """
-    try:
-        free_mb = orjson.loads(body)["free_mb"]
-    except (orjson.JSONDecodeError, KeyError, TypeError):
-        return None
-    return int((free_mb + 1) * MB) if isinstance(free_mb, int | float) else None
-
-
-STAGE_DIALECT = StageDialect(
-    run_request,
-    read_outcomes,
-    free_request,
-    render_request(b"GET", REPORT_PATH, (HOST_HEADER,), b""),
-    read_room,
-)
+STAGE_DIALECT = StageDialect(run_request, read_outcomes, free_request)
