Go on with a resumable stream at another upstream, and free its inputs at its first event

Change: whole events only are passed on where a route is resumable; when a run breaks off, the same request goes to another upstream with the id of the last event, within `max_attempts` and the retry budget. Results are freed at the first event on every route; another run has them made again. The spread of returns uses a checksum instead of `hash`, which differed between runs of the tests.

--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -87,6 +87,7 @@
     CHAIN_ENDED = 3307
     REQUEST_SENT = 3401
     STREAM_BROKEN = 3402
+    STREAM_RESUMED = 3403
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/admission.py
+++ b/cuminstile/gateway/admission.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from zlib import crc32
 
 from .board import Board, Forecast
 from .chain import LATE_RANK, ChainSpec
@@ -93,4 +94,4 @@
 
 def spread_of(spec: ChainSpec) -> float:
     """Return a number from 0 to 1 that differs between requests."""
-    return (hash(spec.request_id) % 1000) / 1000.0
+    return (crc32(spec.request_id.encode()) % 1000) / 1000.0
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -7,8 +7,8 @@
 from ..events import Event
 from .chain import Result
 from .choosing import take_upstream
-from .model import RouteKind
-from .refusals import no_upstream, out_of_time
+from .event_stream import AnswerProgress
+from .refusals import Refusal, no_upstream, out_of_time
 from .sending import Call, Failure, Outcome, Send, judge_upstream, send_within
 from .staged_results import free_results
 from .staged_work import results_for
@@ -39,6 +39,10 @@
         The last failure that an upstream answered.
     redone : bool
         Whether its stages were done again because a result was lost.
+    answer : AnswerProgress
+        What of an answer has gone to the caller.
+    detail : str
+        How the last send ended.
     """
 
     results: tuple[Result, ...] = ()
@@ -47,6 +51,8 @@
     runs: int = 0
     failure: Failure | None = None
     redone: bool = False
+    answer: AnswerProgress = field(default_factory=AnswerProgress)
+    detail: str = ""
 
 
 async def send_until_answered(vm: Gateway, call: Call, progress: Progress) -> None:
@@ -59,10 +65,22 @@
     StreamBrokenError
         If its answer breaks off; the connection of the caller is closed then.
     """
+    try:
+        await keep_sending(vm, call, progress)
+    except Refusal as refusal:
+        if progress.answer.begun:
+            raise StreamBrokenError(f"{progress.detail}; {refusal.message}") from None
+        raise
+
+
+async def keep_sending(vm: Gateway, call: Call, progress: Progress) -> None:
+    """Send a request until it is answered; the errors are `send_until_answered`'s."""
     while True:
         left_ms = call.expires_at_ms - vm.clock.now_ms()
         if left_ms <= 0:
             raise out_of_time(progress.runs > 0)
+        if progress.runs and not progress.results:
+            progress.results = await results_for(vm, call, redone=True)
         state = next_upstream(vm, call, progress)
         if state is None:
             await end_unanswered(vm, call, progress)
@@ -70,8 +88,6 @@
         send = await send_to(vm, call, progress, state, left_ms)
         if send.outcome is Outcome.PASSED_ON:
             return
-        if send.begun:
-            raise StreamBrokenError(send.detail)
         if send.outcome is Outcome.INPUT_GONE and not progress.redone:
             await redo_stages(vm, call, progress)
         elif not may_send_again(call, progress, send):
@@ -94,7 +110,8 @@
     vm: Gateway, call: Call, progress: Progress, state: UpstreamState, left_ms: float
 ) -> Send:
     """Send a request to an upstream, and note what became of it."""
-    send = Send(on_running=lambda: results_used(vm, call, progress))
+    record_resumption(vm, call, progress, state)
+    send = Send(progress.answer, on_running=lambda: results_used(vm, progress))
     inputs = tuple(result.handle for result in progress.results)
     limit_ms = try_ms(call, progress, left_ms)
     await send_within(vm, call, state, inputs, send, limit_ms)
@@ -102,6 +119,7 @@
     judge_upstream(vm, call, state, send)
     progress.tried.add(state.info.id)
     progress.sends += send.sent
+    progress.detail = send.detail
     if send.outcome in (Outcome.UNKNOWN, Outcome.FAILED):
         progress.runs += 1
         progress.failure = send.failure
@@ -123,10 +141,11 @@
     progress.results = await results_for(vm, call, redone=True)
 
 
-def results_used(vm: Gateway, call: Call, progress: Progress) -> None:
-    """Free the inputs of a request that can't be sent again."""
-    if call.route.resumable:
-        return
+def results_used(vm: Gateway, progress: Progress) -> None:
+    """Free the inputs of a request that runs; another run has them made again.
+
+    Their room is what bounds the stages, and few streams break.
+    """
     free_results(vm, progress.results)
     progress.results = ()
 
@@ -147,7 +166,8 @@
     if send.outcome is Outcome.INPUT_GONE:
         return False
     return (
-        call.route.kind is RouteKind.IDEMPOTENT
+        call.route.repeatable
+        and progress.answer.resumable
         and progress.runs < call.route.max_attempts
     )
 
@@ -159,7 +179,11 @@
     ------
     Refusal
         If there is no failure of an upstream to pass on.
+    StreamBrokenError
+        If the answer has begun.
     """
+    if progress.answer.begun:
+        raise StreamBrokenError(progress.detail)
     failure = progress.failure
     if failure is None:
         raise no_upstream(progress.runs > 0)
@@ -167,6 +191,20 @@
     vm.metrics.requests_total.inc({"route": call.route.name, "result": "failed"})
 
 
+def record_resumption(
+    vm: Gateway, call: Call, progress: Progress, state: UpstreamState
+) -> None:
+    """Log that another upstream goes on with a stream."""
+    if progress.answer.begun:
+        vm.journal.record(
+            Event.STREAM_RESUMED,
+            request=call.fields.attempt_id,
+            upstream=state.info.id,
+            last_event=progress.answer.last_event,
+            reason=progress.detail,
+        )
+
+
 def record_send(vm: Gateway, call: Call, state: UpstreamState, send: Send) -> None:
     """Log and count one send."""
     vm.metrics.sends_total.inc(
--- /dev/null
+++ b/cuminstile/gateway/event_stream.py
@@ -0,0 +1,60 @@
+"""Follow an event stream, so that another upstream can go on where one broke off.
+
+Answers the pattern of upstreams that crash in the middle of streams which may be
+resumed. Needs no network.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+
+
+@dataclass
+class AnswerProgress:
+    """Hold how much of an answer has gone to the caller.
+
+    Parameters
+    ----------
+    begun : bool
+        Whether its head has gone: no other answer may follow.
+    last_event : str or None
+        The id of the last event that has gone.
+    framed : bool
+        Whether the head told a length, which the rest of another run need not have.
+    partial : bytes
+        The beginning of an event whose end has not arrived.
+    """
+
+    begun: bool = False
+    last_event: str | None = None
+    framed: bool = False
+    partial: bytes = field(default=b"")
+
+    @property
+    def resumable(self) -> bool:
+        """Tell whether another run can go on behind what has gone to the caller."""
+        return not self.begun or (self.last_event is not None and not self.framed)
+
+    def take(self, data: bytes) -> bytes:
+        """Return the whole events that new bytes complete; the rest is kept."""
+        data = self.partial + data
+        ends = [match.end() for match in EVENT_END.finditer(data)]
+        end = ends[-1] if ends else 0
+        whole, self.partial = data[:end], data[end:]
+        ids = EVENT_ID.findall(whole)
+        if ids:
+            self.last_event = ids[-1].decode("latin-1")
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Return what is left at the end of a stream that is complete."""
+        rest, self.partial = self.partial, b""
+        return rest
+
+    def drop_partial(self) -> None:
+        """Forget an event that broke off: the next run sends it whole."""
+        self.partial = b""
--- a/cuminstile/gateway/model.py
+++ b/cuminstile/gateway/model.py
@@ -76,8 +76,8 @@
 
     @property
     def repeatable(self) -> bool:
-        """Tell whether a request may run a second time from its beginning."""
-        return self.kind is RouteKind.IDEMPOTENT
+        """Tell whether a request may run a second time."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -9,6 +9,7 @@
 
 from ..events import Event
 from .dialect import AnswerFields, CallFields, Dispatch, RawHeaders
+from .event_stream import AnswerProgress
 from .http_client import (
     AnswerEnd,
     AnswerHead,
@@ -100,15 +101,19 @@
     ----------
     sent : bool
         Whether a byte of it may have reached the upstream.
-    begun : bool
-        Whether the head of its answer has gone to the caller: no other answer may.
+    answer : AnswerProgress
+        What has gone to the caller, also in sends before this one.
+    timeout : asyncio.Timeout or None
+        When it is given up; a stream that has begun is given more time.
     """
 
+    answer: AnswerProgress
+
     outcome: Outcome = Outcome.UNSENT
     failure: Failure | None = None
     detail: str = ""
     sent: bool = False
-    begun: bool = False
+    timeout: asyncio.Timeout | None = None
     on_running: Callable[[], None] = field(default=lambda: None)
 
 
@@ -173,6 +178,7 @@
         call.organisation.name if call.organisation else None,
         call.priority if call.service.engine else None,
         inputs,
+        send.answer.last_event,
     )
     headers = vm.dialect.forwarded_headers(call.request.headers, dispatch)
     request = call.request
@@ -251,7 +257,7 @@
     """Pass an answer on once it is whole."""
     body = await connection.receive_rest()
     vm.pool.give(state.info.id, connection, vm.clock.now_ms())
-    send.begun = True
+    send.answer.begun = True
     send.outcome = Outcome.PASSED_ON
     await call.out.write_whole(head.status, passed_headers(head.headers), body)
 
@@ -265,12 +271,17 @@
     send: Send,
     running: Callable[[], None],
 ) -> None:
-    """Pass an event stream on as it arrives.
+    """Pass an event stream on as it arrives, whole events only if it may be resumed.
 
-    A stream that breaks is broken off at the caller too: it never looks complete.
+    A stream that breaks is broken off at the caller too, unless another upstream goes
+    on with it: it never looks complete.
     """
-    send.begun = True
-    call.out.write_head(head.status, passed_headers(head.headers), head.length)
+    answer = send.answer
+    give_time(vm, call, send)
+    if not answer.begun:
+        answer.begun = True
+        answer.framed = head.length is not None
+        call.out.write_head(head.status, passed_headers(head.headers), head.length)
     try:
         while True:
             item = await connection.receive()
@@ -278,16 +289,27 @@
                 break
             if isinstance(item, bytes):
                 running()
-                await call.out.write(item)
+                data = answer.take(item) if call.route.resumable else item
+                await call.out.write(data)
     except ConnectionLostError as error:
+        answer.drop_partial()
         send.detail = f"stream broke: {error}"
         send.outcome = Outcome.UNKNOWN
         return
+    await call.out.write(answer.take_rest())
     call.out.finish()
     vm.pool.give(state.info.id, connection, vm.clock.now_ms())
     send.outcome = Outcome.PASSED_ON
 
 
+def give_time(vm: Gateway, call: Call, send: Send) -> None:
+    """Let a stream that has begun go on until its caller's time is over."""
+    if send.timeout is None or send.timeout.expired():
+        return
+    left_ms = max(0.0, call.expires_at_ms - vm.clock.now_ms())
+    send.timeout.reschedule(asyncio.get_running_loop().time() + left_ms / 1000.0)
+
+
 def judge_upstream(vm: Gateway, call: Call, state: UpstreamState, send: Send) -> None:
     """Take a failed send as evidence against its upstream."""
     if send.outcome not in (Outcome.UNKNOWN, Outcome.FAILED):
@@ -311,10 +333,12 @@
     send: Send,
     limit_ms: float,
 ) -> None:
-    """Send a request, giving up after a time."""
+    """Send a request, giving up after a time, or at the end for a begun stream."""
     try:
-        async with asyncio.timeout(limit_ms / 1000.0):
+        async with asyncio.timeout(limit_ms / 1000.0) as timeout:
+            send.timeout = timeout
             await send_once(vm, call, state, inputs, send)
     except TimeoutError:
+        send.answer.drop_partial()
         send.detail = f"no whole answer in {round(limit_ms)} ms"
         send.outcome = Outcome.UNKNOWN if send.sent else Outcome.UNSENT
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -20,6 +20,7 @@
     INPUT_GONE = "input_gone"
     RESET = "reset"
     CUT = "cut"
+    TORN = "torn"
     STALE_FIRST = "stale_first"
     NO_SEAL = "no_seal"
     FAIL = "fail"
@@ -117,7 +118,8 @@
         if fault is Fault.SILENT:
             await asyncio.sleep(30)
         if "token-count" in seen.headers:
-            await self.stream(attempt, fault, reader, writer)
+            first = int(seen.headers.get("last-event-id", "0")) + 1
+            await self.stream(attempt, first, fault, reader, writer)
         else:
             await self.respond(attempt, fault, writer)
 
@@ -145,19 +147,24 @@
     async def stream(
         self,
         attempt: str,
+        first: int,
         fault: Fault,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Answer with an event stream."""
+        """Answer with an event stream from its event `first` on."""
         start = head(200, attempt, None, chunked=True)
         writer.write(start)
-        for number in range(1, self.events + 1):
+        for number in range(first, self.events + 1):
             await asyncio.sleep(self.work_s)
             if reader.at_eof():
                 self.cancelled.append(attempt)
                 raise ConnectionError
             event = f"id: {number}\ndata: {attempt}\n\n".encode()
+            if fault is Fault.TORN and number == 3:
+                writer.write(b"8\r\n%b\r\n" % event[:8])
+                await writer.drain()
+                raise ConnectionError
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             if fault is Fault.CUT and number == 2:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -90,6 +90,15 @@
                 ],
                 gap_aim_ms=300,
             ),
+            make_route(
+                "note",
+                "streaming",
+                "engines",
+                stages=[{"service": "encode", "after": [], "bytes": 1000}],
+                gap_aim_ms=300,
+                max_attempts=2,
+                resumable=True,
+            ),
         ],
         "services": [
             make_service("desk"),
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -211,6 +211,44 @@
     assert site.upstreams["engine-1"].ran == ["a1"]
 
 
+async def test_resumable_stream_that_breaks_goes_on_at_another_upstream(
+    site: Site,
+) -> None:
+    engines = [
+        site.upstreams["engine-1"],
+        await site.add_upstream("engine-2", "engines"),
+    ]
+    await until(lambda: len(site.vms[0].events("upstream_changed")) == 6)
+    await call(site.vms[0].address, "POST", "/note/x", draft_fields("a0"), b"p")
+    torn, sound = sorted(engines, key=lambda engine: len(engine.ran), reverse=True)
+    torn.ran.clear()
+    torn.faults = [Fault.TORN] * 20
+    for number in range(1, 6):
+        name = f"a{number}"
+        headers = draft_fields(name)
+        answer = await call(site.vms[0].address, "POST", "/note/x", headers, b"p")
+        events = b"".join(
+            b"id: %d\ndata: %b\n\n" % (n, name.encode()) for n in (1, 2, 3)
+        )
+        assert (answer.status, answer.whole, answer.body) == (200, True, events)
+    assert torn.ran
+    resumed = [seen for seen in sound.seen if "last-event-id" in seen.headers]
+    assert [seen.headers["attempt-id"] for seen in resumed] == torn.ran
+    assert {seen.headers["last-event-id"] for seen in resumed} == {"2"}
+    assert all(seen.headers["inputs"] for seen in resumed)
+    await until(lambda: len(site.vms[0].events("stream_resumed")) == len(torn.ran))
+
+
+async def test_resumable_stream_without_another_upstream_does_not_look_complete(
+    site: Site,
+) -> None:
+    site.upstreams["engine-1"].faults = [Fault.TORN]
+    headers = draft_fields("a1")
+    answer = await call(site.vms[0].address, "POST", "/note/x", headers, b"p")
+    assert (answer.status, answer.whole) == (200, False)
+    assert answer.body.count(b"id: ") == 2
+
+
 async def test_caller_that_leaves_ends_the_work_of_its_upstream(site: Site) -> None:
     engine = site.upstreams["engine-1"]
     engine.events, engine.work_s = 100, 0.05
