Give an upstream all the time if no other can follow, and resume late streams too

Cause, found by reading the change before: a silent upstream was given up after half of the time left also when there was no other upstream or no repeat left in the budget, so that a late answer turned into a failure; and the stages of a stream that broke late were to be ready by the time of its first event, which was over already.

Change: both are asked before a send; the wait for stages of a resumed stream counts from its break.

--- a/cuminstile/gateway/accepting.py
+++ b/cuminstile/gateway/accepting.py
@@ -60,7 +60,13 @@
     )
 
 
-def first_event_by_ms(call: Call) -> float:
-    """Return when the caller gives up if its answer has not begun."""
-    patience_at_ms = call.request.arrived_ms + call.route.patience_ms - CLOSE_MARGIN_MS
+def next_event_by_ms(call: Call, since_ms: float) -> float:
+    """Return when the caller gives up if nothing more of its answer comes.
+
+    Parameters
+    ----------
+    since_ms : float
+        When the last event has gone to it, or its request has arrived.
+    """
+    patience_at_ms = since_ms + call.route.patience_ms - CLOSE_MARGIN_MS
     return min(call.expires_at_ms, patience_at_ms)
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -80,7 +80,7 @@
         if left_ms <= 0:
             raise out_of_time(progress.runs > 0)
         if progress.runs and not progress.results:
-            progress.results = await results_for(vm, call, redone=True)
+            progress.results = await redone_results(vm, call, progress)
         state = next_upstream(vm, call, progress)
         if state is None:
             await end_unanswered(vm, call, progress)
@@ -113,7 +113,7 @@
     record_resumption(vm, call, progress, state)
     send = Send(progress.answer, on_running=lambda: results_used(vm, progress))
     inputs = tuple(result.handle for result in progress.results)
-    limit_ms = try_ms(call, progress, left_ms)
+    limit_ms = try_ms(vm, call, progress, left_ms)
     await send_within(vm, call, state, inputs, send, limit_ms)
     record_send(vm, call, state, send)
     judge_upstream(vm, call, state, send)
@@ -138,7 +138,22 @@
     progress.tried.clear()
     free_results(vm, progress.results)
     progress.results = ()
-    progress.results = await results_for(vm, call, redone=True)
+    progress.results = await redone_results(vm, call, progress)
+
+
+async def redone_results(
+    vm: Gateway, call: Call, progress: Progress
+) -> tuple[Result, ...]:
+    """Return the results of the stages, made again for another send.
+
+    Raises
+    ------
+    Refusal
+        If they can't be done in time.
+    """
+    begun = progress.answer.begun
+    since_ms = vm.clock.now_ms() if begun else call.request.arrived_ms
+    return await results_for(vm, call, True, since_ms)
 
 
 def results_used(vm: Gateway, progress: Progress) -> None:
@@ -150,11 +165,22 @@
     progress.results = ()
 
 
-def try_ms(call: Call, progress: Progress, left_ms: float) -> float:
-    """Return how long the next send may take."""
-    if call.route.repeatable and progress.runs + 1 < call.route.max_attempts:
-        return max(left_ms * FIRST_TRY_SHARE, min(left_ms, call.route.target_ms))
-    return left_ms
+def try_ms(vm: Gateway, call: Call, progress: Progress, left_ms: float) -> float:
+    """Return how long the next send may take; a stream only has to begin by then.
+
+    It is less than the time left if another one may follow: the route allows it, and
+    there are another upstream and a repeat in the budget.
+    """
+    service = call.service.name
+    left_out = len(progress.tried) + 1
+    if (
+        not call.route.repeatable
+        or progress.runs + 1 >= call.route.max_attempts
+        or len(vm.table.usable(service)) <= left_out
+        or vm.retries.left(service, vm.vms(), vm.clock.now_ms()) < 1
+    ):
+        return left_ms
+    return max(left_ms * FIRST_TRY_SHARE, min(left_ms, call.route.target_ms))
 
 
 def may_send_again(call: Call, progress: Progress, send: Send) -> bool:
--- a/cuminstile/gateway/serving.py
+++ b/cuminstile/gateway/serving.py
@@ -62,7 +62,8 @@
     """
     vm.retries.note_request(call.service.name, vm.clock.now_ms())
     progress = Progress()
-    progress.results = await results_for(vm, call, redone=False)
+    arrived_ms = call.request.arrived_ms
+    progress.results = await results_for(vm, call, False, arrived_ms)
     try:
         await send_until_answered(vm, call, progress)
     finally:
--- a/cuminstile/gateway/staged_work.py
+++ b/cuminstile/gateway/staged_work.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ..exceptions import ErrorCode
-from .accepting import first_event_by_ms
+from .accepting import next_event_by_ms
 from .chain import ChainSpec, ChainStage, Result
 from .choosing import preferred_upstream
 from .refusals import DEFAULT_RETRY_MS, Refusal
@@ -19,13 +19,17 @@
 """Time in which an engine reads one prompt token."""
 
 
-async def results_for(vm: Gateway, call: Call, redone: bool) -> tuple[Result, ...]:
+async def results_for(
+    vm: Gateway, call: Call, redone: bool, since_ms: float
+) -> tuple[Result, ...]:
     """Return the results that a request needs, none if it has no stages.
 
     Parameters
     ----------
     redone : bool
-        Whether its stages were done before, and a result was lost.
+        Whether its stages were done before, and a result was lost or is used.
+    since_ms : float
+        Since when its caller waits for the next part of its answer.
 
     Raises
     ------
@@ -36,7 +40,8 @@
     if not stages:
         return ()
     started_ms = vm.clock.now_ms()
-    spec = chain_of(vm, call, stages, redone)
+    expires_ms = next_event_by_ms(call, since_ms)
+    spec = chain_of(vm, call, stages, redone, expires_ms)
     left_ms = max(1.0, spec.expires_at_ms - started_ms)
     try:
         async with asyncio.timeout(left_ms / 1000.0):
@@ -65,7 +70,11 @@
 
 
 def chain_of(
-    vm: Gateway, call: Call, stages: tuple[ChainStage, ...], redone: bool
+    vm: Gateway,
+    call: Call,
+    stages: tuple[ChainStage, ...],
+    redone: bool,
+    expires_ms: float,
 ) -> ChainSpec:
     """Return the staged work of a request."""
     home = preferred_upstream(vm, call, (), ())
@@ -77,7 +86,7 @@
         priority=call.priority,
         zone=home.info.zone if home else "",
         target_at_ms=call.target_at_ms,
-        expires_at_ms=first_event_by_ms(call),
+        expires_at_ms=expires_ms,
         engine_ms=engine_ms,
         stages=stages,
     )
--- /dev/null
+++ b/tests/gateway/test_attempts.py
@@ -0,0 +1,104 @@
+"""Test when a request is sent again, under upstreams that stay silent or break off."""
+
+from typing import Any
+
+import pytest
+
+from cuminstile.clock import VirtualClock
+from cuminstile.gateway.accepting import CLOSE_MARGIN_MS, next_event_by_ms
+from cuminstile.gateway.attempts import Progress, may_send_again, try_ms
+from cuminstile.gateway.dialect import CallFields
+from cuminstile.gateway.event_stream import AnswerProgress
+from cuminstile.gateway.http_server import Request
+from cuminstile.gateway.model import RouteKind, Service
+from cuminstile.gateway.sending import Call, Outcome, Send
+
+from .test_decisions import make_route
+from .test_state import both, make_vm, one
+
+ARRIVED_MS = 100_000.0
+LEFT_MS = 2_000.0
+RESUMABLE = {"kind": RouteKind.STREAM, "resumable": True, "max_attempts": 2}
+IDEMPOTENT = {"kind": RouteKind.IDEMPOTENT, "max_attempts": 2}
+
+
+def make_call(**changes: Any) -> Call:
+    request = Request(b"POST", b"/x", (), b"", ARRIVED_MS)
+    return Call(
+        request,
+        None,  # type: ignore[arg-type]
+        CallFields("a1", 6e3, None, 0, 0, (), (), ""),
+        make_route("/x/", **changes),
+        Service("s", 50),
+        None,
+        0,
+        ARRIVED_MS + 500.0,
+        ARRIVED_MS + 6_000.0,
+    )
+
+
+@pytest.mark.parametrize("route", [RESUMABLE, IDEMPOTENT])
+def test_silent_upstream_is_given_half_the_time_if_another_can_follow(
+    route: dict[str, Any],
+) -> None:
+    vm = make_vm(VirtualClock(at_ms=ARRIVED_MS))
+    vm.take_upstreams(both(), 0.0)
+    assert try_ms(vm, make_call(**route), Progress(), LEFT_MS) == LEFT_MS / 2
+
+
+@pytest.mark.parametrize("route", [RESUMABLE, IDEMPOTENT])
+def test_the_only_upstream_is_given_all_the_time(route: dict[str, Any]) -> None:
+    vm = make_vm(VirtualClock(at_ms=ARRIVED_MS))
+    vm.take_upstreams(one(), 0.0)
+    assert try_ms(vm, make_call(**route), Progress(), LEFT_MS) == LEFT_MS
+
+
+@pytest.mark.parametrize("route", [RESUMABLE, IDEMPOTENT])
+def test_without_a_repeat_in_the_budget_the_first_is_given_all_the_time(
+    route: dict[str, Any],
+) -> None:
+    vm = make_vm(VirtualClock(at_ms=ARRIVED_MS))
+    vm.take_upstreams(both(), 0.0)
+    while vm.retries.take("s", vm.vms(), ARRIVED_MS):
+        pass
+    assert try_ms(vm, make_call(**route), Progress(), LEFT_MS) == LEFT_MS
+
+
+def test_request_that_may_run_once_is_given_all_the_time() -> None:
+    vm = make_vm(VirtualClock(at_ms=ARRIVED_MS))
+    vm.take_upstreams(both(), 0.0)
+    call = make_call(kind=RouteKind.STREAM, max_attempts=2)
+    assert try_ms(vm, call, Progress(), LEFT_MS) == LEFT_MS
+
+
+def test_caller_of_a_stream_waits_from_its_last_event_on() -> None:
+    call = make_call(patience_ms=2_000.0)
+    first_ms = next_event_by_ms(call, ARRIVED_MS)
+    assert first_ms == ARRIVED_MS + 2_000.0 - CLOSE_MARGIN_MS
+    assert next_event_by_ms(call, ARRIVED_MS + 3_000.0) == first_ms + 3_000.0
+    assert next_event_by_ms(call, ARRIVED_MS + 5_500.0) == call.expires_at_ms
+
+
+@pytest.mark.parametrize(
+    ("route", "answer", "again"),
+    [
+        (RESUMABLE, AnswerProgress(), True),
+        (RESUMABLE, AnswerProgress(begun=True, last_event="3"), True),
+        (RESUMABLE, AnswerProgress(begun=True), False),
+        ({"kind": RouteKind.STREAM, "max_attempts": 2}, AnswerProgress(), False),
+        ({"kind": RouteKind.ONCE, "max_attempts": 2}, AnswerProgress(), False),
+    ],
+)
+def test_what_may_have_run_goes_on_only_where_that_is_allowed(
+    route: dict[str, Any], answer: AnswerProgress, again: bool
+) -> None:
+    progress = Progress(answer=answer, sends=1, runs=1)
+    send = Send(answer, Outcome.UNKNOWN, sent=True)
+    assert may_send_again(make_call(**route), progress, send) is again
+
+
+def test_a_resumable_stream_runs_no_more_often_than_its_route_allows() -> None:
+    answer = AnswerProgress(begun=True, last_event="3")
+    progress = Progress(answer=answer, sends=2, runs=2)
+    send = Send(answer, Outcome.UNKNOWN, sent=True)
+    assert not may_send_again(make_call(**RESUMABLE), progress, send)
