Test the order of imports

Change: a test reads the imports of each module: the gateway uses six shared modules of the product and nothing else outside itself, its decisions use no network and no state of a VM, nothing but the program uses the adapter, imports are relative.

--- /dev/null
+++ b/tests/test_import_order.py
@@ -0,0 +1,87 @@
+"""Test which modules may import which: entry points on top, decisions at the bottom."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent / "cuminstile"
+GATEWAY_MAY_USE = {"clock", "events", "exceptions", "rendezvous", "supervision", "wire"}
+"""Modules of the product that the gateway shares with the product's own interface."""
+DECISIONS = (
+    "admission",
+    "board",
+    "chain",
+    "event_stream",
+    "membership",
+    "model",
+    "retry_budget",
+    "returns",
+    "routing",
+    "stage_queue",
+    "upstreams",
+)
+"""Modules of the gateway that decide, and need no network."""
+NETWORK = {"anyio", "asyncio", "httptools", "socket", "uvloop", "websockets"}
+DECISIONS_MAY_USE = {*DECISIONS, "messages"}
+
+
+def parsed(path: Path) -> ast.Module:
+    return ast.parse(path.read_text("utf-8"), str(path))
+
+
+def typing_only(tree: ast.Module) -> set[ast.AST]:
+    """Return the nodes below `if TYPE_CHECKING:`, which are never imported."""
+    return {
+        node
+        for branch in ast.walk(tree)
+        if isinstance(branch, ast.If) and "TYPE_CHECKING" in ast.unparse(branch.test)
+        for node in ast.walk(branch)
+    }
+
+
+def imports(path: Path, level: int) -> set[str]:
+    """Return what a module imports from a level: 0 libraries, 1 its own folder."""
+    tree = parsed(path)
+    left_out = typing_only(tree)
+    found: set[str] = set()
+    for node in ast.walk(tree):
+        if node in left_out:
+            continue
+        if isinstance(node, ast.Import) and level == 0:
+            found |= {alias.name.partition(".")[0] for alias in node.names}
+        if isinstance(node, ast.ImportFrom) and node.level == level:
+            names = [node.module] if node.module else [a.name for a in node.names]
+            found |= {str(name).partition(".")[0] for name in names}
+    return found
+
+
+def modules(folder: str) -> list[Path]:
+    return sorted((PACKAGE / folder).rglob("*.py"))
+
+
+@pytest.mark.parametrize("path", modules("gateway"), ids=lambda path: path.stem)
+def test_gateway_uses_no_adapter_and_no_peer_of_the_own_interface(path: Path) -> None:
+    assert imports(path, 2) <= GATEWAY_MAY_USE
+
+
+@pytest.mark.parametrize("name", DECISIONS)
+def test_decisions_use_no_network_and_no_state_of_a_vm(name: str) -> None:
+    path = PACKAGE / "gateway" / f"{name}.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) <= DECISIONS_MAY_USE
+
+
+def test_nothing_but_the_program_itself_uses_the_adapter() -> None:
+    users = {
+        path.name
+        for path in modules("")
+        if path.parent.name != "platform"
+        and "platform" in imports(path, 1) | imports(path, 2)
+    }
+    assert users == set()
+
+
+def test_imports_inside_the_package_are_relative() -> None:
+    absolute = {str(p) for p in modules("") if "cuminstile" in imports(p, 0)}
+    assert absolute == set()
