Never say "not run" of a request that may have run, and name what is done to results

Cause, found by reading: a repeatable request that may have run, whose results were then lost and could not be made again, was refused as overloaded with 503, which promises that nothing ran. Only requests that may be repeated get there, so at most once was not broken.

Change: such a refusal becomes a 502 (`truthful`); every code is tested, and the way to it. `redo_stages`, `redone_results`, `results_used` and `give_time` are called `replace_lost_results`, `make_results_again`, `free_inputs` and `extend_timeout`.

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -8,7 +8,7 @@
 from .chain import Result
 from .choosing import take_upstream
 from .event_stream import AnswerProgress
-from .refusals import Refusal, no_upstream, out_of_time
+from .refusals import Refusal, no_upstream, out_of_time, truthful
 from .sending import Call, Failure, Outcome, Send, judge_upstream, send_within
 from .staged_results import free_results
 from .staged_work import results_for
@@ -70,7 +70,7 @@
     except Refusal as refusal:
         if progress.answer.begun:
             raise StreamBrokenError(f"{progress.detail}; {refusal.message}") from None
-        raise
+        raise truthful(refusal, progress.runs > 0) from None
 
 
 async def keep_sending(vm: Gateway, call: Call, progress: Progress) -> None:
@@ -80,7 +80,7 @@
         if left_ms <= 0:
             raise out_of_time(progress.runs > 0)
         if progress.runs and not progress.results:
-            progress.results = await redone_results(vm, call, progress)
+            progress.results = await make_results_again(vm, call, progress)
         state = next_upstream(vm, call, progress)
         if state is None:
             await end_unanswered(vm, call, progress)
@@ -89,7 +89,7 @@
         if send.outcome is Outcome.PASSED_ON:
             return
         if send.outcome is Outcome.INPUT_GONE and not progress.redone:
-            await redo_stages(vm, call, progress)
+            await replace_lost_results(vm, call, progress)
         elif not may_send_again(call, progress, send):
             await end_unanswered(vm, call, progress)
             return
@@ -111,7 +111,7 @@
 ) -> Send:
     """Send a request to an upstream, and note what became of it."""
     record_resumption(vm, call, progress, state)
-    send = Send(progress.answer, on_running=lambda: results_used(vm, progress))
+    send = Send(progress.answer, on_running=lambda: free_inputs(vm, progress))
     inputs = tuple(result.handle for result in progress.results)
     limit_ms = try_ms(vm, call, progress, left_ms)
     await send_within(vm, call, state, inputs, send, limit_ms)
@@ -126,7 +126,7 @@
     return send
 
 
-async def redo_stages(vm: Gateway, call: Call, progress: Progress) -> None:
+async def replace_lost_results(vm: Gateway, call: Call, progress: Progress) -> None:
     """Have the stages done again: a result was lost.
 
     Raises
@@ -138,10 +138,10 @@
     progress.tried.clear()
     free_results(vm, progress.results)
     progress.results = ()
-    progress.results = await redone_results(vm, call, progress)
+    progress.results = await make_results_again(vm, call, progress)
 
 
-async def redone_results(
+async def make_results_again(
     vm: Gateway, call: Call, progress: Progress
 ) -> tuple[Result, ...]:
     """Return the results of the stages, made again for another send.
@@ -156,7 +156,7 @@
     return await results_for(vm, call, True, since_ms)
 
 
-def results_used(vm: Gateway, progress: Progress) -> None:
+def free_inputs(vm: Gateway, progress: Progress) -> None:
     """Free the inputs of a request that runs; another run has them made again.
 
     Their room is what bounds the stages, and few streams break.
--- a/cuminstile/gateway/refusals.py
+++ b/cuminstile/gateway/refusals.py
@@ -11,6 +11,8 @@
 from .http_server import CallerConnection, Request
 from .state import Gateway
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which a caller knows that its request has not run and never will."""
 DEFAULT_RETRY_MS = 300.0
 """When a caller may come back if nothing better is known."""
 
@@ -38,6 +40,13 @@
     return Refusal(ErrorCode.NO_UPSTREAM, "no upstream took it", DEFAULT_RETRY_MS)
 
 
+def truthful(refusal: Refusal, maybe_ran: bool) -> Refusal:
+    """Return a refusal that does not say "not run" of a request that may have run."""
+    if maybe_ran and HTTP_STATUS[refusal.code] in NOT_RUN_STATUSES:
+        return Refusal(ErrorCode.UPSTREAM_FAILED, refusal.message)
+    return refusal
+
+
 def id_of(vm: Gateway, request: Request) -> str:
     """Return the caller's id of a request."""
     return vm.dialect.read_call(request.headers).attempt_id
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -277,7 +277,7 @@
     on with it: it never looks complete.
     """
     answer = send.answer
-    give_time(vm, call, send)
+    extend_timeout(vm, call, send)
     if not answer.begun:
         answer.begun = True
         answer.framed = head.length is not None
@@ -302,7 +302,7 @@
     send.outcome = Outcome.PASSED_ON
 
 
-def give_time(vm: Gateway, call: Call, send: Send) -> None:
+def extend_timeout(vm: Gateway, call: Call, send: Send) -> None:
     """Let a stream that has begun go on until its caller's time is over."""
     if send.timeout is None or send.timeout.expired():
         return
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -5,17 +5,26 @@
 import pytest
 
 from cuminstile.clock import VirtualClock
+from cuminstile.exceptions import HTTP_STATUS, ErrorCode
+from cuminstile.gateway import attempts
 from cuminstile.gateway.accepting import CLOSE_MARGIN_MS, next_event_by_ms
-from cuminstile.gateway.attempts import Progress, may_send_again, try_ms
+from cuminstile.gateway.attempts import (
+    Progress,
+    may_send_again,
+    send_until_answered,
+    try_ms,
+)
 from cuminstile.gateway.dialect import CallFields
 from cuminstile.gateway.event_stream import AnswerProgress
 from cuminstile.gateway.http_server import Request
 from cuminstile.gateway.model import RouteKind, Service
+from cuminstile.gateway.refusals import Refusal, truthful
 from cuminstile.gateway.sending import Call, Outcome, Send
 
 from .test_decisions import make_route
 from .test_state import both, make_vm, one
 
+pytestmark = pytest.mark.anyio
 ARRIVED_MS = 100_000.0
 LEFT_MS = 2_000.0
 RESUMABLE = {"kind": RouteKind.STREAM, "resumable": True, "max_attempts": 2}
@@ -97,6 +106,29 @@
     assert may_send_again(make_call(**route), progress, send) is again
 
 
+@pytest.mark.parametrize("code", list(HTTP_STATUS))
+def test_refusal_of_what_may_have_run_does_not_say_not_run(code: ErrorCode) -> None:
+    refusal = Refusal(code, "no room", 300.0)
+    assert truthful(refusal, maybe_ran=False) is refusal
+    told = truthful(refusal, maybe_ran=True)
+    assert HTTP_STATUS[told.code] not in {408, 421, 429, 503}
+    assert told.message == refusal.message
+
+
+async def test_lost_results_that_cannot_be_made_again_are_no_proof_of_no_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def refuse(vm: Any, call: Call, progress: Progress) -> None:
+        raise Refusal(ErrorCode.OVERLOADED, "overloaded", 300.0)
+
+    monkeypatch.setattr(attempts, "keep_sending", refuse)
+    vm = make_vm(VirtualClock(at_ms=ARRIVED_MS))
+    progress = Progress(sends=2, runs=1)
+    with pytest.raises(Refusal) as raised:
+        await send_until_answered(vm, make_call(**RESUMABLE), progress)
+    assert raised.value.code is ErrorCode.UPSTREAM_FAILED
+
+
 def test_a_resumable_stream_runs_no_more_often_than_its_route_allows() -> None:
     answer = AnswerProgress(begun=True, last_event="3")
     progress = Progress(answer=answer, sends=2, runs=2)
