Log each failed call of the store, and by which list an upstream was chosen

An on-call engineer could not tell why a VM does not come back after an outage: failed calls after the first left no line, and no line of a request said how old the list of upstreams was. No decision changes.

Tests: tests/gateway/test_following.py (new; the events and fields did not exist before).

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -111,7 +111,11 @@
 ) -> Send:
     """Send a request to an upstream, and note what became of it."""
     record_resumption(vm, call, progress, state)
-    send = Send(progress.answer, on_running=lambda: free_inputs(vm, progress))
+    send = Send(
+        progress.answer,
+        vm.table.age(vm.clock.now_ms()),
+        on_running=lambda: free_inputs(vm, progress),
+    )
     inputs = tuple(result.handle for result in progress.results)
     limit_ms = try_ms(vm, call, progress, left_ms)
     await send_within(vm, call, state, inputs, send, limit_ms)
@@ -243,6 +247,8 @@
         upstream=state.info.id,
         zone=state.info.zone,
         in_flight=state.in_flight,
+        list_version=send.chosen_by.version,
+        list_age_ms=send.chosen_by.age_ms,
         outcome=send.outcome.value,
         detail=send.detail,
         at_ms=round(vm.clock.now_ms() - call.request.arrived_ms, 1),
--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..clock import Clock
-from ..events import Event, Journal
+from ..events import Event
 from ..exceptions import PlatformAwayError, TrimmedError
+from .state import Gateway
 
 RETRY_MIN_MS = 150.0
 """Pause after the first failed call of the store."""
@@ -33,8 +33,22 @@
     end: int
 
 
+class StoreCallError(PlatformAwayError):
+    """Tell that a call of the store failed.
+
+    Parameters
+    ----------
+    calls_before : int or None
+        Calls that its connection had carried before, None if none was open.
+    """
+
+    def __init__(self, message: str, calls_before: int | None) -> None:
+        super().__init__(message)
+        self.calls_before = calls_before
+
+
 class KeyedStore(Protocol):
-    """Read keyed topics; each call raises `PlatformAwayError` if it isn't answered."""
+    """Read keyed topics; each call raises `StoreCallError` if it isn't answered."""
 
     async def newest(self, topic: str) -> TopicPage:
         """Return the newest record of each key."""
@@ -59,6 +73,8 @@
         The next offset to read, None before the first reading.
     read_ms : float
         Monotonic time of the last answer.
+    failed_calls : int
+        Calls that have failed since then.
     """
 
     name: str
@@ -67,18 +83,18 @@
     away_since_ms: float | None = None
     back_ms: float = 0.0
     read_ms: float = 0.0
+    failed_calls: int = 0
 
 
 async def follow_topic(
     state: TopicState,
     store: KeyedStore,
-    clock: Clock,
-    journal: Journal,
+    vm: Gateway,
     wait_ms: float,
     pause_ms: float,
-    changed: Callable[[set[str]], None],
+    answered: Callable[[set[str]], None],
 ) -> None:
-    """Keep `state` up to date without end; tell which keys changed.
+    """Keep `state` up to date without end; tell after each answer which keys changed.
 
     Parameters
     ----------
@@ -97,19 +113,18 @@
                 page = await store.read(state.name, state.end, wait_ms)
                 keys = take_records(state, page)
         except TrimmedError:
-            journal.record(Event.STORE_TRIMMED, topic=state.name)
+            vm.journal.record(Event.STORE_TRIMMED, topic=state.name)
             state.end = None
             continue
-        except PlatformAwayError as error:
-            note_away(state, clock, journal, error)
-            await clock.sleep_ms(retry_ms)
+        except StoreCallError as error:
+            note_failed(state, vm, error, retry_ms)
+            await vm.clock.sleep_ms(retry_ms)
             retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
             continue
         retry_ms = RETRY_MIN_MS
-        note_back(state, clock, journal)
-        if keys:
-            changed(keys)
-        await clock.sleep_ms(pause_ms)
+        note_answered(state, vm)
+        answered(keys)
+        await vm.clock.sleep_ms(pause_ms)
 
 
 def replace_all(state: TopicState, page: TopicPage) -> set[str]:
@@ -138,26 +153,41 @@
     return keys
 
 
-def note_away(
-    state: TopicState, clock: Clock, journal: Journal, error: PlatformAwayError
+def note_failed(
+    state: TopicState, vm: Gateway, error: StoreCallError, retry_ms: float
 ) -> None:
-    """Log once that the store does not answer."""
+    """Log and count a failed call; the first one tells that the store is away."""
+    now_ms = vm.clock.now_ms()
+    vm.metrics.store_calls_total.inc({"topic": state.name, "result": "failed"})
+    state.failed_calls += 1
+    event = Event.STORE_CALL_FAILED
     if state.away_since_ms is None:
-        state.away_since_ms = clock.now_ms()
-        journal.record(
-            Event.PLATFORM_LOST,
+        state.away_since_ms = now_ms
+        event = Event.PLATFORM_LOST
+    vm.journal.record(
+        event,
+        topic=state.name,
+        error=error.message,
+        failed_calls=state.failed_calls,
+        connection_calls_before=error.calls_before,
+        age_ms=round(now_ms - state.read_ms),
+        retry_ms=round(retry_ms),
+    )
+
+
+def note_answered(state: TopicState, vm: Gateway) -> None:
+    """Count an answer; after failed calls it tells that the store is back."""
+    now_ms = vm.clock.now_ms()
+    vm.metrics.store_calls_total.inc({"topic": state.name, "result": "answered"})
+    if state.away_since_ms is not None:
+        vm.journal.record(
+            Event.PLATFORM_BACK,
             topic=state.name,
-            error=error.message,
-            age_ms=round(state.away_since_ms - state.read_ms),
+            away_ms=round(now_ms - state.away_since_ms),
+            failed_calls=state.failed_calls,
+            age_ms=round(now_ms - state.read_ms),
         )
-
-
-def note_back(state: TopicState, clock: Clock, journal: Journal) -> None:
-    """Log once that the store answers again."""
-    now_ms = clock.now_ms()
-    state.read_ms = now_ms
-    if state.away_since_ms is not None:
-        away_ms = round(now_ms - state.away_since_ms)
-        journal.record(Event.PLATFORM_BACK, topic=state.name, away_ms=away_ms)
         state.away_since_ms = None
         state.back_ms = now_ms
+    state.failed_calls = 0
+    state.read_ms = now_ms
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -20,6 +20,8 @@
     staging_ms: Histogram
     manifest_version: Gauge
     live_vms: Gauge
+    store_calls_total: Counter
+    upstream_list_age_ms: Gauge
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -59,4 +61,14 @@
             "VMs that are heard of, this one included",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_gateway_store_calls_total",
+            "Calls that follow the platform's store by topic and result",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_upstream_list_age_ms",
+            "Time since the list of upstreams was last known to be the newest",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -73,6 +73,7 @@
     """Hold one connection; one request at a time.
 
     The parser's callbacks queue what arrives; `receive` hands it out in order.
+    `requests` counts the requests that were sent on it.
     """
 
     def __init__(self) -> None:
@@ -86,6 +87,7 @@
         self.in_body = False
         self.in_use = False
         self.sent = False
+        self.requests = 0
         self.lost: str | None = None
         self.clean_end = False
         self.keep = True
@@ -244,6 +246,7 @@
             raise ConnectionLostError(self.lost or "not open", sent=False)
         self.in_use = True
         self.sent = True
+        self.requests += 1
         self.transport.write(data)
 
     def release(self, now_ms: float) -> bool:
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -23,6 +23,7 @@
 from .state import Gateway
 from .upstreams import (
     BUSY_MS,
+    ListAge,
     UpstreamState,
     note_failure,
     note_load,
@@ -99,16 +100,18 @@
 
     Parameters
     ----------
-    sent : bool
-        Whether a byte of it may have reached the upstream.
     answer : AnswerProgress
         What has gone to the caller, also in sends before this one.
+    chosen_by : ListAge
+        The list of upstreams by which the upstream was chosen.
+    sent : bool
+        Whether a byte of it may have reached the upstream.
     timeout : asyncio.Timeout or None
         When it is given up; a stream that has begun is given more time.
     """
 
     answer: AnswerProgress
-
+    chosen_by: ListAge
     outcome: Outcome = Outcome.UNSENT
     failure: Failure | None = None
     detail: str = ""
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -73,11 +73,13 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     free_later: list[Result] = field(default_factory=list)
     addresses: dict[str, str] = field(default_factory=dict)
+    table: UpstreamTable = field(default_factory=UpstreamTable)
     next_pump_ms: float = 0.0
     returns: Returns = field(default_factory=Returns)
 
     def configure(self, manifest: Manifest, table: UpstreamTable) -> None:
         """Take over services and upstreams."""
+        self.table = table
         for service in manifest.services.values():
             if service.batch is None:
                 continue
@@ -173,6 +175,7 @@
     ) -> None:
         """Call an upstream with a batch, and take over what became of the pieces."""
         started_ms = self.clock.now_ms()
+        chosen_by = self.table.age(started_ms)
         expected_ms = self.board.queues[worker.service].call_time_ms(len(batch))
         answer: StageAnswer | None = None
         try:
@@ -200,6 +203,8 @@
             pieces=len(batch),
             made=sum(1 for o in answer.outcomes if o.handle) if answer else 0,
             took_ms=round(now_ms - started_ms, 1),
+            list_version=chosen_by.version,
+            list_age_ms=chosen_by.age_ms,
         )
         self.pump()
 
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -169,7 +169,9 @@
         before = {name: state.info for name, state in self.table.states.items()}
         for name in self.table.replace(kept.values(), doubtful, now_ms):
             self.pool.drop(name)
-            self.journal.record(Event.UPSTREAM_GONE, upstream=name)
+            self.journal.record(
+                Event.UPSTREAM_GONE, upstream=name, list_version=self.table.version
+            )
         for name, info in kept.items():
             if before.get(name) != info:
                 self.journal.record(
@@ -181,6 +183,7 @@
                     version=info.version,
                     leaving=info.leaving,
                     cold_ms=info.cold_ms,
+                    list_version=self.table.version,
                 )
         self.upstreams_known = True
         if self.manifest is not None:
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -58,12 +58,32 @@
     cold_refilled_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ListAge:
+    """Tell by which list of upstreams something was decided.
+
+    Parameters
+    ----------
+    version : int
+        Where the list stands in the store's log.
+    age_ms : float
+        Time since that was confirmed.
+    """
+
+    version: int
+    age_ms: float
+
+
 @dataclass
 class UpstreamTable:
     """Hold the upstreams by id.
 
     Parameters
     ----------
+    version : int
+        The offset in the store's log behind the last record read, -1 before the first.
+    confirmed_ms : float
+        Monotonic time at which that was last known to be the newest.
     taken_out : frozenset of str
         Data centres that get nothing new.
     held_back : dict of str to str
@@ -71,9 +91,20 @@
     """
 
     states: dict[str, UpstreamState] = field(default_factory=dict)
+    version: int = -1
+    confirmed_ms: float = 0.0
     taken_out: frozenset[str] = frozenset()
     held_back: dict[str, str] = field(default_factory=dict)
 
+    def confirm(self, version: int | None, at_ms: float) -> None:
+        """Note that the list was read up to an offset at a monotonic time in ms."""
+        self.version = -1 if version is None else version
+        self.confirmed_ms = at_ms
+
+    def age(self, now_ms: float) -> ListAge:
+        """Return which list this is and how old."""
+        return ListAge(self.version, round(now_ms - self.confirmed_ms))
+
     def replace(
         self, upstreams: Iterable[Upstream], doubtful: Collection[str], now_ms: float
     ) -> list[str]:
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -50,8 +50,7 @@
         await follow_topic(
             self.operator,
             self.store,
-            self.vm.clock,
-            self.vm.journal,
+            self.vm,
             OPERATOR_WAIT_MS,
             0.0,
             self.take_operator,
@@ -62,8 +61,7 @@
         await follow_topic(
             self.upstreams,
             self.store,
-            self.vm.clock,
-            self.vm.journal,
+            self.vm,
             0.0,
             UPSTREAM_POLL_MS,
             self.take_upstreams,
@@ -71,6 +69,8 @@
 
     def take_operator(self, keys: set[str]) -> None:
         """Put a changed manifest and changed orders in force."""
+        if not keys:
+            return
         payload = self.operator.values.get(MANIFEST_KEY)
         if MANIFEST_KEY in keys and payload is not None:
             self.take_manifest(payload, "store")
@@ -129,6 +129,7 @@
 
     def take_upstreams(self, keys: set[str]) -> None:
         """Take over changed upstreams; one that can't be read is none to use."""
+        self.vm.table.confirm(self.upstreams.end, self.upstreams.read_ms)
         for key in keys:
             self.decode(key)
         upstreams = {
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -9,8 +9,8 @@
 import orjson
 
 from ..clock import Clock
-from ..exceptions import PlatformAwayError, TrimmedError
-from ..gateway.following import KeyedRecord, TopicPage
+from ..exceptions import TrimmedError
+from ..gateway.following import KeyedRecord, StoreCallError, TopicPage
 from ..gateway.http_client import (
     AnswerHead,
     ConnectionLostError,
@@ -59,7 +59,7 @@
 
         Raises
         ------
-        PlatformAwayError
+        StoreCallError
             If it isn't answered; the call may have taken effect.
         """
         self.calls += 1
@@ -69,20 +69,22 @@
             headers.append((b"Content-Type", b"application/json"))
         request = render_request(method, target.encode(), headers, body)
         connection = self.pool.take("store", self.clock.now_ms())
+        calls_before = None if connection is None else connection.requests
         try:
             async with asyncio.timeout((CALL_TIMEOUT_MS + wait_ms) / 1000.0):
                 if connection is None:
                     connection = await open_connection(self.address, CONNECT_TIMEOUT_MS)
+                    calls_before = 0
                 connection.send(request)
                 head = await connection.receive_head()
                 answer = await connection.receive_rest()
         except (ConnectionLostError, TimeoutError) as error:
-            raise PlatformAwayError(f"{path}: {error!r}") from error
+            raise StoreCallError(f"{path}: {error!r}", calls_before) from error
         finally:
             if connection is not None and connection.in_use:
                 self.pool.give("store", connection, self.clock.now_ms())
         if head.status in (429, 500, 502, 503, 504, 507):
-            raise PlatformAwayError(f"{path}: status {head.status}")
+            raise StoreCallError(f"{path}: status {head.status}", calls_before)
         return head, answer
 
     async def newest(self, topic: str) -> TopicPage:
@@ -93,7 +95,7 @@
         while True:
             head, body = await self.call(b"GET", "/api/log-newest", query)
             if head.status != 200:
-                raise PlatformAwayError(f"newest of {topic}: status {head.status}")
+                raise StoreCallError(f"newest of {topic}: status {head.status}", None)
             page = decode_page(topic, body)
             records += page.records
             # Pages are no snapshot: what changed meanwhile is read from the first end.
@@ -115,7 +117,7 @@
         if head.status == 410:
             raise TrimmedError(topic, start)
         if head.status != 200 or len(body) < HEAD_BYTES:
-            raise PlatformAwayError(f"read of {topic}: status {head.status}")
+            raise StoreCallError(f"read of {topic}: status {head.status}", None)
         return decode_records(body, start)
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
@@ -126,7 +128,7 @@
         query: dict[str, object] = {"topic": topic, "part": 0}
         head, _ = await self.call(b"POST", "/api/log-append", query, body)
         if head.status != 200:
-            raise PlatformAwayError(f"append to {topic}: status {head.status}")
+            raise StoreCallError(f"append to {topic}: status {head.status}", None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +145,7 @@
 
     Raises
     ------
-    PlatformAwayError
+    StoreCallError
         If the answer can't be read.
     """
     from base64 import b64decode
@@ -157,9 +159,8 @@
         more = bool(raw["has_more"]) and bool(records)
         return NewestPage(records, int(raw["end"]), records[-1].key if more else None)
     except (KeyError, TypeError, ValueError) as error:
-        raise PlatformAwayError(
-            f"newest of {topic} can't be read: {error!r}"
-        ) from error
+        message = f"newest of {topic} can't be read: {error!r}"
+        raise StoreCallError(message, None) from error
 
 
 def decode_records(body: bytes, start: int) -> TopicPage:
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -20,6 +20,7 @@
 from cuminstile.gateway.model import RouteKind, Service
 from cuminstile.gateway.refusals import Refusal, truthful
 from cuminstile.gateway.sending import Call, Outcome, Send
+from cuminstile.gateway.upstreams import ListAge
 
 from .test_decisions import make_route
 from .test_state import both, make_vm, one
@@ -102,7 +103,7 @@
     route: dict[str, Any], answer: AnswerProgress, again: bool
 ) -> None:
     progress = Progress(answer=answer, sends=1, runs=1)
-    send = Send(answer, Outcome.UNKNOWN, sent=True)
+    send = Send(answer, ListAge(1, 0.0), Outcome.UNKNOWN, sent=True)
     assert may_send_again(make_call(**route), progress, send) is again
 
 
@@ -132,5 +133,5 @@
 def test_a_resumable_stream_runs_no_more_often_than_its_route_allows() -> None:
     answer = AnswerProgress(begun=True, last_event="3")
     progress = Progress(answer=answer, sends=2, runs=2)
-    send = Send(answer, Outcome.UNKNOWN, sent=True)
+    send = Send(answer, ListAge(1, 0.0), Outcome.UNKNOWN, sent=True)
     assert not may_send_again(make_call(**RESUMABLE), progress, send)
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,128 @@
+"""Test cuminstile.gateway.following, on a store that fails as it is told."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+
+from cuminstile.clock import VirtualClock
+from cuminstile.events import Event, EventRecord
+from cuminstile.gateway.following import (
+    RETRY_MAX_MS,
+    KeyedRecord,
+    StoreCallError,
+    TopicPage,
+    TopicState,
+    follow_topic,
+)
+from cuminstile.gateway.state import Gateway
+
+from .test_state import make_vm
+
+pytestmark = pytest.mark.anyio
+TOPIC = "upstreams"
+POLL_MS = 500.0
+OUTAGE_MS = 10_000.0
+
+
+@dataclass
+class FailingStore:
+    """Answer with the records from an offset on, or fail while `away`."""
+
+    records: list[KeyedRecord] = field(default_factory=list)
+    away: bool = False
+    calls: int = 0
+
+    async def newest(self, topic: str) -> TopicPage:
+        """Return all records."""
+        return await self.read(topic, 0, 0.0)
+
+    async def read(self, topic: str, start: int, wait_ms: float) -> TopicPage:
+        """Return the records from an offset on at once."""
+        self.calls += 1
+        if self.away:
+            raise StoreCallError("no answer", calls_before=7)
+        return TopicPage(tuple(self.records[start:]), len(self.records))
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Append a record."""
+        self.records.append(KeyedRecord(key, value, len(self.records)))
+
+
+def recorded(vm: Gateway, event: Event) -> list[EventRecord]:
+    return [entry for entry in vm.journal.ring if entry.event is event]
+
+
+async def follow(
+    vm: Gateway,
+    store: FailingStore,
+    state: TopicState,
+    play: Callable[[VirtualClock], object],
+) -> list[set[str]]:
+    """Follow a topic while `play` moves the clock; return the keys that changed."""
+    changes: list[set[str]] = []
+    assert isinstance(vm.clock, VirtualClock)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow_topic, state, store, vm, 0.0, POLL_MS, changes.append)
+        await play(vm.clock)  # type: ignore[misc]
+        tasks.cancel_scope.cancel()
+    return changes
+
+
+async def test_each_failed_call_says_on_which_connection_and_how_old_the_list_is() -> (
+    None
+):
+    """Guards against an outage whose calls leave no line after the first one."""
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    store = FailingStore()
+
+    async def play(clock: VirtualClock) -> None:
+        await clock.advance_ms(10.0)
+        store.away = True
+        await clock.advance_ms(OUTAGE_MS)
+        store.away = False
+        await clock.advance_ms(RETRY_MAX_MS)
+
+    await follow(vm, store, TopicState(TOPIC), play)
+    (lost,) = recorded(vm, Event.PLATFORM_LOST)
+    failed = recorded(vm, Event.STORE_CALL_FAILED)
+    (back,) = recorded(vm, Event.PLATFORM_BACK)
+    assert lost.fields["connection_calls_before"] == 7
+    assert [entry.fields["failed_calls"] for entry in failed] == [
+        number + 2 for number in range(len(failed))
+    ]
+    assert back.fields["failed_calls"] == 1 + len(failed)
+    assert failed[-1].fields["age_ms"] > OUTAGE_MS - 2 * RETRY_MAX_MS
+    assert {entry.fields["topic"] for entry in failed} == {TOPIC}
+
+
+async def test_lines_of_an_outage_are_bounded() -> None:
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    store = FailingStore(away=True)
+
+    async def play(clock: VirtualClock) -> None:
+        await clock.advance_ms(OUTAGE_MS)
+
+    await follow(vm, store, TopicState(TOPIC), play)
+    lines = len(vm.journal.ring)
+    assert OUTAGE_MS / RETRY_MAX_MS <= lines <= OUTAGE_MS / RETRY_MAX_MS + 4
+
+
+async def test_every_answer_tells_which_keys_changed() -> None:
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    store = FailingStore()
+    store.put("u1", b"ready")
+
+    async def play(clock: VirtualClock) -> None:
+        await clock.advance_ms(10.0)
+        store.put("u2", b"ready")
+        await clock.advance_ms(POLL_MS)
+        store.put("u1", None)
+        await clock.advance_ms(POLL_MS)
+        await clock.advance_ms(POLL_MS)
+
+    state = TopicState(TOPIC)
+    changes = await follow(vm, store, state, play)
+    assert changes == [{"u1", ""}, {"u2"}, {"u1"}, set()]
+    assert state.values == {"u2": b"ready"}
