Reproduce DRAIN: after a silent outage a VM reads the list of upstreams never again

What callers saw: requests served, and pieces made, by upstreams that had left more than 2 s before. The stand-in of the store can turn silent.

--- a/standins/users_store.py
+++ b/standins/users_store.py
@@ -39,6 +39,8 @@
     ----------
     status : int or None
         Answer every call with this status, as a store that is away.
+    silent : bool
+        Never answer the calls that come now; their connections stay open for good.
     calls : int
         Calls answered so far.
     """
@@ -46,6 +48,7 @@
     topics: dict[str, StoreTopic] = field(default_factory=dict)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     status: int | None = None
+    silent: bool = False
     calls: int = 0
 
     def away(self) -> bool:
@@ -72,6 +75,17 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def go_silent(self) -> None:
+        """Answer no call from now on, also none that waits."""
+        self.silent = True
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def hang_if_silent(self) -> None:
+        """Never return while the store is silent, nor later."""
+        if self.silent:
+            await asyncio.Event().wait()
+
     def trim(self, topic: str) -> None:
         """Forget the history of a topic; the newest record of each key stays."""
         known = self.topic(topic)
@@ -80,6 +94,7 @@
     async def newest(self, request: Request) -> Response:
         """Answer with the newest record of each key."""
         self.calls += 1
+        await self.hang_if_silent()
         if self.away():
             return Response(status_code=self.status or 503)
         topic = self.topic(request.query_params["topic"])
@@ -98,6 +113,7 @@
     async def read(self, request: Request) -> Response:
         """Answer with the records from an offset on, waiting for the first one."""
         self.calls += 1
+        await self.hang_if_silent()
         if self.away():
             return Response(status_code=self.status or 503)
         topic = self.topic(request.query_params["topic"])
@@ -108,10 +124,11 @@
         try:
             async with asyncio.timeout(wait_s), self.changed:
                 await self.changed.wait_for(
-                    lambda: len(topic.records) > start or self.away()
+                    lambda: len(topic.records) > start or self.away() or self.silent
                 )
         except TimeoutError:
             pass
+        await self.hang_if_silent()
         if self.away():
             return Response(status_code=self.status or 503)
         body = struct.pack(">QQ", len(topic.records), topic.first)
--- /dev/null
+++ b/tests/gateway/test_http_client.py
@@ -0,0 +1,78 @@
+"""Test cuminstile.gateway.http_client, on a server that is told what to answer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from cuminstile.gateway.http_client import (
+    ConnectionPool,
+    HttpConnection,
+    open_connection,
+    render_request,
+)
+
+pytestmark = pytest.mark.anyio
+REQUEST = render_request(b"GET", b"/", (), b"")
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+KEY = "upstream"
+
+
+@asynccontextmanager
+async def connected(answer: bytes) -> AsyncIterator[HttpConnection]:
+    """Open a connection to a server that answers each request with some bytes."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connection = await open_connection(f"{host}:{port}")
+    try:
+        yield connection
+    finally:
+        connection.close("test is over")
+        server.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+    ],
+    ids=["nothing", "part of a head", "part of a body", "a provisional head"],
+)
+async def test_connection_whose_answer_is_not_whole_is_not_used_again(
+    answer: bytes,
+) -> None:
+    """Guards against DRAIN broken after an outage: a dead connection was kept."""
+    pool = ConnectionPool({})
+    async with connected(answer) as connection:
+        connection.send(REQUEST)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await connection.receive_head()
+                await connection.receive_rest()
+        pool.give(KEY, connection, 0.0)
+        assert pool.take(KEY, 0.0) is None
+
+
+async def test_connection_whose_answer_is_whole_is_used_again() -> None:
+    pool = ConnectionPool({})
+    async with connected(ANSWER) as connection:
+        for _ in range(3):
+            connection.send(REQUEST)
+            await connection.receive_head()
+            assert await connection.receive_rest() == b"ok"
+            pool.give(KEY, connection, 0.0)
+            assert pool.take(KEY, 0.0) is connection
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -29,6 +29,10 @@
 )
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
+CONTACT_S = 3.0
+"""Time after an outage from which the bounds hold again."""
+DRAIN_S = 2.0
+"""Time after which a leaving upstream gets nothing more."""
 
 
 @pytest.fixture
@@ -354,6 +358,22 @@
     assert answer.status == 200
 
 
+async def test_upstream_that_leaves_after_a_silent_outage_gets_nothing_more(
+    site: Site,
+) -> None:
+    """Guards against DRAIN broken after an outage: its list was never read again."""
+    await site.store.go_silent()
+    await until(lambda: site.vms[0].events("platform_lost"), 10.0)
+    site.store.silent = False
+    await asyncio.sleep(CONTACT_S)
+    await site.register("desk-1", "desk", state="draining")
+    await asyncio.sleep(DRAIN_S)
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert answer.status == 200
+    assert site.upstreams["desk-1"].ran == []
+
+
 async def test_sigterm_finishes_what_is_in_progress(site: Site) -> None:
     engine = site.upstreams["engine-1"]
     engine.events, engine.work_s = 40, 0.05
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,76 @@
+"""Test cuminstile.platform.store, on servers that answer as they are told."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from cuminstile.clock import Clock
+from cuminstile.gateway.following import StoreCallError
+from cuminstile.platform import store as store_module
+from cuminstile.platform.store import StoreClient
+
+pytestmark = pytest.mark.anyio
+TOPIC = "topic"
+EMPTY_PAGE = bytes(16)
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + EMPTY_PAGE
+Session = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@asynccontextmanager
+async def serving(*sessions: Session) -> AsyncIterator[tuple[StoreClient, list[int]]]:
+    """Give each connection its session, the last one to all that follow."""
+    opened: list[int] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        opened.append(len(opened))
+        session = sessions[min(len(opened), len(sessions)) - 1]
+        try:
+            await session(reader, writer)
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield StoreClient(f"{host}:{port}", Clock()), opened
+    finally:
+        server.close()
+
+
+async def answer_all(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while True:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return
+        writer.write(ANSWER)
+
+
+async def stay_silent(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while await reader.read(1000):
+        pass
+
+
+async def test_call_after_one_without_an_answer_uses_another_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against DRAIN broken after an outage: all later calls hung too."""
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_MS", 100.0)
+    async with serving(stay_silent, answer_all) as (client, opened):
+        with pytest.raises(StoreCallError):
+            await client.read(TOPIC, 0, 0.0)
+        assert (await client.read(TOPIC, 0, 0.0)).end == 0
+        assert len(opened) == 2
+
+
+async def test_answered_calls_share_a_connection() -> None:
+    async with serving(answer_all) as (client, opened):
+        for _ in range(3):
+            await client.read(TOPIC, 0, 0.0)
+        assert len(opened) == 1
