Never use a connection again whose request was not wholly answered

What callers saw: after a silent outage of the store, requests and pieces went to upstreams that had left more than 2 s before (DRAIN). Cause: a call of the store that timed out before the head of its answer put its connection back into the pool: nothing was queued, no body had begun, so it looked idle. A connection on which an answer was lost gives nothing more, the newest connection is taken first, and so all later calls of that VM timed out too. Where the answer came late it could have been taken for the answer to the next call, of another topic. Class: an exchange that was given up leaves its channel to the next one. Why this works: a connection now knows whether the whole answer to its last request was handed out, and without that it is closed instead of kept, whoever gives it back.

--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -73,7 +73,9 @@
     """Hold one connection; one request at a time.
 
     The parser's callbacks queue what arrives; `receive` hands it out in order.
-    `requests` counts the requests that were sent on it.
+    `requests` counts the requests that were sent on it. `answered` tells whether the
+    whole answer to the last one was handed out: until then its bytes may still come,
+    or never, and another request must not wait behind it.
     """
 
     def __init__(self) -> None:
@@ -88,6 +90,8 @@
         self.in_use = False
         self.sent = False
         self.requests = 0
+        self.head_taken = False
+        self.answered = False
         self.lost: str | None = None
         self.clean_end = False
         self.keep = True
@@ -215,13 +219,17 @@
                 self.paused = False
                 if self.transport is not None:
                     self.transport.resume_reading()
+        if isinstance(item, AnswerEnd):
+            self.answered = self.head_taken
         return item
 
     async def receive_head(self) -> AnswerHead:
         """Return the head of the next answer, passing over what is left before it."""
+        self.head_taken = self.answered = False
         while True:
             item = await self.receive()
             if isinstance(item, AnswerHead):
+                self.head_taken = True
                 return item
 
     async def receive_rest(self) -> bytes:
@@ -247,15 +255,16 @@
         self.in_use = True
         self.sent = True
         self.requests += 1
+        self.head_taken = self.answered = False
         self.transport.write(data)
 
     def release(self, now_ms: float) -> bool:
-        """Return whether the connection can be used again, and mark it idle."""
+        """Mark the connection idle, or close it; return whether it is kept."""
         usable = (
             self.keep
             and self.lost is None
+            and self.answered
             and not self.incoming
-            and not self.in_body
             and self.transport is not None
             and self.transport.get_write_buffer_size() == 0
         )
