Give up all connections to the store with the first call that gets no answer

What callers would see: after an outage in which answers of the store are lost, a VM goes on with an old manifest, and sends to data centres that were taken out, for up to 21.5 s (CONFIG, EVAC; DRAIN for orders of the operator). Cause, the same class as before: the call that waits for the operator's next record hung on a connection that had gone silent, and its own wait was 20 s. Evidence: three tests, red before: a waiting call ends with one that got no answer; with the real program, a manifest written 3 s after silence of 0 s and 2.5 s is in force within 2 s. Why this works: silence of one connection is taken as silence of all, so the call that does not wait (every 0.5 s) finds it for both; and where only the waiting call's connection is silent, its wait is 1 s now. That costs one more call a second and VM.

--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -21,8 +21,9 @@
 
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
-OPERATOR_WAIT_MS = 20_000.0
-"""How long one reading waits for the operator, who writes seldom."""
+OPERATOR_WAIT_MS = 1_000.0
+"""How long one reading waits for the operator, who writes seldom: a connection that
+is silent for good is noticed this much later than by a call that doesn't wait."""
 UPSTREAM_POLL_MS = 500.0
 """Pause between readings of upstreams, whose heartbeats never pause: a quarter of the
 time in which a leaving one must get nothing more."""
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -15,6 +15,7 @@
     AnswerHead,
     ConnectionLostError,
     ConnectionPool,
+    HttpConnection,
     open_connection,
     render_request,
 )
@@ -40,12 +41,15 @@
         `host:port`.
     calls : int
         Calls made so far; each is priced.
+    in_progress : set of HttpConnection
+        The connections of calls that wait for their answer.
     """
 
     address: str
     clock: Clock
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     calls: int = 0
+    in_progress: set[HttpConnection] = field(default_factory=set)
 
     async def call(
         self,
@@ -75,18 +79,32 @@
                 if connection is None:
                     connection = await open_connection(self.address, CONNECT_TIMEOUT_MS)
                     calls_before = 0
+                self.in_progress.add(connection)
                 connection.send(request)
                 head = await connection.receive_head()
                 answer = await connection.receive_rest()
-        except (ConnectionLostError, TimeoutError) as error:
+        except ConnectionLostError as error:
+            raise StoreCallError(f"{path}: {error!r}", calls_before) from error
+        except TimeoutError as error:
+            self.give_up_connections()
             raise StoreCallError(f"{path}: {error!r}", calls_before) from error
         finally:
-            if connection is not None and connection.in_use:
+            if connection is not None:
+                self.in_progress.discard(connection)
                 self.pool.give("store", connection, self.clock.now_ms())
         if head.status in (429, 500, 502, 503, 504, 507):
             raise StoreCallError(f"{path}: status {head.status}", calls_before)
         return head, answer
 
+    def give_up_connections(self) -> None:
+        """Close all connections: where one got no answer, the others may get none.
+
+        A call that waits for a change would notice that only at the end of its wait.
+        """
+        self.pool.drop("store")
+        for connection in self.in_progress:
+            connection.close("another call got no answer")
+
     async def newest(self, topic: str) -> TopicPage:
         """Return the newest record of each key of a topic."""
         records: list[KeyedRecord] = []
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -31,6 +31,8 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 CONTACT_S = 3.0
 """Time after an outage from which the bounds hold again."""
+MANIFEST_S = 2.0
+"""Time in which a manifest is in force everywhere."""
 DRAIN_S = 2.0
 """Time after which a leaving upstream gets nothing more."""
 
@@ -374,6 +376,19 @@
     assert site.upstreams["desk-1"].ran == []
 
 
+@pytest.mark.parametrize("silent_s", [0.0, 2.5])
+async def test_manifest_after_silence_is_in_force_within_its_bound(
+    site: Site, silent_s: float
+) -> None:
+    """Guards against a waiting call that is never answered and hides all changes."""
+    await site.store.go_silent()
+    await asyncio.sleep(silent_s)
+    site.store.silent = False
+    await asyncio.sleep(CONTACT_S)
+    await site.store.put_json(OPERATOR_TOPIC, "config", make_manifest(9))
+    await until(lambda: len(site.vms[0].events("manifest_in_force")) == 2, MANIFEST_S)
+
+
 async def test_sigterm_finishes_what_is_in_progress(site: Site) -> None:
     engine = site.upstreams["engine-1"]
     engine.events, engine.work_s = 40, 0.05
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -69,6 +69,21 @@
         assert len(opened) == 2
 
 
+async def test_calls_that_wait_are_given_up_with_one_that_gets_no_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a waiting call that is never answered and hides all changes."""
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_MS", 100.0)
+    async with serving(stay_silent) as (client, _):
+        waiting = asyncio.create_task(client.read(TOPIC, 0, 20_000.0))
+        await asyncio.sleep(0.05)
+        with pytest.raises(StoreCallError):
+            await client.read(TOPIC, 0, 0.0)
+        async with asyncio.timeout(0.1):
+            with pytest.raises(StoreCallError):
+                await waiting
+
+
 async def test_answered_calls_share_a_connection() -> None:
     async with serving(answer_all) as (client, opened):
         for _ in range(3):
