Keep every message about staged work until it is taken

What callers would see: a request whose staged work was done waits to its deadline. Cause: whoever waits for staged work of another VM waited for one message at a time; the second one (done, or refused) was dropped if it was read together with the first (taken on). That is so on a VM that was frozen, slow or behind a link that held bytes back. Found by reading while looking for exchanges that go on after they were given up; the test failed before (TimeoutError after 3 s). Now the messages of a call are queued.

--- a/cuminstile/gateway/links.py
+++ b/cuminstile/gateway/links.py
@@ -50,14 +50,15 @@
 
     Parameters
     ----------
-    waiting : dict of int to future
-        Who waits for the next message about a call.
+    replies : dict of int to queue
+        The messages about each call that nobody has taken yet; None tells that the
+        session is lost.
     """
 
     address: str
     connection: Connection
     numbers: itertools.count[int] = field(default_factory=itertools.count)
-    waiting: dict[int, asyncio.Future[Message]] = field(default_factory=dict)
+    replies: dict[int, asyncio.Queue[Message | None]] = field(default_factory=dict)
     manifests: asyncio.Queue[ManifestGive] = field(default_factory=asyncio.Queue)
     lost: bool = False
     outgoing: asyncio.Queue[bytes] = field(default_factory=asyncio.Queue)
@@ -68,21 +69,34 @@
             raise LinkLostError(self.address)
         self.outgoing.put_nowait(CODEC.encode(message))
 
-    def expect(self, call: int) -> asyncio.Future[Message]:
-        """Return a future for the next message about a call."""
-        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
-        if self.lost:
-            future.set_exception(LinkLostError(self.address))
-        self.waiting[call] = future
-        return future
+    def begin_call(self) -> int:
+        """Return the number of a new call, and keep the messages about it."""
+        call = next(self.numbers)
+        self.replies[call] = asyncio.Queue()
+        return call
+
+    async def reply(self, call: int) -> Message:
+        """Return the next message about a call.
+
+        Raises
+        ------
+        LinkLostError
+            If the session is lost.
+        """
+        message = None if self.lost else await self.replies[call].get()
+        if message is None:
+            raise LinkLostError(self.address)
+        return message
+
+    def end_call(self, call: int) -> None:
+        """Keep no more messages about a call."""
+        self.replies.pop(call, None)
 
     def fail(self) -> None:
         """Tell all who wait that the session is lost."""
         self.lost = True
-        waiting, self.waiting = self.waiting, {}
-        for future in waiting.values():
-            if not future.done():
-                future.set_exception(LinkLostError(self.address))
+        for replies in self.replies.values():
+            replies.put_nowait(None)
         transport = self.connection.transport
         if transport is not None:
             transport.abort()
@@ -167,9 +181,9 @@
                 if isinstance(message, ManifestGive):
                     link.manifests.put_nowait(message)
                     continue
-                future = link.waiting.pop(message.call, None)
-                if future is not None and not future.done():
-                    future.set_result(message)
+                replies = link.replies.get(message.call)
+                if replies is not None:
+                    replies.put_nowait(message)
         except (websockets.WebSocketException, CuminstileError) as error:
             self.journal.record(
                 Event.PEER_MESSAGE_REFUSED, peer=link.address, error=repr(error)
@@ -181,7 +195,7 @@
         if self.open_links.get(link.address) is link:
             del self.open_links[link.address]
             self.journal.record(
-                Event.PEER_LOST, peer=link.address, waiting=len(link.waiting)
+                Event.PEER_LOST, peer=link.address, waiting=len(link.replies)
             )
         link.fail()
 
--- a/cuminstile/gateway/staged_results.py
+++ b/cuminstile/gateway/staged_results.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..events import Event
+from ..wire import Message
 from .chain import ChainSpec, Result
 from .links import RUN_CHAIN_ANSWER_MS, Link, LinkLostError, message_of, result_of, told
 from .messages import (
@@ -94,23 +95,19 @@
     vm: Gateway, link: Link, spec: ChainSpec, again: bool
 ) -> tuple[Result, ...]:
     """Have another VM's scheduler do the work."""
-    call = next(link.numbers)
-    first = link.expect(call)
-    link.post(message_of(spec, call, again, vm.clock.now_ms()))
+    call = link.begin_call()
     try:
-        try:
-            async with asyncio.timeout(RUN_CHAIN_ANSWER_MS / 1000.0):
-                message = await first
-        except TimeoutError as error:
-            raise LinkLostError(f"{link.address}: no answer in time") from error
+        link.post(message_of(spec, call, again, vm.clock.now_ms()))
+        message = await first_reply(link, call)
         if isinstance(message, ChainAdmitted):
             record_verdict(vm, spec, "admitted", message.forecast_ms, link.address)
-            message = await link.expect(call)
+            message = await link.reply(call)
     except asyncio.CancelledError:
-        link.waiting.pop(call, None)
         if not link.lost:
             link.post(ChainCancel(call))
         raise
+    finally:
+        link.end_call(call)
     if isinstance(message, ChainRefused):
         record_verdict(vm, spec, message.reason, 0.0, link.address)
         raise ChainRefusedError(message.reason, message.retry_after_ms)
@@ -118,6 +115,15 @@
     return tuple(map(result_of, message.results))
 
 
+async def first_reply(link: Link, call: int) -> Message:
+    """Return the first message about a call; a scheduler decides at once."""
+    try:
+        async with asyncio.timeout(RUN_CHAIN_ANSWER_MS / 1000.0):
+            return await link.reply(call)
+    except TimeoutError as error:
+        raise LinkLostError(f"{link.address}: no answer in time") from error
+
+
 def record_verdict(
     vm: Gateway, spec: ChainSpec, reason: str, ready_ms: float, where: str
 ) -> None:
