Notice sessions between VMs that have gone silent

Cause: sessions had no ping; heartbeats travel as datagrams and go on, so the VM looks alive while its session is dead. Why this works: a ping each second that has to be answered within a second ends such a session; whoever waits on it asks the next scheduler. Closing the session with the first call that is not answered in 0.5 s was tried and left out: a VM that is only slow would lose the work of all requests that it is doing.

--- a/cuminstile/gateway/links.py
+++ b/cuminstile/gateway/links.py
@@ -36,6 +36,10 @@
 """How long another VM may take to accept a session: some turns of the network."""
 CLOSE_TIMEOUT_S = 0.3
 """How long the closing handshake may take; a silent path never ends it."""
+PING_INTERVAL_S = 1.0
+"""Pause between pings on a session; its bytes may be lost while other paths work."""
+PING_TIMEOUT_S = 1.0
+"""How long the answer to a ping may take; the other VM's library gives it at once."""
 RUN_CHAIN_ANSWER_MS = 500.0
 """How long a scheduler may take to admit or refuse; it decides at once."""
 
@@ -145,7 +149,8 @@
                     connection = await connect(
                         f"ws://{address}/",
                         compression=None,
-                        ping_interval=None,
+                        ping_interval=PING_INTERVAL_S,
+                        ping_timeout=PING_TIMEOUT_S,
                         max_size=MAX_MESSAGE_BYTES,
                         close_timeout=CLOSE_TIMEOUT_S,
                         proxy=None,
--- a/cuminstile/gateway/staged_results.py
+++ b/cuminstile/gateway/staged_results.py
@@ -55,8 +55,7 @@
         if address == vm.settings.peer_address:
             return await run_here(vm, spec, again)
         try:
-            link = await vm.links.link_to(address)
-            return await run_there(vm, link, spec, again)
+            return await run_there(vm, address, spec, again)
         except LinkLostError as error:
             vm.membership.suspect(address, vm.clock.now_ms())
             vm.journal.record(
@@ -92,9 +91,18 @@
 
 
 async def run_there(
-    vm: Gateway, link: Link, spec: ChainSpec, again: bool
+    vm: Gateway, address: str, spec: ChainSpec, again: bool
 ) -> tuple[Result, ...]:
-    """Have another VM's scheduler do the work."""
+    """Have another VM's scheduler do the work.
+
+    Raises
+    ------
+    ChainRefusedError
+        If the work is refused or fails.
+    LinkLostError
+        If the other VM can't be reached or does not answer.
+    """
+    link = await vm.links.link_to(address)
     call = link.begin_call()
     try:
         link.post(message_of(spec, call, again, vm.clock.now_ms()))
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -11,6 +11,7 @@
 
 from cuminstile.clock import Clock
 from cuminstile.gateway.chain import ChainSpec, ChainStage
+from cuminstile.gateway.links import LinkLostError
 from cuminstile.gateway.messages import (
     CODEC,
     ChainAdmitted,
@@ -62,6 +63,17 @@
     return message
 
 
+async def go_deaf(connection: Connection) -> None:
+    """Read nothing more, and so answer no ping either."""
+    connection.transport.pause_reading()  # type: ignore[attr-defined]
+
+
+async def admit_then_go_deaf(connection: Connection) -> None:
+    message = await asked(connection)
+    await connection.send(CODEC.encode(ChainAdmitted(message.call, 100.0)))
+    await go_deaf(connection)
+
+
 async def do_the_work(connection: Connection) -> None:
     message = await asked(connection)
     await connection.send(CODEC.encode(ChainAdmitted(message.call, 100.0)))
@@ -77,11 +89,29 @@
 
 
 async def run_chain(vm: Gateway, peer: Peer) -> tuple[str, ...]:
-    link = await vm.links.link_to(peer.address)
-    results = await run_there(vm, link, make_spec(vm), again=False)
+    results = await run_there(vm, peer.address, make_spec(vm), again=False)
     return tuple(result.handle for result in results)
 
 
+async def test_work_is_asked_for_on_a_new_session_after_one_without_an_answer() -> None:
+    """Guards against a session that is silent for good and used again and again."""
+    vm = make_vm(Clock())
+    async with running(go_deaf, do_the_work) as peer:
+        with pytest.raises(LinkLostError):
+            await run_chain(vm, peer)
+        await asyncio.sleep(SILENCE_NOTICED_S)
+        assert await run_chain(vm, peer) == ("handle",)
+
+
+async def test_session_that_goes_silent_after_it_took_work_on_is_given_up() -> None:
+    """Guards against requests that wait to their deadline for a silent session."""
+    vm = make_vm(Clock())
+    async with running(admit_then_go_deaf) as peer:
+        async with asyncio.timeout(SILENCE_NOTICED_S):
+            with pytest.raises(LinkLostError):
+                await run_chain(vm, peer)
+
+
 async def test_messages_that_come_together_are_all_taken() -> None:
     """Guards against a request that waits to its deadline for work that was done.
 
