Share what VMs read of the store, so that one that is turned away is not left behind

What callers would see: a VM that the store turns away, while it serves the others, goes on sending to upstreams that leave and to data centres that are taken out, and to versions that are held back (DRAIN, EVAC, EXPOSURE); as the scheduler of all stages it does so for every VM. Only manifests travelled between VMs. Change: topics.py keeps each topic of the store by its log's offsets, whoever told it; heartbeats tell how far a VM has read; sharing.py asks one that is ahead for the changes when the store's calls fail or are 0.7 s late. The exchange of manifests is gone, as they are records like the others. What lapsed in an outage is told by offsets now, instead of by what was missing 0.1 s after the return. A property test plays reading, trims and exchanges in any order.

--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -2,37 +2,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 from ..events import Event
 from ..exceptions import PlatformAwayError, TrimmedError
-from .state import Gateway
-
+from .state import FollowedTopic, Gateway
+from .topics import (
+    TopicPage,
+    TopicState,
+    note_confirmed,
+    take_all,
+    take_records,
+)
+
+STORE = "store"
+"""Where records come from that no other VM gave."""
 RETRY_MIN_MS = 150.0
 """Pause after the first failed call of the store."""
 RETRY_MAX_MS = 1_000.0
 """Longest pause; a store that is back is noticed within the bound for changes."""
 
 
-@dataclass(frozen=True, slots=True)
-class KeyedRecord:
-    """Hold one record of a keyed topic; no value means that the key is gone."""
-
-    key: str
-    value: bytes | None
-    offset: int
-
-
-@dataclass(frozen=True, slots=True)
-class TopicPage:
-    """Hold records of a topic, and the offset behind the last one that was read."""
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-
-
 class StoreCallError(PlatformAwayError):
     """Tell that a call of the store failed.
 
@@ -63,38 +53,14 @@
         """
 
 
-@dataclass
-class TopicState:
-    """Hold the newest value of each key, and since when the store is away.
-
-    Parameters
-    ----------
-    end : int or None
-        The next offset to read, None before the first reading.
-    read_ms : float
-        Monotonic time of the last answer.
-    failed_calls : int
-        Calls that have failed since then.
-    """
-
-    name: str
-    values: dict[str, bytes] = field(default_factory=dict)
-    end: int | None = None
-    away_since_ms: float | None = None
-    back_ms: float = 0.0
-    read_ms: float = 0.0
-    failed_calls: int = 0
-
-
 async def follow_topic(
-    state: TopicState,
+    topic: FollowedTopic,
     store: KeyedStore,
     vm: Gateway,
     wait_ms: float,
     pause_ms: float,
-    answered: Callable[[set[str]], None],
 ) -> None:
-    """Keep `state` up to date without end; tell after each answer which keys changed.
+    """Keep a topic up to date without end; take it after each answer.
 
     Parameters
     ----------
@@ -103,18 +69,14 @@
     pause_ms : float
         Pause between calls.
     """
+    state = topic.state
     retry_ms = RETRY_MIN_MS
     while True:
         try:
-            if state.end is None:
-                page = await store.newest(state.name)
-                keys = replace_all(state, page)
-            else:
-                page = await store.read(state.name, state.end, wait_ms)
-                keys = take_records(state, page)
+            keys = await read_once(state, store, wait_ms)
         except TrimmedError:
             vm.journal.record(Event.STORE_TRIMMED, topic=state.name)
-            state.end = None
+            state.trimmed = True
             continue
         except StoreCallError as error:
             note_failed(state, vm, error, retry_ms)
@@ -123,34 +85,23 @@
             continue
         retry_ms = RETRY_MIN_MS
         note_answered(state, vm)
-        answered(keys)
+        topic.take(keys, STORE)
         await vm.clock.sleep_ms(pause_ms)
 
 
-def replace_all(state: TopicState, page: TopicPage) -> set[str]:
-    """Take over all newest records; return the keys that changed or are gone."""
-    values = {r.key: r.value for r in page.records if r.value is not None}
-    known = state.values
-    keys = {key for key in known if key not in values}
-    keys |= {key for key, value in values.items() if known.get(key) != value}
-    state.values = values
-    first = state.end is None
-    state.end = page.end
-    return keys | {""} if first else keys
-
-
-def take_records(state: TopicState, page: TopicPage) -> set[str]:
-    """Take over records in their order; return the keys that changed."""
-    keys: set[str] = set()
-    for record in page.records:
-        if record.value is None:
-            state.values.pop(record.key, None)
-            keys.add(record.key)
-        elif state.values.get(record.key) != record.value:
-            state.values[record.key] = record.value
-            keys.add(record.key)
-    state.end = page.end
-    return keys
+async def read_once(state: TopicState, store: KeyedStore, wait_ms: float) -> set[str]:
+    """Read what is new in a topic; return the keys that changed.
+
+    Raises
+    ------
+    StoreCallError
+        If the store doesn't answer.
+    TrimmedError
+        If the next records are gone.
+    """
+    if state.must_read_all:
+        return take_all(state, await store.newest(state.name))
+    return take_records(state, await store.read(state.name, state.end, wait_ms))
 
 
 def note_failed(
@@ -170,7 +121,7 @@
         error=error.message,
         failed_calls=state.failed_calls,
         connection_calls_before=error.calls_before,
-        age_ms=round(now_ms - state.read_ms),
+        age_ms=state.age_ms(now_ms),
         retry_ms=round(retry_ms),
     )
 
@@ -185,9 +136,6 @@
             topic=state.name,
             away_ms=round(now_ms - state.away_since_ms),
             failed_calls=state.failed_calls,
-            age_ms=round(now_ms - state.read_ms),
+            age_ms=state.age_ms(now_ms),
         )
-        state.away_since_ms = None
-        state.back_ms = now_ms
-    state.failed_calls = 0
-    state.read_ms = now_ms
+    note_confirmed(state, now_ms)
--- a/cuminstile/gateway/links.py
+++ b/cuminstile/gateway/links.py
@@ -1,4 +1,4 @@
-"""Keep websocket sessions between VMs: staged work and manifests travel on them."""
+"""Keep websocket sessions between VMs: staged work and the store's records."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
     ChainCancel,
     ChainDone,
     ChainRefused,
-    ManifestAsk,
-    ManifestGive,
     ResultsFree,
     ResultTold,
     RunChain,
     StageWork,
+    TopicAsk,
+    TopicGive,
 )
 from .staging import ChainAnswer, Scheduler
 
@@ -63,7 +63,6 @@
     connection: Connection
     numbers: itertools.count[int] = field(default_factory=itertools.count)
     replies: dict[int, asyncio.Queue[Message | None]] = field(default_factory=dict)
-    manifests: asyncio.Queue[ManifestGive] = field(default_factory=asyncio.Queue)
     lost: bool = False
     outgoing: asyncio.Queue[bytes] = field(default_factory=asyncio.Queue)
 
@@ -118,14 +117,14 @@
 
     Parameters
     ----------
-    manifest : callable
-        Returns the version and bytes of the manifest in force, if there is one.
+    give : callable
+        Returns what this VM knows of a topic for one that asks.
     """
 
     clock: Clock
     journal: Journal
     scheduler: Scheduler
-    manifest: Callable[[], tuple[int, bytes] | None]
+    give: Callable[[TopicAsk], TopicGive]
     open_links: dict[str, Link] = field(default_factory=dict)
     dialling: dict[str, asyncio.Lock] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -183,9 +182,6 @@
             async for data in link.connection:
                 assert isinstance(data, bytes)
                 message = CODEC.decode(data)
-                if isinstance(message, ManifestGive):
-                    link.manifests.put_nowait(message)
-                    continue
                 replies = link.replies.get(message.call)
                 if replies is not None:
                     replies.put_nowait(message)
@@ -261,10 +257,8 @@
             self.scheduler.cancel(f"{prefix}{message.call}")
         elif isinstance(message, ResultsFree):
             self.scheduler.free(tuple(map(result_of, message.results)))
-        elif isinstance(message, ManifestAsk):
-            known = self.manifest()
-            if known is not None and known[0] > message.version:
-                post(ManifestGive(*known))
+        elif isinstance(message, TopicAsk):
+            post(self.give(message))
 
     def run_chain(
         self,
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -1,4 +1,4 @@
-"""Define what VMs say to each other about staged work, manifests and liveness."""
+"""Define what VMs say to each other: staged work, the store's records, liveness."""
 
 from __future__ import annotations
 
@@ -12,6 +12,14 @@
 Finite = Annotated[float, Field(allow_inf_nan=False)]
 
 
+@dataclass(frozen=True)
+class TopicEnd(Message):
+    """Tell up to which offset the sender knows a topic of the store."""
+
+    name: str
+    end: int
+
+
 @dataclass(frozen=True)
 class Beat(Message):
     """Tell that the sender lives; sent as one datagram.
@@ -22,8 +30,8 @@
         Start of the process in ms since 1970 UTC; the oldest VM schedules.
     leaving : bool
         Whether it is shutting down and takes no new duties.
-    manifest_version : int
-        -1 for none.
+    topics : tuple of TopicEnd
+        How far the sender has read the store.
     known : tuple of str
         Addresses of some other VMs that the sender has heard of.
     """
@@ -34,7 +42,7 @@
     incarnation: str
     started_ms: int
     leaving: bool
-    manifest_version: int
+    topics: tuple[TopicEnd, ...]
     known: tuple[str, ...]
 
 
@@ -125,18 +133,48 @@
 
 
 @dataclass(frozen=True)
-class ManifestAsk(Message):
-    """Ask for the manifest if the other VM's is newer than `version`."""
+class TopicAsk(Message):
+    """Ask for the records of a topic behind an offset, -1 for all.
 
-    version: int
+    Parameters
+    ----------
+    call : int
+        Tells apart the calls of one session.
+    """
+
+    call: int
+    name: str
+    end: int
+
+
+@dataclass(frozen=True)
+class RecordTold(Message):
+    """Give one record of the store; see `topics.KeyedRecord`."""
+
+    key: str
+    value: bytes | None
+    offset: int
 
 
 @dataclass(frozen=True)
-class ManifestGive(Message):
-    """Give a manifest as it stands in the store."""
+class TopicGive(Message):
+    """Give records of a topic; see `topics.TopicNews`.
 
-    version: int
-    payload: bytes
+    Parameters
+    ----------
+    back_age_ms : float
+        Time since the store came back from its last outage, 0 for none.
+    back_end : int
+        The topic's end at that time.
+    """
+
+    call: int
+    records: tuple[RecordTold, ...]
+    end: int
+    whole: bool
+    age_ms: Finite
+    back_age_ms: Finite
+    back_end: int
 
 
 CODEC = make_codec(
@@ -148,7 +186,7 @@
         (13, ChainRefused),
         (14, ChainCancel),
         (15, ResultsFree),
-        (20, ManifestAsk),
-        (21, ManifestGive),
+        (20, TopicAsk),
+        (21, TopicGive),
     )
 )
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -14,10 +14,9 @@
 from ..supervision import run_again
 from .heartbeats import HeartbeatSocket, keep_beating, open_heartbeats
 from .http_server import CallerConnection, Request, Server, listen
-from .links import LinkLostError
 from .log_output import LogOutput
-from .messages import ManifestAsk
 from .serving import serve
+from .sharing import keep_topics_fresh
 from .state import Gateway
 
 HOUSEKEEPING_MS = 200.0
@@ -28,10 +27,7 @@
 finished in time."""
 EXIT_MARGIN_MS = 600.0
 """How long before the forced end of the process it ends by itself."""
-MANIFEST_ASK_MS = 1_000.0
-"""How long another VM may take to give its manifest."""
 
-TakeManifest = Callable[[bytes, str], None]
 Job = Callable[[], Awaitable[None]]
 
 
@@ -76,7 +72,6 @@
     vm: Gateway,
     log: LogOutput,
     follow: tuple[Job, ...],
-    take_manifest: TakeManifest,
     reload: Callable[[], None],
 ) -> None:
     """Run the VM until SIGTERM and the end of its requests.
@@ -85,8 +80,6 @@
     ----------
     follow : tuple of callable
         Endless jobs that follow the store.
-    take_manifest : callable
-        Decodes and puts in force a manifest that another VM gave.
     reload : callable
         Reads the settings file again.
     """
@@ -109,7 +102,7 @@
             *follow,
             lambda: keep_beating(vm, heartbeats),
             lambda: keep_house(vm, server, log),
-            lambda: keep_manifest_fresh(vm, take_manifest),
+            lambda: keep_topics_fresh(vm),
             vm.scheduler.keep_pumping,
             vm.scheduler.keep_freeing,
         ]
@@ -175,25 +168,3 @@
         vm.metrics.live_vms.set({}, 1 + len(live))
         vm.metrics.upstream_list_age_ms.set({}, vm.table.age(now_ms).age_ms)
         log.flush()
-
-
-async def keep_manifest_fresh(vm: Gateway, take_manifest: TakeManifest) -> None:
-    """Take a newer manifest from another VM where the store is slower, without end."""
-    while True:
-        await vm.clock.sleep_ms(HOUSEKEEPING_MS)
-        own = vm.manifest.version if vm.manifest else -1
-        beats = vm.membership.live(vm.clock.now_ms())
-        newest = max(beats, key=lambda beat: beat.manifest_version, default=None)
-        if newest is None or newest.manifest_version <= own:
-            continue
-        try:
-            link = await vm.links.link_to(newest.address)
-            link.post(ManifestAsk(own))
-            async with asyncio.timeout(MANIFEST_ASK_MS / 1000.0):
-                given = await link.manifests.get()
-        except (LinkLostError, TimeoutError) as error:
-            vm.journal.record(
-                Event.MANIFEST_NOT_GIVEN, peer=newest.address, error=repr(error)
-            )
-            continue
-        take_manifest(given.payload, newest.name)
--- /dev/null
+++ b/cuminstile/gateway/sharing.py
@@ -0,0 +1,130 @@
+"""Get records of the store from other VMs where the store itself gives them late.
+
+Manifest, upstreams that leave, data centres taken out and versions held back bind
+every VM, also one that the store turns away while it serves the others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from ..events import Event
+from .links import LinkLostError
+from .messages import Beat, RecordTold, TopicAsk, TopicGive
+from .state import FollowedTopic, Gateway
+from .topics import (
+    KeyedRecord,
+    Outage,
+    TopicNews,
+    TopicState,
+    lags,
+    news_since,
+    note_told_end,
+    take_news,
+)
+
+LOOK_INTERVAL_MS = 200.0
+"""Pause between looks at what other VMs know."""
+LAG_MS = 700.0
+"""How long the store may take to tell what another VM knows: one reading of a topic
+that is polled, and a slow answer."""
+ASK_TIMEOUT_MS = 500.0
+"""How long another VM may take to give records; it has them at hand."""
+
+
+async def keep_topics_fresh(vm: Gateway) -> None:
+    """Ask other VMs for what the store does not tell in time, without end."""
+    while True:
+        await vm.clock.sleep_ms(LOOK_INTERVAL_MS)
+        now_ms = vm.clock.now_ms()
+        beats = vm.membership.live(now_ms)
+        for topic in vm.topics.values():
+            ahead = beats_ahead(topic.state, beats, now_ms)
+            if ahead and lags(topic.state, now_ms, LAG_MS):
+                await ask(vm, topic, vm.random.choice(ahead))
+
+
+def beats_ahead(state: TopicState, beats: Sequence[Beat], now_ms: float) -> list[Beat]:
+    """Return the heartbeats of VMs that know more of a topic, and note how much."""
+    ahead = [beat for beat in beats if told_end(beat, state.name) > state.end]
+    for beat in ahead:
+        note_told_end(state, told_end(beat, state.name), now_ms)
+    return ahead
+
+
+def told_end(beat: Beat, name: str) -> int:
+    """Return up to where a VM knows a topic, -1 for not at all."""
+    return next((topic.end for topic in beat.topics if topic.name == name), -1)
+
+
+async def ask(vm: Gateway, topic: FollowedTopic, beat: Beat) -> None:
+    """Take over what another VM knows of a topic."""
+    state = topic.state
+    known = state.end
+    try:
+        news = await ask_for_news(vm, beat.address, state.name, known)
+    except (LinkLostError, TimeoutError) as error:
+        vm.journal.record(
+            Event.RECORDS_NOT_GIVEN,
+            peer=beat.name,
+            topic=state.name,
+            end=known,
+            error=repr(error),
+        )
+        return
+    now_ms = vm.clock.now_ms()
+    keys = take_news(state, news, now_ms)
+    vm.journal.record(
+        Event.RECORDS_TAKEN,
+        peer=beat.name,
+        topic=state.name,
+        known_end=known,
+        end=state.end,
+        changed=len(keys),
+        whole=news.whole,
+        age_ms=state.age_ms(now_ms),
+    )
+    topic.take(keys, beat.name)
+
+
+async def ask_for_news(vm: Gateway, address: str, name: str, end: int) -> TopicNews:
+    """Return what another VM knows of a topic behind an offset.
+
+    Raises
+    ------
+    LinkLostError, TimeoutError
+        If it doesn't answer.
+    """
+    link = await vm.links.link_to(address)
+    call = link.begin_call()
+    try:
+        link.post(TopicAsk(call, name, end))
+        async with asyncio.timeout(ASK_TIMEOUT_MS / 1000.0):
+            message = await link.reply(call)
+    finally:
+        link.end_call(call)
+    assert isinstance(message, TopicGive)
+    return TopicNews(
+        tuple(KeyedRecord(r.key, r.value, r.offset) for r in message.records),
+        message.end,
+        message.whole,
+        message.age_ms,
+        Outage(message.back_age_ms, message.back_end),
+    )
+
+
+def give(state: TopicState | None, asked: TopicAsk, now_ms: float) -> TopicGive:
+    """Return the answer to a VM that asks for records of a topic."""
+    news = None if state is None else news_since(state, asked.end, now_ms)
+    if news is None:
+        return TopicGive(asked.call, (), asked.end, False, 0.0, 0.0, -1)
+    return TopicGive(
+        asked.call,
+        tuple(RecordTold(r.key, r.value, r.offset) for r in news.records),
+        news.end,
+        news.whole,
+        news.age_ms,
+        news.outage.back_ms,
+        news.outage.end,
+    )
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from ..clock import Clock
@@ -12,18 +13,17 @@
 from .http_client import ConnectionPool
 from .links import Links
 from .membership import Membership
-from .messages import Beat
+from .messages import Beat, TopicEnd
 from .model import Limits, Manifest, Upstream
 from .retry_budget import RetryBudget
 from .routing import RouteIndex, make_index
 from .staging import Scheduler
+from .topics import TopicState
 from .upstreams import UpstreamTable
 
 RETURN_GRACE_MS = 2_500.0
 """How long after an outage of the store an upstream is kept that was missing from its
 first answer: its record is back within two seconds if it lives."""
-FIRST_ANSWER_MS = 100.0
-"""What is missing this soon after the return was missing from the first answer."""
 REMOVED_GRACE_MS = 1_200.0
 """How long one is kept that goes missing later in that time: it may be leaving, and
 then gets nothing more within two seconds."""
@@ -59,6 +59,20 @@
     retry_window_ms: float
 
 
+@dataclass(frozen=True)
+class FollowedTopic:
+    """Hold a topic of the store, and how to put its changes in force.
+
+    Parameters
+    ----------
+    take : callable
+        Takes the keys that changed, maybe none, and where they come from.
+    """
+
+    state: TopicState
+    take: Callable[[set[str], str], None]
+
+
 @dataclass
 class Gateway:
     """Hold the state of one VM; each part keeps its own.
@@ -67,8 +81,8 @@
     ----------
     index : RouteIndex or None
         The manifest in force, None before the first one.
-    manifest_bytes : bytes
-        That manifest as it stands in the store, for other VMs.
+    topics : dict of str to FollowedTopic
+        The topics of the store, by name.
     """
 
     settings: GatewaySettings
@@ -85,7 +99,7 @@
     table: UpstreamTable = field(default_factory=UpstreamTable)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     index: RouteIndex | None = None
-    manifest_bytes: bytes = b""
+    topics: dict[str, FollowedTopic] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
@@ -109,7 +123,7 @@
 
     def own_beat(self) -> Beat:
         """Return this VM's heartbeat."""
-        version = -1 if self.index is None else self.index.manifest.version
+        topics = (topic.state for topic in self.topics.values())
         known = [
             address
             for address, peer in self.membership.peers.items()
@@ -123,7 +137,7 @@
             self.incarnation,
             self.started_ms,
             self.leaving,
-            version,
+            tuple(TopicEnd(topic.name, topic.end) for topic in topics),
             tuple(some),
         )
 
@@ -131,12 +145,11 @@
         """Return how many VMs share the common bounds."""
         return self.membership.fleet_size()
 
-    def take_manifest(self, manifest: Manifest, payload: bytes, source: str) -> bool:
+    def take_manifest(self, manifest: Manifest, source: str) -> bool:
         """Put a manifest in force if it is newer; return whether it is."""
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return False
         self.index = make_index(manifest)
-        self.manifest_bytes = payload
         self.scheduler.configure(manifest, self.table)
         self.journal.record(
             Event.MANIFEST_IN_FORCE,
@@ -147,7 +160,12 @@
         )
         return True
 
-    def take_upstreams(self, upstreams: dict[str, Upstream], back_ms: float) -> None:
+    def take_upstreams(
+        self,
+        upstreams: dict[str, Upstream],
+        back_ms: float,
+        lapsed: Collection[str] = (),
+    ) -> None:
         """Take over the discovered upstreams.
 
         Parameters
@@ -155,12 +173,14 @@
         back_ms : float
             Since when the store answers without a break, in monotonic ms. Upstreams
             that went missing in an outage are kept for a while after it.
+        lapsed : collection of str
+            Upstreams that were missing from the store's first answer.
         """
         now_ms = self.clock.now_ms()
         doubtful = {
             name: state.info
             for name, state in self.table.states.items()
-            if name not in upstreams and self.may_return(name, back_ms, now_ms)
+            if name not in upstreams and self.may_return(name, back_ms, lapsed, now_ms)
         }
         for name in list(self.missing_since_ms):
             if name in upstreams or name not in doubtful:
@@ -189,12 +209,14 @@
         if self.manifest is not None:
             self.scheduler.configure(self.manifest, self.table)
 
-    def may_return(self, name: str, back_ms: float, now_ms: float) -> bool:
+    def may_return(
+        self, name: str, back_ms: float, lapsed: Collection[str], now_ms: float
+    ) -> bool:
         """Tell whether a missing upstream may only have lapsed in an outage."""
         if self.table.states[name].info.leaving:
             return False
         since_ms = self.missing_since_ms.setdefault(name, now_ms)
-        if since_ms - back_ms < FIRST_ANSWER_MS:
+        if name in lapsed:
             return now_ms - back_ms < RETURN_GRACE_MS
         return (
             since_ms - back_ms < RETURN_GRACE_MS
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -96,9 +96,9 @@
     taken_out: frozenset[str] = frozenset()
     held_back: dict[str, str] = field(default_factory=dict)
 
-    def confirm(self, version: int | None, at_ms: float) -> None:
+    def confirm(self, version: int, at_ms: float) -> None:
         """Note that the list was read up to an offset at a monotonic time in ms."""
-        self.version = -1 if version is None else version
+        self.version = version
         self.confirmed_ms = at_ms
 
     def age(self, now_ms: float) -> ListAge:
--- a/cuminstile/platform/__main__.py
+++ b/cuminstile/platform/__main__.py
@@ -18,8 +18,10 @@
 from ..gateway.links import Links
 from ..gateway.log_output import LogOutput, make_log_output
 from ..gateway.membership import Membership
+from ..gateway.messages import TopicAsk, TopicGive
 from ..gateway.retry_budget import RetryBudget
 from ..gateway.running import run_gateway
+from ..gateway.sharing import give
 from ..gateway.stage_calls import StageCaller
 from ..gateway.staging import Scheduler
 from ..gateway.state import Gateway
@@ -38,10 +40,10 @@
     journal = Journal(settings.gateway.name, clock)
     scheduler = Scheduler(clock, journal, StageCaller(clock, DIALECT, STAGE_DIALECT))
 
-    def manifest() -> tuple[int, bytes] | None:
-        if vm.manifest is None:
-            return None
-        return vm.manifest.version, vm.manifest_bytes
+    def give_records(asked: TopicAsk) -> TopicGive:
+        topic = vm.topics.get(asked.name)
+        state = None if topic is None else topic.state
+        return give(state, asked, clock.now_ms())
 
     vm = Gateway(
         settings=settings.gateway,
@@ -56,7 +58,7 @@
             settings.gateway.retry_slack,
             settings.gateway.retry_window_ms,
         ),
-        links=Links(clock, journal, scheduler, manifest),
+        links=Links(clock, journal, scheduler, give_records),
         incarnation=secrets.token_hex(6),
         started_ms=clock.wall_ms(),
     )
@@ -81,7 +83,6 @@
         vm,
         log,
         (follower.follow_operator, follower.follow_upstreams),
-        follower.take_manifest,
         reload,
     )
 
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass, field
 
 from ..events import Event
-from ..gateway.following import TopicState, follow_topic
+from ..gateway.following import follow_topic
 from ..gateway.model import Upstream
-from ..gateway.state import RETURN_GRACE_MS, Gateway
+from ..gateway.state import RETURN_GRACE_MS, FollowedTopic, Gateway
+from ..gateway.topics import TopicState, lapsed
 from .records import (
     EVACUATION_PREFIX,
     MANIFEST_KEY,
@@ -46,35 +47,40 @@
     decoded: dict[str, tuple[bytes, Upstream | None]] = field(default_factory=dict)
     shown: dict[str, Upstream] | None = None
 
+    def __post_init__(self) -> None:
+        """Give the VM the topics, so that it can share them with others."""
+        self.vm.topics = {
+            OPERATOR_TOPIC: FollowedTopic(self.operator, self.take_operator),
+            UPSTREAM_TOPIC: FollowedTopic(self.upstreams, self.take_upstreams),
+        }
+
     async def follow_operator(self) -> None:
         """Follow manifest and orders without end."""
         await follow_topic(
-            self.operator,
+            self.vm.topics[OPERATOR_TOPIC],
             self.store,
             self.vm,
             OPERATOR_WAIT_MS,
             0.0,
-            self.take_operator,
         )
 
     async def follow_upstreams(self) -> None:
         """Follow the upstreams without end."""
         await follow_topic(
-            self.upstreams,
+            self.vm.topics[UPSTREAM_TOPIC],
             self.store,
             self.vm,
             0.0,
             UPSTREAM_POLL_MS,
-            self.take_upstreams,
         )
 
-    def take_operator(self, keys: set[str]) -> None:
+    def take_operator(self, keys: set[str], source: str) -> None:
         """Put a changed manifest and changed orders in force."""
         if not keys:
             return
         payload = self.operator.values.get(MANIFEST_KEY)
         if MANIFEST_KEY in keys and payload is not None:
-            self.take_manifest(payload, "store")
+            self.take_manifest(payload, source)
         changed = self.take_zones()
         changed |= self.take_moves()
         if changed and self.vm.manifest is not None:
@@ -126,11 +132,12 @@
                 Event.CONFIG_RECORD_REFUSED, source=source, error=str(error)
             )
             return
-        self.vm.take_manifest(manifest, payload, source)
+        self.vm.take_manifest(manifest, source)
 
-    def take_upstreams(self, keys: set[str]) -> None:
+    def take_upstreams(self, keys: set[str], source: str) -> None:
         """Take over changed upstreams; one that can't be read is none to use."""
-        self.vm.table.confirm(self.upstreams.end, self.upstreams.read_ms)
+        state = self.upstreams
+        self.vm.table.confirm(state.end, state.confirmed_ms or 0.0)
         for key in keys:
             self.decode(key)
         upstreams = {
@@ -138,11 +145,12 @@
             for name, (_, upstream) in self.decoded.items()
             if upstream is not None
         }
-        waiting = self.vm.clock.now_ms() - self.upstreams.back_ms < 2 * RETURN_GRACE_MS
+        back_ms = state.outage.back_ms
+        waiting = self.vm.clock.now_ms() - back_ms < 2 * RETURN_GRACE_MS
         if upstreams == self.shown and not waiting:
             return
         self.shown = upstreams
-        self.vm.take_upstreams(upstreams, self.upstreams.back_ms)
+        self.vm.take_upstreams(upstreams, back_ms, lapsed(state))
 
     def decode(self, key: str) -> None:
         """Decode the record of one upstream."""
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..exceptions import TrimmedError
-from ..gateway.following import KeyedRecord, StoreCallError, TopicPage
+from ..gateway.following import StoreCallError
 from ..gateway.http_client import (
     AnswerHead,
     ConnectionLostError,
@@ -19,6 +19,7 @@
     open_connection,
     render_request,
 )
+from ..gateway.topics import KeyedRecord, TopicPage
 
 CALL_TIMEOUT_MS = 1_500.0
 """How long the store may take; it answers in some ms unless it is slow or away."""
--- a/standins/users_store.py
+++ b/standins/users_store.py
@@ -41,6 +41,8 @@
         Answer every call with this status, as a store that is away.
     silent : bool
         Never answer the calls that come now; their connections stay open for good.
+    turned_away : set of str
+        Hosts, as callers name the store, whose calls get that alone; others are served.
     calls : int
         Calls answered so far.
     """
@@ -49,11 +51,20 @@
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     status: int | None = None
     silent: bool = False
+    turned_away: set[str] = field(default_factory=set)
     calls: int = 0
 
-    def away(self) -> bool:
-        """Tell whether the store refuses every call."""
-        return self.status is not None
+    def concerned(self, request: Request) -> bool:
+        """Tell whether a caller is among those that the store does not serve."""
+        return not self.turned_away or request.url.hostname in self.turned_away
+
+    def away(self, request: Request) -> bool:
+        """Tell whether the store refuses a call."""
+        return self.status is not None and self.concerned(request)
+
+    def hangs(self, request: Request) -> bool:
+        """Tell whether the store never answers a call."""
+        return self.silent and self.concerned(request)
 
     def topic(self, name: str) -> StoreTopic:
         """Return a topic, made on first use."""
@@ -81,9 +92,9 @@
         async with self.changed:
             self.changed.notify_all()
 
-    async def hang_if_silent(self) -> None:
+    async def hang_if_silent(self, request: Request) -> None:
         """Never return while the store is silent, nor later."""
-        if self.silent:
+        if self.hangs(request):
             await asyncio.Event().wait()
 
     def trim(self, topic: str) -> None:
@@ -94,8 +105,8 @@
     async def newest(self, request: Request) -> Response:
         """Answer with the newest record of each key."""
         self.calls += 1
-        await self.hang_if_silent()
-        if self.away():
+        await self.hang_if_silent(request)
+        if self.away(request):
             return Response(status_code=self.status or 503)
         topic = self.topic(request.query_params["topic"])
         values: dict[str, tuple[bytes, int]] = {}
@@ -113,8 +124,8 @@
     async def read(self, request: Request) -> Response:
         """Answer with the records from an offset on, waiting for the first one."""
         self.calls += 1
-        await self.hang_if_silent()
-        if self.away():
+        await self.hang_if_silent(request)
+        if self.away(request):
             return Response(status_code=self.status or 503)
         topic = self.topic(request.query_params["topic"])
         start = int(request.query_params["from"])
@@ -124,12 +135,16 @@
         try:
             async with asyncio.timeout(wait_s), self.changed:
                 await self.changed.wait_for(
-                    lambda: len(topic.records) > start or self.away() or self.silent
+                    lambda: (
+                        len(topic.records) > start
+                        or self.away(request)
+                        or self.hangs(request)
+                    )
                 )
         except TimeoutError:
             pass
-        await self.hang_if_silent()
-        if self.away():
+        await self.hang_if_silent(request)
+        if self.away(request):
             return Response(status_code=self.status or 503)
         body = struct.pack(">QQ", len(topic.records), topic.first)
         for key, value in topic.records[start:]:
--- /dev/null
+++ b/tests/gateway/test_topics.py
@@ -0,0 +1,207 @@
+"""Test cuminstile.gateway.topics: what VMs read of the store and tell each other."""
+
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cuminstile.gateway.topics import (
+    CONFIRMED_MS,
+    MAX_DROPS,
+    KeyedRecord,
+    TopicPage,
+    TopicState,
+    lags,
+    lapsed,
+    news_since,
+    note_confirmed,
+    note_told_end,
+    take_all,
+    take_news,
+    take_records,
+)
+
+NOW_MS = 100_000.0
+LAG_MS = 700.0
+KEYS = "abc"
+
+
+@dataclass
+class Log:
+    """Be the store's log of one topic."""
+
+    records: list[KeyedRecord] = field(default_factory=list)
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Append a record."""
+        self.records.append(KeyedRecord(key, value, len(self.records)))
+
+    def values(self, end: int) -> dict[str, bytes]:
+        """Return the values of all keys as they stand at an offset."""
+        values: dict[str, bytes] = {}
+        for record in self.records[:end]:
+            values.pop(record.key, None)
+            if record.value is not None:
+                values[record.key] = record.value
+        return values
+
+    def page(self, start: int) -> TopicPage:
+        """Return all records from an offset on."""
+        return TopicPage(tuple(self.records[max(0, start) :]), len(self.records))
+
+    def newest(self) -> TopicPage:
+        """Return the newest record of each key that has a value."""
+        newest = {record.key: record for record in self.records}
+        kept = (record for record in newest.values() if record.value is not None)
+        return TopicPage(tuple(kept), len(self.records))
+
+
+def read(state: TopicState, log: Log, now_ms: float = NOW_MS) -> set[str]:
+    """Read on in the log."""
+    keys = take_records(state, log.page(state.end))
+    note_confirmed(state, now_ms)
+    return keys
+
+
+def tell(giver: TopicState, taker: TopicState, now_ms: float = NOW_MS) -> set[str]:
+    """Give one VM what another one knows."""
+    news = news_since(giver, taker.end, now_ms)
+    return set() if news is None else take_news(taker, news, now_ms)
+
+
+PUT = st.tuples(st.just("put"), st.sampled_from(KEYS), st.booleans())
+READ = st.tuples(st.sampled_from(["read", "newest"]), st.sampled_from([0, 1, 2]))
+TELL = st.tuples(st.just("tell"), st.sampled_from([0, 1, 2]), st.sampled_from([0, 1]))
+
+
+@given(st.lists(st.one_of(PUT, READ, TELL), max_size=60))
+def test_every_vm_knows_what_the_log_says_up_to_its_end(steps: list[tuple]) -> None:
+    log = Log()
+    states = [TopicState("t") for _ in range(3)]
+    for number, step in enumerate(steps):
+        if step[0] == "put":
+            log.put(step[1], b"%d" % number if step[2] else None)
+        elif step[0] == "read":
+            read(states[step[1]], log)
+        elif step[0] == "newest":
+            take_all(states[step[1]], log.newest())
+            note_confirmed(states[step[1]], NOW_MS)
+        else:
+            others = [n for n in range(3) if n != step[1]]
+            tell(states[step[1]], states[others[step[2]]])
+        for state in states:
+            assert state.values == log.values(max(0, state.end))
+
+
+def test_vm_that_lost_the_store_hears_what_changed_and_what_is_gone() -> None:
+    """Guards against DRAIN broken by a VM that alone has lost the store."""
+    log = Log()
+    served, away = TopicState("t"), TopicState("t")
+    for key in KEYS:
+        log.put(key, b"ready")
+    read(served, log)
+    read(away, log)
+    log.put("a", None)
+    log.put("b", b"draining")
+    read(served, log)
+    assert tell(served, away) == {"a", "b"}
+    assert away.values == {"b": b"draining", "c": b"ready"}
+    assert away.end == served.end
+
+
+def test_answer_that_comes_late_brings_nothing_old_back() -> None:
+    log = Log()
+    log.put("a", b"ready")
+    state, other = TopicState("t"), TopicState("t")
+    read(state, log)
+    late = log.page(0)
+    log.put("a", b"draining")
+    read(other, log)
+    tell(other, state)
+    assert take_records(state, late) == set()
+    assert take_all(state, TopicPage(late.records, late.end)) == set()
+    assert state.values == {"a": b"draining"}
+
+
+def test_only_changes_travel_if_the_other_vm_knows_the_rest() -> None:
+    log = Log()
+    for number in range(200):
+        log.put(f"k{number}", b"v")
+    giver, taker = TopicState("t"), TopicState("t")
+    read(giver, log)
+    read(taker, log)
+    log.put("k7", b"w")
+    read(giver, log)
+    news = news_since(giver, taker.end, NOW_MS)
+    assert news is not None
+    assert [record.key for record in news.records] == ["k7"]
+    assert not news.whole
+
+
+def test_dropped_keys_that_are_forgotten_make_the_news_whole() -> None:
+    log = Log()
+    log.put("a", b"v")
+    giver, taker = TopicState("t"), TopicState("t")
+    read(giver, log)
+    read(taker, log)
+    log.put("a", None)
+    for number in range(MAX_DROPS + 1):
+        log.put(f"k{number}", None)
+    read(giver, log)
+    assert len(giver.dropped) == MAX_DROPS
+    tell(giver, taker)
+    assert taker.values == {}
+
+
+def test_keys_that_were_gone_at_the_return_have_lapsed_and_later_ones_have_not() -> (
+    None
+):
+    log = Log()
+    for key in KEYS:
+        log.put(key, b"ready")
+    state, other = TopicState("t"), TopicState("t")
+    read(state, log)
+    read(other, log)
+    state.away_since_ms = other.away_since_ms = NOW_MS
+    back_ms = NOW_MS + 10_000.0
+    log.put("a", None)
+    read(state, log, back_ms)
+    log.put("b", None)
+    read(state, log, back_ms + 500.0)
+    assert lapsed(state) == {"a"}
+    tell(state, other, back_ms + 600.0)
+    assert lapsed(other) == {"a"}
+    assert other.outage == state.outage
+
+
+def test_loss_of_the_store_by_one_vm_alone_is_no_outage() -> None:
+    log = Log()
+    log.put("a", b"ready")
+    served, away = TopicState("t"), TopicState("t")
+    read(served, log)
+    read(away, log)
+    away.away_since_ms = NOW_MS
+    log.put("a", None)
+    read(served, log, NOW_MS + 5_000.0)
+    tell(served, away, NOW_MS + 5_000.0)
+    read(away, log, NOW_MS + 5_000.0 + CONFIRMED_MS)
+    assert lapsed(away) == frozenset()
+    assert away.outage.back_ms == 0.0
+
+
+@pytest.mark.parametrize(
+    ("away_since_ms", "waited_ms", "expected"),
+    [(None, LAG_MS - 1, False), (None, LAG_MS, True), (NOW_MS, 0.0, True)],
+    ids=["store may tell it yet", "store is late", "store is away"],
+)
+def test_other_vms_are_asked_for_what_the_store_does_not_tell_in_time(
+    away_since_ms: float | None, waited_ms: float, expected: bool
+) -> None:
+    state = TopicState("t", end=5, away_since_ms=away_since_ms)
+    assert not lags(state, NOW_MS, LAG_MS)
+    note_told_end(state, 7, NOW_MS)
+    note_told_end(state, 9, NOW_MS + waited_ms)
+    assert lags(state, NOW_MS + waited_ms, LAG_MS) is expected
+    state.end = 7
+    assert not lags(state, NOW_MS + 10 * LAG_MS, LAG_MS)
