Give up answers that have no end

Cause: nothing bounded what was kept of an answer: heads, provisional heads, trailers, frames of chunks, bodies that are passed on only when whole, an event of a resumable stream, answers to other requests. Change: 64 KiB without a head, body or end; 2 MiB for a body that is kept until it is whole (one whose stated length is larger is passed on as it comes); 256 KiB for an event; 16 answers to others. Beyond, the connection is closed and the request goes on as after a broken connection.

--- a/cuminstile/gateway/event_stream.py
+++ b/cuminstile/gateway/event_stream.py
@@ -9,7 +9,13 @@
 import re
 from dataclasses import dataclass, field
 
+from .http_client import AnswerTooLargeError
+
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+EVENT_END_BYTES = 4
+"""Length of the longest end of an event."""
+MAX_EVENT_BYTES = 256 * 1024
+"""Bytes that may come without the end of an event: far more than tokens take."""
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -27,12 +33,18 @@
         Whether the head told a length, which the rest of another run need not have.
     partial : bytes
         The beginning of an event whose end has not arrived.
+    tail : bytes
+        The last bytes that have come: the end of an event may come in two parts.
+    unended_bytes : int
+        Bytes that have come since the last end of an event.
     """
 
     begun: bool = False
     last_event: str | None = None
     framed: bool = False
     partial: bytes = field(default=b"")
+    tail: bytes = b""
+    unended_bytes: int = 0
 
     @property
     def resumable(self) -> bool:
@@ -40,16 +52,42 @@
         return not self.begun or (self.last_event is not None and not self.framed)
 
     def take(self, data: bytes) -> bytes:
-        """Return the whole events that new bytes complete; the rest is kept."""
+        """Return the whole events that new bytes complete; the rest is kept.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If an event has no end in sight.
+        """
         data = self.partial + data
         ends = [match.end() for match in EVENT_END.finditer(data)]
         end = ends[-1] if ends else 0
         whole, self.partial = data[:end], data[end:]
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise AnswerTooLargeError(f"an event of over {MAX_EVENT_BYTES} bytes")
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_event = ids[-1].decode("latin-1")
         return whole
 
+    def note_unended(self, data: bytes) -> None:
+        """Follow how long an event of a stream goes on that is passed on as it comes.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If an event has no end in sight.
+        """
+        recent = self.tail + data
+        ends = [match.end() for match in EVENT_END.finditer(recent)]
+        if ends:
+            self.unended_bytes = len(recent) - ends[-1]
+        else:
+            self.unended_bytes += len(data)
+        self.tail = recent[-EVENT_END_BYTES:]
+        if self.unended_bytes > MAX_EVENT_BYTES:
+            raise AnswerTooLargeError(f"an event of over {MAX_EVENT_BYTES} bytes")
+
     def take_rest(self) -> bytes:
         """Return what is left at the end of a stream that is complete."""
         rest, self.partial = self.partial, b""
--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -16,6 +16,13 @@
 """Many turns of the network between data centres; a live peer accepts at once."""
 READ_AHEAD_BYTES = 256 * 1024
 """What may be received and not yet read before reading pauses."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes of an answer that may come without a final head, a body or its end: heads,
+provisional heads, trailers and the frames of chunks."""
+MAX_BODY_BYTES = 2 * 1024 * 1024
+"""Size of a body that is kept until it is whole."""
+HEAD_WEIGHT_BYTES = 512
+"""What an answer that nobody has read yet counts for besides its body."""
 USER_TIMEOUT_MS = 3_000
 """How long sent bytes may stay unacknowledged before the kernel gives up."""
 DEFAULT_KEEP_ALIVE_MS = 4_000.0
@@ -39,6 +46,13 @@
         self.sent = sent
 
 
+class AnswerTooLargeError(ConnectionLostError):
+    """Tell that an answer was given up because it has no end in sight."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Hold status and headers of an answer, names in lower case.
@@ -83,6 +97,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.incoming: deque[Incoming] = deque()
         self.waiting_bytes = 0
+        self.quiet_bytes = 0
+        self.progressed = False
         self.waiter: asyncio.Future[None] | None = None
         self.headers: list[tuple[bytes, bytes]] = []
         self.framed = True
@@ -113,11 +129,16 @@
         if not self.in_use:
             self.close("bytes that no request waits for")
             return
+        self.progressed = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.close(f"no HTTP: {error}")
             return
+        self.quiet_bytes = 0 if self.progressed else self.quiet_bytes + len(data)
+        if self.quiet_bytes > MAX_HEAD_BYTES:
+            self.close(f"over {MAX_HEAD_BYTES} bytes that are no part of a body")
+            return
         if self.waiting_bytes > READ_AHEAD_BYTES and not self.paused:
             assert self.transport is not None
             self.paused = True
@@ -178,7 +199,6 @@
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
-        self.waiting_bytes += len(body)
         self.push(body)
 
     def on_message_complete(self) -> None:
@@ -190,6 +210,8 @@
 
     def push(self, item: Incoming) -> None:
         """Queue one item and wake the reader."""
+        self.progressed = True
+        self.waiting_bytes += weight_of(item)
         self.incoming.append(item)
         self.wake()
 
@@ -213,12 +235,11 @@
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
         item = self.incoming.popleft()
-        if isinstance(item, bytes):
-            self.waiting_bytes -= len(item)
-            if self.paused and self.waiting_bytes <= READ_AHEAD_BYTES // 2:
-                self.paused = False
-                if self.transport is not None:
-                    self.transport.resume_reading()
+        self.waiting_bytes -= weight_of(item)
+        if self.paused and self.waiting_bytes <= READ_AHEAD_BYTES // 2:
+            self.paused = False
+            if self.transport is not None:
+                self.transport.resume_reading()
         if isinstance(item, AnswerEnd):
             self.answered = self.head_taken
         return item
@@ -232,15 +253,28 @@
                 self.head_taken = True
                 return item
 
-    async def receive_rest(self) -> bytes:
-        """Return the rest of the body of the current answer."""
+    async def receive_rest(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the rest of the body of the current answer.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If it is larger than `max_bytes`; the connection is closed then.
+        ConnectionLostError
+            If the connection ended before it did.
+        """
         parts: list[bytes] = []
+        size = 0
         while True:
             item = await self.receive()
             if isinstance(item, AnswerEnd):
                 return b"".join(parts)
             if isinstance(item, bytes):
                 parts.append(item)
+                size += len(item)
+            if size > max_bytes:
+                self.close(f"a body of over {max_bytes} bytes")
+                raise AnswerTooLargeError(f"a body of over {max_bytes} bytes")
 
     def send(self, data: bytes) -> None:
         """Start a request.
@@ -285,6 +319,11 @@
         self.wake()
 
 
+def weight_of(item: Incoming) -> int:
+    """Return what an item that nobody has read yet counts for, in bytes."""
+    return len(item) if isinstance(item, bytes) else HEAD_WEIGHT_BYTES
+
+
 async def open_connection(
     address: str, timeout_ms: float = CONNECT_TIMEOUT_MS
 ) -> HttpConnection:
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -11,8 +11,10 @@
 from .dialect import AnswerFields, CallFields, Dispatch, RawHeaders
 from .event_stream import AnswerProgress
 from .http_client import (
+    MAX_BODY_BYTES,
     AnswerEnd,
     AnswerHead,
+    AnswerTooLargeError,
     ConnectionLostError,
     HttpConnection,
     open_connection,
@@ -31,8 +33,8 @@
     note_unreachable,
 )
 
-MAX_BUFFERED_BYTES = 1024 * 1024
-"""Answers up to this size are passed on only when they are whole."""
+MAX_OTHER_ANSWERS = 16
+"""Answers to other requests that are passed over while one's own is awaited."""
 HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -203,8 +205,8 @@
         send.failure = Failure(head.status, passed_headers(head.headers), body)
         send.detail = f"status {head.status}"
         send.outcome = Outcome.FAILED
-    elif call.route.kind is RouteKind.STREAM:
-        await pass_stream(vm, call, state, connection, head, send, running)
+    elif call.route.kind is RouteKind.STREAM or (head.length or 0) > MAX_BODY_BYTES:
+        await pass_on(vm, call, state, connection, head, send, running)
     else:
         await pass_whole(vm, call, state, connection, head, send)
     if send.outcome is Outcome.PASSED_ON:
@@ -214,8 +216,16 @@
 async def receive_own_head(
     vm: Gateway, call: Call, connection: HttpConnection
 ) -> tuple[AnswerHead, AnswerFields]:
-    """Return the head of the answer to this request; answers to others are dropped."""
-    while True:
+    """Return the head of the answer to this request; answers to others are dropped.
+
+    Raises
+    ------
+    AnswerTooLargeError
+        If too many of them come.
+    ConnectionLostError
+        If the connection ends before.
+    """
+    for _ in range(MAX_OTHER_ANSWERS):
         head = await connection.receive_head()
         fields = vm.dialect.read_answer(head.status, head.headers)
         if not call.fields.attempt_id or fields.attempt_id == call.fields.attempt_id:
@@ -228,6 +238,7 @@
             other=fields.attempt_id,
             status=head.status,
         )
+    raise AnswerTooLargeError(f"{MAX_OTHER_ANSWERS} answers to other requests")
 
 
 async def take_not_run(
@@ -265,7 +276,7 @@
     await call.out.write_whole(head.status, passed_headers(head.headers), body)
 
 
-async def pass_stream(
+async def pass_on(
     vm: Gateway,
     call: Call,
     state: UpstreamState,
@@ -274,10 +285,11 @@
     send: Send,
     running: Callable[[], None],
 ) -> None:
-    """Pass an event stream on as it arrives, whole events only if it may be resumed.
+    """Pass a stream or a large body on as it arrives.
 
-    A stream that breaks is broken off at the caller too, unless another upstream goes
-    on with it: it never looks complete.
+    Of a stream that may be resumed only whole events are passed on. An answer that
+    breaks is broken off at the caller too, unless another upstream goes on with it: it
+    never looks complete.
     """
     answer = send.answer
     extend_timeout(vm, call, send)
@@ -292,8 +304,7 @@
                 break
             if isinstance(item, bytes):
                 running()
-                data = answer.take(item) if call.route.resumable else item
-                await call.out.write(data)
+                await call.out.write(next_bytes(call, answer, item))
     except ConnectionLostError as error:
         answer.drop_partial()
         send.detail = f"stream broke: {error}"
@@ -305,6 +316,21 @@
     send.outcome = Outcome.PASSED_ON
 
 
+def next_bytes(call: Call, answer: AnswerProgress, data: bytes) -> bytes:
+    """Return what of new bytes can be passed on now.
+
+    Raises
+    ------
+    AnswerTooLargeError
+        If an event has no end in sight.
+    """
+    if call.route.resumable:
+        return answer.take(data)
+    if call.route.kind is RouteKind.STREAM:
+        answer.note_unended(data)
+    return data
+
+
 def extend_timeout(vm: Gateway, call: Call, send: Send) -> None:
     """Let a stream that has begun go on until its caller's time is over."""
     if send.timeout is None or send.timeout.expired():
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -27,6 +27,8 @@
 """How long a connection to the store may take."""
 MAX_PAGE_KB = 1_024
 """What one reading returns at most, the platform's own default."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Size of an answer that is taken: more than a full page in base64."""
 HEAD_BYTES = 16
 """End and first retained offset before the records, 8 bytes each."""
 LENGTH_BYTES = 4
@@ -83,7 +85,7 @@
                 self.in_progress.add(connection)
                 connection.send(request)
                 head = await connection.receive_head()
-                answer = await connection.receive_rest()
+                answer = await connection.receive_rest(MAX_ANSWER_BYTES)
         except ConnectionLostError as error:
             raise StoreCallError(f"{path}: {error!r}", calls_before) from error
         except TimeoutError as error:
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -10,6 +10,7 @@
 import orjson
 
 SEAL = "3e1b.07"
+ENDLESS_PIECE = b"x" * 65_536
 
 
 class Fault(StrEnum):
@@ -26,6 +27,8 @@
     FAIL = "fail"
     SILENT = "silent"
     UNFRAMED = "unframed"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_BODY = "endless_body"
 
 
 @dataclass(frozen=True)
@@ -52,6 +55,8 @@
         Those whose connection closed while they ran.
     faults : list of Fault
         What to do wrong with the next requests, the first one first.
+    endless_bytes : int
+        Bytes of answers without an end that went out.
     """
 
     id: str
@@ -62,6 +67,7 @@
     cancelled: list[str] = field(default_factory=list)
     freed: list[str] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
+    endless_bytes: int = 0
     address: str = ""
     numbers: itertools.count[int] = field(default_factory=itertools.count)
 
@@ -93,6 +99,8 @@
         if seen.headers.get("expect-instance", self.id) != self.id:
             writer.write(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
             return
+        if self.faults and self.faults[0] in (Fault.ENDLESS_HEAD, Fault.ENDLESS_BODY):
+            await self.answer_without_end(seen, self.faults.pop(0), writer)
         if seen.target == "/api/stage-run":
             await self.make_pieces(seen, writer)
             return
@@ -123,6 +131,23 @@
         else:
             await self.respond(attempt, fault, writer)
 
+    async def answer_without_end(
+        self, seen: Seen, fault: Fault, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send bytes that are no answer until the caller closes."""
+        attempt = seen.headers.get("attempt-id", "")
+        self.ran.append(attempt)
+        start = head(200, attempt, None)
+        writer.write(start if fault is Fault.ENDLESS_BODY else start[:-2] + b"X-A: ")
+        try:
+            while True:
+                writer.write(ENDLESS_PIECE)
+                await writer.drain()
+                self.endless_bytes += len(ENDLESS_PIECE)
+        except ConnectionError:
+            self.cancelled.append(attempt)
+            raise
+
     async def respond(
         self, attempt: str, fault: Fault, writer: asyncio.StreamWriter
     ) -> None:
--- /dev/null
+++ b/tests/gateway/test_endless_answers.py
@@ -0,0 +1,137 @@
+"""Test that an answer without an end is given up, and costs little memory."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from cuminstile.gateway.event_stream import MAX_EVENT_BYTES, AnswerProgress
+from cuminstile.gateway.http_client import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    READ_AHEAD_BYTES,
+    AnswerTooLargeError,
+    ConnectionLostError,
+    HttpConnection,
+    open_connection,
+    render_request,
+)
+
+pytestmark = pytest.mark.anyio
+REQUEST = render_request(b"GET", b"/", (), b"")
+GIVEN_UP_S = 5.0
+SENT_AT_MOST = 64 * 1024 * 1024
+"""Bytes after which the server of this test stops, lest a red test fills the memory."""
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = b"a" * 8_000
+ENDLESS = {
+    "status line": (b"HTTP/1.1 200 ", PIECE),
+    "one header": (OK + b"X-A: ", PIECE),
+    "headers": (OK, b"X-A: b\r\n" * 1_000),
+    "provisional heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 300),
+    "chunk extension": (CHUNKED + b"5;", PIECE),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: b\r\n" * 1_000),
+    "body without a length": (OK + b"\r\n", PIECE),
+    "chunked body": (CHUNKED, b"1f40\r\n" + PIECE + b"\r\n"),
+    "answers to others": (b"", OK + b"Content-Length: 0\r\n\r\n"),
+}
+
+
+@asynccontextmanager
+async def connected(start: bytes, more: bytes) -> AsyncIterator[HttpConnection]:
+    """Open a connection to a server whose answer goes on until the caller closes."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            for _ in range(SENT_AT_MOST // len(more)):
+                writer.write(more)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connection = await open_connection(f"{host}:{port}")
+    try:
+        yield connection
+    finally:
+        connection.close("test is over")
+        server.close()
+
+
+@pytest.mark.parametrize("kind", [kind for kind in ENDLESS if "others" not in kind])
+async def test_answer_without_an_end_is_given_up(kind: str) -> None:
+    """Guards against a VM that an upstream fills with bytes that are no answer."""
+    start, more = ENDLESS[kind]
+    async with connected(start, more) as connection:
+        connection.send(REQUEST)
+        async with asyncio.timeout(GIVEN_UP_S):
+            with pytest.raises(ConnectionLostError):
+                await connection.receive_head()
+                await connection.receive_rest()
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS))
+async def test_answer_without_an_end_that_nobody_reads_is_not_kept(kind: str) -> None:
+    start, more = ENDLESS[kind]
+    async with connected(start, more) as connection:
+        connection.send(REQUEST)
+        await asyncio.sleep(0.5)
+        kept = sum(len(item) for item in connection.incoming if type(item) is bytes)
+        headers = sum(len(name) + len(value) for name, value in connection.headers)
+        assert kept <= 2 * READ_AHEAD_BYTES
+        assert headers <= MAX_HEAD_BYTES + READ_AHEAD_BYTES
+        assert len(connection.incoming) <= READ_AHEAD_BYTES
+
+
+async def test_body_of_a_stated_length_may_be_large() -> None:
+    size = 4 * MAX_BODY_BYTES
+    start = OK + b"Content-Length: %d\r\n\r\n" % size
+    async with connected(start, b"b" * (size // 64)) as connection:
+        connection.send(REQUEST)
+        head = await connection.receive_head()
+        assert head.length == size
+        with pytest.raises(AnswerTooLargeError):
+            await connection.receive_rest()
+
+
+async def test_head_of_the_greatest_size_is_taken() -> None:
+    value = b"v" * (MAX_HEAD_BYTES - 100)
+    start = OK + b"X-A: " + value + b"\r\nContent-Length: 2\r\n\r\n"
+    async with connected(start, b"ok") as connection:
+        connection.send(REQUEST)
+        head = await connection.receive_head()
+        assert head.get(b"x-a") == value
+
+
+Follow = Callable[[AnswerProgress, bytes], object]
+FOLLOW = pytest.mark.parametrize(
+    "follow", [AnswerProgress.take, AnswerProgress.note_unended]
+)
+
+
+@FOLLOW
+def test_event_without_an_end_is_refused(follow: Follow) -> None:
+    """Guards against a VM that keeps, or passes on, an event for ever."""
+    progress = AnswerProgress()
+    follow(progress, b"id: 1\ndata: a\n\n")
+    for _ in range(MAX_EVENT_BYTES // len(PIECE)):
+        follow(progress, PIECE)
+    with pytest.raises(AnswerTooLargeError):
+        follow(progress, PIECE)
+
+
+@FOLLOW
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+def test_events_whose_ends_come_in_parts_are_taken(follow: Follow, end: bytes) -> None:
+    progress = AnswerProgress()
+    half = b"data: " + b"e" * (MAX_EVENT_BYTES // 2)
+    for _ in range(8):
+        follow(progress, half + end[:1])
+        follow(progress, end[1:])
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -35,6 +35,8 @@
 """Time in which a manifest is in force everywhere."""
 EVACUATE_S = 5.0
 """Time after which a data centre that is taken out gets nothing more."""
+ENDLESS_BYTES = 16 * 1024 * 1024
+"""Bytes of an answer without end that may be taken, the network's buffers included."""
 DRAIN_S = 2.0
 """Time after which a leaving upstream gets nothing more."""
 
@@ -257,6 +259,60 @@
     assert answer.body.count(b"id: ") == 2
 
 
+ENDLESS = pytest.mark.parametrize("fault", [Fault.ENDLESS_HEAD, Fault.ENDLESS_BODY])
+
+
+@ENDLESS
+async def test_idempotent_request_is_served_elsewhere_than_by_bytes_without_end(
+    site: Site, fault: Fault
+) -> None:
+    """Guards against an upstream whose answer has no end holding a request."""
+    upstream = site.upstreams["desk-1"]
+    upstream.faults = [fault] * 2
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert (answer.status, answer.whole) == (200, True)
+    assert upstream.cancelled
+    assert upstream.endless_bytes < len(upstream.cancelled) * ENDLESS_BYTES
+
+
+@ENDLESS
+async def test_request_that_runs_once_is_not_answered_by_bytes_without_end(
+    site: Site, fault: Fault
+) -> None:
+    for name in ("desk-1", "desk-2"):
+        site.upstreams[name].faults = [fault]
+    answer = await call(site.vms[0].address, "POST", "/book/x", fields("a1"), b"b")
+    assert answer.status == 502
+
+
+@ENDLESS
+async def test_stream_of_bytes_without_end_is_broken_off(
+    site: Site, fault: Fault
+) -> None:
+    engine = site.upstreams["engine-1"]
+    engine.faults = [fault]
+    headers = draft_fields("a1")
+    answer = await call(site.vms[0].address, "POST", "/draft/x", headers, b"p")
+    assert answer.status == 502 or not answer.whole
+    assert engine.endless_bytes < ENDLESS_BYTES
+
+
+@ENDLESS
+async def test_pieces_are_made_elsewhere_than_by_bytes_without_end(
+    site: Site, fault: Fault
+) -> None:
+    await site.add_upstream("encode-2", "encode")
+    await until(lambda: len(site.vms[0].events("upstream_changed")) == 6)
+    upstream = site.upstreams["encode-1"]
+    upstream.faults = [fault]
+    for number in range(6):
+        headers = draft_fields(f"a{number}")
+        answer = await call(site.vms[0].address, "POST", "/draft/x", headers, b"p")
+        assert (answer.status, answer.whole) == (200, True)
+    assert 0 < upstream.endless_bytes < ENDLESS_BYTES
+
+
 async def test_caller_that_leaves_ends_the_work_of_its_upstream(site: Site) -> None:
     engine = site.upstreams["engine-1"]
     engine.events, engine.work_s = 100, 0.05
