Let the stand-in of cut calls bear a connection that is closed before a call

test_a_refusal_says_the_truth_wherever_the_call_is_cut failed once beside load with anyio.EndOfStream, for a call cut at once. Cause: the stand-in's handler read from a connection that the VM had opened and closed again without a byte: a probe of the upstream that was given up. Its error ended the test's task group. The other stand-in (tests/fakes/upstreams.py) takes that as the end of a connection; this one does now too. Evidence: a test that opens and closes a connection had the same error before. What the test asserts of the program is unchanged.

--- a/tests/upstream/test_cut_calls.py
+++ b/tests/upstream/test_cut_calls.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -76,7 +77,12 @@
     refusals: int = 0
 
     async def handle(self, stream: SocketStream) -> None:
-        """Serve one connection."""
+        """Serve one connection; the VM may close it at any moment."""
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            await self.serve(stream)
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Read a call, and cut it where it is to be cut."""
         async with stream:
             if self.cut.reset:
                 raw = stream.extra(SocketAttribute.raw_socket)
@@ -122,6 +128,22 @@
         await stream.send(data)
 
 
+async def test_service_bears_a_connection_that_is_closed_before_a_call() -> None:
+    """Guards against the stand-in failing a test when a VM gives a probe up."""
+    service = Service(Cut(Where.AT_ONCE, 0.0, 0, False, 200))
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, service.handle)
+        async with await anyio.connect_tcp("127.0.0.1", port):
+            pass
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\n\r\n")
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+        tasks.cancel_scope.cancel()
+    assert service.runs == 0
+
+
 def make_call(vm: Vm, padding: int) -> StageCall:
     """Return a call that may not be repeated."""
     return StageCall(
