Read the store as often in a fleet as one VM alone would

Change: what one VM has read reaches the others now, so VMs share the work: the wait for the operator is 1 s times the VMs that live (20 s at most), the pause between readings of upstreams 0.5 s times these, 1 s at most: half of the time in which a leaving upstream must get nothing more. A VM alone reads as before. A VM asks another one for what it knows of the operator after 0.4 s, of upstreams after 1.3 s. Ruled out: one VM that reads for all: its death would leave the others without a list for longer than the bound.

--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -53,27 +53,22 @@
         """
 
 
-async def follow_topic(
-    topic: FollowedTopic,
-    store: KeyedStore,
-    vm: Gateway,
-    wait_ms: float,
-    pause_ms: float,
-) -> None:
-    """Keep a topic up to date without end; take it after each answer.
+def shared_ms(alone_ms: float, most_ms: float, vms: int) -> float:
+    """Return the time between two readings of a topic by one of several VMs.
 
-    Parameters
-    ----------
-    wait_ms : float
-        How long one call waits for a record, 0 to poll.
-    pause_ms : float
-        Pause between calls.
+    What one VM has read reaches the others, so all together read as often as one alone
+    would, until that is `most_ms` for each.
     """
+    return min(most_ms, alone_ms * vms)
+
+
+async def follow_topic(topic: FollowedTopic, store: KeyedStore, vm: Gateway) -> None:
+    """Keep a topic up to date without end; take it after each answer."""
     state = topic.state
     retry_ms = RETRY_MIN_MS
     while True:
         try:
-            keys = await read_once(state, store, wait_ms)
+            keys = await read_once(state, store, topic.wait_ms())
         except TrimmedError:
             vm.journal.record(Event.STORE_TRIMMED, topic=state.name)
             state.trimmed = True
@@ -86,7 +81,7 @@
         retry_ms = RETRY_MIN_MS
         note_answered(state, vm)
         topic.take(keys, STORE)
-        await vm.clock.sleep_ms(pause_ms)
+        await vm.clock.sleep_ms(topic.pause_ms())
 
 
 async def read_once(state: TopicState, store: KeyedStore, wait_ms: float) -> set[str]:
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -165,6 +165,6 @@
                 vm.links.drop_address(address)
         version = vm.manifest.version if vm.manifest else -1
         vm.metrics.manifest_version.set({}, version)
-        vm.metrics.live_vms.set({}, 1 + len(live))
+        vm.metrics.live_vms.set({}, vm.live_vms())
         vm.metrics.upstream_list_age_ms.set({}, vm.table.age(now_ms).age_ms)
         log.flush()
--- a/cuminstile/gateway/sharing.py
+++ b/cuminstile/gateway/sharing.py
@@ -26,9 +26,6 @@
 
 LOOK_INTERVAL_MS = 200.0
 """Pause between looks at what other VMs know."""
-LAG_MS = 700.0
-"""How long the store may take to tell what another VM knows: one reading of a topic
-that is polled, and a slow answer."""
 ASK_TIMEOUT_MS = 500.0
 """How long another VM may take to give records; it has them at hand."""
 
@@ -41,7 +38,7 @@
         beats = vm.membership.live(now_ms)
         for topic in vm.topics.values():
             ahead = beats_ahead(topic.state, beats, now_ms)
-            if ahead and lags(topic.state, now_ms, LAG_MS):
+            if ahead and lags(topic.state, now_ms, topic.lag_ms):
                 await ask(vm, topic, vm.random.choice(ahead))
 
 
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -61,16 +61,25 @@
 
 @dataclass(frozen=True)
 class FollowedTopic:
-    """Hold a topic of the store, and how to put its changes in force.
+    """Hold a topic of the store, how it is read and how its changes are put in force.
 
     Parameters
     ----------
     take : callable
         Takes the keys that changed, maybe none, and where they come from.
+    wait_ms : callable
+        Returns how long the next call waits for a record, 0 for not at all.
+    pause_ms : callable
+        Returns the pause before the next call.
+    lag_ms : float
+        How long the store may take to tell what another VM knows.
     """
 
     state: TopicState
     take: Callable[[set[str], str], None]
+    wait_ms: Callable[[], float]
+    pause_ms: Callable[[], float]
+    lag_ms: float
 
 
 @dataclass
@@ -145,6 +154,10 @@
         """Return how many VMs share the common bounds."""
         return self.membership.fleet_size()
 
+    def live_vms(self) -> int:
+        """Return how many VMs are heard of, this one included."""
+        return 1 + len(self.membership.live(self.clock.now_ms()))
+
     def take_manifest(self, manifest: Manifest, source: str) -> bool:
         """Put a manifest in force if it is newer; return whether it is."""
         if self.manifest is not None and manifest.version <= self.manifest.version:
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..events import Event
-from ..gateway.following import follow_topic
+from ..gateway.following import follow_topic, shared_ms
 from ..gateway.model import Upstream
 from ..gateway.state import RETURN_GRACE_MS, FollowedTopic, Gateway
 from ..gateway.topics import TopicState, lapsed
@@ -23,11 +23,20 @@
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
 OPERATOR_WAIT_MS = 1_000.0
-"""How long one reading waits for the operator, who writes seldom: a connection that
-is silent for good is noticed this much later than by a call that doesn't wait."""
+"""How long one reading of a VM that is alone waits for the operator, who writes seldom:
+a silent connection is noticed this much later than by a call that doesn't wait."""
+OPERATOR_WAIT_MAX_MS = 20_000.0
+"""The longest such wait, of which the store bears half as much again."""
+OPERATOR_LAG_MS = 400.0
+"""How long the store may take to tell a VM of the operator what another one knows."""
 UPSTREAM_POLL_MS = 500.0
-"""Pause between readings of upstreams, whose heartbeats never pause: a quarter of the
-time in which a leaving one must get nothing more."""
+"""Pause between readings of upstreams, whose heartbeats never pause, by a VM alone: a
+quarter of the time in which a leaving one must get nothing more."""
+UPSTREAM_POLL_MAX_MS = 1_000.0
+"""The longest such pause: half of that time."""
+UPSTREAM_LAG_MS = 1_300.0
+"""How long the store may take to tell a VM of upstreams what another one knows: one
+pause, and a slow answer."""
 
 
 @dataclass
@@ -50,29 +59,39 @@
     def __post_init__(self) -> None:
         """Give the VM the topics, so that it can share them with others."""
         self.vm.topics = {
-            OPERATOR_TOPIC: FollowedTopic(self.operator, self.take_operator),
-            UPSTREAM_TOPIC: FollowedTopic(self.upstreams, self.take_upstreams),
+            OPERATOR_TOPIC: FollowedTopic(
+                self.operator,
+                self.take_operator,
+                wait_ms=self.operator_wait_ms,
+                pause_ms=lambda: 0.0,
+                lag_ms=OPERATOR_LAG_MS,
+            ),
+            UPSTREAM_TOPIC: FollowedTopic(
+                self.upstreams,
+                self.take_upstreams,
+                wait_ms=lambda: 0.0,
+                pause_ms=self.upstream_pause_ms,
+                lag_ms=UPSTREAM_LAG_MS,
+            ),
         }
 
+    def operator_wait_ms(self) -> float:
+        """Return how long the next reading waits for the operator."""
+        vms = self.vm.live_vms()
+        return shared_ms(OPERATOR_WAIT_MS, OPERATOR_WAIT_MAX_MS, vms)
+
+    def upstream_pause_ms(self) -> float:
+        """Return the pause before the next reading of upstreams."""
+        vms = self.vm.live_vms()
+        return shared_ms(UPSTREAM_POLL_MS, UPSTREAM_POLL_MAX_MS, vms)
+
     async def follow_operator(self) -> None:
         """Follow manifest and orders without end."""
-        await follow_topic(
-            self.vm.topics[OPERATOR_TOPIC],
-            self.store,
-            self.vm,
-            OPERATOR_WAIT_MS,
-            0.0,
-        )
+        await follow_topic(self.vm.topics[OPERATOR_TOPIC], self.store, self.vm)
 
     async def follow_upstreams(self) -> None:
         """Follow the upstreams without end."""
-        await follow_topic(
-            self.vm.topics[UPSTREAM_TOPIC],
-            self.store,
-            self.vm,
-            0.0,
-            UPSTREAM_POLL_MS,
-        )
+        await follow_topic(self.vm.topics[UPSTREAM_TOPIC], self.store, self.vm)
 
     def take_operator(self, keys: set[str], source: str) -> None:
         """Put a changed manifest and changed orders in force."""
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -13,6 +13,7 @@
     STORE,
     StoreCallError,
     follow_topic,
+    shared_ms,
 )
 from cuminstile.gateway.state import FollowedTopic, Gateway
 from cuminstile.gateway.topics import KeyedRecord, TopicPage, TopicState
@@ -66,10 +67,12 @@
         assert source == STORE
         changes.append(keys)
 
-    topic = FollowedTopic(state, take)
+    topic = FollowedTopic(
+        state, take, wait_ms=lambda: 0.0, pause_ms=lambda: POLL_MS, lag_ms=POLL_MS
+    )
     assert isinstance(vm.clock, VirtualClock)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follow_topic, topic, store, vm, 0.0, POLL_MS)
+        tasks.start_soon(follow_topic, topic, store, vm)
         await play(vm.clock)  # type: ignore[misc]
         tasks.cancel_scope.cancel()
     return changes
@@ -131,3 +134,12 @@
     changes = await follow(vm, store, state, play)
     assert changes == [{"u1"}, {"u2"}, {"u1"}, set()]
     assert state.values == {"u2": b"ready"}
+
+
+@pytest.mark.parametrize("vms", [1, 2, 6, 20, 90])
+def test_a_fleet_reads_no_more_often_than_one_vm_unless_a_bound_needs_it(
+    vms: int,
+) -> None:
+    each_ms = shared_ms(1_000.0, 20_000.0, vms)
+    assert each_ms <= 20_000.0
+    assert vms / each_ms <= max(1 / 1_000.0, vms / 20_000.0)
