Keep the decision on event streams free of the network's module

The error has a type of its own now; topics.py is among the modules that the test keeps free of the network.

--- a/cuminstile/gateway/event_stream.py
+++ b/cuminstile/gateway/event_stream.py
@@ -9,8 +9,6 @@
 import re
 from dataclasses import dataclass, field
 
-from .http_client import AnswerTooLargeError
-
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 EVENT_END_BYTES = 4
 """Length of the longest end of an event."""
@@ -19,6 +17,13 @@
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
+class EventTooLargeError(Exception):
+    """Tell that an event has no end in sight."""
+
+    def __init__(self) -> None:
+        super().__init__(f"an event of over {MAX_EVENT_BYTES} bytes")
+
+
 @dataclass
 class AnswerProgress:
     """Hold how much of an answer has gone to the caller.
@@ -56,7 +61,7 @@
 
         Raises
         ------
-        AnswerTooLargeError
+        EventTooLargeError
             If an event has no end in sight.
         """
         data = self.partial + data
@@ -64,7 +69,7 @@
         end = ends[-1] if ends else 0
         whole, self.partial = data[:end], data[end:]
         if len(self.partial) > MAX_EVENT_BYTES:
-            raise AnswerTooLargeError(f"an event of over {MAX_EVENT_BYTES} bytes")
+            raise EventTooLargeError
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_event = ids[-1].decode("latin-1")
@@ -75,7 +80,7 @@
 
         Raises
         ------
-        AnswerTooLargeError
+        EventTooLargeError
             If an event has no end in sight.
         """
         recent = self.tail + data
@@ -86,7 +91,7 @@
             self.unended_bytes += len(data)
         self.tail = recent[-EVENT_END_BYTES:]
         if self.unended_bytes > MAX_EVENT_BYTES:
-            raise AnswerTooLargeError(f"an event of over {MAX_EVENT_BYTES} bytes")
+            raise EventTooLargeError
 
     def take_rest(self) -> bytes:
         """Return what is left at the end of a stream that is complete."""
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -9,7 +9,7 @@
 
 from ..events import Event
 from .dialect import AnswerFields, CallFields, Dispatch, RawHeaders
-from .event_stream import AnswerProgress
+from .event_stream import AnswerProgress, EventTooLargeError
 from .http_client import (
     MAX_BODY_BYTES,
     AnswerEnd,
@@ -305,7 +305,7 @@
             if isinstance(item, bytes):
                 running()
                 await call.out.write(next_bytes(call, answer, item))
-    except ConnectionLostError as error:
+    except (ConnectionLostError, EventTooLargeError) as error:
         answer.drop_partial()
         send.detail = f"stream broke: {error}"
         send.outcome = Outcome.UNKNOWN
@@ -321,7 +321,7 @@
 
     Raises
     ------
-    AnswerTooLargeError
+    EventTooLargeError
         If an event has no end in sight.
     """
     if call.route.resumable:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from cuminstile.gateway.event_stream import MAX_EVENT_BYTES, AnswerProgress
+from cuminstile.gateway.event_stream import (
+    MAX_EVENT_BYTES,
+    AnswerProgress,
+    EventTooLargeError,
+)
 from cuminstile.gateway.http_client import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -123,7 +127,7 @@
     follow(progress, b"id: 1\ndata: a\n\n")
     for _ in range(MAX_EVENT_BYTES // len(PIECE)):
         follow(progress, PIECE)
-    with pytest.raises(AnswerTooLargeError):
+    with pytest.raises(EventTooLargeError):
         follow(progress, PIECE)
 
 
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -19,6 +19,7 @@
     "returns",
     "routing",
     "stage_queue",
+    "topics",
     "upstreams",
 )
 """Modules of the gateway that decide, and need no network."""
