Hand staged work over when its scheduler is stopped

Change: the one that stops starts no more calls, tells the next one what each upstream holds and how long its call takes, and gives each chain's VM what is made; the next scheduler goes on from there.

--- a/cuminstile/gateway/board.py
+++ b/cuminstile/gateway/board.py
@@ -15,6 +15,7 @@
     Chain,
     ChainSpec,
     ChainStage,
+    MadePiece,
     Piece,
     Result,
     begun,
@@ -135,10 +136,39 @@
                 Piece(chain, stage, number, latest_ms) for number in range(stage.count)
             ]
             self.count_open(stage.service, chain.rank, stage.count)
+        for made in spec.made:
+            self.take_made(chain, made, now_ms)
         self.chains[spec.id] = chain
         self.queue_startable(chain, now_ms)
         return chain
 
+    def take_made(self, chain: Chain, made: MadePiece, now_ms: float) -> None:
+        """Take over a piece of another scheduler unless its result is gone."""
+        pieces = chain.pieces.get(made.stage, [])
+        if made.number >= len(pieces):
+            return
+        piece = pieces[made.number]
+        worker = self.queues[piece.stage.service].workers.get(made.result.upstream_id)
+        if not made.freed:
+            if worker is None or made.lapses_ms <= now_ms:
+                return
+            size = made.result.size
+            worker.held[made.result.handle] = HeldResult(size, made.lapses_ms)
+        piece.result = made.result
+        piece.freed = made.freed
+        piece.made_ms = now_ms
+        self.count_open(piece.stage.service, chain.rank, -1)
+
+    def hand_over(self, chain: Chain) -> None:
+        """Drop a chain that another scheduler goes on with; its results stay."""
+        chain.ended = True
+        self.chains.pop(chain.spec.id, None)
+        for stage in chain.spec.stages:
+            for piece in chain.pieces[stage.number]:
+                piece.queued = False
+                if piece.result is None:
+                    self.count_open(stage.service, chain.rank, -1)
+
     def tails(self, spec: ChainSpec) -> dict[int, float]:
         """Return the time from the start of each stage to the end, in ms."""
         tails: dict[int, float] = {}
--- a/cuminstile/gateway/chain.py
+++ b/cuminstile/gateway/chain.py
@@ -35,6 +35,37 @@
     result_bytes: int
 
 
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Name one result: where it lies, which upstream made it, and its size."""
+
+    handle: str
+    upstream_id: str
+    size: int
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class MadePiece:
+    """Hold a piece that another scheduler has had made.
+
+    Parameters
+    ----------
+    stage, number : int
+        Which piece of a chain it is.
+    freed : bool
+        Whether its result was given up, as all that needed it is made.
+    lapses_ms : float
+        When the result lapses, in monotonic ms.
+    """
+
+    stage: int
+    number: int
+    result: Result
+    freed: bool
+    lapses_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class ChainSpec:
     """Describe the staged work of one request; times are monotonic ms.
@@ -55,6 +86,8 @@
         When the whole answer earns its full worth, and when it is worth nothing.
     engine_ms : float
         Time that the request needs after its stages.
+    made : tuple of MadePiece
+        What another scheduler has had made before it handed the work over.
     """
 
     id: str
@@ -66,16 +99,7 @@
     expires_at_ms: float
     engine_ms: float
     stages: tuple[ChainStage, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Result:
-    """Name one result: where it lies, which upstream made it, and its size."""
-
-    handle: str
-    upstream_id: str
-    size: int
-    zone: str = ""
+    made: tuple[MadePiece, ...] = ()
 
 
 @dataclass(eq=False, slots=True)
@@ -145,6 +169,12 @@
         """Return the rank among the admitted work, the lowest first."""
         return self.spec.priority + (0 if self.in_time else LATE_RANK)
 
+    def running(self) -> bool:
+        """Tell whether a piece is in a call."""
+        return any(
+            piece.running_on for pieces in self.pieces.values() for piece in pieces
+        )
+
     def leaves(self) -> tuple[ChainStage, ...]:
         """Return the stages that no other stage follows."""
         followed = {number for stage in self.spec.stages for number in stage.after}
--- /dev/null
+++ b/cuminstile/gateway/conversions.py
@@ -0,0 +1,97 @@
+"""Convert staged work between the types of decisions and what VMs tell each other.
+
+Times are monotonic ms of one VM on the one side, and ms from now on the other.
+"""
+
+from __future__ import annotations
+
+from .chain import ChainSpec, ChainStage, MadePiece, Result
+from .handover import HeldLoad, WorkerLoad
+from .messages import (
+    HeldTold,
+    MadeTold,
+    ResultTold,
+    RunChain,
+    StageWork,
+    WorkerTold,
+)
+
+
+def told(result: Result) -> ResultTold:
+    """Return a result as VMs tell it to each other."""
+    return ResultTold(result.handle, result.upstream_id, result.size, result.zone)
+
+
+def told_made(piece: MadePiece, now_ms: float) -> MadeTold:
+    """Return a piece that is made as VMs tell it to each other."""
+    left_ms = piece.lapses_ms - now_ms
+    return MadeTold(piece.stage, piece.number, told(piece.result), piece.freed, left_ms)
+
+
+def made_of(piece: MadeTold, now_ms: float) -> MadePiece:
+    """Return a piece that another VM had made, with times of this VM's clock."""
+    return MadePiece(
+        piece.stage,
+        piece.number,
+        result_of(piece.result),
+        piece.freed,
+        now_ms + piece.left_ms,
+    )
+
+
+def told_load(load: WorkerLoad) -> WorkerTold:
+    """Return what an upstream holds as VMs tell it to each other."""
+    held = tuple(HeldTold(h.handle, h.size, h.left_ms) for h in load.held)
+    return WorkerTold(load.upstream_id, load.service, load.busy_ms, load.slowness, held)
+
+
+def load_of(worker: WorkerTold) -> WorkerLoad:
+    """Return what an upstream holds as another VM told it."""
+    held = tuple(HeldLoad(h.handle, h.size, h.left_ms) for h in worker.held)
+    return WorkerLoad(
+        worker.upstream_id, worker.service, worker.busy_ms, worker.slowness, held
+    )
+
+
+def result_of(result: ResultTold) -> Result:
+    """Return a result that another VM told."""
+    return Result(result.handle, result.upstream_id, result.size, result.zone)
+
+
+def spec_of(message: RunChain, chain_id: str, now_ms: float) -> ChainSpec:
+    """Return the chain that another VM asks for, with times of this VM's clock."""
+    return ChainSpec(
+        id=chain_id,
+        request_id=message.request_id,
+        key=message.key,
+        priority=message.priority,
+        zone=message.zone,
+        target_at_ms=now_ms + message.target_left_ms,
+        expires_at_ms=now_ms + message.left_ms,
+        engine_ms=message.engine_ms,
+        stages=tuple(
+            ChainStage(s.number, s.service, tuple(s.after), s.count, s.result_bytes)
+            for s in message.stages
+        ),
+        made=tuple(made_of(piece, now_ms) for piece in message.made),
+    )
+
+
+def message_of(spec: ChainSpec, call: int, again: bool, now_ms: float) -> RunChain:
+    """Return the message that asks another VM for a chain."""
+    return RunChain(
+        call,
+        spec.request_id,
+        spec.key,
+        spec.priority,
+        spec.zone,
+        spec.target_at_ms - now_ms,
+        spec.expires_at_ms - now_ms,
+        spec.engine_ms,
+        tuple(
+            StageWork(s.number, s.service, s.after, s.count, s.result_bytes)
+            for s in spec.stages
+        ),
+        again,
+        tuple(told_made(piece, now_ms) for piece in spec.made),
+    )
--- a/cuminstile/gateway/links.py
+++ b/cuminstile/gateway/links.py
@@ -16,19 +16,20 @@
 from ..events import Event, Journal
 from ..exceptions import CuminstileError
 from ..wire import MAX_MESSAGE_BYTES, Message
-from .chain import ChainSpec, ChainStage, Result
+from .conversions import load_of, result_of, spec_of, told, told_made
+from .handover import take_worker_loads
 from .messages import (
     CODEC,
     ChainAdmitted,
     ChainCancel,
     ChainDone,
+    ChainMoved,
     ChainRefused,
     ResultsFree,
-    ResultTold,
     RunChain,
-    StageWork,
     TopicAsk,
     TopicGive,
+    WorkersTold,
 )
 from .staging import ChainAnswer, Scheduler
 
@@ -259,6 +260,19 @@
             self.scheduler.free(tuple(map(result_of, message.results)))
         elif isinstance(message, TopicAsk):
             post(self.give(message))
+        elif isinstance(message, WorkersTold):
+            self.take_workers(message)
+
+    def take_workers(self, message: WorkersTold) -> None:
+        """Take over what a scheduler that leaves knows of the upstreams."""
+        loads = tuple(map(load_of, message.workers))
+        take_worker_loads(self.scheduler.board, loads, self.clock.now_ms())
+        self.journal.record(
+            Event.WORK_TAKEN_OVER,
+            peer=message.name,
+            upstreams=len(loads),
+            results=sum(len(load.held) for load in loads),
+        )
 
     def run_chain(
         self,
@@ -272,11 +286,18 @@
 
         def reply(answer: ChainAnswer) -> None:
             chains.discard(chain_id)
-            if answer.refusal:
+            if answer.moved is not None:
+                now_ms = self.clock.now_ms()
+                made = tuple(told_made(piece, now_ms) for piece in answer.moved)
+                post(ChainMoved(message.call, made))
+            elif answer.refusal:
                 post(ChainRefused(message.call, answer.refusal, answer.retry_after_ms))
             else:
                 post(ChainDone(message.call, tuple(map(told, answer.results))))
 
+        if self.scheduler.moving:
+            post(ChainMoved(message.call, message.made))
+            return
         spec = spec_of(message, chain_id, self.clock.now_ms())
         chains.add(chain_id)
         verdict = self.scheduler.submit(spec, message.again, reply)
@@ -285,50 +306,3 @@
         else:
             chains.discard(chain_id)
             post(ChainRefused(message.call, verdict.reason, verdict.retry_after_ms))
-
-
-def told(result: Result) -> ResultTold:
-    """Return a result as VMs tell it to each other."""
-    return ResultTold(result.handle, result.upstream_id, result.size, result.zone)
-
-
-def result_of(result: ResultTold) -> Result:
-    """Return a result that another VM told."""
-    return Result(result.handle, result.upstream_id, result.size, result.zone)
-
-
-def spec_of(message: RunChain, chain_id: str, now_ms: float) -> ChainSpec:
-    """Return the chain that another VM asks for, with times of this VM's clock."""
-    return ChainSpec(
-        id=chain_id,
-        request_id=message.request_id,
-        key=message.key,
-        priority=message.priority,
-        zone=message.zone,
-        target_at_ms=now_ms + message.target_left_ms,
-        expires_at_ms=now_ms + message.left_ms,
-        engine_ms=message.engine_ms,
-        stages=tuple(
-            ChainStage(s.number, s.service, tuple(s.after), s.count, s.result_bytes)
-            for s in message.stages
-        ),
-    )
-
-
-def message_of(spec: ChainSpec, call: int, again: bool, now_ms: float) -> RunChain:
-    """Return the message that asks another VM for a chain."""
-    return RunChain(
-        call,
-        spec.request_id,
-        spec.key,
-        spec.priority,
-        spec.zone,
-        spec.target_at_ms - now_ms,
-        spec.expires_at_ms - now_ms,
-        spec.engine_ms,
-        tuple(
-            StageWork(s.number, s.service, s.after, s.count, s.result_bytes)
-            for s in spec.stages
-        ),
-        again,
-    )
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -57,6 +57,27 @@
     result_bytes: int
 
 
+@dataclass(frozen=True)
+class ResultTold(Message):
+    """Name one result; see `chain.Result`."""
+
+    handle: str
+    upstream_id: str
+    size: int
+    zone: str
+
+
+@dataclass(frozen=True)
+class MadeTold(Message):
+    """Name a piece that is made; see `chain.MadePiece`."""
+
+    stage: int
+    number: int
+    result: ResultTold
+    freed: bool
+    left_ms: Finite
+
+
 @dataclass(frozen=True)
 class RunChain(Message):
     """Ask the scheduler for the results of all stages of a request.
@@ -68,7 +89,9 @@
     target_left_ms, left_ms : float
         Time left to the full worth, and to the deadline.
     again : bool
-        Whether another scheduler had admitted it before it was lost.
+        Whether another scheduler had admitted it before.
+    made : tuple of MadeTold
+        What that one had made before it handed the work over.
     """
 
     call: int
@@ -81,6 +104,7 @@
     engine_ms: Finite
     stages: tuple[StageWork, ...]
     again: bool
+    made: tuple[MadeTold, ...]
 
 
 @dataclass(frozen=True)
@@ -92,13 +116,11 @@
 
 
 @dataclass(frozen=True)
-class ResultTold(Message):
-    """Name one result; see `chain.Result`."""
+class ChainMoved(Message):
+    """Tell that another scheduler has to go on with the work of a call."""
 
-    handle: str
-    upstream_id: str
-    size: int
-    zone: str
+    call: int
+    made: tuple[MadeTold, ...]
 
 
 @dataclass(frozen=True)
@@ -132,6 +154,34 @@
     results: tuple[ResultTold, ...]
 
 
+@dataclass(frozen=True)
+class HeldTold(Message):
+    """Tell of a result at an upstream; see `handover.HeldLoad`."""
+
+    handle: str
+    size: int
+    left_ms: Finite
+
+
+@dataclass(frozen=True)
+class WorkerTold(Message):
+    """Tell what an upstream holds and does; see `handover.WorkerLoad`."""
+
+    upstream_id: str
+    service: str
+    busy_ms: Finite
+    slowness: Finite
+    held: tuple[HeldTold, ...]
+
+
+@dataclass(frozen=True)
+class WorkersTold(Message):
+    """Tell the next scheduler what the upstreams of stages hold and do."""
+
+    name: str
+    workers: tuple[WorkerTold, ...]
+
+
 @dataclass(frozen=True)
 class TopicAsk(Message):
     """Ask for the records of a topic behind an offset, -1 for all.
@@ -186,6 +236,8 @@
         (13, ChainRefused),
         (14, ChainCancel),
         (15, ResultsFree),
+        (16, ChainMoved),
+        (17, WorkersTold),
         (20, TopicAsk),
         (21, TopicGive),
     )
--- a/cuminstile/gateway/staged_results.py
+++ b/cuminstile/gateway/staged_results.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..events import Event
 from ..wire import Message
-from .chain import ChainSpec, Result
-from .links import RUN_CHAIN_ANSWER_MS, Link, LinkLostError, message_of, result_of, told
+from .chain import ChainSpec, MadePiece, Result
+from .conversions import made_of, message_of, result_of, told
+from .links import RUN_CHAIN_ANSWER_MS, Link, LinkLostError
 from .messages import (
     ChainAdmitted,
     ChainCancel,
     ChainDone,
+    ChainMoved,
     ChainRefused,
     ResultsFree,
 )
@@ -31,13 +33,21 @@
     retry_after_ms: float
 
 
+@dataclass
+class ChainMovedError(Exception):
+    """Tell that another scheduler has to go on, and what is made already."""
+
+    made: tuple[MadePiece, ...]
+
+
 async def staged_results(
     vm: Gateway, spec: ChainSpec, again: bool
 ) -> tuple[Result, ...]:
     """Return the results that a request needs.
 
     A scheduler that is lost or does not answer is left for the next one; work that
-    it had taken on is done again there.
+    it had taken on is done again there. One that leaves in order hands over what is
+    made.
 
     Parameters
     ----------
@@ -52,22 +62,47 @@
     for _ in range(MAX_SCHEDULERS):
         scheduler = vm.membership.scheduler(vm.own_beat(), vm.clock.now_ms())
         address = scheduler.address
-        if address == vm.settings.peer_address:
-            return await run_here(vm, spec, again)
         try:
+            if address == vm.settings.peer_address:
+                return await run_here(vm, spec, again)
             return await run_there(vm, address, spec, again)
+        except ChainMovedError as moved:
+            spec = note_moved(vm, spec, address, moved)
         except LinkLostError as error:
-            vm.membership.suspect(address, vm.clock.now_ms())
-            vm.journal.record(
-                Event.SCHEDULER_LOST,
-                request=spec.request_id,
-                peer=address,
-                error=str(error),
-            )
-            again = True
+            spec = note_lost(vm, spec, address, error)
+        again = True
     return await run_here(vm, spec, again)
 
 
+def note_moved(
+    vm: Gateway, spec: ChainSpec, address: str, moved: ChainMovedError
+) -> ChainSpec:
+    """Log that a scheduler leaves; return the work that is left."""
+    vm.membership.suspect(address, vm.clock.now_ms())
+    vm.journal.record(
+        Event.CHAIN_MOVED,
+        request=spec.request_id,
+        peer=address,
+        made=len(moved.made),
+        pieces=sum(stage.count for stage in spec.stages),
+    )
+    return replace(spec, made=moved.made)
+
+
+def note_lost(
+    vm: Gateway, spec: ChainSpec, address: str, error: LinkLostError
+) -> ChainSpec:
+    """Log that a scheduler is lost; return the work, which is to be done anew."""
+    vm.membership.suspect(address, vm.clock.now_ms())
+    vm.journal.record(
+        Event.SCHEDULER_LOST,
+        request=spec.request_id,
+        peer=address,
+        error=str(error),
+    )
+    return replace(spec, made=())
+
+
 async def run_here(vm: Gateway, spec: ChainSpec, again: bool) -> tuple[Result, ...]:
     """Have this VM's own scheduler do the work."""
     future: asyncio.Future[ChainAnswer] = asyncio.get_running_loop().create_future()
@@ -76,6 +111,7 @@
         if not future.done():
             future.set_result(answer)
 
+    vm.scheduler.keep_work()
     verdict = vm.scheduler.submit(spec, again, reply)
     record_verdict(vm, spec, verdict.reason, verdict.ready_ms, "here")
     if not verdict.admitted:
@@ -85,6 +121,8 @@
     except asyncio.CancelledError:
         vm.scheduler.cancel(spec.id)
         raise
+    if answer.moved is not None:
+        raise ChainMovedError(answer.moved)
     if answer.refusal:
         raise ChainRefusedError(answer.refusal, answer.retry_after_ms)
     return answer.results
@@ -97,6 +135,8 @@
 
     Raises
     ------
+    ChainMovedError
+        If the other VM leaves.
     ChainRefusedError
         If the work is refused or fails.
     LinkLostError
@@ -116,6 +156,9 @@
         raise
     finally:
         link.end_call(call)
+    if isinstance(message, ChainMoved):
+        now_ms = vm.clock.now_ms()
+        raise ChainMovedError(tuple(made_of(piece, now_ms) for piece in message.made))
     if isinstance(message, ChainRefused):
         record_verdict(vm, spec, message.reason, 0.0, link.address)
         raise ChainRefusedError(message.reason, message.retry_after_ms)
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -10,8 +10,9 @@
 from ..events import Event, Journal
 from .admission import Verdict, come_back_late_ms, judge
 from .board import Board
-from .chain import Chain, ChainSpec, Piece, Result, stage_times
+from .chain import Chain, ChainSpec, MadePiece, Piece, Result, stage_times
 from .dialect import StageFault, StageItem, StageOutcome
+from .handover import made_pieces
 from .http_client import ConnectionLostError
 from .model import Manifest
 from .returns import Returns
@@ -42,11 +43,14 @@
         The results that the request needs, empty if there is a `refusal`.
     refusal : str
         Why the work is not done, empty if it is.
+    moved : tuple of MadePiece or None
+        What is made if another scheduler has to go on with the work, None if not.
     """
 
     results: tuple[Result, ...] = ()
     refusal: str = ""
     retry_after_ms: float = 0.0
+    moved: tuple[MadePiece, ...] | None = None
 
 
 Reply = Callable[[ChainAnswer], None]
@@ -62,6 +66,10 @@
         Whom to tell when a chain ends, by the chain's id.
     pauses : dict of str to float
         The pause after the next failed call of an upstream, in ms.
+    moving : bool
+        Whether the work goes to another scheduler: no call is started any more.
+    after_call : callable
+        Told after each call that ends.
     """
 
     clock: Clock
@@ -74,6 +82,8 @@
     free_later: list[Result] = field(default_factory=list)
     addresses: dict[str, str] = field(default_factory=dict)
     table: UpstreamTable = field(default_factory=UpstreamTable)
+    moving: bool = False
+    after_call: Callable[[], None] = field(default=lambda: None)
     next_pump_ms: float = 0.0
     returns: Returns = field(default_factory=Returns)
 
@@ -139,6 +149,8 @@
 
     def pump(self) -> None:
         """Give work to each upstream that is free."""
+        if self.moving:
+            return
         now_ms = self.clock.now_ms()
         for queue in self.board.queues.values():
             if not queue.ready:
@@ -206,8 +218,42 @@
             list_version=chosen_by.version,
             list_age_ms=chosen_by.age_ms,
         )
+        self.after_call()
+        if self.moving:
+            for chain in {id(piece.chain): piece.chain for piece in batch}.values():
+                self.move_if_idle(chain)
         self.pump()
 
+    def hand_over(self) -> None:
+        """Start no more calls, and have other schedulers go on with all work.
+
+        What is in a call goes over when that has ended.
+        """
+        self.moving = True
+        for chain in list(self.board.chains.values()):
+            self.move_if_idle(chain)
+
+    def has_work(self) -> bool:
+        """Tell whether another scheduler would have anything to take over."""
+        held = (
+            worker.held or worker.calls
+            for queue in self.board.queues.values()
+            for worker in queue.workers.values()
+        )
+        return bool(self.board.chains) or any(held)
+
+    def keep_work(self) -> None:
+        """Go on here: there is no other scheduler."""
+        self.moving = False
+
+    def move_if_idle(self, chain: Chain) -> None:
+        """Have another scheduler go on with a chain of which nothing is in a call."""
+        if chain.ended or chain.running():
+            return
+        made = made_pieces(self.board, chain)
+        self.board.hand_over(chain)
+        self.tell(chain, ChainAnswer(refusal="moved", moved=made))
+
     def items(self, batch: list[Piece]) -> list[StageItem]:
         """Return the pieces as a call names them."""
         now_ms = self.clock.now_ms()
--- /dev/null
+++ b/tests/gateway/test_handover.py
@@ -0,0 +1,254 @@
+"""Test that staged work goes over to the next scheduler, alone and under load."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from cuminstile.gateway.admission import judge
+from cuminstile.gateway.board import Board
+from cuminstile.gateway.chain import Chain, MadePiece, Piece, Result
+from cuminstile.gateway.handover import (
+    made_pieces,
+    take_worker_loads,
+    worker_loads,
+)
+from cuminstile.gateway.stage_queue import HeldResult, Worker
+
+from .stage_load import FOUR_UPSTREAMS, Load, office_load
+from .test_board import make_all, make_board, make_spec, worker_of
+
+NOW_MS = 50.0
+
+
+def handed_over(board: Board, chain: Chain) -> Chain:
+    """Have a fresh board go on with a chain; return it there."""
+    spec = replace(chain.spec, made=made_pieces(board, chain))
+    board.hand_over(chain)
+    return make_board().add(spec, NOW_MS)
+
+
+def missing(chain: Chain) -> list[tuple[int, int]]:
+    return [
+        (piece.stage.number, piece.number)
+        for pieces in chain.pieces.values()
+        for piece in pieces
+        if piece.result is None
+    ]
+
+
+def test_what_is_made_is_not_made_again() -> None:
+    """Guards against rolling restarts that waste the work of half the requests."""
+    board = make_board()
+    chain = board.add(make_spec("r1", counts=(3, 2)), 0.0)
+    worker = worker_of(board, "a0")
+    make_all(board, worker, board.take_batch(worker, 0.0))
+    moved = handed_over(board, chain)
+    assert missing(moved) == [(1, 0), (1, 1)]
+    assert all(piece.queued for piece in moved.pieces[1])
+    assert board.chains == {}
+
+
+def test_results_that_were_freed_are_not_made_again_either() -> None:
+    board = make_board()
+    chain = board.add(make_spec("r1", counts=(2, 2)), 0.0)
+    worker = worker_of(board, "a0")
+    make_all(board, worker, board.take_batch(worker, 0.0))
+    second = worker_of(board, "b0")
+    batch = board.take_batch(second, 1_000.0)
+    board.call_ended(second)
+    board.piece_made(batch[0], second, "h", 1_000.0)
+    for piece in chain.pieces[0]:
+        board.release(piece)
+    moved = handed_over(board, chain)
+    assert missing(moved) == [(1, 1)]
+
+
+@pytest.mark.parametrize("why", ["upstream is gone", "result has lapsed"])
+def test_results_that_are_not_there_any_more_are_made_again(why: str) -> None:
+    result = Result("h", "a0" if "lapsed" in why else "gone", 10)
+    lapses_ms = NOW_MS if "lapsed" in why else NOW_MS + 1_000.0
+    spec = replace(
+        make_spec("r1", counts=(1, 1)),
+        made=(MadePiece(0, 0, result, False, lapses_ms),),
+    )
+    assert missing(make_board().add(spec, NOW_MS)) == [(0, 0), (1, 0)]
+
+
+def test_open_pieces_are_counted_once() -> None:
+    board = make_board()
+    chain = board.add(make_spec("r1", counts=(3, 2)), 0.0)
+    worker = worker_of(board, "a0")
+    make_all(board, worker, board.take_batch(worker, 0.0))
+    spec = replace(chain.spec, made=made_pieces(board, chain))
+    board.hand_over(chain)
+    assert all(not any(q.open_pieces.values()) for q in board.queues.values())
+    successor = make_board()
+    moved = successor.add(spec, NOW_MS)
+    assert successor.queues["a"].open_pieces[moved.rank] == 0
+    assert successor.queues["b"].open_pieces[moved.rank] == 2
+
+
+def test_next_scheduler_knows_room_and_calls_of_the_one_before() -> None:
+    """Guards against two schedulers that fill the same upstreams."""
+    board = make_board()
+    board.add(make_spec("r1", counts=(3, 1)), 0.0)
+    busy, idle = worker_of(board, "a0"), worker_of(board, "a1")
+    idle.held["kept"] = idle.held["given up"] = HeldResult(500, 4_000.0)
+    board.take_batch(busy, 0.0)
+    successor = make_board()
+    given_up = [Result("given up", "a1", 500)]
+    take_worker_loads(successor, worker_loads(board, given_up, NOW_MS), NOW_MS)
+    assert worker_of(successor, "a1").room_used(NOW_MS) == 500
+    assert worker_of(successor, "a0").room_used(NOW_MS) == busy.reserved > 0
+    successor.add(make_spec("r2", counts=(1, 1)), NOW_MS)
+    assert successor.take_batch(worker_of(successor, "a0"), NOW_MS) == []
+    later_ms = busy.busy_until_ms + 1.0
+    assert successor.take_batch(worker_of(successor, "a0"), later_ms)
+    assert worker_of(successor, "a0").room_used(later_ms) < 2 * busy.reserved
+
+
+@dataclass
+class RollingLoad(Load):
+    """Play a load while the scheduler changes again and again.
+
+    Parameters
+    ----------
+    changes_ms : tuple of float
+        When another scheduler takes over.
+    hand_over : bool
+        Whether the one before hands its work over, instead of ending it itself.
+    lying : dict of str to dict
+        The results that lie at each upstream, by handle.
+    lacked_room : int
+        Pieces for which their upstream had no room.
+    """
+
+    changes_ms: tuple[float, ...] = ()
+    hand_over: bool = False
+    before: list[Board] = field(default_factory=list)
+    lying: dict[str, dict[str, HeldResult]] = field(default_factory=dict)
+    lacked_room: int = 0
+
+    def play(self) -> dict:
+        """Play with a change of the scheduler at each of the times."""
+        for time_ms in self.changes_ms:
+            self.at(time_ms, self.change)
+        return super().play()
+
+    def change(self) -> None:
+        """Have a scheduler take over that starts with what it is told."""
+        old, self.board = self.board, Board()
+        for name, (spec, _) in self.services.items():
+            self.board.set_service(name, spec)
+            workers = old.queues[name].workers.values()
+            fresh = [Worker(w.id, name, "", w.zone) for w in workers]
+            self.board.set_workers(name, fresh)
+        self.before.append(old)
+        if self.hand_over:
+            self.tell(old)
+            for chain in list(old.chains.values()):
+                self.move(old, chain)
+
+    def tell(self, old: Board) -> None:
+        """Tell the scheduler of now what one before it knows."""
+        loads = worker_loads(old, old.released, self.now_ms)
+        take_worker_loads(self.board, loads, self.now_ms)
+
+    def move(self, old: Board, chain: Chain) -> None:
+        """Have the scheduler of now go on with a chain that is in no call."""
+        if chain.ended or chain.running():
+            return
+        spec = replace(chain.spec, made=made_pieces(old, chain))
+        old.hand_over(chain)
+        verdict = judge(self.board, spec, self.now_ms, True, False)
+        moved = self.board.add(spec, self.now_ms, verdict.in_time)
+        moved.admitted_ms, moved.forecast_ms = chain.admitted_ms, chain.forecast_ms
+
+    def pump(self) -> None:
+        """Pump the scheduler of now, and those before it if they go on alone."""
+        newest = self.board
+        if self.hand_over and newest in self.before:
+            return
+        if not self.hand_over:
+            for old in self.before:
+                self.board = old
+                super().pump()
+        self.board = newest
+        super().pump()
+
+    def ender(
+        self, worker: Worker, batch: list[Piece], took_ms: float
+    ) -> Callable[[], None]:
+        """Return the end of a call, at the scheduler that began it."""
+        board = self.board
+        end = super().ender(worker, batch, took_ms)
+
+        def end_there() -> None:
+            newest, self.board = self.board, board
+            self.note_made(worker, batch)
+            known = set(worker.held)
+            end()
+            self.board = newest
+            for handle in set(worker.held) - known:
+                self.lying[worker.id][handle] = worker.held[handle]
+            if board is not newest and self.hand_over:
+                self.tell(board)
+                for chain in {id(p.chain): p.chain for p in batch}.values():
+                    self.move(board, chain)
+
+        return end_there
+
+    def note_made(self, worker: Worker, batch: list[Piece]) -> None:
+        """Count the pieces of a call that its upstream has no room for."""
+        lying = self.lying.setdefault(worker.id, {})
+        room = self.services[worker.service][0].room_bytes
+        room -= sum(r.size for r in lying.values() if r.lapses_ms > self.now_ms)
+        for piece in batch:
+            room -= piece.stage.result_bytes
+            self.lacked_room += room < 0
+
+    def free_later(self) -> None:
+        """Free what was given up, whoever gave it up."""
+        released, self.board.released = self.board.released, []
+        self.at(self.now_ms + self.free_ms, lambda: self.drop(released))
+
+    def drop(self, results: Iterable[Result]) -> None:
+        """Free results at their upstreams, and tell all schedulers."""
+        results = tuple(results)
+        for board in (self.board, *self.before):
+            board.freed(results)
+        for result in results:
+            self.lying[result.upstream_id].pop(result.handle, None)
+
+    def finish(self, chain: Chain) -> None:
+        """Count a chain whose results are ready, and free them when they are used."""
+        super().finish(chain)
+        outputs = chain.outputs()
+        self.at(self.now_ms + 150 + self.free_ms, lambda: self.drop(outputs))
+
+
+def rolling(seed: int, hand_over: bool) -> RollingLoad:
+    """Return the load of a head office whose VMs are restarted one after the other."""
+    base = office_load(seed)
+    changes_ms = tuple(float(t) for t in range(4_000, 30_000, 4_000))
+    load = RollingLoad(
+        FOUR_UPSTREAMS,
+        base.kinds,
+        base.bursts,
+        seed,
+        changes_ms=changes_ms,
+        hand_over=hand_over,
+    )
+    load.play()
+    return load
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_rolling_restarts_ask_upstreams_for_no_room_that_they_lack(seed: int) -> None:
+    """Guards against schedulers that know nothing of each other, the baseline."""
+    alone, handed = rolling(seed, hand_over=False), rolling(seed, hand_over=True)
+    assert alone.lacked_room > 0
+    assert handed.lacked_room == 0
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -560,6 +560,35 @@
         await site.stop()
 
 
+async def test_staged_work_goes_over_when_its_scheduler_is_stopped(pair: Site) -> None:
+    """Guards against rolling restarts that do the work of half the requests twice."""
+    for vm in pair.vms:
+        await call(vm.address, "POST", "/draft/x", draft_fields("a1"), b"p")
+    await until(lambda: all(vm.events("chain_judged") for vm in pair.vms))
+    (scheduler,) = [
+        vm for vm in pair.vms if vm.events("chain_judged")[0]["scheduler"] == "here"
+    ]
+    (other,) = [vm for vm in pair.vms if vm is not scheduler]
+    for name in ("encode-1", "rank-1"):
+        pair.upstreams[name].work_s = 0.15
+        pair.upstreams[name].seen.clear()
+    answers = [
+        asyncio.create_task(
+            call(vm.address, "POST", "/draft/x", draft_fields(f"b{n}"), b"p")
+        )
+        for n, vm in enumerate((scheduler, other))
+    ]
+    await until(lambda: pair.upstreams["encode-1"].seen)
+    scheduler.process.send_signal(signal.SIGTERM)
+    assert [(await answer).status for answer in answers] == [200, 200]
+    assert other.events("work_taken_over")
+    assert other.events("chain_moved") or scheduler.events("chain_moved")
+    for name, pieces in (("encode-1", 4), ("rank-1", 2)):
+        calls = [s for s in pair.upstreams[name].seen if s.target == "/api/stage-run"]
+        made = [item for s in calls for item in orjson.loads(s.body)["items"]]
+        assert len(made) == pieces
+
+
 async def turn_away(site: Site, silently: bool) -> None:
     """Have the store serve the first VM only."""
     site.store.turned_away = {site.store_host(1)}
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -13,6 +13,7 @@
     "board",
     "chain",
     "event_stream",
+    "handover",
     "membership",
     "model",
     "retry_budget",
