Take what a session brought before it was lost

What callers would see: staged work that is done twice, or waited for to the deadline, when the scheduler that hands it over ends right after. Cause: whoever asked for the next message of a call looked at whether the session is lost before looking at what had come on it. Found by reading the change. Evidence: the new test failed before (LinkLostError). Messages are taken in their order now; the loss stands behind them.

--- a/cuminstile/gateway/links.py
+++ b/cuminstile/gateway/links.py
@@ -77,6 +77,8 @@
         """Return the number of a new call, and keep the messages about it."""
         call = next(self.numbers)
         self.replies[call] = asyncio.Queue()
+        if self.lost:
+            self.replies[call].put_nowait(None)
         return call
 
     async def reply(self, call: int) -> Message:
@@ -85,10 +87,11 @@
         Raises
         ------
         LinkLostError
-            If the session is lost.
+            If the session is lost, and all that came before is taken.
         """
-        message = None if self.lost else await self.replies[call].get()
+        message = await self.replies[call].get()
         if message is None:
+            self.replies[call].put_nowait(None)
             raise LinkLostError(self.address)
         return message
 
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -16,6 +16,7 @@
     CODEC,
     ChainAdmitted,
     ChainDone,
+    ChainMoved,
     ResultTold,
     RunChain,
 )
@@ -136,3 +137,19 @@
         await asyncio.sleep(SILENCE_NOTICED_S)
         await run_chain(vm, peer)
         assert len(peer.opened) == 1
+
+
+async def test_message_that_came_before_the_session_was_lost_is_taken() -> None:
+    """Guards against work that is done twice when its scheduler stops right after."""
+    vm = make_vm(Clock())
+    async with running(go_deaf) as peer:
+        link = await vm.links.link_to(peer.address)
+        call = link.begin_call()
+        moved = ChainMoved(call, ())
+        link.replies[call].put_nowait(moved)
+        vm.links.drop(link)
+        assert await link.reply(call) is moved
+        with pytest.raises(LinkLostError):
+            await link.reply(call)
+        with pytest.raises(LinkLostError):
+            await link.reply(link.begin_call())
