Split shutting down from running, and name an age an age

leaving.py takes over the shutdown and the hand-over from running.py, where a closure held the link; TopicNews carried an age in a field for a time; three tests had a server of their own each, which is tests/gateway/servers.py now.

--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -12,25 +12,16 @@
 
 from ..events import Event
 from ..supervision import run_again
-from .conversions import told_load
-from .handover import worker_loads
 from .heartbeats import HeartbeatSocket, keep_beating, open_heartbeats
 from .http_server import CallerConnection, Request, Server, listen
-from .links import LinkLostError
+from .leaving import drain
 from .log_output import LogOutput
-from .messages import WorkersTold
 from .serving import serve
 from .sharing import keep_topics_fresh
 from .state import Gateway
 
 HOUSEKEEPING_MS = 200.0
 """Pause between looks at idle connections and lost peers."""
-ROTATION_MS = 2_800.0
-"""How long after SIGTERM new connections are taken: the balancer takes a VM out after
-two questions, one a second, that it does not answer well. What comes later could not be
-finished in time."""
-EXIT_MARGIN_MS = 600.0
-"""How long before the forced end of the process it ends by itself."""
 
 Job = Callable[[], Awaitable[None]]
 
@@ -136,59 +127,6 @@
     tasks.cancel_scope.cancel()
 
 
-async def drain(
-    vm: Gateway, server: Server, callers: asyncio.Server, heartbeats: HeartbeatSocket
-) -> None:
-    """Take no new connections after a while, and finish what is in progress."""
-    began_ms = vm.clock.now_ms()
-    vm.leaving = True
-    server.begin_closing()
-    heartbeats.send_to_all()
-    vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
-    await hand_over_work(vm)
-    end_ms = began_ms + vm.settings.shutdown_ms - EXIT_MARGIN_MS
-    while vm.clock.now_ms() < end_ms:
-        await vm.clock.sleep_ms(HOUSEKEEPING_MS / 2)
-        if vm.clock.now_ms() - began_ms < ROTATION_MS:
-            continue
-        callers.close()
-        server.close_idle()
-        if not vm.requests and not vm.scheduler.board.chains:
-            return
-
-
-async def hand_over_work(vm: Gateway) -> None:
-    """Have the next scheduler go on with the staged work, if there is one."""
-    scheduler = vm.scheduler
-    successor = vm.membership.scheduler(vm.own_beat(), vm.clock.now_ms())
-    if successor.address == vm.settings.peer_address or not scheduler.has_work():
-        return
-    error = ""
-    try:
-        link = await vm.links.link_to(successor.address)
-    except LinkLostError as lost:
-        error = str(lost)
-    else:
-
-        def tell() -> None:
-            scheduler.collect_released()
-            now_ms = vm.clock.now_ms()
-            loads = worker_loads(scheduler.board, scheduler.free_later, now_ms)
-            if not link.lost:
-                told = tuple(map(told_load, loads))
-                link.post(WorkersTold(vm.settings.name, told))
-
-        tell()
-        scheduler.after_call = tell
-    vm.journal.record(
-        Event.WORK_HANDED_OVER,
-        peer=successor.name,
-        chains=len(scheduler.board.chains),
-        error=error,
-    )
-    scheduler.hand_over()
-
-
 async def keep_house(vm: Gateway, server: Server, log: LogOutput) -> None:
     """Close what is idle or lost, and write the log, without end."""
     while True:
--- a/cuminstile/gateway/sharing.py
+++ b/cuminstile/gateway/sharing.py
@@ -15,7 +15,6 @@
 from .state import FollowedTopic, Gateway
 from .topics import (
     KeyedRecord,
-    Outage,
     TopicNews,
     TopicState,
     lags,
@@ -107,7 +106,8 @@
         message.end,
         message.whole,
         message.age_ms,
-        Outage(message.back_age_ms, message.back_end),
+        message.back_age_ms,
+        message.back_end,
     )
 
 
@@ -122,6 +122,6 @@
         news.end,
         news.whole,
         news.age_ms,
-        news.outage.back_ms,
-        news.outage.end,
+        news.back_age_ms,
+        news.back_end,
     )
--- a/cuminstile/gateway/topics.py
+++ b/cuminstile/gateway/topics.py
@@ -59,15 +59,19 @@
         Whether the records are all keys that have a value, instead of the changes.
     age_ms : float
         Time since the store confirmed that the topic ends there.
-    outage : Outage
-        The last outage that the giver knows of; its time is an age in ms instead.
+    back_age_ms : float
+        Time since the store came back from the last outage that the giver knows of, 0
+        for none.
+    back_end : int
+        The topic's end at that time, see `Outage`.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     whole: bool
     age_ms: float
-    outage: Outage
+    back_age_ms: float
+    back_end: int
 
 
 @dataclass
@@ -212,7 +216,8 @@
         state.end,
         whole,
         now_ms - state.confirmed_ms,
-        Outage(now_ms - back_ms if back_ms else 0.0, state.outage.end),
+        now_ms - back_ms if back_ms else 0.0,
+        state.outage.end,
     )
 
 
@@ -220,10 +225,8 @@
     """Take over what another VM knows; return the keys that changed."""
     if news.end <= state.end:
         return set()
-    if news.outage.back_ms:
-        back_ms = now_ms - news.outage.back_ms
-        if news.outage.end > state.outage.end:
-            state.outage = Outage(back_ms, news.outage.end)
+    if news.back_age_ms and news.back_end > state.outage.end:
+        state.outage = Outage(now_ms - news.back_age_ms, news.back_end)
     page = TopicPage(news.records, news.end)
     keys = take_all(state, page) if news.whole else take_records(state, page)
     confirmed_ms = now_ms - news.age_ms
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -22,6 +22,8 @@
     render_request,
 )
 
+from .servers import serving
+
 pytestmark = pytest.mark.anyio
 REQUEST = render_request(b"GET", b"/", (), b"")
 GIVEN_UP_S = 5.0
@@ -47,26 +49,21 @@
 async def connected(start: bytes, more: bytes) -> AsyncIterator[HttpConnection]:
     """Open a connection to a server whose answer goes on until the caller closes."""
 
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        for _ in range(SENT_AT_MOST // len(more)):
+            writer.write(more)
+            await writer.drain()
+
+    async with serving(answer) as (address, _):
+        connection = await open_connection(address)
         try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(start)
-            for _ in range(SENT_AT_MOST // len(more)):
-                writer.write(more)
-                await writer.drain()
-        except ConnectionError:
-            pass
+            yield connection
         finally:
-            writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    connection = await open_connection(f"{host}:{port}")
-    try:
-        yield connection
-    finally:
-        connection.close("test is over")
-        server.close()
+            connection.close("test is over")
 
 
 @pytest.mark.parametrize("kind", [kind for kind in ENDLESS if "others" not in kind])
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -13,6 +13,8 @@
     render_request,
 )
 
+from .servers import serving
+
 pytestmark = pytest.mark.anyio
 REQUEST = render_request(b"GET", b"/", (), b"")
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -23,23 +25,18 @@
 async def connected(answer: bytes) -> AsyncIterator[HttpConnection]:
     """Open a connection to a server that answers each request with some bytes."""
 
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def answer_all(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(answer)
+
+    async with serving(answer_all) as (address, _):
+        connection = await open_connection(address)
         try:
-            while await reader.readuntil(b"\r\n\r\n"):
-                writer.write(answer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+            yield connection
         finally:
-            writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    connection = await open_connection(f"{host}:{port}")
-    try:
-        yield connection
-    finally:
-        connection.close("test is over")
-        server.close()
+            connection.close("test is over")
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,7 @@
 """Test cuminstile.platform.store, on servers that answer as they are told."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
@@ -11,42 +11,25 @@
 from cuminstile.platform import store as store_module
 from cuminstile.platform.store import StoreClient
 
+from ..gateway.servers import Session, serving
+
 pytestmark = pytest.mark.anyio
 TOPIC = "topic"
 EMPTY_PAGE = bytes(16)
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + EMPTY_PAGE
-Session = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 @asynccontextmanager
-async def serving(*sessions: Session) -> AsyncIterator[tuple[StoreClient, list[int]]]:
-    """Give each connection its session, the last one to all that follow."""
-    opened: list[int] = []
-
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        opened.append(len(opened))
-        session = sessions[min(len(opened), len(sessions)) - 1]
-        try:
-            await session(reader, writer)
-        finally:
-            writer.close()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    try:
-        yield StoreClient(f"{host}:{port}", Clock()), opened
-    finally:
-        server.close()
+async def store_of(*sessions: Session) -> AsyncIterator[tuple[StoreClient, list]]:
+    """Return a client of a server, and the sessions that were begun there."""
+    async with serving(*sessions) as (address, begun):
+        yield StoreClient(address, Clock()), begun
 
 
 async def answer_all(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    while True:
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-        except asyncio.IncompleteReadError:
-            return
+    while await reader.readuntil(b"\r\n\r\n"):
         writer.write(ANSWER)
 
 
@@ -62,11 +45,11 @@
 ) -> None:
     """Guards against DRAIN broken after an outage: all later calls hung too."""
     monkeypatch.setattr(store_module, "CALL_TIMEOUT_MS", 100.0)
-    async with serving(stay_silent, answer_all) as (client, opened):
+    async with store_of(stay_silent, answer_all) as (client, begun):
         with pytest.raises(StoreCallError):
             await client.read(TOPIC, 0, 0.0)
         assert (await client.read(TOPIC, 0, 0.0)).end == 0
-        assert len(opened) == 2
+        assert len(begun) == 2
 
 
 async def test_calls_that_wait_are_given_up_with_one_that_gets_no_answer(
@@ -74,7 +57,7 @@
 ) -> None:
     """Guards against a waiting call that is never answered and hides all changes."""
     monkeypatch.setattr(store_module, "CALL_TIMEOUT_MS", 100.0)
-    async with serving(stay_silent) as (client, _):
+    async with store_of(stay_silent) as (client, _):
         waiting = asyncio.create_task(client.read(TOPIC, 0, 20_000.0))
         await asyncio.sleep(0.05)
         with pytest.raises(StoreCallError):
@@ -85,7 +68,7 @@
 
 
 async def test_answered_calls_share_a_connection() -> None:
-    async with serving(answer_all) as (client, opened):
+    async with store_of(answer_all) as (client, begun):
         for _ in range(3):
             await client.read(TOPIC, 0, 0.0)
-        assert len(opened) == 1
+        assert len(begun) == 1
