Let two VMs read the store for all, and the others by age

Cause: each VM polled the upstreams' topic every second and kept a long poll on the operator's, so calls to the store grew with the VMs. Change: the two VMs that started first read for all (`gateway/readers.py`) and send each live VM a datagram with the last changes and how old they are (`updates.py`). The others read only if what they know is too old, in steps of 0.1 s, so that lost readers, a data centre that is cut off and readers that are turned away stay below the strictest bound. A VM that starts gets its first records from another one. What only the heartbeat of an upstream changes is no change any more.

--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -6,6 +6,8 @@
 
 from ..events import Event
 from ..exceptions import PlatformUnavailableError, TrimmedError
+from .readers import standby_ms
+from .sharing import fetch_first_records
 from .state import FollowedTopic, Gateway
 from .topics import (
     TopicPage,
@@ -14,6 +16,7 @@
     apply_snapshot,
     record_confirmation,
 )
+from .updates import push_update
 
 STORE = "store"
 """Source of records that were read from the store, not from another VM."""
@@ -21,6 +24,13 @@
 """Pause before the retry after the first failed call to the store."""
 RETRY_MAX_MS = 1_000.0
 """Longest pause; the end of an outage must be noticed within the limit for changes."""
+STANDBY_RETRY_MAX_MS = 5_000.0
+"""Longest pause of a VM that others pass on to what they read, the end of an outage
+included."""
+STANDBY_CHECK_MS = 300.0
+"""Longest pause between checks whether others still pass on what they read."""
+PAUSED_MS = 1_000.0
+"""A check that is later by this means that the process was paused."""
 
 
 class StoreCallError(PlatformUnavailableError):
@@ -54,7 +64,7 @@
 
 
 def shared_interval_ms(single_vm_ms: float, max_ms: float, vms: int) -> float:
-    """Return the interval at which one of several VMs reads a topic.
+    """Return the interval at which one of several reading VMs reads a topic.
 
     The VMs pass on what they have read, so all of them together read as often as a
     single VM would. The interval of one VM is at most `max_ms`.
@@ -63,10 +73,15 @@
 
 
 async def follow_topic(topic: FollowedTopic, store: KeyedStore, vm: Gateway) -> None:
-    """Read a topic in an endless loop and apply the changes after each answer."""
+    """Read a topic in an endless loop and apply the changes after each answer.
+
+    A VM that others pass records on to reads only when these have become too old.
+    """
     state = topic.state
     retry_ms = RETRY_MIN_MS
+    await fetch_first_records(vm, topic)
     while True:
+        await wait_until_due(topic, vm)
         try:
             keys = await read_once(state, store, topic.wait_ms())
         except TrimmedError:
@@ -76,14 +91,43 @@
         except StoreCallError as error:
             record_failed_call(state, vm, error, retry_ms)
             await vm.clock.sleep_ms(retry_ms)
-            retry_ms = min(RETRY_MAX_MS, retry_ms * 2)
+            retry_ms = min(longest_retry_ms(topic, vm), retry_ms * 2)
             continue
         retry_ms = RETRY_MIN_MS
         record_answered_call(state, vm)
         topic.apply_changes(keys, STORE)
+        push_update(vm, state)
         await vm.clock.sleep_ms(topic.pause_ms())
 
 
+async def wait_until_due(topic: FollowedTopic, vm: Gateway) -> None:
+    """Wait until this VM has to read a topic itself, or was paused."""
+    while True:
+        due_ms = read_due_ms(topic, vm)
+        if due_ms <= 0:
+            return
+        began_ms = vm.clock.now_ms()
+        sleep_ms = min(due_ms, STANDBY_CHECK_MS)
+        await vm.clock.sleep_ms(sleep_ms)
+        if vm.clock.now_ms() - began_ms > sleep_ms + PAUSED_MS:
+            return
+
+
+def read_due_ms(topic: FollowedTopic, vm: Gateway) -> float:
+    """Return the time until this VM reads a topic unless others pass on records."""
+    age_ms = topic.state.age_ms(vm.clock.now_ms())
+    role = vm.reader_role()
+    if age_ms is None or topic.state.must_read_all or topic.always_read(role):
+        return 0.0
+    return standby_ms(role, topic.max_age_ms()) - age_ms
+
+
+def longest_retry_ms(topic: FollowedTopic, vm: Gateway) -> float:
+    """Return the longest pause between failed calls of this VM."""
+    reads = topic.always_read(vm.reader_role())
+    return RETRY_MAX_MS if reads else STANDBY_RETRY_MAX_MS
+
+
 async def read_once(state: TopicState, store: KeyedStore, wait_ms: float) -> set[str]:
     """Read and apply the new records of a topic; return the keys that changed.
 
--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -1,4 +1,4 @@
-"""Exchange heartbeats between VMs as datagrams."""
+"""Exchange heartbeats and updates of the store's topics between VMs as datagrams."""
 
 from __future__ import annotations
 
@@ -7,8 +7,9 @@
 
 from ..events import Event
 from ..exceptions import CuminstileError
-from .messages import CODEC, Heartbeat
+from .messages import CODEC, Heartbeat, TopicUpdate
 from .state import Gateway
+from .updates import on_update
 
 INTERVAL_MS = 300.0
 """Interval of heartbeats to each VM in a small fleet."""
@@ -19,7 +20,7 @@
 
 
 class HeartbeatSocket(asyncio.DatagramProtocol):
-    """Datagram socket that receives and sends heartbeats."""
+    """Datagram socket that receives and sends messages."""
 
     def __init__(self, vm: Gateway) -> None:
         self.vm = vm
@@ -30,16 +31,18 @@
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | int, int]) -> None:
-        """Handle one heartbeat; log and ignore what can't be decoded."""
+        """Handle one message; log and ignore what can't be decoded."""
         try:
-            heartbeat = CODEC.decode(data)
+            message = CODEC.decode(data)
         except CuminstileError as error:
             self.vm.journal.record(
                 Event.PEER_MESSAGE_REFUSED, peer=str(addr[0]), error=error.message
             )
             return
-        if isinstance(heartbeat, Heartbeat):
-            self.on_heartbeat(heartbeat)
+        if isinstance(message, Heartbeat):
+            self.on_heartbeat(message)
+        elif isinstance(message, TopicUpdate):
+            on_update(self.vm, message)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat; answer it if the VM is new, restarted or back."""
@@ -54,7 +57,7 @@
             self.send(heartbeat.address, CODEC.encode(self.vm.own_heartbeat()))
 
     def send(self, address: str, data: bytes) -> None:
-        """Send a heartbeat to `host:port`."""
+        """Send a message to `host:port`."""
         host, _, port = address.rpartition(":")
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(data, (host, int(port)))
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -229,6 +229,31 @@
     back_end: int
 
 
+@dataclass(frozen=True)
+class TopicUpdate(Message):
+    """Report a read of the store to another VM; sent as one datagram.
+
+    Parameters
+    ----------
+    address : str
+        The sender.
+    start : int
+        A receiver that knows the topic up to this offset needs `records` alone; one
+        that knows less requests the rest.
+    records : tuple of RecordEntry
+        The changes from `start` to `end`; see `topics.TopicDelta` for the other fields.
+    """
+
+    name: str
+    address: str
+    start: int
+    records: tuple[RecordEntry, ...]
+    end: int
+    age_ms: FiniteFloat
+    back_age_ms: FiniteFloat
+    back_end: int
+
+
 CODEC = make_codec(
     (
         (1, Heartbeat),
@@ -242,5 +267,6 @@
         (17, WorkerLoads),
         (20, TopicRequest),
         (21, TopicResponse),
+        (22, TopicUpdate),
     )
 )
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -81,6 +81,7 @@
     server = Server(vm.clock, make_handler(vm), lambda: vm.limits)
     readiness = Server(vm.clock, make_readiness(vm), lambda: vm.limits)
     heartbeats = await open_heartbeats(vm)
+    vm.send_datagram = heartbeats.send
     await vm.sessions.serve_peers(vm.settings.peer_address)
     await listen(readiness, vm.settings.readiness_address)
     metrics = Server(vm.clock, make_metrics_page(vm), lambda: vm.limits)
--- a/cuminstile/gateway/sharing.py
+++ b/cuminstile/gateway/sharing.py
@@ -25,6 +25,14 @@
 
 CHECK_INTERVAL_MS = 200.0
 """Pause between checks of what other VMs know."""
+FIRST_WAIT_MS = 100.0
+"""How long a VM that starts waits for a VM that knows a topic; the answer to its first
+heartbeat takes a few ms."""
+FIRST_WAIT_SPREAD_MS = 200.0
+"""Longest random addition to that wait, so that VMs that start together do not all read
+the store."""
+FIRST_CHECK_MS = 20.0
+"""Interval of checks in that wait."""
 DELTA_TIMEOUT_MS = 500.0
 """How long another VM may take to send records; it has them in memory."""
 
@@ -36,11 +44,37 @@
         now_ms = vm.clock.now_ms()
         heartbeats = vm.membership.live(now_ms)
         for topic in vm.topics.values():
+            wanted = wanted_from(vm, topic.state)
+            if wanted is not None:
+                await fetch_delta(vm, topic, wanted)
+                continue
             ahead = heartbeats_ahead(topic.state, heartbeats, now_ms)
             if ahead and is_lagging(topic.state, now_ms, topic.lag_ms):
                 await fetch_delta(vm, topic, vm.random.choice(ahead))
 
 
+async def fetch_first_records(vm: Gateway, topic: FollowedTopic) -> None:
+    """Fetch all records of a topic from another VM, if one answers soon."""
+    if not vm.settings.seeds:
+        return
+    state = topic.state
+    spread_ms = vm.random.uniform(0.0, FIRST_WAIT_SPREAD_MS)
+    end_ms = vm.clock.now_ms() + FIRST_WAIT_MS + spread_ms
+    while state.end < 0 and vm.clock.now_ms() < end_ms:
+        await vm.clock.sleep_ms(FIRST_CHECK_MS)
+        live = vm.membership.live(vm.clock.now_ms())
+        known = [peer for peer in live if reported_end(peer, state.name) >= 0]
+        if known:
+            await fetch_delta(vm, topic, vm.random.choice(known))
+
+
+def wanted_from(vm: Gateway, state: TopicState) -> Heartbeat | None:
+    """Return the VM whose update told of missing changes, if there is one."""
+    address = vm.wanted_records.pop(state.name, None)
+    peer = vm.membership.peers.get(address) if address is not None else None
+    return None if peer is None else peer.heartbeat
+
+
 def heartbeats_ahead(
     state: TopicState, heartbeats: Sequence[Heartbeat], now_ms: float
 ) -> list[Heartbeat]:
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -14,6 +14,7 @@
 from .messages import Heartbeat, TopicEnd
 from .model import Limits, Manifest, Upstream
 from .peer_sessions import PeerSessions
+from .readers import ReaderRole, reader_role
 from .retry_budget import RetryBudget
 from .routing import RouteIndex, make_index
 from .staging import Scheduler
@@ -73,6 +74,10 @@
         Returns the pause before the next call.
     lag_ms : float
         How long the store may take to return what another VM knows.
+    always_read : callable
+        Returns whether a VM with a given part reads whatever the others pass on.
+    max_age_ms : callable
+        Returns the age at which the first of the other VMs reads the topic itself.
     """
 
     state: TopicState
@@ -80,6 +85,8 @@
     wait_ms: Callable[[], float]
     pause_ms: Callable[[], float]
     lag_ms: float
+    always_read: Callable[[ReaderRole], bool]
+    max_age_ms: Callable[[], float]
 
 
 @dataclass
@@ -92,6 +99,10 @@
         The manifest in force, None before the first one.
     topics : dict of str to FollowedTopic
         The topics of the store, by name.
+    wanted_records : dict of str to str
+        By topic, the address of a VM that knows changes which are missing here.
+    send_datagram : callable
+        Sends bytes to the `host:port` of another VM; they may be lost.
     """
 
     settings: GatewaySettings
@@ -109,6 +120,8 @@
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
+    wanted_records: dict[str, str] = field(default_factory=dict)
+    send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
     random: random.Random = field(default_factory=random.Random)
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
@@ -150,6 +163,11 @@
             tuple(some),
         )
 
+    def reader_role(self) -> ReaderRole:
+        """Return this VM's part in following the store."""
+        live = self.membership.live(self.clock.now_ms())
+        return reader_role(self.own_heartbeat(), live)
+
     def vm_count(self) -> int:
         """Return how many VMs share the common limits."""
         return self.membership.fleet_size()
--- a/cuminstile/gateway/topics.py
+++ b/cuminstile/gateway/topics.py
@@ -7,10 +7,14 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 MAX_DROPS = 1_000
 """Number of dropped keys that are remembered, for VMs that don't know them yet."""
+KEPT_PUSHES = 3
+"""Pushes whose changes are sent again, so that a lost datagram costs nothing."""
 CONFIRMED_MAX_AGE_MS = 1_000.0
 """Age up to which a confirmation by another VM counts like one by the store: two reads
 of a topic that changes continuously."""
@@ -74,6 +78,11 @@
     back_end: int
 
 
+def unchanged(value: bytes) -> bytes:
+    """Return a value as it is."""
+    return value
+
+
 @dataclass
 class TopicState:
     """Newest value of each key of a topic; times are monotonic ms.
@@ -84,6 +93,12 @@
         The offset after the last known record, -1 before the first read.
     offsets : dict of str to int
         Offset in the log of the value of each key.
+    canonical : callable
+        Returns a value without what changes in each heartbeat of its writer. Values
+        with the same canonical form are no change.
+    changed_end : int
+        The offset after the last change; the records from there to `end` changed
+        nothing.
     dropped : dict of str to int
         Offset of the drop of each dropped key, the oldest first.
     drops_complete_from : int
@@ -93,6 +108,8 @@
     confirmed_ms : float or None
         When the store last confirmed, to this or another VM, that the topic ends at
         `end`.
+    pushed_ends : deque of int
+        `changed_end` at the last pushes to other VMs, the oldest first.
     peer_end, peer_end_since_ms : int, float
         An end that another VM has reported, and since when it is not reached here.
     unavailable_since_ms : float or None
@@ -101,6 +118,8 @@
 
     name: str
     end: int = -1
+    canonical: Callable[[bytes], bytes] = unchanged
+    changed_end: int = -1
     values: dict[str, bytes] = field(default_factory=dict)
     offsets: dict[str, int] = field(default_factory=dict)
     dropped: dict[str, int] = field(default_factory=dict)
@@ -108,6 +127,7 @@
     trimmed: bool = False
     confirmed_ms: float | None = None
     outage: Outage = Outage()
+    pushed_ends: deque[int] = field(default_factory=lambda: deque(maxlen=KEPT_PUSHES))
     peer_end: int = -1
     peer_end_since_ms: float = 0.0
     unavailable_since_ms: float | None = None
@@ -134,9 +154,11 @@
             keys.add(record.key)
             continue
         state.dropped.pop(record.key, None)
-        state.offsets[record.key] = record.offset
-        if state.values.get(record.key) != record.value:
-            state.values[record.key] = record.value
+        value = state.canonical(record.value)
+        if state.values.get(record.key) != value:
+            state.values[record.key] = value
+            state.offsets[record.key] = record.offset
+            state.changed_end = max(state.changed_end, record.offset + 1)
             keys.add(record.key)
     state.end = max(state.end, page.end)
     return keys
@@ -158,7 +180,12 @@
     # offset need a whole delta.
     state.drops_complete_from = page.end
     state.end = -1
-    return {*gone, *apply_records(state, page)}
+    keys = {*gone, *apply_records(state, page)}
+    # A value may have changed and changed back in between.
+    state.offsets.update((record.key, record.offset) for record in page.records)
+    known_ends = (record.offset + 1 for record in page.records)
+    state.changed_end = max(page.end, *known_ends, state.changed_end)
+    return keys
 
 
 def drop_key(state: TopicState, key: str, offset: int) -> None:
@@ -167,6 +194,7 @@
     state.offsets.pop(key, None)
     state.dropped.pop(key, None)
     state.dropped[key] = offset
+    state.changed_end = max(state.changed_end, offset + 1)
     while len(state.dropped) > MAX_DROPS:
         oldest = next(iter(state.dropped))
         state.drops_complete_from = max(
@@ -234,10 +262,15 @@
         state.outage = Outage(now_ms - delta.back_age_ms, delta.back_end)
     page = TopicPage(delta.records, delta.end)
     keys = apply_snapshot(state, page) if delta.whole else apply_records(state, page)
-    confirmed_ms = now_ms - delta.age_ms
+    record_confirmed_by_vm(state, delta.end, now_ms - delta.age_ms)
+    return keys
+
+
+def record_confirmed_by_vm(state: TopicState, end: int, confirmed_ms: float) -> None:
+    """Record that another VM read the topic up to `end` and found no unknown change."""
+    state.end = max(state.end, end)
     if state.confirmed_ms is None or confirmed_ms > state.confirmed_ms:
         state.confirmed_ms = confirmed_ms
-    return keys
 
 
 def record_reported_end(state: TopicState, end: int, now_ms: float) -> None:
--- /dev/null
+++ b/cuminstile/gateway/updates.py
@@ -0,0 +1,98 @@
+"""Pass on what a VM reads of the store to the other VMs.
+
+After each answer of the store a VM sends the last changes to the other VMs, which need
+no call of the store then. A VM that missed a change requests it, see `sharing`.
+"""
+
+from __future__ import annotations
+
+from ..events import Event
+from .messages import CODEC, RecordEntry, TopicUpdate
+from .state import Gateway
+from .topics import (
+    KeyedRecord,
+    TopicDelta,
+    TopicState,
+    apply_delta,
+    delta_since,
+    record_confirmed_by_vm,
+)
+
+MAX_UPDATE_BYTES = 4_096
+"""Largest datagram with records; the VMs that miss larger changes request them."""
+
+
+def push_update(vm: Gateway, state: TopicState) -> None:
+    """Send the last changes of a topic to all live VMs."""
+    now_ms = vm.clock.now_ms()
+    data = encode_update(state, vm.settings.peer_address, now_ms)
+    for heartbeat in vm.membership.live(now_ms):
+        vm.send_datagram(heartbeat.address, data)
+
+
+def encode_update(state: TopicState, address: str, now_ms: float) -> bytes:
+    """Return the next update of a topic that this VM has just read."""
+    start = state.pushed_ends[0] if state.pushed_ends else state.changed_end
+    state.pushed_ends.append(state.changed_end)
+    delta = delta_since(state, start, now_ms)
+    if delta is not None and not delta.whole and delta.records:
+        data = CODEC.encode(make_update(state, address, start, delta.records, now_ms))
+        if len(data) <= MAX_UPDATE_BYTES:
+            return data
+    return CODEC.encode(make_update(state, address, state.changed_end, (), now_ms))
+
+
+def make_update(
+    state: TopicState,
+    address: str,
+    start: int,
+    records: tuple[KeyedRecord, ...],
+    now_ms: float,
+) -> TopicUpdate:
+    """Return the message with the changes of a topic from an offset on."""
+    back_ms = state.outage.back_ms
+    return TopicUpdate(
+        state.name,
+        address,
+        start,
+        tuple(RecordEntry(r.key, r.value, r.offset) for r in records),
+        state.end,
+        state.age_ms(now_ms) or 0.0,
+        now_ms - back_ms if back_ms else 0.0,
+        state.outage.end,
+    )
+
+
+def on_update(vm: Gateway, update: TopicUpdate) -> None:
+    """Apply the update of another VM, or note that changes before it are missing."""
+    topic = vm.topics.get(update.name)
+    if topic is None or update.end < topic.state.end:
+        return
+    state = topic.state
+    if state.end < update.start:
+        vm.wanted_records[update.name] = update.address
+        return
+    now_ms = vm.clock.now_ms()
+    delta = TopicDelta(
+        tuple(KeyedRecord(r.key, r.value, r.offset) for r in update.records),
+        update.end,
+        False,
+        update.age_ms,
+        update.back_age_ms,
+        update.back_end,
+    )
+    known_end = state.end
+    keys = apply_delta(state, delta, now_ms)
+    record_confirmed_by_vm(state, update.end, now_ms - update.age_ms)
+    if keys:
+        vm.journal.record(
+            Event.RECORDS_TAKEN,
+            peer=update.address,
+            topic=state.name,
+            known_end=known_end,
+            end=state.end,
+            changed=len(keys),
+            whole=False,
+            age_ms=state.age_ms(now_ms),
+        )
+    topic.apply_changes(keys, update.address)
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -7,6 +7,7 @@
 from ..events import Event
 from ..gateway.following import follow_topic, shared_interval_ms
 from ..gateway.model import Upstream
+from ..gateway.readers import ReaderRole
 from ..gateway.state import OUTAGE_GRACE_MS, FollowedTopic, Gateway
 from ..gateway.topics import TopicState, expired_keys
 from .records import (
@@ -17,6 +18,7 @@
     decode_manifest,
     decode_move_target,
     decode_upstream,
+    without_sequence,
 )
 from .store import StoreClient
 
@@ -40,6 +42,22 @@
 """How long the store may take to deliver an upstream's record that another VM has: one
 pause and one slow answer."""
 
+OPERATOR_STANDBY_MS = 2_500.0
+"""Age, beyond one long-poll, at which a VM that others pass records on to reads the
+operator's topic itself. It hears of a record from the VMs of all data centres."""
+UPSTREAM_STANDBY_MS = 1_400.0
+"""Age at which such a VM reads the upstreams' topic itself. With the steps between the
+VMs it is less than the time after which a leaving upstream must get no more requests.
+"""
+
+
+def follows_operator(role: ReaderRole) -> bool:
+    """Return whether a VM always follows the operator's topic.
+
+    One VM of each data centre does, as calls that wait for a record cost little.
+    """
+    return role.is_reader or role.is_first_in_data_centre
+
 
 @dataclass
 class Follower:
@@ -57,7 +75,9 @@
     vm: Gateway
     store: StoreClient
     operator: TopicState = field(default_factory=lambda: TopicState(OPERATOR_TOPIC))
-    upstreams: TopicState = field(default_factory=lambda: TopicState(UPSTREAM_TOPIC))
+    upstreams: TopicState = field(
+        default_factory=lambda: TopicState(UPSTREAM_TOPIC, canonical=without_sequence)
+    )
     decoded: dict[str, tuple[bytes, Upstream | None]] = field(default_factory=dict)
     applied: dict[str, Upstream] | None = None
 
@@ -70,6 +90,8 @@
                 wait_ms=self.operator_wait_ms,
                 pause_ms=lambda: 0.0,
                 lag_ms=OPERATOR_LAG_MS,
+                always_read=follows_operator,
+                max_age_ms=lambda: self.operator_wait_ms() + OPERATOR_STANDBY_MS,
             ),
             UPSTREAM_TOPIC: FollowedTopic(
                 self.upstreams,
@@ -77,18 +99,21 @@
                 wait_ms=lambda: 0.0,
                 pause_ms=self.upstream_pause_ms,
                 lag_ms=UPSTREAM_LAG_MS,
+                always_read=lambda role: role.is_reader,
+                max_age_ms=lambda: UPSTREAM_STANDBY_MS,
             ),
         }
 
     def operator_wait_ms(self) -> float:
         """Return the long-poll time of the next read of the operator's topic."""
-        vms = self.vm.live_vms()
-        return shared_interval_ms(OPERATOR_WAIT_MS, OPERATOR_WAIT_MAX_MS, vms)
+        role = self.vm.reader_role()
+        readers = max(role.readers, role.data_centres)
+        return shared_interval_ms(OPERATOR_WAIT_MS, OPERATOR_WAIT_MAX_MS, readers)
 
     def upstream_pause_ms(self) -> float:
         """Return the pause before the next read of the upstreams' topic."""
-        vms = self.vm.live_vms()
-        return shared_interval_ms(UPSTREAM_POLL_MS, UPSTREAM_POLL_MAX_MS, vms)
+        readers = self.vm.reader_role().readers
+        return shared_interval_ms(UPSTREAM_POLL_MS, UPSTREAM_POLL_MAX_MS, readers)
 
     async def follow_operator(self) -> None:
         """Follow the manifest and the operator's orders forever."""
--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -203,6 +203,22 @@
     return upstream
 
 
+def without_sequence(payload: bytes) -> bytes:
+    """Return an upstream's record without its number, which each heartbeat changes.
+
+    A record that can't be read, or whose number is missing or of another type, is
+    returned as it is.
+    """
+    try:
+        raw = orjson.loads(payload)
+    except orjson.JSONDecodeError:
+        return payload
+    if not isinstance(raw, dict) or type(raw.get("seq")) is not int:
+        return payload
+    raw["seq"] = 0
+    return orjson.dumps(raw, option=orjson.OPT_SORT_KEYS)
+
+
 def upstream_of(upstream_id: str, raw: dict[str, Any]) -> Upstream:
     """Return an upstream; missing or mistyped fields raise Python's own errors."""
     text = {name: raw[name] for name in ("service", "address", "zone", "version")}
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -73,6 +73,8 @@
         wait_ms=lambda: 0.0,
         pause_ms=lambda: POLL_MS,
         lag_ms=POLL_MS,
+        always_read=lambda role: True,
+        max_age_ms=lambda: POLL_MS,
     )
     assert isinstance(vm.clock, VirtualClock)
     async with anyio.create_task_group() as tasks:
