Give duties to strong VMs first

Cause: the VM that started first scheduled the stages of the whole installation. Change: one number in the heartbeat, in the place of the start time, orders VMs for duties (`gateway/duties.py`): by halvings of processor and link, then by start. Readers of the store follow the same order. Sites whose VMs are alike keep the order of before.

--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -102,10 +102,11 @@
         ]
 
     def scheduler(self, own: Heartbeat, now_ms: float) -> Heartbeat:
-        """Return the heartbeat of the scheduler: the VM that started first.
+        """Return the heartbeat of the scheduler: the first VM in the order for duties.
 
         Leaving and suspected VMs are excluded. A VM that started later never replaces
-        an older one, so that added and restarted VMs change nothing.
+        an older one of the same strength, so that added and restarted VMs change
+        nothing.
         """
         candidates = [
             heartbeat
@@ -116,7 +117,7 @@
         if not own.leaving or not candidates:
             candidates.append(own)
         return min(
-            candidates, key=lambda heartbeat: (heartbeat.started_ms, heartbeat.address)
+            candidates, key=lambda heartbeat: (heartbeat.duty_order, heartbeat.address)
         )
 
     def fleet_size(self) -> int:
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -26,9 +26,8 @@
 
     Parameters
     ----------
-    started_ms : int
-        Start of the process in ms since 1970 UTC; the VM that started first is the
-        scheduler.
+    duty_order : int
+        VMs with lower numbers take on duties first; see `duties`.
     leaving : bool
         Whether the sender is shutting down and takes on no new duties.
     topics : tuple of TopicEnd
@@ -41,7 +40,7 @@
     address: str
     data_centre: str
     incarnation: str
-    started_ms: int
+    duty_order: int
     leaving: bool
     topics: tuple[TopicEnd, ...]
     known: tuple[str, ...]
--- a/cuminstile/gateway/readers.py
+++ b/cuminstile/gateway/readers.py
@@ -59,22 +59,22 @@
     """Return the part of a VM among the live ones.
 
     The first VMs of each data centre come before the second ones, and leaving VMs come
-    last; otherwise the VM that started first does.
+    last; otherwise their order for duties decides.
     """
-    members = sorted((own, *live), key=start_order)
+    members = sorted((own, *live), key=reading_order)
     counts: dict[str, int] = {}
     ranks: dict[str, int] = {}
     for member in members:
         ranks[member.address] = counts.get(member.data_centre, 0)
         counts[member.data_centre] = ranks[member.address] + 1
-    own_key = (ranks[own.address], start_order(own))
-    before = sum((ranks[m.address], start_order(m)) < own_key for m in members)
+    own_key = (ranks[own.address], reading_order(own))
+    before = sum((ranks[m.address], reading_order(m)) < own_key for m in members)
     return ReaderRole(before, ranks[own.address], len(members), len(counts))
 
 
-def start_order(member: Heartbeat) -> tuple[bool, int, str]:
-    """Return the key that orders VMs by their start, leaving ones last."""
-    return member.leaving, member.started_ms, member.address
+def reading_order(member: Heartbeat) -> tuple[bool, int, str]:
+    """Return the key that orders VMs for duties, leaving ones last."""
+    return member.leaving, member.duty_order, member.address
 
 
 def standby_ms(role: ReaderRole, max_age_ms: float) -> float:
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..events import Event, Journal
+from .duties import duty_order
 from .gateway_metrics import GatewayMetrics
 from .http_client import ConnectionPool
 from .membership import Membership
@@ -44,6 +45,8 @@
         `host:port` of some other VMs, which may be gone.
     shutdown_ms : float
         Time from SIGTERM to the forced end of the process.
+    cores, link_mbps : float
+        Processor and network link of the VM.
     """
 
     name: str
@@ -58,6 +61,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window_ms: float
+    cores: float = 1.0
+    link_mbps: float = 1_000.0
 
 
 @dataclass(frozen=True)
@@ -157,7 +162,7 @@
             self.settings.peer_address,
             self.settings.data_centre,
             self.incarnation,
-            self.started_ms,
+            duty_order(self.started_ms, self.settings.cores, self.settings.link_mbps),
             self.leaving,
             tuple(TopicEnd(topic.name, topic.end) for topic in topics),
             tuple(some),
--- a/cuminstile/platform/settings.py
+++ b/cuminstile/platform/settings.py
@@ -47,6 +47,16 @@
     retry_slack: float = 0.0
 
 
+@with_config(IGNORE_UNKNOWN)
+@dataclass(frozen=True)
+class MachineFields:
+    """`limits`: the processor as `cpu_share` of a core `cores` times as fast; link."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1_000.0
+
+
 @with_config(IGNORE_UNKNOWN)
 @dataclass(frozen=True)
 class SettingsFields:
@@ -65,6 +75,7 @@
     platform: StoreFields
     bounds: BoundFields
     seeds: tuple[str, ...] = ()
+    limits: MachineFields = MachineFields()
 
 
 @dataclass(frozen=True)
@@ -143,5 +154,7 @@
         retry_ratio=fields.bounds.retry_budget_ratio,
         retry_slack=fields.bounds.retry_slack,
         retry_window_ms=fields.bounds.retry_window_s * 1000.0,
+        cores=fields.limits.cpu_share * fields.limits.cores,
+        link_mbps=fields.limits.link_mbps,
     )
     return PlatformSettings(gateway, fields.platform.address)
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -9,11 +9,11 @@
 
 
 def heartbeat(
-    number: int, started_ms: int, leaving: bool = False, run: int = 0
+    number: int, duty_order: int, leaving: bool = False, run: int = 0
 ) -> Heartbeat:
     address = f"10.0.0.{number}:7000"
     return Heartbeat(
-        f"vm-{number}", address, "a", f"i{run}", started_ms, leaving, (), ()
+        f"vm-{number}", address, "a", f"i{run}", duty_order, leaving, (), ()
     )
 
 
