Compare the upstreams of a stage once for each call, not for each item

Cause: for each waiting item the planner asked whether each upstream of the item's data centre was too slow, and for that compared it with every other upstream: items times upstreams squared. Change: speeds and availability by data centre are computed once for each call; busy upstreams are passed over before sorting; open items of a stage are counted; chains that may miss their time are looked for among the waiting items. Test: test_cost_of_a_decision_grows_with_the_upstreams_of_its_service_only, red before.

--- a/cuminstile/gateway/batch_planner.py
+++ b/cuminstile/gateway/batch_planner.py
@@ -147,10 +147,11 @@
         remaining_ms = self.remaining_ms(spec)
         for stage in spec.stages:
             latest_ms = spec.target_at_ms - remaining_ms[stage.number]
-            chain.items[stage.number] = [
+            items = [
                 WorkItem(chain, stage, number, latest_ms)
                 for number in range(stage.count)
             ]
+            chain.add_items(stage, items)
             self.adjust_open_count(stage.service, chain.rank, stage.count)
         for completed in spec.completed:
             self.restore_completed(chain, completed, now_ms)
@@ -176,7 +177,7 @@
             worker.stored[completed.result.handle] = StoredResult(
                 size, completed.expires_ms
             )
-        item.result = completed.result
+        chain.set_result(item, completed.result)
         item.freed = completed.freed
         item.completed_ms = now_ms
         self.adjust_open_count(item.stage.service, chain.rank, -1)
@@ -230,10 +231,14 @@
         if not worker.usable or worker.calls or now_ms < worker.available_at_ms:
             return []
         queue.ready = [item for item in queue.ready if item.can_start()]
+        if not queue.ready:
+            return []
         if len(queue.ready) < queue.spec.batch and now_ms < queue.next_start_ms():
             return []
-        if queue.is_too_slow(worker, now_ms):
+        speeds = queue.speeds_at(now_ms)
+        if queue.is_too_slow(worker, speeds, now_ms):
             return []
+        available_ms = queue.available_by_data_centre(speeds, now_ms)
         memory = queue.spec.memory_bytes - worker.memory_used(now_ms)
         if now_ms < worker.full_until_ms:
             memory = min(memory, worker.full_size - 1)
@@ -243,7 +248,7 @@
                 break
             if item.stage.result_bytes > memory:
                 continue
-            if waits_for_data_centre(item, worker, queue, now_ms):
+            if waits_for_data_centre(item, worker, available_ms):
                 continue
             memory -= item.stage.result_bytes
             batch.append(item)
@@ -291,7 +296,7 @@
         if chain.ended or item.result is not None:
             self.released.append(result)
             return None
-        item.result = result
+        chain.set_result(item, result)
         item.completed_ms = now_ms
         if chain.stage_done(item.stage.number):
             self.release_inputs(chain, item.stage)
@@ -357,7 +362,7 @@
         if item.result is None:
             return
         self.release_result(item)
-        item.result = None
+        item.chain.set_result(item, None)
         item.freed = False
         self.adjust_open_count(item.stage.service, item.chain.rank, 1)
 
@@ -414,10 +419,28 @@
                 elif stage.number not in final_stages:
                     self.release_result(item)
 
+    def waiting_chains(self) -> list[Chain]:
+        """Return the chains with an item that waits in a queue, each once."""
+        return list(
+            {
+                id(item.chain): item.chain
+                for queue in self.queues.values()
+                for item in queue.ready
+                if item.queued and not item.chain.ended
+            }.values()
+        )
+
     def end_expired(self, now_ms: float) -> list[Chain]:
         """End and return the chains that can't be ready before their deadline."""
         gone = [
-            chain for chain in self.chains.values() if will_miss_deadline(chain, now_ms)
+            chain
+            for chain in self.chains.values()
+            if now_ms >= chain.spec.expires_at_ms
+        ]
+        gone += [
+            chain
+            for chain in self.waiting_chains()
+            if will_miss_deadline(chain, now_ms) and now_ms < chain.spec.expires_at_ms
         ]
         for chain in gone:
             self.end(chain)
@@ -430,10 +453,10 @@
         """
         gone = [
             chain
-            for chain in self.chains.values()
+            for chain in self.waiting_chains()
             if chain.in_time
-            and not has_started(chain)
             and will_miss_target(chain, now_ms)
+            and not has_started(chain)
         ]
         for chain in gone:
             self.end(chain)
--- a/cuminstile/gateway/chain.py
+++ b/cuminstile/gateway/chain.py
@@ -154,6 +154,8 @@
         Predicted duration of its stages at admission.
     in_time : bool
         Whether it was predicted at admission to be in time.
+    open_counts : dict of int to int
+        Number of items of each stage without a result.
     """
 
     spec: ChainSpec
@@ -162,6 +164,7 @@
     in_time: bool = True
 
     items: dict[int, list[WorkItem]] = field(default_factory=dict)
+    open_counts: dict[int, int] = field(default_factory=dict)
     ended: bool = False
     recomputations: int = 0
 
@@ -179,9 +182,20 @@
         followed = {number for stage in self.spec.stages for number in stage.after}
         return tuple(s for s in self.spec.stages if s.number not in followed)
 
+    def add_items(self, stage: ChainStage, items: list[WorkItem]) -> None:
+        """Add the items of a stage, none of which has a result."""
+        self.items[stage.number] = items
+        self.open_counts[stage.number] = len(items)
+
+    def set_result(self, item: WorkItem, result: Result | None) -> None:
+        """Set the result of an item, or remove it."""
+        change = (item.result is not None) - (result is not None)
+        self.open_counts[item.stage.number] += change
+        item.result = result
+
     def stage_done(self, number: int) -> bool:
         """Return whether all items of a stage are completed; true if it has none."""
-        return all(item.result for item in self.items.get(number, ()))
+        return not self.open_counts.get(number)
 
     def done(self) -> bool:
         """Return whether all items of the final stages are completed."""
--- a/cuminstile/gateway/stage_queue.py
+++ b/cuminstile/gateway/stage_queue.py
@@ -105,6 +105,20 @@
         self.full_until_ms = now_ms + FULL_PAUSE_MS
 
 
+@dataclass(frozen=True, slots=True)
+class Speeds:
+    """Slowness of each usable upstream of a service at one time, by id.
+
+    Parameters
+    ----------
+    fastest : float
+        The smallest of them, 1 without an upstream.
+    """
+
+    slowness: dict[str, float]
+    fastest: float
+
+
 @dataclass(slots=True)
 class ServiceQueue:
     """Items of one service that can start now, and its upstreams.
@@ -123,6 +137,22 @@
     open_items: dict[int, int] = field(default_factory=dict)
     last_start_ms: float = -math.inf
 
+    def speeds_at(self, now_ms: float) -> Speeds:
+        """Return the slowness of the usable upstreams."""
+        slowness = {w.id: w.slowness_at(now_ms) for w in self.usable_workers()}
+        return Speeds(slowness, min(slowness.values(), default=1.0))
+
+    def idle_workers(self, now_ms: float) -> list[Worker]:
+        """Return the upstreams that can get a call now, the fastest first."""
+        idle = [
+            worker
+            for worker in self.workers.values()
+            if worker.usable and not worker.calls and now_ms >= worker.available_at_ms
+        ]
+        return sorted(
+            idle, key=lambda w: (round(w.slowness_at(now_ms), 1), len(w.stored))
+        )
+
     def usable_workers(self) -> list[Worker]:
         """Return the upstreams that can get calls."""
         return [worker for worker in self.workers.values() if worker.usable]
@@ -166,43 +196,54 @@
         ]
         return max(0.0, min(times, default=now_ms) - now_ms)
 
-    def is_too_slow(self, worker: Worker, now_ms: float) -> bool:
+    def is_too_slow(self, worker: Worker, speeds: Speeds, now_ms: float) -> bool:
         """Return whether items would be completed sooner by waiting for another one."""
-        own = worker.slowness_at(now_ms)
-        faster = [
-            other
-            for other in self.usable_workers()
-            if own > TOO_SLOW_FACTOR * other.slowness_at(now_ms)
-        ]
+        own = speeds.slowness[worker.id]
+        if own <= TOO_SLOW_FACTOR * speeds.fastest:
+            return False
         call_ms = self.call_time_ms(len(self.ready))
         return any(
             max(0.0, other.busy_until_ms - now_ms) * bool(other.calls)
-            + call_ms * other.slowness_at(now_ms)
+            + call_ms * speeds.slowness[other.id]
             < call_ms * own
-            for other in faster
+            for other in self.usable_workers()
+            if own > TOO_SLOW_FACTOR * speeds.slowness[other.id]
         )
 
+    def available_by_data_centre(
+        self, speeds: Speeds, now_ms: float
+    ) -> dict[str, float]:
+        """Return when an upstream of each data centre becomes available.
+
+        Upstreams that are too slow don't count; a data centre without others is
+        missing.
+        """
+        available_ms: dict[str, float] = {}
+        for worker in self.usable_workers():
+            if self.is_too_slow(worker, speeds, now_ms):
+                continue
+            busy_until_ms = worker.busy_until_ms if worker.calls else 0.0
+            own_ms = max(now_ms, worker.available_at_ms, busy_until_ms)
+            known_ms = available_ms.get(worker.data_centre, math.inf)
+            available_ms[worker.data_centre] = min(known_ms, own_ms)
+        return available_ms
+
 
 def waits_for_data_centre(
-    item: WorkItem, worker: Worker, queue: ServiceQueue, now_ms: float
+    item: WorkItem, worker: Worker, available_ms: dict[str, float]
 ) -> bool:
-    """Return whether an item should wait for an upstream in its own data centre."""
+    """Return whether an item should wait for an upstream in its own data centre.
+
+    Parameters
+    ----------
+    available_ms : dict of str to float
+        When an upstream of each data centre becomes available, in monotonic ms.
+    """
     data_centre = item.data_centre
     if not data_centre or data_centre == worker.data_centre:
         return False
-    available_ms = min(
-        (
-            max(
-                now_ms,
-                other.available_at_ms,
-                other.busy_until_ms if other.calls else 0.0,
-            )
-            for other in queue.usable_workers()
-            if other.data_centre == data_centre and not queue.is_too_slow(other, now_ms)
-        ),
-        default=math.inf,
-    )
-    return available_ms + DATA_CENTRE_SPARE_MS < item.latest_start_ms
+    soonest_ms = available_ms.get(data_centre, math.inf)
+    return soonest_ms + DATA_CENTRE_SPARE_MS < item.latest_start_ms
 
 
 def urgency(
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -160,11 +160,7 @@
             if not queue.ready:
                 continue
             self.dispatch_later(queue.next_start_ms())
-            workers = sorted(
-                queue.workers.values(),
-                key=lambda w: (round(w.slowness_at(now_ms), 1), len(w.stored)),
-            )
-            for worker in workers:
+            for worker in queue.idle_workers(now_ms):
                 batch = self.planner.assign_batch(worker, now_ms)
                 if batch:
                     # Resolve the inputs now: they may be lost before the task runs.
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cuminstile.gateway.admission import decide_admission
 from cuminstile.gateway.batch_planner import BatchPlanner
@@ -84,6 +84,7 @@
     order: itertools.count[int] = field(default_factory=itertools.count)
     now_ms: float = 0.0
     errors_ms: list[float] = field(default_factory=list)
+    calls: int = 0
 
     def at(self, time_ms: float, event: Callable[[], None]) -> None:
         """Schedule an event."""
@@ -232,6 +233,7 @@
         """Return the event in which a call ends."""
 
         def end() -> None:
+            self.calls += 1
             self.planner.record_call_ended(worker)
             queue = self.planner.queues[worker.service]
             worker.record_call(queue.call_time_ms(len(batch)), took_ms, self.now_ms)
@@ -320,3 +322,23 @@
 def office_load(seed: int, bursts: tuple[Burst, ...] = BURSTS) -> Load:
     """Return the load of a head office with four upstreams for each stage service."""
     return Load(FOUR_UPSTREAMS, (CONTRACTS, QUOTES, CHATS), bursts, seed)
+
+
+MANY_UPSTREAMS = {
+    "invoice": (batch(8, 21.0, 18.0), 19),
+    "roster": (batch(24, 7.1, 3.2), 18),
+    "depot": (batch(34, 5.0, 0.45), 21),
+}
+MANY_CALLERS = {"contract": 64.5, "quote": 74.3, "chat": 24.2}
+"""Requests a second by kind in an installation of hundreds of VMs."""
+
+
+def large_load(
+    seed: int, bursts: tuple[Burst, ...] = BURSTS, seconds: float = 34.0
+) -> Load:
+    """Return the load of a head office with some 20 upstreams for each service."""
+    kinds = tuple(
+        replace(kind, per_s=MANY_CALLERS[kind.name])
+        for kind in (CONTRACTS, QUOTES, CHATS)
+    )
+    return Load(MANY_UPSTREAMS, kinds, bursts, seed, seconds)
--- a/tests/gateway/test_stage_load.py
+++ b/tests/gateway/test_stage_load.py
@@ -8,7 +8,7 @@
 
 from cuminstile.gateway import admission, stage_queue
 
-from .stage_load import Load, office_load, worth
+from .stage_load import MANY_UPSTREAMS, Load, large_load, office_load, worth
 
 SEEDS = (0, 1, 2)
 CALM_SHARE = 0.99
@@ -79,3 +79,26 @@
         return sum(map(worth, loads)) / len(loads)
 
     assert play_with(40.0) > play_with(250.0)
+
+
+def test_cost_of_a_decision_grows_with_the_upstreams_of_its_service_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Pattern: one VM schedules for hundreds; it compared all upstreams for each item.
+
+    The estimates of an upstream's speed are counted for each call that was started.
+    """
+    estimates = 0
+    slowness_at = stage_queue.Worker.slowness_at
+
+    def counted(worker: stage_queue.Worker, now_ms: float) -> float:
+        nonlocal estimates
+        estimates += 1
+        return slowness_at(worker, now_ms)
+
+    monkeypatch.setattr(stage_queue.Worker, "slowness_at", counted)
+    load = large_load(0, bursts=(), seconds=3.0)
+    load.play()
+    most = max(count for _, count in MANY_UPSTREAMS.values())
+    assert load.calls > 0
+    assert estimates / load.calls <= 20 * most
