Bear malformed messages between VMs, and count a suspension

Cause, found by reading for the cases that operators of similar systems named: - A heartbeat with an address that is none was passed on and kept; each round of heartbeats ended at it with an error for 60 s, so that the VM, and each one that heard of the address, looked lost to the VMs behind it in the list. - A text frame, or a message that is no reply, ended the reader of a session and left its calls waiting until their deadline. - A reply of another type than the one due was an assertion, an internal error for the caller. - The steady clock stands still while a machine is suspended, so lists, leases and heartbeats looked fresh after it. Change: addresses are checked where they are taken; a frame is decoded in one place, and what is no message costs its session alone; the clock counts suspensions.

--- a/cuminstile/clock.py
+++ b/cuminstile/clock.py
@@ -12,8 +12,12 @@
     """The machine's clock."""
 
     def now_ms(self) -> float:
-        """Return the monotonic time in ms; it advances while the process is stopped."""
-        return time.monotonic() * 1000.0
+        """Return the monotonic time in ms.
+
+        It advances while the process is stopped and while the machine is suspended, so
+        that what has a time limit runs out meanwhile.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
     def wall_ms(self) -> int:
         """Return the wall-clock time in ms since 1970 UTC."""
--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -7,6 +7,7 @@
 
 from ..events import Event
 from ..exceptions import CuminstileError
+from .membership import is_address
 from .messages import CODEC, Heartbeat, TopicUpdate
 from .state import Gateway
 from .updates import on_update
@@ -39,7 +40,13 @@
                 Event.PEER_MESSAGE_REFUSED, peer=str(addr[0]), error=error.message
             )
             return
-        if isinstance(message, Heartbeat):
+        if isinstance(message, Heartbeat) and not is_address(message.address):
+            self.vm.journal.record(
+                Event.PEER_MESSAGE_REFUSED,
+                peer=str(addr[0]),
+                error="the sender's address is malformed",
+            )
+        elif isinstance(message, Heartbeat):
             self.on_heartbeat(message)
         elif isinstance(message, TopicUpdate):
             on_update(self.vm, message)
--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 
 from .messages import Heartbeat
 
@@ -41,6 +42,16 @@
     suspect_until_ms: float = 0.0
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is `host:port` with an IP address and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < 65_536
+
+
 @dataclass
 class Membership:
     """The other VMs by address, and this VM's own address."""
@@ -49,9 +60,11 @@
     peers: dict[str, Peer] = field(default_factory=dict)
 
     def add_peers(self, addresses: Iterable[str], now_ms: float) -> None:
-        """Add VMs by address, from the seeds, the store or another VM."""
+        """Add VMs by address, from the seeds or another VM; ignore malformed ones."""
         for address in addresses:
-            if address != self.own_address and address not in self.peers:
+            if address == self.own_address or address in self.peers:
+                continue
+            if is_address(address):
                 self.peers[address] = Peer(address, added_ms=now_ms)
 
     def record_heartbeat(self, heartbeat: Heartbeat, now_ms: float) -> bool:
--- a/cuminstile/gateway/peer_sessions.py
+++ b/cuminstile/gateway/peer_sessions.py
@@ -15,7 +15,7 @@
 from ..clock import Clock
 from ..events import Event, Journal
 from ..exceptions import CuminstileError
-from ..message_codec import MAX_MESSAGE_BYTES
+from ..message_codec import MAX_MESSAGE_BYTES, bad_message
 from .conversions import (
     completed_to_entry,
     load_from_entry,
@@ -52,6 +52,10 @@
 """Timeout of a scheduler's admission decision, which it makes immediately."""
 
 
+REPLIES = (ChainAdmitted, ChainDone, ChainMoved, ChainRefused, TopicResponse)
+"""The messages with which another VM answers on a session that this VM opened."""
+
+
 class SessionLostError(Exception):
     """Another VM is unreachable or does not answer."""
 
@@ -115,6 +119,33 @@
             transport.abort()
 
 
+def decode_frame(data: str | bytes) -> Message:
+    """Return the message in one frame of a session.
+
+    Raises
+    ------
+    CuminstileError
+        With `BAD_MESSAGE` if it is not one message.
+    """
+    if not isinstance(data, bytes):
+        raise bad_message("a text frame is no message")
+    message: Message = CODEC.decode(data)
+    return message
+
+
+def call_of(message: Message) -> int:
+    """Return the number of the call that a reply is about.
+
+    Raises
+    ------
+    CuminstileError
+        With `BAD_MESSAGE` if the message is no reply.
+    """
+    if not isinstance(message, REPLIES):
+        raise bad_message(f"{type(message).__name__} is no reply")
+    return message.call
+
+
 async def send_queued(connection: Connection, outgoing: asyncio.Queue[bytes]) -> None:
     """Send queued messages in an endless loop."""
     while True:
@@ -192,9 +223,8 @@
         """Queue the received messages by call until the session is lost."""
         try:
             async for data in session.connection:
-                assert isinstance(data, bytes)
-                message = CODEC.decode(data)
-                replies = session.replies.get(message.call)
+                message = decode_frame(data)
+                replies = session.replies.get(call_of(message))
                 if replies is not None:
                     replies.put_nowait(message)
         except (websockets.WebSocketException, CuminstileError) as error:
@@ -245,8 +275,7 @@
 
         try:
             async for data in connection:
-                assert isinstance(data, bytes)
-                self.on_message(CODEC.decode(data), prefix, chains, send)
+                self.on_message(decode_frame(data), prefix, chains, send)
         except (websockets.WebSocketException, CuminstileError) as error:
             self.journal.record(Event.PEER_MESSAGE_REFUSED, error=repr(error))
         finally:
@@ -273,6 +302,8 @@
             send(self.answer_topic_request(message))
         elif isinstance(message, WorkerLoads):
             self.on_worker_loads(message)
+        else:
+            raise bad_message(f"{type(message).__name__} is no request")
 
     def on_worker_loads(self, message: WorkerLoads) -> None:
         """Apply the load of the upstreams as sent by a scheduler that shuts down."""
--- a/cuminstile/gateway/sharing.py
+++ b/cuminstile/gateway/sharing.py
@@ -140,7 +140,8 @@
             message = await session.reply(call)
     finally:
         session.end_call(call)
-    assert isinstance(message, TopicResponse)
+    if not isinstance(message, TopicResponse):
+        raise SessionLostError(f"{address} sent {type(message).__name__} for a topic")
     return TopicDelta(
         tuple(KeyedRecord(r.key, r.value, r.offset) for r in message.records),
         message.end,
--- a/cuminstile/gateway/staged_results.py
+++ b/cuminstile/gateway/staged_results.py
@@ -177,7 +177,10 @@
     if isinstance(message, ChainRefused):
         record_verdict(vm, spec, message.reason, 0.0, session.address)
         raise ChainRefusedError(message.reason, message.retry_after_ms)
-    assert isinstance(message, ChainDone)
+    if not isinstance(message, ChainDone):
+        raise SessionLostError(
+            f"{address} sent {type(message).__name__} as the outcome"
+        )
     return tuple(map(result_from_entry, message.results))
 
 
--- a/cuminstile/gateway/topics.py
+++ b/cuminstile/gateway/topics.py
@@ -262,7 +262,7 @@
         state.outage = Outage(now_ms - delta.back_age_ms, delta.back_end)
     page = TopicPage(delta.records, delta.end)
     keys = apply_snapshot(state, page) if delta.whole else apply_records(state, page)
-    record_confirmed_by_vm(state, delta.end, now_ms - delta.age_ms)
+    record_confirmed_by_vm(state, delta.end, now_ms - max(0.0, delta.age_ms))
     return keys
 
 
--- a/cuminstile/gateway/updates.py
+++ b/cuminstile/gateway/updates.py
@@ -83,7 +83,7 @@
     )
     known_end = state.end
     keys = apply_delta(state, delta, now_ms)
-    record_confirmed_by_vm(state, update.end, now_ms - update.age_ms)
+    record_confirmed_by_vm(state, update.end, now_ms - max(0.0, update.age_ms))
     if keys:
         vm.journal.record(
             Event.RECORDS_TAKEN,
--- a/tests/gateway/test_peer_sessions.py
+++ b/tests/gateway/test_peer_sessions.py
@@ -6,18 +6,22 @@
 from dataclasses import dataclass, field
 
 import pytest
+from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import serve
 
 from cuminstile.clock import Clock
+from cuminstile.events import Event
 from cuminstile.gateway.chain import ChainSpec, ChainStage
 from cuminstile.gateway.messages import (
     CODEC,
     ChainAdmitted,
     ChainDone,
     ChainMoved,
+    Heartbeat,
     ResultEntry,
     RunChain,
+    TopicRequest,
 )
 from cuminstile.gateway.peer_sessions import SessionLostError
 from cuminstile.gateway.staged_results import run_on_peer
@@ -28,6 +32,7 @@
 pytestmark = pytest.mark.anyio
 SILENCE_NOTICED_S = 3.0
 """Time in which a VM must detect that another one is silent on an open connection."""
+HEARTBEAT = Heartbeat("vm-2", "10.0.0.2:7000", "a", "i", 1, False, (), ())
 Session = Callable[[Connection], Awaitable[None]]
 
 
@@ -138,6 +143,71 @@
         assert len(peer.opened) == 1
 
 
+async def send_text(connection: Connection) -> None:
+    await receive_run_chain(connection)
+    await connection.send("no message")
+
+
+async def send_noise(connection: Connection) -> None:
+    await receive_run_chain(connection)
+    await connection.send(b"\xff\x00\x81")
+
+
+async def send_heartbeat(connection: Connection) -> None:
+    await receive_run_chain(connection)
+    await connection.send(CODEC.encode(HEARTBEAT))
+
+
+async def send_other_reply(connection: Connection) -> None:
+    message = await receive_run_chain(connection)
+    await connection.send(CODEC.encode(ChainAdmitted(message.call, 100.0)))
+    await connection.send(CODEC.encode(ChainAdmitted(message.call, 100.0)))
+
+
+@pytest.mark.parametrize(
+    "malformed", [send_text, send_noise, send_heartbeat, send_other_reply]
+)
+async def test_malformed_reply_costs_its_session_alone(malformed: Session) -> None:
+    """Guards against a call that waits until its deadline after a malformed message."""
+    vm = make_vm(Clock())
+    async with running_peer(malformed, answer_chain) as peer:
+        async with asyncio.timeout(SILENCE_NOTICED_S):
+            with pytest.raises(SessionLostError):
+                await run_chain(vm, peer)
+            if malformed is not send_other_reply:
+                assert await run_chain(vm, peer) == ("handle",)
+                refused = [
+                    entry
+                    for entry in vm.journal.ring
+                    if entry.event is Event.PEER_MESSAGE_REFUSED
+                ]
+                assert len(refused) == 1
+
+
+@pytest.mark.parametrize(
+    "data",
+    ["text", b"\xff\x00", CODEC.encode(HEARTBEAT)],
+    ids=["text", "noise", "type"],
+)
+async def test_malformed_request_ends_its_session_alone(data: str | bytes) -> None:
+    vm = make_vm(Clock())
+    server = await vm.sessions.serve_peers("127.0.0.1:0")
+    host, port = next(iter(server.sockets)).getsockname()
+    async with asyncio.timeout(SILENCE_NOTICED_S):
+        async with connect(f"ws://{host}:{port}/", proxy=None) as connection:
+            await connection.send(data)
+            await connection.wait_closed()
+        async with connect(f"ws://{host}:{port}/", proxy=None) as connection:
+            await connection.send(CODEC.encode(TopicRequest(3, "unknown", 5)))
+            reply = CODEC.decode(await connection.recv())
+    assert reply.call == 3
+    (refused,) = [
+        entry for entry in vm.journal.ring if entry.event is Event.PEER_MESSAGE_REFUSED
+    ]
+    assert refused.fields["error"]
+    server.close()
+
+
 async def test_message_received_before_the_session_was_lost_is_read() -> None:
     """Guards against work that runs twice if its scheduler stops after its reply."""
     vm = make_vm(Clock())
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -226,3 +226,17 @@
         assert dict(values)["u4"] == b"draining"
 
     await play(60, steps)
+
+
+async def test_vm_that_was_paused_reads_the_store_before_it_relies_on_others() -> None:
+    """Guards against updates of before the pause, which look fresh when it wakes."""
+    paused_ms = 5_000.0
+
+    async def steps(fleet: Fleet) -> None:
+        fleet.store.put("u4", b"draining#1")
+        fleet.store.calls.clear()
+        fleet.clock.at_ms += paused_ms
+        await fleet.clock.advance_ms(1.0)
+        assert {vm.settings.name for vm in fleet.vms.values()} <= set(fleet.store.calls)
+
+    await play(12, steps)
