--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -6,7 +6,7 @@
 
 from ..events import Event
 from ..exceptions import PlatformUnavailableError, TrimmedError
-from .readers import standby_ms
+from .readers import ReaderRole, standby_ms
 from .sharing import fetch_first_records
 from .state import FollowedTopic, Gateway
 from .topics import (
@@ -91,7 +91,7 @@
         except StoreCallError as error:
             record_failed_call(state, vm, error, retry_ms)
             await vm.clock.sleep_ms(retry_ms)
-            retry_ms = min(longest_retry_ms(topic, vm), retry_ms * 2)
+            retry_ms = min(longest_retry_ms(topic), retry_ms * 2)
             continue
         retry_ms = RETRY_MIN_MS
         record_answered_call(state, vm)
@@ -117,15 +117,33 @@
     """Return the time until this VM reads a topic unless others pass on records."""
     age_ms = topic.state.age_ms(vm.clock.now_ms())
     role = vm.reader_role()
-    if age_ms is None or topic.state.must_read_all or topic.always_read(role):
+    record_role(topic, role, vm)
+    if age_ms is None or topic.state.must_read_all or topic.state.always_read:
         return 0.0
     return standby_ms(role, topic.max_age_ms()) - age_ms
 
 
-def longest_retry_ms(topic: FollowedTopic, vm: Gateway) -> float:
+def record_role(topic: FollowedTopic, role: ReaderRole, vm: Gateway) -> None:
+    """Log that this VM begins or ceases to read a topic for others."""
+    reads = topic.always_read(role)
+    if reads == topic.state.always_read:
+        return
+    topic.state.always_read = reads
+    vm.metrics.store_reader.set({"topic": topic.state.name}, int(reads))
+    vm.journal.record(
+        Event.STORE_READER_CHANGED,
+        topic=topic.state.name,
+        reads=reads,
+        rank=role.rank,
+        vms=role.vms,
+        data_centres=role.data_centres,
+        age_ms=topic.state.age_ms(vm.clock.now_ms()),
+    )
+
+
+def longest_retry_ms(topic: FollowedTopic) -> float:
     """Return the longest pause between failed calls of this VM."""
-    reads = topic.always_read(vm.reader_role())
-    return RETRY_MAX_MS if reads else STANDBY_RETRY_MAX_MS
+    return RETRY_MAX_MS if topic.state.always_read else STANDBY_RETRY_MAX_MS
 
 
 async def read_once(state: TopicState, store: KeyedStore, wait_ms: float) -> set[str]:
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -22,6 +22,7 @@
     live_vms: Gauge
     store_calls_total: Counter
     upstream_list_age_ms: Gauge
+    store_reader: Gauge
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -71,4 +72,9 @@
             "Time since the list of upstreams was last known to be the newest",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_store_reader",
+            "Whether this VM reads a topic of the store for others, by topic",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/topics.py
+++ b/cuminstile/gateway/topics.py
@@ -112,6 +112,8 @@
         `changed_end` at the last pushes to other VMs, the oldest first.
     peer_end, peer_end_since_ms : int, float
         An end that another VM has reported, and since when it is not reached here.
+    always_read : bool
+        Whether this VM reads the topic whatever other VMs pass on.
     unavailable_since_ms : float or None
         Since when this VM's calls of the store fail, None while they succeed.
     """
@@ -132,6 +134,7 @@
     peer_end_since_ms: float = 0.0
     unavailable_since_ms: float | None = None
     failed_calls: int = 0
+    always_read: bool = False
 
     @property
     def must_read_all(self) -> bool:
