--- a/cuminstile/gateway/admission.py
+++ b/cuminstile/gateway/admission.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-from .batch_planner import BatchPlanner, Forecast
+from .batch_planner import BatchPlanner
 from .chain import LATE_RANK_OFFSET, ChainSpec
+from .forecast import Forecast, forecast_chain
 
 LATE_WAIT_LIMIT_MS = 150.0
 """Queueing time up to which work that will be late is still admitted: less than half a
@@ -56,12 +57,13 @@
     """
     if not planner.can_run(spec):
         return Verdict(False, False, "no_upstream", 0.0, 0.0, RETRY_SPREAD_MS)
-    forecast = planner.forecast(spec, now_ms, spec.priority)
+    forecast = forecast_chain(planner.queues, spec, now_ms, spec.priority)
     target_left_ms = spec.target_at_ms - now_ms
     safe_ms = forecast.ready_ms * FORECAST_MARGIN + forecast.queued_ms * QUEUE_MARGIN
     if safe_ms <= target_left_ms:
         return Verdict(True, True, "in_time", forecast.ready_ms, forecast.alone_ms)
-    late_forecast = planner.forecast(spec, now_ms, spec.priority + LATE_RANK_OFFSET)
+    late_rank = spec.priority + LATE_RANK_OFFSET
+    late_forecast = forecast_chain(planner.queues, spec, now_ms, late_rank)
     if again or is_late_work_admitted(spec, late_forecast, now_ms, is_retry):
         return Verdict(
             True, False, "late", late_forecast.ready_ms, late_forecast.alone_ms
--- a/cuminstile/gateway/batch_planner.py
+++ b/cuminstile/gateway/batch_planner.py
@@ -23,6 +23,7 @@
     will_miss_deadline,
     will_miss_target,
 )
+from .forecast import remaining_times_ms
 from .model import BatchSpec
 from .stage_queue import (
     ServiceQueue,
@@ -36,23 +37,6 @@
 """Failures of one work item after which its chain fails."""
 
 
-@dataclass(frozen=True, slots=True)
-class Forecast:
-    """Predicted completion of a chain, in ms from now.
-
-    Parameters
-    ----------
-    alone_ms : float
-        When it would be ready if there were no other work.
-    queued_ms : float
-        How long it would wait behind other work.
-    """
-
-    ready_ms: float
-    alone_ms: float
-    queued_ms: float
-
-
 @dataclass
 class BatchPlanner:
     """Chains in progress and the queues of all stage services.
@@ -100,51 +84,10 @@
             for stage in spec.stages
         )
 
-    def forecast(self, spec: ChainSpec, now_ms: float, rank: int) -> Forecast:
-        """Predict when a new chain would be ready behind all work up to a rank.
-
-        All items of admitted chains count, including those that wait for an earlier
-        stage: they will be queued by the time the new chain reaches its later stages.
-        Queued work fills the batches, so it costs its share of full calls. A batch
-        that isn't full waits for the next start of a call.
-        """
-        ends: dict[int, float] = {}
-        alone: dict[int, float] = {}
-        queued_ms = 0.0
-        for stage in spec.stages:
-            queue = self.queues[stage.service]
-            workers = queue.capacity(now_ms)
-            slowness = queue.mean_slowness(now_ms)
-            ahead = sum(
-                count
-                for priority, count in queue.open_items.items()
-                if priority <= rank
-            )
-            wait_ms = (
-                queue.available_in_ms(now_ms)
-                + ahead * queue.amortised_item_ms() / workers
-            )
-            before = max((ends.get(n, 0.0) for n in stage.after), default=0.0)
-            shared = stage.count + ahead / workers
-            call_ms = queue.call_time_ms(shared) * slowness
-            start_wait_ms = 0.0
-            if shared < queue.spec.batch:
-                start_wait_ms = call_ms / workers
-            queued_ms += max(0.0, wait_ms - before)
-            ends[stage.number] = max(before, wait_ms) + start_wait_ms + call_ms
-            alone_before = max((alone.get(n, 0.0) for n in stage.after), default=0.0)
-            alone_ms = queue.call_time_ms(stage.count) * slowness
-            alone[stage.number] = alone_before + alone_ms
-        return Forecast(
-            max(ends.values(), default=0.0) + spec.engine_ms,
-            max(alone.values(), default=0.0) + spec.engine_ms,
-            queued_ms,
-        )
-
     def add(self, spec: ChainSpec, now_ms: float = 0.0, in_time: bool = True) -> Chain:
         """Add an admitted chain and queue the items whose inputs are available."""
         chain = Chain(spec, in_time=in_time)
-        remaining_ms = self.remaining_ms(spec)
+        remaining_ms = remaining_times_ms(self.queues, spec)
         for stage in spec.stages:
             latest_ms = spec.target_at_ms - remaining_ms[stage.number]
             items = [
@@ -192,19 +135,6 @@
                 if item.result is None:
                     self.adjust_open_count(stage.service, chain.rank, -1)
 
-    def remaining_ms(self, spec: ChainSpec) -> dict[int, float]:
-        """Return the time from the start of each stage to the answer's end, in ms."""
-        remaining_ms: dict[int, float] = {}
-        for stage in reversed(spec.stages):
-            queue = self.queues[stage.service]
-            following = (
-                remaining_ms[s.number] for s in spec.stages if stage.number in s.after
-            )
-            rest_ms = max(following, default=spec.engine_ms)
-            own_ms = queue.call_time_ms(max(stage.count, queue.spec.batch / 2))
-            remaining_ms[stage.number] = own_ms + rest_ms
-        return remaining_ms
-
     def adjust_open_count(self, service: str, priority: int, change: int) -> None:
         """Change the count of admitted items neither completed nor in a call."""
         counts = self.queues[service].open_items
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -21,6 +21,7 @@
     "chain",
     "duties",
     "event_stream",
+    "forecast",
     "handover",
     "membership",
     "model",
