Forget the stage results of an upstream that ended, and recompute only what is lost

After a crash the scheduler went on planning with results that had ended with their upstream; each item that found one gone cost a call, and all inputs of its request were made anew, those at sound upstreams too. An upstream that starts again under its id holds nothing, which was not noticed; its lost results counted as used memory until they expired. Change: a refused connection means that nothing listens there, so what was stored is recomputed at once; so it is after a restart under the same id. Where an input is gone, only those at upstreams whose last call failed are recomputed, if there are any. A reset alone forgets nothing, as answers are lost without a crash.

--- a/cuminstile/gateway/batch_planner.py
+++ b/cuminstile/gateway/batch_planner.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from .chain import (
@@ -275,15 +275,29 @@
         self.queue_startable(chain, now_ms)
         return None
 
-    def recompute_inputs(self, item: WorkItem, now_ms: float = 0.0) -> None:
-        """Recompute the inputs of an item because one of them is lost."""
+    def recompute_inputs(
+        self, item: WorkItem, now_ms: float = 0.0, suspects: Collection[str] = ()
+    ) -> None:
+        """Recompute the inputs of an item because one of them is lost.
+
+        Parameters
+        ----------
+        suspects : collection of str
+            Upstreams whose last call failed. Their results are recomputed, or all
+            inputs if they store none.
+        """
         chain = item.chain
-        if chain.ended:
+        inputs = [o for n in item.stage.after for o in chain.items.get(n, ())]
+        if chain.ended or not all(other.result for other in inputs):
             return
         chain.recomputations += 1
-        for number in item.stage.after:
-            for other in chain.items.get(number, ()):
-                self.discard_result(other)
+        suspected = [
+            other
+            for other in inputs
+            if other.result and other.result.upstream_id in suspects
+        ]
+        for other in suspected or inputs:
+            self.discard_result(other)
         self.dequeue_blocked_items(chain)
         self.queue_startable(chain, now_ms)
 
@@ -296,6 +310,11 @@
         item.freed = False
         self.adjust_open_count(item.stage.service, item.chain.rank, 1)
 
+    def forget_results(self, worker: Worker, now_ms: float) -> None:
+        """Recompute what was stored at an upstream that has ended or restarted."""
+        worker.stored.clear()
+        self.recompute_lost_results(worker.id, now_ms)
+
     def recompute_lost_results(self, upstream_id: str, now_ms: float = 0.0) -> None:
         """Recompute the results that were stored at a lost upstream."""
         for chain in self.chains.values():
--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -46,6 +46,13 @@
         self.sent = sent
 
 
+class NoListenerError(ConnectionLostError):
+    """Nothing listens at the address: the process there has ended."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=False)
+
+
 class AnswerTooLargeError(ConnectionLostError):
     """An answer exceeded a size limit and its connection was closed."""
 
@@ -338,6 +345,8 @@
 
     Raises
     ------
+    NoListenerError
+        If nothing listens at the address.
     ConnectionLostError
         If the connection can't be opened in time; nothing was sent.
     """
@@ -348,6 +357,8 @@
             _, connection = await loop.create_connection(
                 HttpConnection, host, int(port)
             )
+    except ConnectionRefusedError as error:
+        raise NoListenerError(f"cannot connect: {error!r}") from error
     except (OSError, TimeoutError) as error:
         raise ConnectionLostError(f"cannot connect: {error!r}", sent=False) from error
     return connection
--- a/cuminstile/gateway/stage_queue.py
+++ b/cuminstile/gateway/stage_queue.py
@@ -53,6 +53,8 @@
         Measured duration of its calls relative to the expected one.
     measured_ms : float
         When `slowness` was last measured.
+    started_ms : int
+        Start of the upstream's process as it reports it; it stores nothing of before.
     """
 
     id: str
@@ -69,6 +71,7 @@
     full_size: int = 0
     slowness: float = 1.0
     measured_ms: float = 0.0
+    started_ms: int = 0
 
     def slowness_at(self, now_ms: float) -> float:
         """Return the estimated duration of its calls relative to the expected one.
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -12,7 +12,7 @@
 from .batch_planner import BatchPlanner
 from .chain import Chain, ChainSpec, CompletedItem, Result, WorkItem, stage_times
 from .handover import completed_items
-from .http_client import ConnectionLostError
+from .http_client import ConnectionLostError, NoListenerError
 from .model import Manifest
 from .returning_callers import ReturningCallers
 from .stage_calls import StageAnswer, StageCaller, by_upstream
@@ -99,7 +99,13 @@
                 continue
             self.planner.set_service(service.name, service.batch)
             workers = [
-                Worker(s.info.id, service.name, s.info.address, s.info.data_centre)
+                Worker(
+                    s.info.id,
+                    service.name,
+                    s.info.address,
+                    s.info.data_centre,
+                    started_ms=s.info.started_ms,
+                )
                 for s in table.usable(service.name)
             ]
             self.planner.set_workers(service.name, workers)
@@ -110,8 +116,19 @@
                 self.caller.drop(upstream_id)
         for state in table.states.values():
             self.addresses[state.info.id] = state.info.address
+        self.forget_restarted(table)
         self.dispatch()
 
+    def forget_restarted(self, table: UpstreamTable) -> None:
+        """Recompute what was stored at upstreams that restarted under their id."""
+        for queue in self.planner.queues.values():
+            for worker in queue.workers.values():
+                state = table.states.get(worker.id)
+                if state is None or state.info.started_ms == worker.started_ms:
+                    continue
+                worker.started_ms = state.info.started_ms
+                self.planner.forget_results(worker, self.clock.now_ms())
+
     def submit(self, spec: ChainSpec, again: bool, reply: Reply) -> Verdict:
         """Admit or refuse a chain; `reply` is called once if it is admitted.
 
@@ -194,6 +211,8 @@
             answer = await self.caller.run(worker, requests, expected_ms)
         except ConnectionLostError as error:
             self.record_lost_upstream(worker, str(error))
+            if isinstance(error, NoListenerError):
+                self.planner.forget_results(worker, self.clock.now_ms())
         now_ms = self.clock.now_ms()
         succeeded = answer is not None and answer.status == 200
         worker.record_call(
@@ -284,7 +303,7 @@
             return
         now_ms = self.clock.now_ms()
         if outcome.fault is StageFault.INPUT_GONE:
-            self.planner.recompute_inputs(item, now_ms)
+            self.planner.recompute_inputs(item, now_ms, self.pauses.keys())
         fault = outcome.fault is not StageFault.NO_MEMORY
         if not fault:
             worker.record_full(item.stage.result_bytes, now_ms)
--- /dev/null
+++ b/tests/gateway/test_staging.py
@@ -0,0 +1,120 @@
+"""Test cuminstile.gateway.staging with upstreams that end or restart."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import pytest
+
+from cuminstile.clock import VirtualClock
+from cuminstile.gateway.chain import ChainSpec, ChainStage
+from cuminstile.gateway.http_client import (
+    ConnectionLostError,
+    NoListenerError,
+    open_connection,
+)
+from cuminstile.gateway.model import BatchSpec, Upstream
+from cuminstile.gateway.stage_calls import StageAnswer
+from cuminstile.gateway.stage_queue import StoredResult, Worker
+from cuminstile.gateway.staging import Scheduler
+from cuminstile.gateway.upstream_protocol import ItemRequest, StageOutcome
+
+from .test_state import make_upstream, make_vm
+
+pytestmark = pytest.mark.anyio
+SPEC = BatchSpec(1, 2, 13, 200.0, 13.0, 29_000_000, 4_000.0)
+Answer = Callable[[Worker], StageAnswer]
+
+
+@dataclass
+class FakeCaller:
+    """Caller of stages whose upstreams answer or fail by id."""
+
+    errors: dict[str, ConnectionLostError] = field(default_factory=dict)
+    called: list[str] = field(default_factory=list)
+
+    async def run(
+        self, worker: Worker, items: Sequence[ItemRequest], expected_ms: float
+    ) -> StageAnswer:
+        """Answer with one result for each item, or fail."""
+        del expected_ms
+        self.called.append(worker.id)
+        if worker.id in self.errors:
+            raise self.errors[worker.id]
+        outcomes = tuple(StageOutcome(f"{worker.id}/{n}") for n in range(len(items)))
+        return StageAnswer(200, False, outcomes)
+
+    async def free(self, *arguments: Any) -> None:
+        """Do nothing."""
+
+    def drop(self, upstream_id: str) -> None:
+        """Do nothing."""
+
+
+def make_scheduler(caller: FakeCaller) -> Scheduler:
+    """Return a scheduler with two upstreams of a service `a`."""
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    scheduler = vm.scheduler
+    any_caller: Any = caller
+    scheduler.caller = any_caller
+    scheduler.planner.set_service("a", SPEC)
+    scheduler.planner.set_workers("a", [Worker(n, "a", "", "z") for n in ("a0", "a1")])
+    return scheduler
+
+
+def stored(scheduler: Scheduler, name: str) -> dict[str, StoredResult]:
+    return scheduler.planner.queues["a"].workers[name].stored
+
+
+@pytest.mark.parametrize(
+    ("error", "kept"),
+    [
+        (NoListenerError("refused"), False),
+        (ConnectionLostError("reset", sent=True), True),
+    ],
+    ids=["ended", "reset"],
+)
+async def test_results_of_an_upstream_that_ended_are_forgotten(
+    error: ConnectionLostError, kept: bool
+) -> None:
+    """An upstream that ended lost its results; one that reset a call may have them."""
+    caller = FakeCaller({"a0": error, "a1": error})
+    scheduler = make_scheduler(caller)
+    for name in ("a0", "a1"):
+        stored(scheduler, name)["h"] = StoredResult(1_000, 1e9)
+    stage = ChainStage(0, "a", (), 1, 1_000)
+    spec = ChainSpec("c", "r", "k", 1, "", 105_000.0, 106_000.0, 0.0, (stage,))
+    scheduler.submit(spec, True, lambda answer: None)
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert caller.called
+    assert bool(stored(scheduler, caller.called[0])) is kept
+
+
+async def test_restart_under_the_same_id_forgets_the_results() -> None:
+    scheduler = make_scheduler(FakeCaller())
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+
+    def apply(upstream: Upstream) -> None:
+        vm.table.replace([upstream], (), 100_000.0)
+        scheduler.forget_restarted(vm.table)
+
+    first = make_upstream("a0", started_ms=1)
+    apply(first)
+    stored(scheduler, "a0")["h"] = StoredResult(1_000, 1e9)
+    apply(replace(first, cold_ms=500.0))
+    assert stored(scheduler, "a0")
+    apply(replace(first, started_ms=2))
+    assert not stored(scheduler, "a0")
+
+
+async def test_port_without_a_listener_is_told_from_other_failures() -> None:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+        with pytest.raises(NoListenerError):
+            await open_connection(address)
