Test slow, dripping and repeating upstreams against one send

Cause: three of the cases that operators of similar systems named had no test of their own on the gateway's path.

--- /dev/null
+++ b/tests/gateway/test_sending.py
@@ -0,0 +1,174 @@
+"""Test cuminstile.gateway.sending with slow, dripping and repeating upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pytest
+
+from cuminstile.clock import Clock
+from cuminstile.gateway.event_stream import AnswerProgress
+from cuminstile.gateway.http_server import Request
+from cuminstile.gateway.model import RouteKind, Service
+from cuminstile.gateway.sending import Call, Outcome, Send, send_with_timeout
+from cuminstile.gateway.state import Gateway
+from cuminstile.gateway.upstream_protocol import CallFields
+from cuminstile.gateway.upstreams import UpstreamListAge, UpstreamState
+
+from .servers import Session, serving
+from .test_decisions import make_route
+from .test_state import make_upstream, make_vm
+
+pytestmark = pytest.mark.anyio
+FIRST_EVENT_MS = 300.0
+"""Limit for the beginning of an answer in these tests."""
+DEADLINE_MS = 1_500.0
+END_SLACK_S = 0.5
+EVENTS = 8
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+class FakeCaller:
+    """Connection of a caller that records what it is sent."""
+
+    def __init__(self) -> None:
+        self.body = b""
+        self.finished = False
+
+    def write_head(self, *arguments: Any) -> None:
+        """Ignore the head."""
+
+    async def write(self, data: bytes) -> None:
+        """Record a part of the body."""
+        self.body += data
+
+    async def write_answer(self, status: int, headers: Any, body: bytes) -> None:
+        """Record a whole answer."""
+        del status, headers
+        self.body += body
+        self.finished = True
+
+    def finish(self) -> None:
+        """Record the end of the answer."""
+        self.finished = True
+
+
+@dataclass
+class Sent:
+    """Outcome of one send."""
+
+    outcome: Outcome
+    caller: FakeCaller
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def send(
+    vm: Gateway, address: str, attempt_id: str, kind: RouteKind = RouteKind.STREAM
+) -> Sent:
+    """Send one request to an upstream at an address."""
+    caller = FakeCaller()
+    out: Any = caller
+    now_ms = vm.clock.now_ms()
+    headers = ((b"Attempt-Id", attempt_id.encode()),)
+    call = Call(
+        Request(b"POST", b"/x", headers, b"", now_ms),
+        out,
+        CallFields(attempt_id, DEADLINE_MS, None, 0, 0, (), (), ""),
+        make_route("/x/", kind=kind),
+        Service("s", 50),
+        None,
+        0,
+        now_ms + FIRST_EVENT_MS,
+        now_ms + DEADLINE_MS,
+    )
+    state = UpstreamState(replace(make_upstream("u1"), address=address))
+    attempt = Send(AnswerProgress(), UpstreamListAge(0, 0.0))
+    await send_with_timeout(vm, call, state, (), attempt, FIRST_EVENT_MS)
+    return Sent(attempt.outcome, caller)
+
+
+async def read_id(reader: asyncio.StreamReader) -> bytes:
+    """Return the id of the next request."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = (line.partition(b": ") for line in head.split(b"\r\n"))
+    return next(value for name, _, value in lines if name.lower() == b"attempt-id")
+
+
+async def sound_but_slow(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(STREAM_HEAD % await read_id(reader))
+    for number in range(EVENTS):
+        await asyncio.sleep(FIRST_EVENT_MS / 2_000.0)
+        writer.write(chunk(b"id: %d\ndata: x\n\n" % number))
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+    await reader.read()
+
+
+async def dripping(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(STREAM_HEAD % await read_id(reader))
+    writer.write(chunk(b"id: 0\ndata: x\n\n"))
+    for _ in range(200):
+        await asyncio.sleep(0.02)
+        writer.write(chunk(b":"))
+        await writer.drain()
+
+
+async def answering_twice(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer each request with its id, and once more as the next one is due."""
+    last = b""
+    while True:
+        attempt_id = await read_id(reader)
+        for name in (last, attempt_id):
+            if name:
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n"
+                    b"Content-Length: %d\r\n\r\n%s" % (name, len(name), name)
+                )
+        last = attempt_id
+
+
+async def run(session: Session, kind: RouteKind = RouteKind.STREAM) -> Sent:
+    vm = make_vm(Clock())
+    async with serving(session) as (address, _):
+        return await send(vm, address, "a1", kind)
+
+
+async def test_slow_but_sound_stream_is_not_cut() -> None:
+    """Guards against a limit on the whole answer where only its beginning has one."""
+    sent = await run(sound_but_slow)
+    assert sent.outcome is Outcome.FORWARDED
+    assert sent.caller.finished
+    assert sent.caller.body.count(b"data: x") == EVENTS
+
+
+async def test_dripping_stream_ends_at_the_deadline_and_does_not_look_complete() -> (
+    None
+):
+    """Guards against a stalled stream that a byte now and then keeps open for good."""
+    async with asyncio.timeout(DEADLINE_MS / 1_000.0 + END_SLACK_S):
+        sent = await run(dripping)
+    assert sent.outcome is Outcome.UNKNOWN
+    assert not sent.caller.finished
+
+
+async def test_late_second_answer_goes_to_nobody() -> None:
+    """Guards against a copy of an answer that the next caller on a connection gets."""
+    vm = make_vm(Clock())
+    async with serving(answering_twice) as (address, begun):
+        for number in range(5):
+            sent = await send(vm, address, f"a{number}", RouteKind.IDEMPOTENT)
+            assert sent.outcome is Outcome.FORWARDED
+            assert sent.caller.body == b"a%d" % number
+        assert len(begun) == 1
