--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -103,21 +103,21 @@
 async def wait_until_due(topic: FollowedTopic, vm: Gateway) -> None:
     """Wait until this VM has to read a topic itself, or was paused."""
     while True:
-        due_ms = read_due_ms(topic, vm)
+        role = vm.reader_role()
+        record_role(topic, role, vm)
+        began_ms = vm.clock.now_ms()
+        due_ms = read_due_ms(topic, role, began_ms)
         if due_ms <= 0:
             return
-        began_ms = vm.clock.now_ms()
         sleep_ms = min(due_ms, STANDBY_CHECK_MS)
         await vm.clock.sleep_ms(sleep_ms)
         if vm.clock.now_ms() - began_ms > sleep_ms + PAUSED_MS:
             return
 
 
-def read_due_ms(topic: FollowedTopic, vm: Gateway) -> float:
-    """Return the time until this VM reads a topic unless others pass on records."""
-    age_ms = topic.state.age_ms(vm.clock.now_ms())
-    role = vm.reader_role()
-    record_role(topic, role, vm)
+def read_due_ms(topic: FollowedTopic, role: ReaderRole, now_ms: float) -> float:
+    """Return the time until a VM reads a topic unless others pass on records."""
+    age_ms = topic.state.age_ms(now_ms)
     if age_ms is None or topic.state.must_read_all or topic.state.always_read:
         return 0.0
     return standby_ms(role, topic.max_age_ms()) - age_ms
--- a/cuminstile/gateway/readers.py
+++ b/cuminstile/gateway/readers.py
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReaderRole:
-    """A VM's part in following the store.
+    """A VM's role in following the store.
 
     Parameters
     ----------
@@ -57,7 +57,7 @@
 
 
 def reader_role(own: Heartbeat, live: Iterable[Heartbeat]) -> ReaderRole:
-    """Return the part of a VM among the live ones.
+    """Return the role of a VM among the live ones.
 
     The first VMs of each data centre come before the second ones, and leaving VMs come
     last; otherwise their order for duties decides.
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -84,7 +84,7 @@
     lag_ms : float
         How long the store may take to return what another VM knows.
     always_read : callable
-        Returns whether a VM with a given part reads whatever the others pass on.
+        Returns whether a VM with a given role reads whatever the others pass on.
     max_age_ms : callable
         Returns the age at which the first of the other VMs reads the topic itself.
     """
@@ -173,7 +173,7 @@
         )
 
     def reader_role(self) -> ReaderRole:
-        """Return this VM's part in following the store."""
+        """Return this VM's role in following the store."""
         live = self.membership.live(self.clock.now_ms())
         return reader_role(self.own_heartbeat(), live)
 
