Make one codec, and one form of the store's records, serve both sides

Cause: read once more, the change had written three things again: the codec of `wire.py`, alike but for who checks the fields; the conversion of the store's records to and from their message form, in `sharing.py` and `updates.py`; the log line `records_taken`. No behaviour, test or check changed.

--- a/cuminstile/gateway/conversions.py
+++ b/cuminstile/gateway/conversions.py
@@ -5,16 +5,30 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from .chain import ChainSpec, ChainStage, CompletedItem, Result
 from .handover import StoredResultLoad, WorkerLoad
 from .messages import (
     CompletedItemEntry,
+    RecordEntry,
     ResultEntry,
     RunChain,
     StageWork,
     StoredResultEntry,
     WorkerLoadEntry,
 )
+from .topics import KeyedRecord
+
+
+def records_to_entries(records: Iterable[KeyedRecord]) -> tuple[RecordEntry, ...]:
+    """Return the message form of records of the store."""
+    return tuple(RecordEntry(r.key, r.value, r.offset) for r in records)
+
+
+def records_from_entries(entries: Iterable[RecordEntry]) -> tuple[KeyedRecord, ...]:
+    """Return the records of the store in a message."""
+    return tuple(KeyedRecord(r.key, r.value, r.offset) for r in entries)
 
 
 def result_to_entry(result: Result) -> ResultEntry:
--- a/cuminstile/gateway/sharing.py
+++ b/cuminstile/gateway/sharing.py
@@ -10,11 +10,11 @@
 from collections.abc import Sequence
 
 from ..events import Event
-from .messages import Heartbeat, RecordEntry, TopicRequest, TopicResponse
+from .conversions import records_from_entries, records_to_entries
+from .messages import Heartbeat, TopicRequest, TopicResponse
 from .peer_sessions import SessionLostError
 from .state import FollowedTopic, Gateway
 from .topics import (
-    KeyedRecord,
     TopicDelta,
     TopicState,
     apply_delta,
@@ -111,17 +111,24 @@
         return
     now_ms = vm.clock.now_ms()
     keys = apply_delta(state, delta, now_ms)
+    record_taken(vm, state, heartbeat.name, known, len(keys), delta.whole)
+    topic.apply_changes(keys, heartbeat.name)
+
+
+def record_taken(
+    vm: Gateway, state: TopicState, peer: str, known_end: int, changed: int, whole: bool
+) -> None:
+    """Log that records of another VM were applied to a topic."""
     vm.journal.record(
         Event.RECORDS_TAKEN,
-        peer=heartbeat.name,
+        peer=peer,
         topic=state.name,
-        known_end=known,
+        known_end=known_end,
         end=state.end,
-        changed=len(keys),
-        whole=delta.whole,
-        age_ms=state.age_ms(now_ms),
+        changed=changed,
+        whole=whole,
+        age_ms=state.age_ms(vm.clock.now_ms()),
     )
-    topic.apply_changes(keys, heartbeat.name)
 
 
 async def request_delta(vm: Gateway, address: str, name: str, end: int) -> TopicDelta:
@@ -143,7 +150,7 @@
     if not isinstance(message, TopicResponse):
         raise SessionLostError(f"{address} sent {type(message).__name__} for a topic")
     return TopicDelta(
-        tuple(KeyedRecord(r.key, r.value, r.offset) for r in message.records),
+        records_from_entries(message.records),
         message.end,
         message.whole,
         message.age_ms,
@@ -161,7 +168,7 @@
         return TopicResponse(asked.call, (), asked.end, False, 0.0, 0.0, -1)
     return TopicResponse(
         asked.call,
-        tuple(RecordEntry(r.key, r.value, r.offset) for r in delta.records),
+        records_to_entries(delta.records),
         delta.end,
         delta.whole,
         delta.age_ms,
--- a/cuminstile/gateway/updates.py
+++ b/cuminstile/gateway/updates.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from ..events import Event
-from .messages import CODEC, RecordEntry, TopicUpdate
+from .conversions import records_from_entries, records_to_entries
+from .messages import CODEC, TopicUpdate
+from .sharing import record_taken
 from .state import Gateway
 from .topics import (
     KeyedRecord,
@@ -55,7 +56,7 @@
         state.name,
         address,
         start,
-        tuple(RecordEntry(r.key, r.value, r.offset) for r in records),
+        records_to_entries(records),
         state.end,
         state.age_ms(now_ms) or 0.0,
         now_ms - back_ms if back_ms else 0.0,
@@ -74,7 +75,7 @@
         return
     now_ms = vm.clock.now_ms()
     delta = TopicDelta(
-        tuple(KeyedRecord(r.key, r.value, r.offset) for r in update.records),
+        records_from_entries(update.records),
         update.end,
         False,
         update.age_ms,
@@ -85,14 +86,5 @@
     keys = apply_delta(state, delta, now_ms)
     record_confirmed_by_vm(state, update.end, now_ms - max(0.0, update.age_ms))
     if keys:
-        vm.journal.record(
-            Event.RECORDS_TAKEN,
-            peer=update.address,
-            topic=state.name,
-            known_end=known_end,
-            end=state.end,
-            changed=len(keys),
-            whole=False,
-            age_ms=state.age_ms(now_ms),
-        )
+        record_taken(vm, state, update.address, known_end, len(keys), whole=False)
     topic.apply_changes(keys, update.address)
--- a/cuminstile/message_codec.py
+++ b/cuminstile/message_codec.py
@@ -10,7 +10,7 @@
 import cbor2
 
 from .exceptions import CuminstileError, ErrorCode
-from .typed_data import InvalidDataError, check_data_class
+from .typed_data import Check, InvalidDataError, check_data_class
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
@@ -33,19 +33,19 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class DataCodec:
-    """Encoder and decoder of a fixed set of numbered data classes.
+class Codec:
+    """Encoder and decoder of a fixed set of numbered message types.
 
     Parameters
     ----------
     numbers : dict of type to int
         The number of each message type on the wire.
-    types : dict of int to type
-        The message type of each number.
+    checks : dict of int to callable
+        By number, returns the typed message of its fields.
     """
 
     numbers: dict[type[Any], int]
-    types: dict[int, type[Any]]
+    checks: dict[int, Check]
 
     def encode(self, message: Any) -> bytes:
         """Return `[number, field, ...]` in CBOR."""
@@ -63,17 +63,19 @@
             raise bad_message("the message exceeds the maximum size")
         try:
             number, *fields = cbor2.loads(data)
-            return check_data_class(self.types[number])(fields)
+            return self.checks[number](fields)
+        except CuminstileError:
+            raise
         except InvalidDataError as error:
             raise bad_message(f"{len(error.problems)} fields are wrong") from error
         except Exception as error:
             raise bad_message(f"decoding failed with {type(error).__name__}") from error
 
 
-def make_data_codec(types: Iterable[tuple[int, type[Any]]]) -> DataCodec:
+def make_data_codec(types: Iterable[tuple[int, type[Any]]]) -> Codec:
     """Return a codec for pairs of number and message type."""
     pairs = tuple(types)
-    return DataCodec(
+    return Codec(
         {message: number for number, message in pairs},
-        dict(pairs),
+        {number: check_data_class(message) for number, message in pairs},
     )
