--- a/standins/gateway_upstream.py
+++ b/standins/gateway_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -57,6 +58,10 @@
         Faults of the next requests; each request takes the first one.
     endless_bytes : int
         Number of bytes sent in responses without an end.
+    crash_on : bytes
+        The process ends when it begins to run a request whose body contains this.
+    on_crash : callable
+        Called after the process has ended.
     """
 
     id: str
@@ -70,26 +75,45 @@
     endless_bytes: int = 0
     address: str = ""
     numbers: itertools.count[int] = field(default_factory=itertools.count)
+    crash_on: bytes = b""
+    on_crash: Callable[[], None] = field(default=lambda: None)
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def serve(self, host: str) -> asyncio.Server:
-        """Listen on a free port of a host and return the server."""
-        server = await asyncio.start_server(self.connection, host, 0)
+    async def serve(self, host: str, port: int = 0) -> asyncio.Server:
+        """Listen on a port of a host, 0 for a free one, and return the server."""
+        server = await asyncio.start_server(self.connection, host, port)
         port = server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
+        self.server = server
         return server
 
+    def crash(self) -> None:
+        """End the process: reset all connections and listen no more."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.on_crash()
+
     async def connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve the requests of one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 received = await read_request(reader)
                 self.received.append(received)
+                if self.crash_on and self.crash_on in received.body:
+                    self.crash()
+                    return
                 await self.answer(received, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(
--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,56 @@
+"""Test cuminstile.platform as a program with a request that crashes upstreams."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from .crash_site import CrashSite, served_share
+from .site import Site
+
+pytestmark = [pytest.mark.anyio, pytest.mark.process]
+UPSTREAMS = 6
+SENDS = 22
+INTERVAL_S = 0.4
+CONTACT_S = 3.0
+"""How long after the third crash the VMs may still send the request."""
+MAX_LATE_SENDS = 3
+MAX_CRASHES = 6
+"""Three, and the three more that the users allow."""
+SERVED_SHARE = 0.9
+"""Share of the other requests to serve, with up to three of six upstreams away."""
+
+
+@pytest.fixture
+async def crash_site(
+    tmp_path: Path, request: pytest.FixtureRequest
+) -> AsyncIterator[CrashSite]:
+    site = Site(tmp_path)
+    try:
+        await site.start(vms=request.param)
+        yield CrashSite(site)
+    finally:
+        await site.stop()
+
+
+# Guards against sending a request on and on that crashes each upstream that runs it.
+@pytest.mark.parametrize("crash_site", [1, 3], indirect=True)
+@pytest.mark.parametrize(
+    ("target", "service"),
+    [("/look/x", "desk"), ("/book/x", "desk"), ("/note/x", "engines")],
+)
+async def test_request_that_crashes_upstreams_is_stopped(
+    crash_site: CrashSite, target: str, service: str
+) -> None:
+    await crash_site.fill(service, UPSTREAMS)
+    await asyncio.sleep(2.0)
+    done = asyncio.Event()
+    others = asyncio.create_task(crash_site.send_others(target, done, 0.05))
+    answers = await crash_site.send_poison(target, SENDS, INTERVAL_S)
+    done.set()
+    served = served_share(await others)
+    assert crash_site.late_sends(CONTACT_S) <= MAX_LATE_SENDS
+    assert len(crash_site.crashes) <= MAX_CRASHES
+    assert served >= SERVED_SHARE
+    assert {answer and answer.status for answer in answers} <= {500, 502, 503}
