Refuse a request of a session while its service has no upstream

Callers saw their connection close without an answer while all upstreams of an engine service had ended. Cause: `session_cost` looked for the session's upstream among none; the ValueError ended the request as an internal error. Change: without an upstream the session has none either, so the request is refused with a time to retry.

--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -260,7 +260,9 @@
     session = session_of(parts)
     names = [state.info.id for state in candidates]
     session_upstream = (
-        max(names, key=lambda name: weight(session, name)) if session else ""
+        max(names, key=lambda name: weight(session, name), default="")
+        if session
+        else ""
     )
     shared_tokens = sum(part.tokens for part in parts[:-1])
     all_bytes = sum(input_bytes.values())
