--- a/cuminstile/operator/upstreams.py
+++ b/cuminstile/operator/upstreams.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from ..objects.model import Upstream
-from ..upstream.crashes import Suspicion
 from ..upstream.ejection import is_ejected
 from ..upstream.limits import own_limit
 from ..upstream.table import NEVER_MS, Condition, UpstreamState
@@ -109,10 +108,10 @@
     refused = (
         (fingerprint, suspect)
         for fingerprint, suspect in vm.crashes.by_fingerprint.items()
-        if suspect.suspicion is Suspicion.QUARANTINED and suspect.until_ms > now_ms
+        if now_ms < suspect.quarantined_until_ms
     )
     for fingerprint, suspect in islice(refused, MAX_SHOWN_QUARANTINES):
-        left_s = (suspect.until_ms - now_ms) / 1000.0
+        left_s = (suspect.quarantined_until_ms - now_ms) / 1000.0
         yield Problem(
             ProblemCode.REQUEST_QUARANTINED,
             f"request {fingerprint[:SHOWN_FINGERPRINT_BYTES].hex()}",
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -12,6 +12,7 @@
 from .calls import RunTrace, StageCall, StageOutcome, TokenSink
 from .claim_state import Claims
 from .clock import Clock
+from .crash_suspects import CrashTable
 from .events import Journal
 from .exceptions import CuminstileError, ErrorCode
 from .metrics import Metrics, make_metrics
@@ -22,7 +23,6 @@
 from .spilling import SpillState
 from .stage_times import StageTimes
 from .traffic_state import Traffic
-from .upstream.crashes import CrashTable
 from .upstream.leases import Leases
 from .upstream.load import LoadExchange
 from .upstream.orders import Orders
--- a/cuminstile/upstream/crashes.py
+++ b/cuminstile/upstream/crashes.py
@@ -4,13 +4,11 @@
 
 import hashlib
 import json
-from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass, field
-from enum import IntEnum
 from typing import TYPE_CHECKING
 
 from ..calls import StageCall
+from ..crash_suspects import FINGERPRINT_BYTES, Suspicion
 from ..events import Event
 from ..exceptions import CuminstileError, ErrorCode
 from ..vm.messages import CrashNotice
@@ -23,59 +21,9 @@
 if TYPE_CHECKING:
     from ..runtime import Vm
 
-FINGERPRINT_BYTES = 16
-SUSPICION_VALID_MS = 600_000
-MAX_SUSPECTS = 4_096
 MAX_SENT_QUARANTINES = 64
 
 
-class Suspicion(IntEnum):
-    """Whether a request is suspected or known to crash upstreams.
-
-    The numbers are sent between VMs.
-    """
-
-    NONE = 0
-    SUSPECTED = 1
-    QUARANTINED = 2
-
-
-@dataclass(frozen=True)
-class Suspect:
-    """The suspicion of a request, and when it expires."""
-
-    suspicion: Suspicion
-    until_ms: float
-
-
-@dataclass
-class CrashTable:
-    """The requests that were running when an upstream crashed.
-
-    The dictionary is ordered by when the suspicion was recorded.
-    """
-
-    by_fingerprint: OrderedDict[bytes, Suspect] = field(default_factory=OrderedDict)
-
-    def put(self, fingerprint: bytes, suspicion: Suspicion, now_ms: float) -> None:
-        """Record a suspicion; the oldest is dropped beyond `MAX_SUSPECTS`."""
-        self.by_fingerprint.pop(fingerprint, None)
-        if suspicion is Suspicion.NONE:
-            return
-        self.by_fingerprint[fingerprint] = Suspect(
-            suspicion, now_ms + SUSPICION_VALID_MS
-        )
-        while len(self.by_fingerprint) > MAX_SUSPECTS:
-            self.by_fingerprint.popitem(last=False)
-
-    def get(self, fingerprint: bytes, now_ms: float) -> Suspicion:
-        """Return the suspicion of a request, `NONE` if it has expired."""
-        suspect = self.by_fingerprint.get(fingerprint)
-        if suspect is None or suspect.until_ms <= now_ms:
-            return Suspicion.NONE
-        return suspect.suspicion
-
-
 def fingerprint_of(call: StageCall) -> bytes:
     """Return a hash of the stage and the input, the same for copies of a request."""
     text = json.dumps([call.stage, call.input], sort_keys=True, default=str)
@@ -106,7 +54,12 @@
 
 
 async def record_lost_call(
-    vm: Vm, call: StageCall, report: LoadReport | None, incarnation: int, isolated: bool
+    vm: Vm,
+    call: StageCall,
+    upstream: str,
+    report: LoadReport | None,
+    incarnation: int,
+    isolated: bool,
 ) -> None:
     """Suspect or quarantine a call whose connection broke because of a crash.
 
@@ -115,6 +68,8 @@
 
     Parameters
     ----------
+    upstream : str
+        Name of the upstream.
     report : LoadReport or None
         Report of the upstream after the connection broke, if there was one.
     incarnation : int
@@ -124,40 +79,47 @@
     """
     if report is not None and incarnation in (0, report.incarnation):
         return
-    if isolated:
-        vm.journal.record(
-            Event.REQUEST_QUARANTINED, request=call.request, stage=call.stage
-        )
-        await share_suspicion(vm, call, Suspicion.QUARANTINED)
-    elif suspicion_of(vm, call) is Suspicion.NONE:
-        vm.journal.record(
-            Event.REQUEST_SUSPECTED, request=call.request, stage=call.stage
-        )
-        await share_suspicion(vm, call, Suspicion.SUSPECTED)
+    before = suspicion_of(vm, call)
+    suspicion = vm.crashes.record_crash(
+        fingerprint_of(call),
+        call.stage,
+        f"{upstream}@{incarnation}",
+        vm.clock.now_ms(),
+        on_trial=isolated,
+    )
+    if suspicion is before:
+        return
+    event = (
+        Event.REQUEST_QUARANTINED
+        if suspicion is Suspicion.QUARANTINED
+        else Event.REQUEST_SUSPECTED
+    )
+    vm.journal.record(event, request=call.request, stage=call.stage)
+    await share_suspicion(vm, call, suspicion)
 
 
 async def clear_suspect(vm: Vm, call: StageCall) -> None:
     """Clear the suspicion of a request that ran isolated without a crash."""
     if suspicion_of(vm, call) is not Suspicion.SUSPECTED:
         return
+    vm.crashes.record_good_run(fingerprint_of(call), vm.clock.now_ms())
     vm.journal.record(Event.REQUEST_CLEARED, request=call.request, stage=call.stage)
     await share_suspicion(vm, call, Suspicion.NONE)
 
 
 async def share_suspicion(vm: Vm, call: StageCall, suspicion: Suspicion) -> None:
-    """Record a suspicion, and send it to every other VM."""
-    fingerprint = fingerprint_of(call)
-    vm.crashes.put(fingerprint, suspicion, vm.clock.now_ms())
-    notice = CrashNotice(fingerprint, int(suspicion))
+    """Send a suspicion to every other VM."""
+    notice = CrashNotice(fingerprint_of(call), int(suspicion))
     await send_each(vm.sessions.by_name.values(), notice)
 
 
 async def send_quarantines(vm: Vm, session: Session) -> None:
     """Send the quarantined requests to a VM that has just connected."""
+    now_ms = vm.clock.now_ms()
     quarantined = [
         fingerprint
-        for fingerprint, suspect in vm.crashes.by_fingerprint.items()
-        if suspect.suspicion is Suspicion.QUARANTINED
+        for fingerprint in vm.crashes.by_fingerprint
+        if vm.crashes.get(fingerprint, now_ms) is Suspicion.QUARANTINED
     ]
     for fingerprint in quarantined[-MAX_SENT_QUARANTINES:]:
         notice = CrashNotice(fingerprint, int(Suspicion.QUARANTINED))
--- a/cuminstile/upstream/limits.py
+++ b/cuminstile/upstream/limits.py
@@ -10,12 +10,12 @@
 import anyio
 
 from ..calls import StageCall
+from ..crash_suspects import Suspicion
 from ..exceptions import CuminstileError, ErrorCode, RunStatus
 from ..objects.model import Role
 from .choice import CHOICES
 from .client import UpstreamError, cancel_call, upstream_failed_error
 from .crashes import (
-    Suspicion,
     refuse_quarantined,
     suspicion_of,
     upstreams_for_suspect,
--- a/cuminstile/upstream/results.py
+++ b/cuminstile/upstream/results.py
@@ -112,7 +112,9 @@
     report = await vm.load.fetch(vm, state.upstream)
     if is_version_suspected and not is_same_and_warm(state, report):
         await mark_cold_and_announce(vm, state)
-    await record_lost_call(vm, slot.call, report, slot.incarnation, slot.isolated)
+    await record_lost_call(
+        vm, slot.call, state.name, report, slot.incarnation, slot.isolated
+    )
 
 
 async def mark_cold_and_announce(vm: Vm, state: UpstreamState) -> None:
--- a/tests/operator/test_upstreams.py
+++ b/tests/operator/test_upstreams.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cuminstile.commands.survey import merge_upstreams
+from cuminstile.crash_suspects import SUSPICION_VALID_MS, Suspicion
 from cuminstile.objects.model import DataCentre, DataCentreState
 from cuminstile.operator.report import (
     StatusReport,
@@ -14,7 +15,6 @@
 from cuminstile.operator.status import make_status
 from cuminstile.operator.upstreams import MAX_SHOWN_QUARANTINES, upstreams_reporter
 from cuminstile.runtime import Vm
-from cuminstile.upstream.crashes import SUSPICION_VALID_MS, Suspicion
 from cuminstile.upstream.table import Condition, UpstreamState
 from tests.fakes.objects import single_stage_objects
 from tests.fakes.virtual import make_platform, make_test_vm
--- a/tests/upstream/test_crashes.py
+++ b/tests/upstream/test_crashes.py
@@ -2,10 +2,11 @@
 
 import pytest
 
+from cuminstile.crash_suspects import CrashTable, Suspicion
 from cuminstile.events import Event
 from cuminstile.upstream import limits
 from cuminstile.upstream.client import UpstreamError
-from cuminstile.upstream.crashes import CrashTable, Suspicion, fingerprint_of
+from cuminstile.upstream.crashes import fingerprint_of
 
 from .fake_data_centre import VERSION, running_data_centre
 from .test_leases import load_for, start_three
@@ -60,8 +61,9 @@
         await load_for(centre, 6_000.0, results)
         await centre.clock.advance_ms(4_000.0)
         for vm in centre.vms.values():
-            kept = vm.crashes.by_fingerprint.values()
-            assert [item.suspicion for item in kept] == [Suspicion.QUARANTINED]
+            now_ms = vm.clock.now_ms()
+            kept = [vm.crashes.get(f, now_ms) for f in vm.crashes.by_fingerprint]
+            assert kept == [Suspicion.QUARANTINED]
         assert poisoned[0][0] == "quarantined"
 
 
--- a/trials/policy_quarantine.py
+++ b/trials/policy_quarantine.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass, field
 
 from cuminstile.calls import StageCall
+from cuminstile.crash_suspects import Suspicion
 from cuminstile.runtime import Vm
 from cuminstile.upstream import results
-from cuminstile.upstream.crashes import Suspicion, record_lost_call, suspicion_of
+from cuminstile.upstream.crashes import record_lost_call, suspicion_of
 from cuminstile.upstream.evidence import LoadReport
 
 from .policy_tables import Study, figure
@@ -76,6 +77,7 @@
         self,
         vm: Vm,
         call: StageCall,
+        upstream: str,
         report: LoadReport | None,
         incarnation: int,
         isolated: bool,
@@ -83,7 +85,7 @@
         """Record a lost call, unless the trial has no quarantine."""
         if not self.quarantines:
             return
-        await record_lost_call(vm, call, report, incarnation, isolated)
+        await record_lost_call(vm, call, upstream, report, incarnation, isolated)
         suspected = suspicion_of(vm, call) is not Suspicion.NONE
         if suspected and POISON not in call.input:
             self.names.add(call.request)
