Stop requests that crash upstreams, on every path to them

Callers saw: a request that ended each upstream which ran it was sent again with each attempt, at each VM; all other requests of the service were refused meanwhile. Cause: each attempt is a new request to every VM, so nothing remembers under which request upstreams ended (class: a limit that is kept for each attempt or each VM, while the harm adds up over all of them). Change: a digest of host, method, target, body and organisation names a request; a connection that the upstream ends while it runs one counts as a crash under it; VMs exchange these (datagrams; by way of hubs in large fleets). After two crashes a request runs on trial, one run at a time; after a third one on trial it is quarantined and answered 500 at once. Work items of such a request run in calls of their own. Any complete answer clears it. Log lines tell copies of a request apart, and crashes from broken connections.

--- a/cuminstile/gateway/accepting.py
+++ b/cuminstile/gateway/accepting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..exceptions import ErrorCode
+from .crash_state import digest_of
 from .http_server import CallerConnection, Request
 from .refusals import DEFAULT_RETRY_MS, Refusal
 from .routing import (
@@ -57,6 +58,7 @@
         priority_of(route, organisation),
         request.arrived_ms + route.target_ms,
         request.arrived_ms + min(caller_timeout_ms, route.timeout_ms) - CLOSE_MARGIN_MS,
+        digest_of(request.method, host, request.target, request.body, organisation),
     )
 
 
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -4,9 +4,11 @@
 
 from dataclasses import dataclass, field
 
+from ..crash_suspects import Suspicion
 from ..events import Event
 from .chain import Result
 from .choosing import acquire_upstream
+from .crash_guard import begin_send, end_send, suspicion_of
 from .event_stream import AnswerProgress
 from .refusals import Refusal, correct_refusal, no_upstream, out_of_time
 from .sending import (
@@ -97,7 +99,9 @@
             return
         if send.outcome is Outcome.INPUT_GONE and not progress.recomputed:
             await replace_lost_results(vm, call, progress)
-        elif not can_send_again(call, progress, send):
+        elif ended_with_suspicion(vm, call, send) or not can_send_again(
+            call, progress, send
+        ):
             await end_unanswered(vm, call, progress)
             return
 
@@ -118,14 +122,20 @@
 ) -> Send:
     """Send a request to an upstream and record the outcome."""
     record_resumption(vm, call, progress, state)
+    on_trial = begin_send(vm, call)
     send = Send(
         progress.answer,
         vm.table.age(vm.clock.now_ms()),
         on_running=lambda: free_inputs(vm, progress),
+        on_trial=on_trial,
     )
     inputs = tuple(result.handle for result in progress.results)
     limit_ms = attempt_timeout_ms(vm, call, progress, left_ms)
-    await send_with_timeout(vm, call, state, inputs, send, limit_ms)
+    try:
+        await send_with_timeout(vm, call, state, inputs, send, limit_ms)
+    finally:
+        ran = send.outcome in (Outcome.FORWARDED, Outcome.FAILED)
+        end_send(vm, call, state, send.crashed, ran, on_trial)
     record_send(vm, call, state, send)
     record_upstream_failure(vm, call, state, send)
     progress.tried.add(state.info.id)
@@ -167,6 +177,12 @@
     return await results_for(vm, call, True, since_ms)
 
 
+def ended_with_suspicion(vm: Gateway, call: Call, send: Send) -> bool:
+    """Return whether a send crashed its upstream and the request is suspected of it."""
+    suspicion = suspicion_of(vm, call.digest, call.service.name)
+    return send.crashed and suspicion is not Suspicion.NONE
+
+
 def free_inputs(vm: Gateway, progress: Progress) -> None:
     """Free the inputs of a request that has started; another run recomputes them.
 
--- a/cuminstile/gateway/batch_planner.py
+++ b/cuminstile/gateway/batch_planner.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from .chain import (
@@ -45,11 +45,15 @@
     ----------
     released : list of Result
         Results that no item needs any more and that are not freed yet.
+    may_run, must_run_alone : callable
+        Return whether an item may run now, and whether only in a call of its own.
     """
 
     queues: dict[str, ServiceQueue] = field(default_factory=dict)
     chains: dict[str, Chain] = field(default_factory=dict)
     released: list[Result] = field(default_factory=list)
+    may_run: Callable[[WorkItem], bool] = field(default=lambda item: True)
+    must_run_alone: Callable[[WorkItem], bool] = field(default=lambda item: False)
 
     def set_service(self, name: str, spec: BatchSpec) -> None:
         """Add a service, or update the capacity of its upstreams."""
@@ -176,6 +180,8 @@
         for item in sorted(queue.ready, key=lambda i: urgency(i, worker, now_ms)):
             if len(batch) == queue.spec.batch:
                 break
+            if not self.may_join(item, batch):
+                continue
             if item.stage.result_bytes > memory:
                 continue
             if waits_for_data_centre(item, worker, available_ms):
@@ -197,6 +203,14 @@
             worker.busy_until_ms = now_ms + call_ms * worker.slowness_at(now_ms)
         return batch
 
+    def may_join(self, item: WorkItem, batch: list[WorkItem]) -> bool:
+        """Return whether an item may run now, in one call with the items of a batch."""
+        if not self.may_run(item):
+            return False
+        if not batch or batch[0].chain is item.chain:
+            return True
+        return not self.must_run_alone(item) and not self.must_run_alone(batch[0])
+
     def inputs_of(self, item: WorkItem) -> tuple[str, ...]:
         """Return the handles of all results that an item needs."""
         return tuple(
--- a/cuminstile/gateway/chain.py
+++ b/cuminstile/gateway/chain.py
@@ -89,6 +89,8 @@
         Time that the request needs after its stages.
     completed : tuple of CompletedItem
         Items that were completed before another scheduler handed the work over.
+    digest : bytes
+        See `crash_state.digest_of`; empty for work that is not guarded.
     """
 
     id: str
@@ -101,6 +103,7 @@
     engine_ms: float
     stages: tuple[ChainStage, ...]
     completed: tuple[CompletedItem, ...] = ()
+    digest: bytes = b""
 
 
 @dataclass(eq=False, slots=True)
--- a/cuminstile/gateway/choosing.py
+++ b/cuminstile/gateway/choosing.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 
 from .chain import Result
+from .crash_state import fingerprint_of
 from .sending import Call
 from .state import Gateway
 from .upstreams import (
@@ -38,7 +39,7 @@
     """
     now_ms = vm.clock.now_ms()
     usable = vm.table.usable(call.service.name)
-    if call.service.engine is not None:
+    if call.service.engine is not None and not has_crashed(vm, call):
         sizes = input_bytes(results)
         cost = session_cost(call.fields.parts, usable, sizes, now_ms)
     else:
@@ -46,6 +47,18 @@
     return choose(usable, cost, now_ms, tried)
 
 
+def has_crashed(vm: Gateway, call: Call) -> bool:
+    """Return whether an upstream crashed under a request that was not cleared since.
+
+    Such a request goes to the upstream with the least load, as it may end that too.
+    """
+    table = vm.crash_guard.table
+    if not table.by_fingerprint or not call.digest:
+        return False
+    fingerprint = fingerprint_of(call.digest, call.service.name)
+    return table.crash_count(fingerprint, vm.clock.now_ms()) > 0
+
+
 def acquire_upstream(
     vm: Gateway, call: Call, results: tuple[Result, ...], tried: Collection[str]
 ) -> UpstreamState | None:
--- a/cuminstile/gateway/conversions.py
+++ b/cuminstile/gateway/conversions.py
@@ -96,6 +96,7 @@
         completed=tuple(
             completed_from_entry(item, now_ms) for item in message.completed
         ),
+        digest=message.digest,
     )
 
 
@@ -118,4 +119,5 @@
         ),
         again,
         tuple(completed_to_entry(item, now_ms) for item in spec.completed),
+        spec.digest,
     )
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -23,6 +23,7 @@
     store_calls_total: Counter
     upstream_list_age_ms: Gauge
     store_reader: Gauge
+    crashes_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -77,4 +78,9 @@
             "Whether this VM reads a topic of the store for others, by topic",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_gateway_cut_off_total",
+            "Requests whose upstream ended the connection as they ran, by service",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -8,9 +8,10 @@
 
 from ..events import Event
 from ..exceptions import CuminstileError
+from .crash_sharing import on_suspect_update, send_suspects
 from .hubs import heartbeat_targets
 from .membership import is_address
-from .messages import CODEC, Heartbeat, TopicUpdate
+from .messages import CODEC, Heartbeat, SuspectUpdate, TopicUpdate
 from .state import Gateway
 from .updates import on_update
 
@@ -52,6 +53,8 @@
             self.on_heartbeat(message)
         elif isinstance(message, TopicUpdate):
             on_update(self.vm, message)
+        elif isinstance(message, SuspectUpdate) and is_address(message.address):
+            on_suspect_update(self.vm, message)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat; answer it if the VM is new, restarted or back."""
@@ -64,6 +67,7 @@
                 incarnation=heartbeat.incarnation,
             )
             self.send(heartbeat.address, CODEC.encode(self.vm.own_heartbeat()))
+            send_suspects(self.vm, heartbeat.address)
 
     def send(self, address: str, data: bytes) -> None:
         """Send a message to `host:port`."""
--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -39,11 +39,14 @@
     ----------
     sent : bool
         Whether bytes of the request may have reached the peer.
+    ended_by_peer : bool
+        Whether the peer closed or reset the connection.
     """
 
-    def __init__(self, message: str, sent: bool) -> None:
+    def __init__(self, message: str, sent: bool, ended_by_peer: bool = False) -> None:
         super().__init__(message)
         self.sent = sent
+        self.ended_by_peer = ended_by_peer
 
 
 class NoListenerError(ConnectionLostError):
@@ -97,6 +100,8 @@
     `requests` counts the requests that were sent on the connection. `answered` is true
     once the complete answer to the last request was returned. Until then its remaining
     bytes may arrive late or never, so the connection must not carry another request.
+    `ended_by_peer` is true if the peer closed or reset the connection, as its process
+    does when it ends.
     """
 
     def __init__(self) -> None:
@@ -117,6 +122,8 @@
         self.answered = False
         self.lost: str | None = None
         self.peer_sent_eof = False
+        self.ended_by_peer = False
+        self.opened_ms = 0.0
         self.keep_alive = True
         self.keep_alive_ms = DEFAULT_KEEP_ALIVE_MS * KEEP_ALIVE_SHARE
         self.idle_since_ms = 0.0
@@ -168,6 +175,7 @@
             self.keep_alive = False
             self.enqueue(AnswerEnd())
         if self.lost is None:
+            self.ended_by_peer = exc is None or isinstance(exc, ConnectionError)
             self.lost = (
                 "closed by the peer" if exc is None else f"connection broke: {exc}"
             )
@@ -245,7 +253,7 @@
         """
         while not self.incoming:
             if self.lost is not None:
-                raise ConnectionLostError(self.lost, self.sent)
+                raise ConnectionLostError(self.lost, self.sent, self.ended_by_peer)
             self.waiter = asyncio.get_running_loop().create_future()
             await self.waiter
         item = self.incoming.popleft()
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -93,6 +93,8 @@
     completed : tuple of CompletedItemEntry
         Work items that the previous scheduler completed before it handed the request
         over.
+    digest : bytes
+        See `crash_guard.digest_of`; empty from a build that has none.
     """
 
     call: int
@@ -106,6 +108,7 @@
     stages: tuple[StageWork, ...]
     again: bool
     completed: tuple[CompletedItemEntry, ...]
+    digest: bytes = b""
 
 
 @dataclass(frozen=True)
@@ -253,6 +256,54 @@
     back_end: int
 
 
+@dataclass(frozen=True)
+class CrashEntry(Message):
+    """A crash of an upstream process, and the time since then."""
+
+    process: str
+    age_ms: float
+
+
+@dataclass(frozen=True)
+class SuspectEntry(Message):
+    """What is known of a request that may crash upstreams.
+
+    See `crash_suspects.Suspect`; times are in ms from now, negative if they are past.
+
+    Parameters
+    ----------
+    cleared_age_ms : float
+        Time since the request was cleared, negative if it was not.
+    """
+
+    fingerprint: bytes
+    service: str
+    crashes: tuple[CrashEntry, ...]
+    trial_crashes: int
+    trial_left_ms: float
+    quarantine_left_ms: float
+    quarantines: int
+    left_ms: float
+    cleared_age_ms: float
+
+
+@dataclass(frozen=True)
+class SuspectUpdate(Message):
+    """Report requests that may crash upstreams; sent as one datagram.
+
+    Parameters
+    ----------
+    address : str
+        The sender.
+    survivors : tuple of str
+        Upstream processes that turned out to be alive after a supposed crash.
+    """
+
+    address: str
+    entries: tuple[SuspectEntry, ...]
+    survivors: tuple[str, ...]
+
+
 CODEC = make_data_codec(
     (
         (1, Heartbeat),
@@ -267,6 +318,7 @@
         (20, TopicRequest),
         (21, TopicResponse),
         (22, TopicUpdate),
+        (23, SuspectUpdate),
     )
 )
 REPLIES = (ChainAdmitted, ChainDone, ChainMoved, ChainRefused, TopicResponse)
--- a/cuminstile/gateway/refusals.py
+++ b/cuminstile/gateway/refusals.py
@@ -13,6 +13,9 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that assure the caller that its request has not run and never will."""
+STATUS = {**HTTP_STATUS, ErrorCode.QUARANTINED: 500}
+"""Statuses of the gateway. A quarantined request is well formed and allowed, so it gets
+no 4xx: callers' own errors are counted apart."""
 DEFAULT_RETRY_MS = 300.0
 """Default time after which a caller may retry."""
 
@@ -42,7 +45,7 @@
 
 def correct_refusal(refusal: Refusal, maybe_ran: bool) -> Refusal:
     """Return the refusal, without a "not run" status if the request may have run."""
-    if maybe_ran and HTTP_STATUS[refusal.code] in NOT_RUN_STATUSES:
+    if maybe_ran and STATUS[refusal.code] in NOT_RUN_STATUSES:
         return Refusal(ErrorCode.UPSTREAM_FAILED, refusal.message)
     return refusal
 
@@ -60,7 +63,7 @@
     route_name: str,
 ) -> None:
     """Answer a request with the reason for its refusal and the time to retry."""
-    status = HTTP_STATUS[refusal.code]
+    status = STATUS[refusal.code]
     headers = [(b"Content-Type", b"application/json")]
     if refusal.retry_after_ms is not None and status in (429, 503):
         seconds = refusal.retry_after_ms / 1000.0
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -12,6 +12,7 @@
 
 from ..events import Event
 from ..supervision import run_with_restarts
+from .crash_sharing import run_crash_sharing_loop
 from .heartbeats import HeartbeatSocket, open_heartbeats, run_heartbeat_loop
 from .http_server import CallerConnection, Request, Server, listen
 from .leaving import drain
@@ -99,6 +100,7 @@
             lambda: run_heartbeat_loop(vm, heartbeats),
             lambda: run_housekeeping_loop(vm, server, log),
             lambda: run_topic_sync_loop(vm),
+            lambda: run_crash_sharing_loop(vm),
             vm.scheduler.run_dispatch_loop,
             vm.scheduler.run_free_loop,
         ]
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from ..events import Event
+from .crash_guard import record_survivor
 from .event_stream import AnswerProgress, EventTooLargeError
 from .http_client import (
     MAX_BODY_BYTES,
@@ -76,6 +77,8 @@
         Latency target: the answer has its full value until then.
     expires_at_ms : float
         When the wait ends, by the caller's deadline or the operator's limit.
+    digest : bytes
+        See `crash_state.digest_of`; empty for a request that is not guarded.
     """
 
     request: Request
@@ -87,6 +90,7 @@
     priority: int
     target_at_ms: float
     expires_at_ms: float
+    digest: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +114,10 @@
         The list of upstreams from which the upstream was chosen.
     sent : bool
         Whether a byte of the request may have reached the upstream.
+    on_trial : bool
+        Whether the request is suspected to crash upstreams.
+    crashed : bool
+        Whether the upstream ended the connection before the answer was complete.
     timeout : asyncio.Timeout or None
         When the send is cancelled; extended for a stream that has begun.
     """
@@ -120,6 +128,8 @@
     failure: Failure | None = None
     detail: str = ""
     sent: bool = False
+    on_trial: bool = False
+    crashed: bool = False
     timeout: asyncio.Timeout | None = None
     on_running: Callable[[], None] = field(default=lambda: None)
 
@@ -154,6 +164,7 @@
         connection = vm.pool.acquire(state.info.id, started_ms)
         if connection is None:
             connection = await open_connection(state.info.address)
+            connection.opened_ms = vm.clock.now_ms()
         await send_on_connection(
             vm, call, state, inputs, connection, send, mark_running
         )
@@ -166,8 +177,10 @@
         state.in_flight -= 1
         if tokens_counted:
             state.tokens_in_flight -= tokens
-        if connection is not None and connection.in_use:
-            connection.close("request cancelled")
+        if connection is not None:
+            send.crashed = send.outcome is Outcome.UNKNOWN and connection.ended_by_peer
+            if connection.in_use:
+                connection.close("request cancelled")
 
 
 async def send_on_connection(
@@ -195,6 +208,7 @@
     connection.send(data)
     send.sent = True
     head, fields = await receive_matching_head(vm, call, connection)
+    record_survivor(vm, state, connection.opened_ms)
     if fields.load is not None:
         record_load(state, fields.load, vm.clock.now_ms())
     if fields.not_run or head.status == 421:
--- a/cuminstile/gateway/staged_work.py
+++ b/cuminstile/gateway/staged_work.py
@@ -8,9 +8,11 @@
 from .accepting import next_event_by_ms
 from .chain import ChainSpec, ChainStage, Result
 from .choosing import preferred_upstream
+from .crash_guard import quarantined
 from .refusals import DEFAULT_RETRY_MS, Refusal
 from .sending import Call
 from .staged_results import ChainRefusedError, staged_results
+from .staging import QUARANTINED
 from .state import Gateway
 
 ENGINE_BASE_MS = 80.0
@@ -48,6 +50,8 @@
         async with asyncio.timeout(left_ms / 1000.0):
             results = await staged_results(vm, spec, recomputed)
     except ChainRefusedError as error:
+        if error.reason == QUARANTINED:
+            raise quarantined(stages[0].service) from error
         retry_ms = error.retry_after_ms or DEFAULT_RETRY_MS
         raise Refusal(ErrorCode.OVERLOADED, error.reason, retry_ms) from error
     except TimeoutError as error:
@@ -90,4 +94,5 @@
         expires_at_ms=expires_ms,
         engine_ms=engine_ms,
         stages=stages,
+        digest=call.digest,
     )
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -7,21 +7,28 @@
 from dataclasses import dataclass, field, replace
 
 from ..clock import Clock
+from ..crash_suspects import Suspicion
 from ..events import Event, Journal
 from .admission import Verdict, decide_admission, late_retry_after_ms
 from .batch_planner import BatchPlanner
 from .chain import Chain, ChainSpec, CompletedItem, Result, WorkItem, stage_times
+from .crash_state import CrashGuard, fingerprint_of
 from .handover import completed_items
 from .http_client import ConnectionLostError, NoListenerError
 from .model import Manifest
 from .returning_callers import ReturningCallers
 from .stage_calls import StageAnswer, StageCaller, by_upstream
+from .stage_crashes import StageCrashes
 from .stage_queue import Worker
 from .upstream_protocol import ItemRequest, StageFault, StageOutcome
 from .upstreams import UpstreamTable
 
+QUARANTINED = "quarantined"
+"""Refusal of a request whose work items crash upstreams."""
 REFUSED_PAUSE_MS = 60.0
 """Pause after an upstream refused a call because it was full; a fifth of a call."""
+STAGE_TRIAL_MS = 3_000.0
+"""How long other calls wait at most for the end of a request's call on trial."""
 LOST_PAUSE_MS = 500.0
 """Pause after the first failed call of an upstream; doubled after each further one."""
 LOST_PAUSE_MAX_MS = 4_000.0
@@ -79,6 +86,7 @@
     clock: Clock
     journal: Journal
     caller: StageCaller
+    guard: CrashGuard = field(default_factory=CrashGuard)
     planner: BatchPlanner = field(default_factory=BatchPlanner)
     replies: dict[str, Reply] = field(default_factory=dict)
     pauses: dict[str, float] = field(default_factory=dict)
@@ -91,6 +99,12 @@
     next_dispatch_ms: float = 0.0
     returning_callers: ReturningCallers = field(default_factory=ReturningCallers)
 
+    def __post_init__(self) -> None:
+        """Let the guard decide which items may run."""
+        self.crashes = StageCrashes(self.clock, self.journal, self.guard)
+        self.planner.may_run = self.crashes.may_run
+        self.planner.must_run_alone = self.crashes.must_run_alone
+
     def configure(self, manifest: Manifest, table: UpstreamTable) -> None:
         """Apply the services of a manifest and the upstreams of a table."""
         self.table = table
@@ -180,6 +194,7 @@
             for worker in queue.idle_workers(now_ms):
                 batch = self.planner.assign_batch(worker, now_ms)
                 if batch:
+                    self.crashes.begin_call(batch, STAGE_TRIAL_MS)
                     # Resolve the inputs now: they may be lost before the task runs.
                     self.start(self.run_call(worker, batch, self.item_requests(batch)))
         self.collect_released()
@@ -207,14 +222,20 @@
         list_age = self.table.age(started_ms)
         expected_ms = self.planner.queues[worker.service].call_time_ms(len(batch))
         answer: StageAnswer | None = None
+        crashed = False
         try:
             answer = await self.caller.run(worker, requests, expected_ms)
         except ConnectionLostError as error:
+            crashed = error.sent and error.ended_by_peer
             self.record_lost_upstream(worker, str(error))
             if isinstance(error, NoListenerError):
                 self.planner.forget_results(worker, self.clock.now_ms())
         now_ms = self.clock.now_ms()
         succeeded = answer is not None and answer.status == 200
+        if not crashed:
+            self.crashes.record_answer(batch, ran=succeeded)
+        elif self.crashes.record_crash(worker, batch):
+            self.end_quarantined()
         worker.record_call(
             expected_ms, now_ms - started_ms, now_ms, failed=not succeeded
         )
@@ -275,6 +296,19 @@
         self.planner.hand_over(chain)
         self.notify(chain, ChainAnswer(refusal="moved", moved=completed))
 
+    def end_quarantined(self) -> None:
+        """Refuse all chains that need an item which may not run any more."""
+        now_ms = self.clock.now_ms()
+        for chain in list(self.planner.chains.values()):
+            keys = (
+                fingerprint_of(chain.spec.digest, stage.service)
+                for stage in chain.spec.stages
+            )
+            states = {self.guard.table.get(key, now_ms) for key in keys}
+            if Suspicion.QUARANTINED in states:
+                self.planner.end(chain)
+                self.notify(chain, ChainAnswer(refusal=QUARANTINED))
+
     def item_requests(self, batch: list[WorkItem]) -> list[ItemRequest]:
         """Return the items of a batch as a call describes them."""
         now_ms = self.clock.now_ms()
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..events import Event, Journal
 from .connection_pool import ConnectionPool
+from .crash_state import CrashGuard
 from .duties import duty_order
 from .gateway_metrics import GatewayMetrics
 from .membership import Membership
@@ -126,6 +127,7 @@
     incarnation: str
     started_ms: int
     table: UpstreamTable = field(default_factory=UpstreamTable)
+    crash_guard: CrashGuard = field(default_factory=CrashGuard)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
--- a/cuminstile/platform/__main__.py
+++ b/cuminstile/platform/__main__.py
@@ -14,6 +14,7 @@
 from ..clock import Clock
 from ..events import Event, Journal
 from ..exceptions import CuminstileError
+from ..gateway.crash_state import CrashGuard
 from ..gateway.gateway_metrics import make_gateway_metrics
 from ..gateway.log_output import LogOutput, make_log_output
 from ..gateway.membership import Membership
@@ -38,7 +39,9 @@
 def make_gateway(settings: PlatformSettings, clock: Clock) -> Gateway:
     """Return the state of a VM that has not started yet."""
     journal = Journal(settings.gateway.name, clock)
-    scheduler = Scheduler(clock, journal, StageCaller(clock, PROTOCOL, STAGE_PROTOCOL))
+    guard = CrashGuard()
+    caller = StageCaller(clock, PROTOCOL, STAGE_PROTOCOL)
+    scheduler = Scheduler(clock, journal, caller, guard)
 
     def answer_request(request: TopicRequest) -> TopicResponse:
         topic = vm.topics.get(request.name)
@@ -61,6 +64,7 @@
         sessions=PeerSessions(clock, journal, scheduler, answer_request),
         incarnation=secrets.token_hex(6),
         started_ms=clock.wall_ms(),
+        crash_guard=guard,
     )
     return vm
 
--- a/tests/platform/crash_site.py
+++ b/tests/platform/crash_site.py
@@ -132,7 +132,8 @@
 def headers_for(target: str, attempt: str) -> dict[str, str]:
     """Return the headers of a request to a route."""
     if target.startswith(("/note", "/draft")):
-        return draft_fields(attempt, **{"Piece-Key": f"key-{attempt}"})
+        key = "poison" if attempt.startswith("p") else f"key-{attempt}"
+        return draft_fields(attempt, **{"Piece-Key": key})
     return fields(attempt)
 
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -54,3 +54,22 @@
     assert len(crash_site.crashes) <= MAX_CRASHES
     assert served >= SERVED_SHARE
     assert {answer and answer.status for answer in answers} <= {500, 502, 503}
+
+
+# Guards against running work items on and on that crash the upstreams of their stage.
+@pytest.mark.parametrize("crash_site", [1, 3], indirect=True)
+async def test_work_items_that_crash_upstreams_of_a_stage_are_stopped(
+    crash_site: CrashSite,
+) -> None:
+    await crash_site.fill("encode", UPSTREAMS)
+    await asyncio.sleep(2.0)
+    done = asyncio.Event()
+    others = asyncio.create_task(crash_site.send_others("/note/x", done, 0.05))
+    answers = await crash_site.send_poison("/note/x", SENDS, INTERVAL_S)
+    done.set()
+    served = served_share(await others)
+    assert crash_site.late_sends(CONTACT_S) <= MAX_LATE_SENDS
+    assert 1 <= len(crash_site.crashes) <= MAX_CRASHES
+    assert served >= SERVED_SHARE
+    assert answers[-1] is not None
+    assert answers[-1].status == 500
