Follow the list of upstreams past an odd record

An operator of a similar system saw VMs that stopped following the list at one odd entry of another writer. Here it could happen too. Cause: `without_sequence` writes a record again to compare it; the library reads 1,024 levels of nesting but writes 254, and the error ended the loop that follows the list, again with each restart. An address with a host name or '8_0' as its port was taken, and a key with a line break or beyond Latin-1 would have gone into a header. Evidence: the new tests failed before: one with the real program, and of the records' tests those for nesting, addresses and keys. Change: a record that can't be written again is compared as it is; an address is an IP address and a port, a key printable ASCII.

--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from ..gateway.membership import is_address
 from ..gateway.model import (
     BatchSpec,
     EngineSpec,
@@ -206,8 +207,8 @@
 def without_sequence(payload: bytes) -> bytes:
     """Return an upstream's record without its number, which each heartbeat changes.
 
-    A record that can't be read, or whose number is missing or of another type, is
-    returned as it is.
+    A record that can't be read or written again, or whose number is missing or of
+    another type, is returned as it is.
     """
     try:
         raw = orjson.loads(payload)
@@ -216,7 +217,11 @@
     if not isinstance(raw, dict) or type(raw.get("seq")) is not int:
         return payload
     raw["seq"] = 0
-    return orjson.dumps(raw, option=orjson.OPT_SORT_KEYS)
+    try:
+        return orjson.dumps(raw, option=orjson.OPT_SORT_KEYS)
+    except orjson.JSONEncodeError:
+        # Deeper nesting can be read than written.
+        return payload
 
 
 def upstream_of(upstream_id: str, raw: dict[str, Any]) -> Upstream:
@@ -225,9 +230,10 @@
     for name, value in text.items():
         if not isinstance(value, str) or not value:
             raise TypeError(f"{name} must be a non-empty string")
-    host, _, port = text["address"].rpartition(":")
-    if not host or not 0 < int(port) < 65_536:
-        raise ValueError("address must be host:port")
+    if not text["address"].isascii() or not is_address(text["address"]):
+        raise ValueError("address must be an IP address and a port")
+    if not upstream_id.isascii() or not upstream_id.isprintable():
+        raise ValueError("key must be printable ASCII")
     born = raw.get("born", 0)
     cold = raw.get("cold_remaining_ms", 0)
     for name, value in (("slots", raw["slots"]), ("seq", raw["seq"]), ("born", born)):
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -713,3 +713,13 @@
     ]
     assert len(calls) == 2
     assert site.upstreams["engine-1"].ran == ["a1"]
+
+
+# Guards against VMs that stop following the upstreams at an odd record among them.
+async def test_odd_record_of_another_writer_does_not_stop_the_list(site: Site) -> None:
+    odd = orjson.dumps({"seq": 1, "state": "ready"})[:-1]
+    nested = odd + b',"more":' + b"[" * 400 + b"]" * 400 + b"}"
+    await site.store.put(SERVER_TOPIC, "odd", nested)
+    await site.add_upstream("desk-3", "desk")
+    await until(lambda: "desk-3" in str(site.vms[0].events("upstream_changed")))
+    assert site.vms[0].events("internal_error") == []
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -7,7 +7,11 @@
 import orjson
 import pytest
 
-from cuminstile.platform.records import decode_upstream, without_sequence
+from cuminstile.platform.records import (
+    InvalidRecordError,
+    decode_upstream,
+    without_sequence,
+)
 
 
 def record(**changes: Any) -> bytes:
@@ -54,3 +58,44 @@
 )
 def test_record_that_names_no_upstream_stays_as_it_is(payload: bytes) -> None:
     assert without_sequence(payload) == payload
+
+
+NESTED = b"[" * 300 + b"]" * 300
+ODD_RECORDS = [
+    record()[:-1] + b',"more":' + NESTED + b"}",
+    record()[:-1] + b',"more":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    record()[:-1] + b',"more":1e999}',
+    record()[:-1] + b',"more":' + b"9" * 5_000 + b"}",
+    record(address="10.1.64.7:70000"),
+    record(address="10.1.64.7:" + "9" * 5_000),
+    record(address="10.1.64.7:8_0"),
+    record(address="no host:80"),
+    record(slots=[1]),
+    record(state=["ready"]),
+    record(cold_remaining_ms=1e308),
+]
+
+
+# Guards against VMs that stop following the upstreams at an odd record among them.
+@pytest.mark.parametrize("payload", ODD_RECORDS, ids=range(len(ODD_RECORDS)))
+def test_odd_record_stops_nobody_from_reading_the_others(payload: bytes) -> None:
+    without_sequence(payload)
+    try:
+        decode_upstream("u1", payload)
+    except InvalidRecordError:
+        return
+
+
+@pytest.mark.parametrize(
+    "address", ["10.1.64.7:70000", "10.1.64.7:0", "10.1.64.7:8_0", "host:80", ":80"]
+)
+def test_record_with_a_malformed_address_names_no_upstream(address: str) -> None:
+    with pytest.raises(InvalidRecordError):
+        decode_upstream("u1", record(address=address))
+
+
+# Guards against an id that can't be written into a header, or that adds one.
+@pytest.mark.parametrize("key", ["u\u20ac", "u\r\nTenant: other", "u\x00"])
+def test_record_with_an_unprintable_key_names_no_upstream(key: str) -> None:
+    with pytest.raises(InvalidRecordError):
+        decode_upstream(key, record())
