Let a copy of a refusal answer no other request

An operator of a similar system saw callers told 'not run, try again' for requests that ran, as a faulty upstream wrote an earlier refusal once more on a kept connection. Here it could happen too: a refusal without the id of its attempt was taken as the answer to whatever was sent next on the connection, and one with its id when the same attempt was sent there again. Evidence: three of the four new cases failed before (outcome not_run, although the request ran). Change: a connection is closed after a refusal without an id, and remembers the attempts refused on it, which are then sent on another one; calls of stages, which have no id, never reuse a connection after a refusal.

--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -19,6 +19,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes that may arrive without completing a final head, a part of a body or its end:
 heads, interim heads (1xx), trailers and chunk headers."""
+MAX_REFUSED_ATTEMPTS = 16
+"""Refused attempts that a connection remembers; it is closed after more."""
 MAX_BODY_BYTES = 2 * 1024 * 1024
 """Maximum size of a body that is buffered until it is complete."""
 HEAD_BUFFER_BYTES = 512
@@ -100,6 +102,7 @@
     `requests` counts the requests that were sent on the connection. `answered` is true
     once the complete answer to the last request was returned. Until then its remaining
     bytes may arrive late or never, so the connection must not carry another request.
+    `refused_attempts` holds the ids of attempts that were refused on the connection.
     `ended_by_peer` is true if the peer closed or reset the connection, as its process
     does when it ends.
     """
@@ -124,6 +127,7 @@
         self.peer_sent_eof = False
         self.ended_by_peer = False
         self.opened_ms = 0.0
+        self.refused_attempts: set[str] = set()
         self.keep_alive = True
         self.keep_alive_ms = DEFAULT_KEEP_ALIVE_MS * KEEP_ALIVE_SHARE
         self.idle_since_ms = 0.0
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -12,6 +12,7 @@
 from .event_stream import AnswerProgress, EventTooLargeError
 from .http_client import (
     MAX_BODY_BYTES,
+    MAX_REFUSED_ATTEMPTS,
     AnswerEnd,
     AnswerHead,
     AnswerTooLargeError,
@@ -162,6 +163,9 @@
     connection: HttpConnection | None = None
     try:
         connection = vm.pool.acquire(state.info.id, started_ms)
+        if connection and call.fields.attempt_id in connection.refused_attempts:
+            connection.close("the same attempt was refused on the connection")
+            connection = None
         if connection is None:
             connection = await open_connection(state.info.address)
             connection.opened_ms = vm.clock.now_ms()
@@ -212,7 +216,7 @@
     if fields.load is not None:
         record_load(state, fields.load, vm.clock.now_ms())
     if fields.not_run or head.status == 421:
-        await record_not_run(vm, state, connection, head, send)
+        await record_not_run(vm, state, connection, head, fields, send)
     elif not fields.sealed:
         send.detail = f"status {head.status} without a seal"
         connection.close(send.detail)
@@ -264,16 +268,25 @@
     state: UpstreamState,
     connection: HttpConnection,
     head: AnswerHead,
+    fields: AnswerFields,
     send: Send,
 ) -> None:
-    """Record that the upstream reports that it has not run the request."""
+    """Record that the upstream reports that it has not run the request.
+
+    The connection must carry no request that a copy of this refusal could answer.
+    """
     send.outcome = Outcome.INPUT_GONE if head.status == 409 else Outcome.NOT_RUN
     send.detail = f"status {head.status}, not run"
     if head.status in (429, 503):
         state.busy_until_ms = vm.clock.now_ms() + BUSY_MS
     try:
         await connection.receive_rest()
-        vm.pool.release(state.info.id, connection, vm.clock.now_ms())
+        connection.refused_attempts.add(fields.attempt_id)
+        refused = len(connection.refused_attempts)
+        if not fields.attempt_id or refused > MAX_REFUSED_ATTEMPTS:
+            connection.close("a copy of the refusal could answer another request")
+        else:
+            vm.pool.release(state.info.id, connection, vm.clock.now_ms())
     except ConnectionLostError as error:
         send.detail += f", then {error}"
 
--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -121,11 +121,14 @@
             connection.send(request)
             head = await connection.receive_head()
             body = await connection.receive_rest()
-            self.pool.release(key, connection, self.clock.now_ms())
+            fields = self.protocol.read_answer(head.status, head.headers)
+            if fields.not_run:
+                connection.close("a copy of the refusal could answer another call")
+            else:
+                self.pool.release(key, connection, self.clock.now_ms())
         except BaseException:
             connection.close("call aborted")
             raise
-        fields = self.protocol.read_answer(head.status, head.headers)
         outcomes: tuple[StageOutcome, ...] = ()
         if head.status == 200:
             outcomes = self.stage_protocol.read_outcomes(body)
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -71,9 +71,13 @@
 
 
 async def send(
-    vm: Gateway, address: str, attempt_id: str, kind: RouteKind = RouteKind.STREAM
+    vm: Gateway,
+    address: str,
+    attempt_id: str,
+    kind: RouteKind = RouteKind.STREAM,
+    progress: AnswerProgress | None = None,
 ) -> Sent:
-    """Send one request to an upstream at an address."""
+    """Send one request to an upstream at an address, or go on with a stream."""
     caller = FakeCaller()
     out: Any = caller
     now_ms = vm.clock.now_ms()
@@ -82,7 +86,7 @@
         Request(b"POST", b"/x", headers, b"", now_ms),
         out,
         CallFields(attempt_id, DEADLINE_MS, None, 0, 0, (), (), ""),
-        make_route("/x/", kind=kind),
+        make_route("/x/", kind=kind, resumable=progress is not None),
         Service("s", 50),
         None,
         0,
@@ -90,7 +94,7 @@
         now_ms + DEADLINE_MS,
     )
     state = UpstreamState(replace(make_upstream("u1"), address=address))
-    attempt = Send(AnswerProgress(), UpstreamListAge(0, 0.0))
+    attempt = Send(progress or AnswerProgress(), UpstreamListAge(0, 0.0))
     await send_with_timeout(vm, call, state, (), attempt, FIRST_EVENT_MS)
     return Sent(attempt.outcome, caller)
 
@@ -172,3 +176,49 @@
             assert sent.outcome is Outcome.FORWARDED
             assert sent.caller.body == b"a%d" % number
         assert len(begun) == 1
+
+
+REFUSAL = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n"
+
+
+def refusing_twice(id_header: bytes) -> Session:
+    """Return a session that writes its refusal of a request once more for the next."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        first = await read_id(reader)
+        writer.write(REFUSAL % (id_header % first if id_header else b""))
+        second = await read_id(reader)
+        writer.write(REFUSAL % (id_header % first if id_header else b""))
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (second, len(second), second)
+        )
+        await reader.read()
+
+    return session
+
+
+async def answering(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    name = await read_id(reader)
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (name, len(name), name)
+    )
+    await reader.read()
+
+
+# Guards against "not run" for a request that runs, by a copy of an earlier refusal.
+@pytest.mark.parametrize("id_header", [b"", b"Attempt-Id: %s\r\n"])
+@pytest.mark.parametrize("second_id", ["a1", "a2"])
+async def test_copy_of_a_refusal_answers_no_other_send(
+    id_header: bytes, second_id: str
+) -> None:
+    vm = make_vm(Clock())
+    async with serving(refusing_twice(id_header), answering) as (address, _):
+        refused = await send(vm, address, "a1", RouteKind.ONCE)
+        assert refused.outcome is Outcome.NOT_RUN
+        sent = await send(vm, address, second_id, RouteKind.ONCE)
+    assert sent.outcome is Outcome.FORWARDED
+    assert sent.caller.body == second_id.encode()
