Go on with a broken stream by its next event alone

An operator of a similar system saw an error's text in the middle of streams, and streams that ended as if complete, when the next upstream answered with an error. Answers with a failing status or without a seal did no harm here; a sealed 200 of another content type, a 206, and events that the caller had received already were forwarded, and the stream then ended as complete. Change: an answer goes on with a stream only with status 200 and event-stream as its type, if it states one; an event whose number is not higher than the last one sent ends the run.

--- a/cuminstile/gateway/event_stream.py
+++ b/cuminstile/gateway/event_stream.py
@@ -13,6 +13,8 @@
 """Length of the longest event delimiter."""
 MAX_EVENT_BYTES = 256 * 1024
 """Maximum size of one event: far more than an event with tokens needs."""
+MAX_NUMBER_DIGITS = 18
+"""Longest id of an event that is compared as a number."""
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -23,6 +25,13 @@
         super().__init__(f"event exceeds {MAX_EVENT_BYTES} bytes")
 
 
+class EventOrderError(Exception):
+    """A run begins with an event that the caller has received already."""
+
+    def __init__(self, event: str) -> None:
+        super().__init__(f"event {event[:40]!r} was sent before")
+
+
 @dataclass
 class AnswerProgress:
     """How much of an answer was sent to the caller.
@@ -60,6 +69,8 @@
 
         Raises
         ------
+        EventOrderError
+            If an id is not higher than that of an event that was sent.
         EventTooLargeError
             If an event exceeds the size limit.
         """
@@ -69,11 +80,26 @@
         complete, self.partial = data[:end], data[end:]
         if len(self.partial) > MAX_EVENT_BYTES:
             raise EventTooLargeError
-        ids = EVENT_ID.findall(complete)
+        ids = [name.decode("latin-1") for name in EVENT_ID.findall(complete)]
         if ids:
-            self.last_event = ids[-1].decode("latin-1")
+            self.check_order(ids[0])
+            self.last_event = ids[-1]
         return complete
 
+    def check_order(self, event: str) -> None:
+        """Check that an event follows the last one; ids that are no numbers can't be.
+
+        Raises
+        ------
+        EventOrderError
+            If it doesn't.
+        """
+        last = self.last_event or ""
+        if max(len(last), len(event)) > MAX_NUMBER_DIGITS:
+            return
+        if last.isdecimal() and event.isdecimal() and int(event) <= int(last):
+            raise EventOrderError(event)
+
     def check_event_size(self, data: bytes) -> None:
         """Check the size of the current event of a stream that is forwarded unbuffered.
 
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -9,7 +9,7 @@
 
 from ..events import Event
 from .crash_guard import record_survivor
-from .event_stream import AnswerProgress, EventTooLargeError
+from .event_stream import AnswerProgress, EventOrderError, EventTooLargeError
 from .http_client import (
     MAX_BODY_BYTES,
     MAX_REFUSED_ATTEMPTS,
@@ -37,6 +37,7 @@
 
 MAX_OTHER_ANSWERS = 16
 """Answers to other requests that are dropped before the connection is closed."""
+EVENT_STREAM_TYPE = b"text/event-stream"
 HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -227,6 +228,10 @@
         send.failure = Failure(head.status, end_to_end_headers(head.headers), body)
         send.detail = f"status {head.status}"
         send.outcome = Outcome.FAILED
+    elif send.answer.begun and not continues_stream(head):
+        send.detail = f"status {head.status}, does not go on with the stream"
+        connection.close(send.detail)
+        send.outcome = Outcome.UNKNOWN
     elif call.route.kind is RouteKind.STREAM or (head.length or 0) > MAX_BODY_BYTES:
         await stream_answer(vm, call, state, connection, head, send, mark_running)
     else:
@@ -235,6 +240,12 @@
         record_success(state, vm.clock.now_ms() - now_ms)
 
 
+def continues_stream(head: AnswerHead) -> bool:
+    """Return whether an answer can go on with a stream that has begun."""
+    kind = head.get(b"content-type") or EVENT_STREAM_TYPE
+    return head.status == 200 and kind.startswith(EVENT_STREAM_TYPE)
+
+
 async def receive_matching_head(
     vm: Gateway, call: Call, connection: HttpConnection
 ) -> tuple[AnswerHead, AnswerFields]:
@@ -336,7 +347,7 @@
             if isinstance(item, bytes):
                 mark_running()
                 await call.out.write(forwardable_bytes(call, answer, item))
-    except (ConnectionLostError, EventTooLargeError) as error:
+    except (ConnectionLostError, EventTooLargeError, EventOrderError) as error:
         answer.drop_partial()
         send.detail = f"stream interrupted: {error}"
         send.outcome = Outcome.UNKNOWN
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -222,3 +222,58 @@
         sent = await send(vm, address, second_id, RouteKind.ONCE)
     assert sent.outcome is Outcome.FORWARDED
     assert sent.caller.body == second_id.encode()
+
+
+def after_a_break(head: bytes, body: bytes) -> Session:
+    """Return a session that answers a resumed stream with something else."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        name = await read_id(reader)
+        start = b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\n" % (head, name)
+        writer.write(start + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+        await writer.drain()
+        await reader.read()
+
+    return session
+
+
+SEAL = b"\r\nResponse-Seal: s"
+EVENT_STREAM = b"\r\nContent-Type: text/event-stream"
+
+
+# Guards against an error's text in the middle of a stream, or a stream that looks
+# complete, or events that come twice, after it broke off and another upstream answered.
+@pytest.mark.parametrize(
+    ("head", "body"),
+    [
+        (b"500 Failed" + SEAL, b"Traceback"),
+        (b"503 Full", b"full"),
+        (b"200 OK", b"id: 3\ndata: x\n\n"),
+        (b"200 OK" + SEAL + b"\r\nContent-Type: application/json", b'{"error": 1}'),
+        (b"206 Partial" + SEAL + EVENT_STREAM, b"id: 3\ndata: x\n\n"),
+        (b"200 OK" + SEAL + EVENT_STREAM, b"id: 2\ndata: x\n\n"),
+        (b"200 OK" + SEAL + EVENT_STREAM, b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"),
+    ],
+)
+async def test_resumed_stream_goes_on_with_its_next_event_alone(
+    head: bytes, body: bytes
+) -> None:
+    vm = make_vm(Clock())
+    progress = AnswerProgress(begun=True, last_event="2")
+    async with serving(after_a_break(head, body)) as (address, _):
+        sent = await send(vm, address, "a1", progress=progress)
+    assert sent.caller.body == b""
+    assert not sent.caller.finished
+    assert sent.outcome is not Outcome.FORWARDED
+
+
+async def test_resumed_stream_that_goes_on_is_forwarded() -> None:
+    vm = make_vm(Clock())
+    progress = AnswerProgress(begun=True, last_event="2")
+    rest = b"id: 3\ndata: x\n\n"
+    session = after_a_break(b"200 OK" + SEAL + EVENT_STREAM, rest)
+    async with serving(session) as (address, _):
+        sent = await send(vm, address, "a1", progress=progress)
+    assert (sent.caller.body, sent.caller.finished) == (rest, True)
