--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -9,10 +9,12 @@
 import anyio
 
 from cuminstile.clock import VirtualClock
+from cuminstile.gateway.crash_sharing import on_suspect_update, send_suspects
 from cuminstile.gateway.following import StoreCallError, follow_topic
 from cuminstile.gateway.hubs import heartbeat_targets
 from cuminstile.gateway.messages import (
     CODEC,
+    SuspectUpdate,
     TopicRequest,
     TopicResponse,
     TopicUpdate,
@@ -180,8 +182,12 @@
         message = CODEC.decode(data)
         if address in self.dead or self.datagrams in self.lost:
             return
-        assert isinstance(message, TopicUpdate)
-        if message.address not in self.dead and self.path(message.address, address):
+        assert isinstance(message, TopicUpdate | SuspectUpdate)
+        if message.address in self.dead or not self.path(message.address, address):
+            return
+        if isinstance(message, SuspectUpdate):
+            on_suspect_update(self.vms[address], message)
+        else:
             on_update(self.vms[address], message)
 
     def path(self, one: str, other: str) -> bool:
@@ -212,6 +218,7 @@
             if receiver.membership.record_heartbeat(own, now_ms):
                 answer = receiver.own_heartbeat()
                 vm.membership.record_heartbeat(answer, now_ms)
+                send_suspects(receiver, own.address)
 
     async def run_heartbeats(self) -> None:
         """Exchange heartbeats without end."""
