Send nothing to an upstream that says it leaves or wants nothing for a while

Change: words go into the table of upstreams that all choices read, by process, so that only a new start ends them; the longest time counts; checked once more right before a send. Stages' calls read and keep them too. A refusal while all upstreams are closed says when the first one opens. Values that are negative, a date or no number count as absent; at most an hour is believed.

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -134,6 +134,7 @@
     try:
         await send_with_timeout(vm, call, state, inputs, send, limit_ms)
     finally:
+        send.crashed |= send.outcome is Outcome.UNKNOWN and is_gone(vm, state)
         ran = send.outcome in (Outcome.FORWARDED, Outcome.FAILED)
         end_send(vm, call, state, send.crashed, ran, on_trial)
     record_send(vm, call, state, send)
@@ -147,6 +148,14 @@
     return send
 
 
+def is_gone(vm: Gateway, state: UpstreamState) -> bool:
+    """Return whether an upstream's process ended without having announced it."""
+    known = vm.table.states.get(state.info.id)
+    if known is None:
+        return not state.info.leaving
+    return known.info.started_ms != state.info.started_ms
+
+
 async def replace_lost_results(vm: Gateway, call: Call, progress: Progress) -> None:
     """Recompute the stages because a result was lost.
 
@@ -205,7 +214,7 @@
     if (
         not call.route.repeatable
         or progress.runs + 1 >= call.route.max_attempts
-        or len(vm.table.usable(service)) <= left_out
+        or len(vm.table.open(service, vm.clock.now_ms())) <= left_out
         or vm.retries.remaining(service, vm.vm_count(), vm.clock.now_ms()) < 1
     ):
         return left_ms
@@ -241,7 +250,8 @@
         raise StreamBrokenError(progress.detail)
     failure = progress.failure
     if failure is None:
-        raise no_upstream(progress.runs > 0)
+        opens_in_ms = vm.table.opens_in_ms(call.service.name, vm.clock.now_ms())
+        raise no_upstream(progress.runs > 0, opens_in_ms)
     await call.out.write_answer(failure.status, failure.headers, failure.body)
     vm.metrics.requests_total.inc({"route": call.route.name, "result": "failed"})
 
--- a/cuminstile/gateway/choosing.py
+++ b/cuminstile/gateway/choosing.py
@@ -38,7 +38,7 @@
         Ids of upstreams to exclude.
     """
     now_ms = vm.clock.now_ms()
-    usable = vm.table.usable(call.service.name)
+    usable = vm.table.open(call.service.name, now_ms)
     if call.service.engine is not None and not has_crashed(vm, call):
         sizes = input_bytes(results)
         cost = session_cost(call.fields.parts, usable, sizes, now_ms)
--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -12,10 +12,10 @@
 from ..crash_suspects import Suspicion
 from ..events import Event
 from ..exceptions import ErrorCode
-from .crash_state import fingerprint_of, process_of
+from .crash_state import fingerprint_of
 from .refusals import Refusal
 from .state import Gateway
-from .upstreams import UpstreamState
+from .upstreams import UpstreamState, process_of
 
 if TYPE_CHECKING:
     from .sending import Call
--- a/cuminstile/gateway/crash_state.py
+++ b/cuminstile/gateway/crash_state.py
@@ -61,8 +61,3 @@
     """Return the key of a request at the upstreams of one service."""
     text = service.encode()
     return hashlib.blake2b(text, key=digest, digest_size=DIGEST_BYTES).digest()
-
-
-def process_of(upstream_id: str, started_ms: int) -> str:
-    """Return the name of one process of an upstream."""
-    return f"{upstream_id}@{started_ms}"
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -24,6 +24,7 @@
     upstream_list_age_ms: Gauge
     store_reader: Gauge
     crashes_total: Counter
+    words_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -83,4 +84,9 @@
             "Requests whose upstream ended the connection as they ran, by service",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_gateway_upstream_words_total",
+            "Upstreams that said that they leave or want no requests, by service",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/refusals.py
+++ b/cuminstile/gateway/refusals.py
@@ -36,11 +36,18 @@
     return Refusal(ErrorCode.DEADLINE_TOO_SHORT, "not run in time", DEFAULT_RETRY_MS)
 
 
-def no_upstream(maybe_ran: bool) -> Refusal:
-    """Return the refusal of a request for which no upstream is available."""
+def no_upstream(maybe_ran: bool, opens_in_ms: float | None = None) -> Refusal:
+    """Return the refusal of a request for which no upstream is available.
+
+    Parameters
+    ----------
+    opens_in_ms : float or None
+        When an upstream wants requests again, if all have said that they want none.
+    """
     if maybe_ran:
         return Refusal(ErrorCode.UPSTREAM_FAILED, "no upstream answered")
-    return Refusal(ErrorCode.NO_UPSTREAM, "no usable upstream", DEFAULT_RETRY_MS)
+    retry_ms = opens_in_ms or DEFAULT_RETRY_MS
+    return Refusal(ErrorCode.NO_UPSTREAM, "no usable upstream", retry_ms)
 
 
 def correct_refusal(refusal: Refusal, maybe_ran: bool) -> Refusal:
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -22,13 +22,14 @@
     render_request,
 )
 from .http_server import CallerConnection, Request
-from .model import Organisation, Route, RouteKind, Service
+from .model import Organisation, Route, RouteKind, Service, Upstream
 from .state import Gateway
 from .upstream_protocol import AnswerFields, CallFields, Dispatch, RawHeaders
 from .upstreams import (
     BUSY_MS,
     UpstreamListAge,
     UpstreamState,
+    process_of,
     record_failure,
     record_load,
     record_success,
@@ -176,7 +177,7 @@
     except ConnectionLostError as error:
         send.detail = str(error)
         send.outcome = Outcome.UNKNOWN if send.sent else Outcome.UNSENT
-        if not send.sent:
+        if not send.sent and vm.table.may_get(state, vm.clock.now_ms()):
             record_unreachable(state, vm.clock.now_ms())
     finally:
         state.in_flight -= 1
@@ -199,6 +200,8 @@
 ) -> None:
     """Send the request on a connection and handle the answer."""
     now_ms = vm.clock.now_ms()
+    if not vm.table.may_get(state, now_ms):
+        raise ConnectionLostError("the upstream wants no requests now", sent=False)
     dispatch = Dispatch(
         state.info.id,
         max(1.0, call.expires_at_ms - now_ms),
@@ -212,7 +215,7 @@
     data = render_request(request.method, request.target, headers, request.body)
     connection.send(data)
     send.sent = True
-    head, fields = await receive_matching_head(vm, call, connection)
+    head, fields = await receive_matching_head(vm, call, state, connection)
     record_survivor(vm, state, connection.opened_ms)
     if fields.load is not None:
         record_load(state, fields.load, vm.clock.now_ms())
@@ -247,7 +250,7 @@
 
 
 async def receive_matching_head(
-    vm: Gateway, call: Call, connection: HttpConnection
+    vm: Gateway, call: Call, state: UpstreamState, connection: HttpConnection
 ) -> tuple[AnswerHead, AnswerFields]:
     """Return the head of the answer to this request; drop answers to other requests.
 
@@ -261,6 +264,8 @@
     for _ in range(MAX_OTHER_ANSWERS):
         head = await connection.receive_head()
         fields = vm.protocol.read_answer(head.status, head.headers)
+        if fields.leaving or fields.closed_ms:
+            record_words(vm, state.info, fields)
         if not call.fields.attempt_id or fields.attempt_id == call.fields.attempt_id:
             return head, fields
         if fields.not_run and not fields.attempt_id:
@@ -274,6 +279,29 @@
     raise AnswerTooLargeError(f"received {MAX_OTHER_ANSWERS} answers to other requests")
 
 
+def record_words(vm: Gateway, info: Upstream, fields: AnswerFields) -> None:
+    """Record what an upstream says of itself in an answer."""
+    now_ms = vm.clock.now_ms()
+    process = process_of(info.id, info.started_ms)
+    if fields.leaving and vm.table.record_left(process, now_ms):
+        record_word(vm, info, "leaving", 0.0)
+    closed_until_ms = now_ms + fields.closed_ms
+    if fields.closed_ms and vm.table.record_closed(process, closed_until_ms):
+        record_word(vm, info, "closed", fields.closed_ms)
+
+
+def record_word(vm: Gateway, info: Upstream, word: str, for_ms: float) -> None:
+    """Log and count a word of an upstream that is new."""
+    vm.metrics.words_total.inc({"service": info.service, "word": word})
+    vm.journal.record(
+        Event.UPSTREAM_SAID,
+        upstream=info.id,
+        service=info.service,
+        word=word,
+        for_ms=round(for_ms),
+    )
+
+
 async def record_not_run(
     vm: Gateway,
     state: UpstreamState,
--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -42,11 +42,17 @@
         Whether the upstream states that it has not run the call.
     outcomes : tuple of StageOutcome
         The outcome of each item, empty unless the status is 200.
+    leaving : bool
+        Whether the upstream states that it is shutting down.
+    closed_ms : float
+        For how long the upstream wants no calls, 0 if it says nothing.
     """
 
     status: int
     not_run: bool
     outcomes: tuple[StageOutcome, ...]
+    leaving: bool = False
+    closed_ms: float = 0.0
 
 
 @dataclass
@@ -132,7 +138,9 @@
         outcomes: tuple[StageOutcome, ...] = ()
         if head.status == 200:
             outcomes = self.stage_protocol.read_outcomes(body)
-        return StageAnswer(head.status, fields.not_run, outcomes)
+        return StageAnswer(
+            head.status, fields.not_run, outcomes, fields.leaving, fields.closed_ms
+        )
 
 
 def by_upstream(results: Sequence[Result]) -> dict[str, list[Result]]:
--- a/cuminstile/gateway/stage_crashes.py
+++ b/cuminstile/gateway/stage_crashes.py
@@ -13,8 +13,9 @@
 from ..crash_suspects import Suspicion
 from ..events import Event, Journal
 from .chain import WorkItem
-from .crash_state import CrashGuard, fingerprint_of, process_of
+from .crash_state import CrashGuard, fingerprint_of
 from .stage_queue import Worker
+from .upstreams import process_of
 
 
 @dataclass
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -21,7 +21,7 @@
 from .stage_crashes import StageCrashes
 from .stage_queue import Worker
 from .upstream_protocol import ItemRequest, StageFault, StageOutcome
-from .upstreams import UpstreamTable
+from .upstreams import UpstreamTable, process_of
 
 QUARANTINED = "quarantined"
 """Refusal of a request whose work items crash upstreams."""
@@ -232,6 +232,8 @@
                 self.planner.forget_results(worker, self.clock.now_ms())
         now_ms = self.clock.now_ms()
         succeeded = answer is not None and answer.status == 200
+        if answer is not None:
+            self.record_words(worker, answer)
         if not crashed:
             self.crashes.record_answer(batch, ran=succeeded)
         elif self.crashes.record_crash(worker, batch):
@@ -391,7 +393,8 @@
 
     def record_refused_call(self, worker: Worker, status: int, not_run: bool) -> None:
         """Log a refused call and pause its upstream; status 421 excludes it."""
-        worker.available_at_ms = self.clock.now_ms() + REFUSED_PAUSE_MS
+        pause_end_ms = self.clock.now_ms() + REFUSED_PAUSE_MS
+        worker.available_at_ms = max(worker.available_at_ms, pause_end_ms)
         if status == 421:
             worker.usable = False
         self.journal.record(
@@ -402,6 +405,31 @@
             not_run=not_run,
         )
 
+    def record_words(self, worker: Worker, answer: StageAnswer) -> None:
+        """Record what an upstream says of itself in the answer to a call."""
+        now_ms = self.clock.now_ms()
+        process = process_of(worker.id, worker.started_ms)
+        if answer.leaving:
+            worker.usable = False
+            if self.table.record_left(process, now_ms):
+                self.record_word(worker, "leaving", 0.0)
+        if answer.closed_ms:
+            until_ms = now_ms + answer.closed_ms
+            if self.table.record_closed(process, until_ms):
+                self.record_word(worker, "closed", answer.closed_ms)
+        closed_until_ms = self.table.closed_until_ms.get(process, 0.0)
+        worker.available_at_ms = max(worker.available_at_ms, closed_until_ms)
+
+    def record_word(self, worker: Worker, word: str, for_ms: float) -> None:
+        """Log a word of an upstream that is new."""
+        self.journal.record(
+            Event.UPSTREAM_SAID,
+            upstream=worker.id,
+            service=worker.service,
+            word=word,
+            for_ms=round(for_ms),
+        )
+
     async def run_dispatch_loop(self) -> None:
         """Drop infeasible chains and dispatch waiting items, without end."""
         while True:
--- a/cuminstile/gateway/upstream_protocol.py
+++ b/cuminstile/gateway/upstream_protocol.py
@@ -76,12 +76,18 @@
         Whether the upstream states that it has not run the request.
     load : tuple of int or None
         Running requests, waiting requests and slots.
+    leaving : bool
+        Whether the upstream states that it is shutting down.
+    closed_ms : float
+        For how long the upstream wants no requests of this VM, 0 if it says nothing.
     """
 
     attempt_id: str
     sealed: bool
     not_run: bool
     load: tuple[int, int, int] | None
+    leaving: bool = False
+    closed_ms: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -28,6 +29,15 @@
 """Cost of another data centre in the choice, as a share of one slot."""
 
 
+MAX_WORDS = 1_024
+"""Processes of upstreams whose own words are remembered, of each kind."""
+
+
+def process_of(upstream_id: str, started_ms: int) -> str:
+    """Return the name of one process of an upstream."""
+    return f"{upstream_id}@{started_ms}"
+
+
 @dataclass(slots=True)
 class UpstreamState:
     """State of one upstream as seen by this VM; times are monotonic ms.
@@ -84,6 +94,10 @@
         The offset in the store's log after the last record read, -1 before the first.
     confirmed_ms : float
         Monotonic time at which that was last known to be the newest.
+    left : OrderedDict of str to float
+        When processes of upstreams said themselves that they leave, in monotonic ms.
+    closed_until_ms : OrderedDict of str to float
+        Until when processes of upstreams want no requests of this VM.
     taken_out : frozenset of str
         Data centres that get no new requests.
     held_back : dict of str to str
@@ -93,6 +107,8 @@
     states: dict[str, UpstreamState] = field(default_factory=dict)
     version: int = -1
     confirmed_ms: float = 0.0
+    left: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    closed_until_ms: OrderedDict[str, float] = field(default_factory=OrderedDict)
     taken_out: frozenset[str] = frozenset()
     held_back: dict[str, str] = field(default_factory=dict)
 
@@ -126,20 +142,78 @@
         return gone
 
     def usable(self, service: str) -> list[UpstreamState]:
-        """Return the upstreams of a service that can get new requests.
+        """Return the upstreams of a service that get new requests, now or soon.
 
         Unconfirmed ones are included only if there are no others.
         """
         usable = [
             state
             for state in self.states.values()
-            if state.info.service == service
-            and not state.info.leaving
-            and state.info.data_centre not in self.taken_out
-            and state.info.version != self.held_back.get(service)
+            if state.info.service == service and self.is_usable(state)
         ]
         return [state for state in usable if not state.unconfirmed] or usable
 
+    def is_usable(self, state: UpstreamState) -> bool:
+        """Return whether an upstream may get new requests unless it is closed."""
+        info = state.info
+        return (
+            not info.leaving
+            and process_of(info.id, info.started_ms) not in self.left
+            and info.data_centre not in self.taken_out
+            and info.version != self.held_back.get(info.service)
+        )
+
+    def open(self, service: str, now_ms: float) -> list[UpstreamState]:
+        """Return the upstreams of a service that get new requests now."""
+        usable = self.usable(service)
+        if not self.closed_until_ms:
+            return usable
+        return [state for state in usable if self.closed_for_ms(state, now_ms) <= 0]
+
+    def closed_for_ms(self, state: UpstreamState, now_ms: float) -> float:
+        """Return how long an upstream still wants no requests of this VM."""
+        process = process_of(state.info.id, state.info.started_ms)
+        return self.closed_until_ms.get(process, 0.0) - now_ms
+
+    def opens_in_ms(self, service: str, now_ms: float) -> float | None:
+        """Return when the first upstream opens; None if one is open, or none is left.
+
+        The time is in ms from now.
+        """
+        left_ms = [self.closed_for_ms(state, now_ms) for state in self.usable(service)]
+        first_ms = min(left_ms, default=0.0)
+        return first_ms if first_ms > 0 else None
+
+    def may_get(self, state: UpstreamState, now_ms: float) -> bool:
+        """Return whether a request that was assigned to an upstream may be sent now."""
+        return self.is_usable(state) and self.closed_for_ms(state, now_ms) <= 0
+
+    def record_left(self, process: str, now_ms: float) -> bool:
+        """Record that a process says that it leaves; return whether that is new.
+
+        It holds for the process, whatever the list says of it: its next start is
+        another process.
+        """
+        if process in self.left:
+            return False
+        self.left[process] = now_ms
+        while len(self.left) > MAX_WORDS:
+            self.left.popitem(last=False)
+        return True
+
+    def record_closed(self, process: str, until_ms: float) -> bool:
+        """Record until when a process wants no requests; return whether it is longer.
+
+        A later word that ends sooner changes nothing.
+        """
+        if until_ms <= self.closed_until_ms.get(process, 0.0):
+            return False
+        self.closed_until_ms.pop(process, None)
+        self.closed_until_ms[process] = until_ms
+        while len(self.closed_until_ms) > MAX_WORDS:
+            self.closed_until_ms.popitem(last=False)
+        return True
+
 
 def record_success(state: UpstreamState, latency_ms: float) -> None:
     """Record an answer and its time; resets failures and ejections."""
--- a/cuminstile/platform/headers.py
+++ b/cuminstile/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..gateway.model import PromptPart
 from ..gateway.upstream_protocol import (
     AnswerFields,
@@ -24,6 +26,10 @@
 LAST_EVENT = b"last-event-id"
 RESPONSE_SEAL = b"response-seal"
 NOT_EXECUTED = b"not-executed"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
+MAX_RETRY_AFTER_MS = 3_600_000.0
+"""Longest time for which an upstream is believed to want no requests."""
 INSTANCE_LOAD = b"instance-load"
 """Running requests, waiting requests and slots: `R,W,S`."""
 EXPECT_INSTANCE = b"Expect-Instance"
@@ -155,9 +161,25 @@
         sealed=RESPONSE_SEAL in values,
         not_run=NOT_EXECUTED in values or status == 421,
         load=parse_load(values.get(INSTANCE_LOAD, b"")),
+        leaving=values.get(SERVER_LEAVING, b"").strip() == b"1",
+        closed_ms=parse_retry_after(values.get(RETRY_AFTER)) if status == 503 else 0.0,
     )
 
 
+def parse_retry_after(value: bytes | None) -> float:
+    """Return a time in seconds as ms, at most `MAX_RETRY_AFTER_MS`.
+
+    A value that is absent, negative, an HTTP date or no finite number counts as 0.
+    """
+    try:
+        seconds = float(value or b"")
+    except ValueError:
+        return 0.0
+    if not math.isfinite(seconds):
+        return 0.0
+    return min(MAX_RETRY_AFTER_MS, max(0.0, seconds * 1000.0))
+
+
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
     """Return the load that an upstream reports, None if it is absent or malformed."""
     numbers = value.split(b",")
--- a/standins/gateway_upstream.py
+++ b/standins/gateway_upstream.py
@@ -58,6 +58,10 @@
         Faults of the next requests; each request takes the first one.
     endless_bytes : int
         Number of bytes sent in responses without an end.
+    leaving : bool
+        Whether it says in each answer that it leaves.
+    closed_s : float
+        It refuses requests, and wants none for so long; 0 to serve them.
     crash_on : bytes
         The process ends when it begins to run a request whose body contains this.
     on_crash : callable
@@ -75,6 +79,8 @@
     endless_bytes: int = 0
     address: str = ""
     numbers: itertools.count[int] = field(default_factory=itertools.count)
+    leaving: bool = False
+    closed_s: float = 0.0
     crash_on: bytes = b""
     on_crash: Callable[[], None] = field(default=lambda: None)
     server: asyncio.Server | None = None
@@ -128,6 +134,13 @@
             return
         if self.faults and self.faults[0] in (Fault.ENDLESS_HEAD, Fault.ENDLESS_BODY):
             await self.answer_without_end(received, self.faults.pop(0), writer)
+        if self.closed_s:
+            writer.write(
+                b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry-After: %g\r\n"
+                b"Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                % (self.closed_s, received.headers.get("attempt-id", "").encode())
+            )
+            return
         if received.target == "/api/stage-run":
             await self.run_stage_items(received, writer)
             return
@@ -187,7 +200,11 @@
         status = 500 if fault is Fault.FAIL else 200
         length = None if fault is Fault.UNFRAMED else len(body)
         start = response_head(
-            status, attempt, length, has_seal=fault is not Fault.NO_SEAL
+            status,
+            attempt,
+            length,
+            has_seal=fault is not Fault.NO_SEAL,
+            leaving=self.leaving,
         )
         if fault is Fault.CUT:
             writer.write(start + body[:4])
@@ -207,7 +224,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Respond with an event stream that starts at event `first`."""
-        start = response_head(200, attempt, None, chunked=True)
+        start = response_head(200, attempt, None, chunked=True, leaving=self.leaving)
         writer.write(start)
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.work_s)
@@ -237,7 +254,8 @@
         ]
         body = orjson.dumps({"items": completed})
         writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b"
+            % (b"Server-Leaving: 1\r\n" if self.leaving else b"", len(body), body)
         )
 
 
@@ -247,11 +265,14 @@
     length: int | None,
     has_seal: bool = True,
     chunked: bool = False,
+    leaving: bool = False,
 ) -> bytes:
     """Return the head of a response."""
     lines = [f"HTTP/1.1 {status} Answer", f"Attempt-Id: {attempt}"]
     if has_seal:
         lines.append(f"Response-Seal: {RESPONSE_SEAL}.{attempt}")
+    if leaving:
+        lines.append("Server-Leaving: 1")
     if chunked:
         lines.append("Transfer-Encoding: chunked")
     elif length is not None:
