Count crashes under other requests on trial as explained, and split the sending of requests

Change: crashes under another request that crashed an upstream on trial are no unrelated ones. Types, forwarding and words of upstreams have modules of their own; the words are recorded by one function for requests and stages.

--- a/cuminstile/crash_suspects.py
+++ b/cuminstile/crash_suspects.py
@@ -186,12 +186,20 @@
         suspect.expires_ms = max(suspect.expires_ms, until_ms + SUSPICION_VALID_MS)
 
     def unrelated_crashes(self, suspect: Suspect) -> int:
-        """Return how many upstreams of the service crashed without a request."""
+        """Return how many upstreams of the service crashed for no known reason.
+
+        Those under this request, or under another one that crashed an upstream on
+        trial, don't count.
+        """
         since_ms = min(suspect.crashes.values(), default=0.0) - UNRELATED_MS
+        explained = set(suspect.crashes)
+        for other in self.by_fingerprint.values():
+            if other.trial_crashes:
+                explained.update(other.crashes)
         return sum(
             1
             for process, at_ms in self.ended_ms.get(suspect.service, {}).items()
-            if at_ms >= since_ms and process not in suspect.crashes
+            if at_ms >= since_ms and process not in explained
         )
 
     def record_ended(self, service: str, process: str, at_ms: float) -> None:
--- a/cuminstile/gateway/accepting.py
+++ b/cuminstile/gateway/accepting.py
@@ -13,7 +13,7 @@
     pick_target,
     priority_of,
 )
-from .sending import Call
+from .send_state import Call
 from .state import Gateway
 
 CLOSE_MARGIN_MS = 20.0
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -11,14 +11,8 @@
 from .crash_guard import begin_send, end_send, suspicion_of
 from .event_stream import AnswerProgress
 from .refusals import Refusal, correct_refusal, no_upstream, out_of_time
-from .sending import (
-    Call,
-    Failure,
-    Outcome,
-    Send,
-    record_upstream_failure,
-    send_with_timeout,
-)
+from .send_state import Call, Failure, Outcome, Send
+from .sending import record_upstream_failure, send_with_timeout
 from .staged_results import free_results
 from .staged_work import results_for
 from .state import Gateway
--- a/cuminstile/gateway/choosing.py
+++ b/cuminstile/gateway/choosing.py
@@ -6,7 +6,7 @@
 
 from .chain import Result
 from .crash_state import fingerprint_of
-from .sending import Call
+from .send_state import Call
 from .state import Gateway
 from .upstreams import (
     UpstreamState,
--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -18,7 +18,7 @@
 from .upstreams import UpstreamState, process_of
 
 if TYPE_CHECKING:
-    from .sending import Call
+    from .send_state import Call
 
 TRIAL_MS = 3_000.0
 """How long other VMs wait at most for the end of a trial."""
@@ -144,6 +144,7 @@
     """Log a change of what is known of a request."""
     table = vm.crash_guard.table
     suspect = table.by_fingerprint.get(fingerprint)
+    known = suspect is not None and event is not Event.REQUEST_CUT_OFF
     vm.journal.record(
         event,
         request=call.fields.attempt_id,
@@ -151,7 +152,7 @@
         service=call.service.name,
         upstream=process,
         crashes=0 if suspect is None else len(suspect.crashes),
-        unrelated=0 if suspect is None else table.unrelated_crashes(suspect),
+        unrelated=table.unrelated_crashes(suspect) if suspect and known else None,
     )
 
 
--- /dev/null
+++ b/cuminstile/gateway/forwarding.py
@@ -0,0 +1,125 @@
+"""Forward the answer of an upstream to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from .event_stream import AnswerProgress, EventOrderError, EventTooLargeError
+from .http_client import (
+    AnswerEnd,
+    AnswerHead,
+    ConnectionLostError,
+    HttpConnection,
+)
+from .model import RouteKind
+from .send_state import Call, Outcome, Send
+from .state import Gateway
+from .upstream_protocol import RawHeaders
+from .upstreams import (
+    UpstreamState,
+)
+
+EVENT_STREAM_TYPE = b"text/event-stream"
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"transfer-encoding",
+        b"content-length",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+    }
+)
+
+
+def end_to_end_headers(headers: RawHeaders) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer without the hop-by-hop headers."""
+    return [(name, value) for name, value in headers if name not in HOP_HEADERS]
+
+
+def continues_stream(head: AnswerHead) -> bool:
+    """Return whether an answer can go on with a stream that has begun."""
+    kind = head.get(b"content-type") or EVENT_STREAM_TYPE
+    return head.status == 200 and kind.startswith(EVENT_STREAM_TYPE)
+
+
+async def forward_answer(
+    vm: Gateway,
+    call: Call,
+    state: UpstreamState,
+    connection: HttpConnection,
+    head: AnswerHead,
+    send: Send,
+) -> None:
+    """Forward an answer once it is complete."""
+    body = await connection.receive_rest()
+    vm.pool.release(state.info.id, connection, vm.clock.now_ms())
+    send.answer.begun = True
+    send.outcome = Outcome.FORWARDED
+    await call.out.write_answer(head.status, end_to_end_headers(head.headers), body)
+
+
+async def stream_answer(
+    vm: Gateway,
+    call: Call,
+    state: UpstreamState,
+    connection: HttpConnection,
+    head: AnswerHead,
+    send: Send,
+    mark_running: Callable[[], None],
+) -> None:
+    """Forward a stream or a large body as it arrives.
+
+    Only complete events of a resumable stream are forwarded. If the answer breaks off,
+    it breaks off for the caller too, unless another upstream resumes it: an incomplete
+    answer never looks complete.
+    """
+    answer = send.answer
+    extend_timeout(vm, call, send)
+    if not answer.begun:
+        answer.begun = True
+        answer.has_length = head.length is not None
+        call.out.write_head(head.status, end_to_end_headers(head.headers), head.length)
+    try:
+        while True:
+            item = await connection.receive()
+            if isinstance(item, AnswerEnd):
+                break
+            if isinstance(item, bytes):
+                mark_running()
+                await call.out.write(forwardable_bytes(call, answer, item))
+    except (ConnectionLostError, EventTooLargeError, EventOrderError) as error:
+        answer.drop_partial()
+        send.detail = f"stream interrupted: {error}"
+        send.outcome = Outcome.UNKNOWN
+        return
+    await call.out.write(answer.flush())
+    call.out.finish()
+    vm.pool.release(state.info.id, connection, vm.clock.now_ms())
+    send.outcome = Outcome.FORWARDED
+
+
+def forwardable_bytes(call: Call, answer: AnswerProgress, data: bytes) -> bytes:
+    """Return the bytes that can be forwarded now.
+
+    Raises
+    ------
+    EventTooLargeError
+        If an event exceeds the size limit.
+    """
+    if call.route.resumable:
+        return answer.add_bytes(data)
+    if call.route.kind is RouteKind.STREAM:
+        answer.check_event_size(data)
+    return data
+
+
+def extend_timeout(vm: Gateway, call: Call, send: Send) -> None:
+    """Extend the timeout of a stream that has begun to the request's deadline."""
+    if send.timeout is None or send.timeout.expired():
+        return
+    left_ms = max(0.0, call.expires_at_ms - vm.clock.now_ms())
+    send.timeout.reschedule(asyncio.get_running_loop().time() + left_ms / 1000.0)
--- /dev/null
+++ b/cuminstile/gateway/send_state.py
@@ -0,0 +1,100 @@
+"""Types of a request that is sent to upstreams, and of the state of one send."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .event_stream import AnswerProgress
+from .http_server import CallerConnection, Request
+from .model import Organisation, Route, Service
+from .upstream_protocol import CallFields, RawHeaders
+from .upstreams import (
+    UpstreamListAge,
+)
+
+
+class Outcome(StrEnum):
+    """How one send ended.
+
+    `UNSENT`: no byte was sent. `NOT_RUN`: the request provably did not run.
+    `INPUT_GONE`: it did not run, as an input was lost. `UNKNOWN`: it may have run.
+    `FAILED`: the upstream returned a failure. `FORWARDED`: the answer was forwarded to
+    the caller.
+    """
+
+    UNSENT = "unsent"
+    NOT_RUN = "not_run"
+    INPUT_GONE = "input_gone"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+    FORWARDED = "passed_on"
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request of a caller with its route and times; times are monotonic ms.
+
+    Parameters
+    ----------
+    target_at_ms : float
+        Latency target: the answer has its full value until then.
+    expires_at_ms : float
+        When the wait ends, by the caller's deadline or the operator's limit.
+    digest : bytes
+        See `crash_state.digest_of`; empty for a request that is not guarded.
+    """
+
+    request: Request
+    out: CallerConnection
+    fields: CallFields
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    priority: int
+    target_at_ms: float
+    expires_at_ms: float
+    digest: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A failure that an upstream returned, forwarded if no send succeeds."""
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+
+@dataclass
+class Send:
+    """State of one send.
+
+    Parameters
+    ----------
+    answer : AnswerProgress
+        What was sent to the caller, in this send and in earlier ones.
+    chosen_by : ListAge
+        The list of upstreams from which the upstream was chosen.
+    sent : bool
+        Whether a byte of the request may have reached the upstream.
+    on_trial : bool
+        Whether the request is suspected to crash upstreams.
+    crashed : bool
+        Whether the upstream ended the connection before the answer was complete.
+    timeout : asyncio.Timeout or None
+        When the send is cancelled; extended for a stream that has begun.
+    """
+
+    answer: AnswerProgress
+    chosen_by: UpstreamListAge
+    outcome: Outcome = Outcome.UNSENT
+    failure: Failure | None = None
+    detail: str = ""
+    sent: bool = False
+    on_trial: bool = False
+    crashed: bool = False
+    timeout: asyncio.Timeout | None = None
+    on_running: Callable[[], None] = field(default=lambda: None)
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -4,16 +4,18 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import StrEnum
 
 from ..events import Event
 from .crash_guard import record_survivor
-from .event_stream import AnswerProgress, EventOrderError, EventTooLargeError
+from .forwarding import (
+    continues_stream,
+    end_to_end_headers,
+    forward_answer,
+    stream_answer,
+)
 from .http_client import (
     MAX_BODY_BYTES,
     MAX_REFUSED_ATTEMPTS,
-    AnswerEnd,
     AnswerHead,
     AnswerTooLargeError,
     ConnectionLostError,
@@ -21,15 +23,14 @@
     open_connection,
     render_request,
 )
-from .http_server import CallerConnection, Request
-from .model import Organisation, Route, RouteKind, Service, Upstream
+from .model import RouteKind
+from .send_state import Call, Failure, Outcome, Send
 from .state import Gateway
-from .upstream_protocol import AnswerFields, CallFields, Dispatch, RawHeaders
+from .upstream_protocol import AnswerFields, Dispatch
+from .upstream_words import record_words
 from .upstreams import (
     BUSY_MS,
-    UpstreamListAge,
     UpstreamState,
-    process_of,
     record_failure,
     record_load,
     record_success,
@@ -38,108 +39,6 @@
 
 MAX_OTHER_ANSWERS = 16
 """Answers to other requests that are dropped before the connection is closed."""
-EVENT_STREAM_TYPE = b"text/event-stream"
-HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"transfer-encoding",
-        b"content-length",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"upgrade",
-    }
-)
-
-
-class Outcome(StrEnum):
-    """How one send ended.
-
-    `UNSENT`: no byte was sent. `NOT_RUN`: the request provably did not run.
-    `INPUT_GONE`: it did not run, as an input was lost. `UNKNOWN`: it may have run.
-    `FAILED`: the upstream returned a failure. `FORWARDED`: the answer was forwarded to
-    the caller.
-    """
-
-    UNSENT = "unsent"
-    NOT_RUN = "not_run"
-    INPUT_GONE = "input_gone"
-    UNKNOWN = "unknown"
-    FAILED = "failed"
-    FORWARDED = "passed_on"
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """One request of a caller with its route and times; times are monotonic ms.
-
-    Parameters
-    ----------
-    target_at_ms : float
-        Latency target: the answer has its full value until then.
-    expires_at_ms : float
-        When the wait ends, by the caller's deadline or the operator's limit.
-    digest : bytes
-        See `crash_state.digest_of`; empty for a request that is not guarded.
-    """
-
-    request: Request
-    out: CallerConnection
-    fields: CallFields
-    route: Route
-    service: Service
-    organisation: Organisation | None
-    priority: int
-    target_at_ms: float
-    expires_at_ms: float
-    digest: bytes = b""
-
-
-@dataclass(frozen=True, slots=True)
-class Failure:
-    """A failure that an upstream returned, forwarded if no send succeeds."""
-
-    status: int
-    headers: RawHeaders
-    body: bytes
-
-
-@dataclass
-class Send:
-    """State of one send.
-
-    Parameters
-    ----------
-    answer : AnswerProgress
-        What was sent to the caller, in this send and in earlier ones.
-    chosen_by : ListAge
-        The list of upstreams from which the upstream was chosen.
-    sent : bool
-        Whether a byte of the request may have reached the upstream.
-    on_trial : bool
-        Whether the request is suspected to crash upstreams.
-    crashed : bool
-        Whether the upstream ended the connection before the answer was complete.
-    timeout : asyncio.Timeout or None
-        When the send is cancelled; extended for a stream that has begun.
-    """
-
-    answer: AnswerProgress
-    chosen_by: UpstreamListAge
-    outcome: Outcome = Outcome.UNSENT
-    failure: Failure | None = None
-    detail: str = ""
-    sent: bool = False
-    on_trial: bool = False
-    crashed: bool = False
-    timeout: asyncio.Timeout | None = None
-    on_running: Callable[[], None] = field(default=lambda: None)
-
-
-def end_to_end_headers(headers: RawHeaders) -> list[tuple[bytes, bytes]]:
-    """Return the headers of an answer without the hop-by-hop headers."""
-    return [(name, value) for name, value in headers if name not in HOP_HEADERS]
 
 
 async def send_once(
@@ -243,12 +142,6 @@
         record_success(state, vm.clock.now_ms() - now_ms)
 
 
-def continues_stream(head: AnswerHead) -> bool:
-    """Return whether an answer can go on with a stream that has begun."""
-    kind = head.get(b"content-type") or EVENT_STREAM_TYPE
-    return head.status == 200 and kind.startswith(EVENT_STREAM_TYPE)
-
-
 async def receive_matching_head(
     vm: Gateway, call: Call, state: UpstreamState, connection: HttpConnection
 ) -> tuple[AnswerHead, AnswerFields]:
@@ -279,29 +172,6 @@
     raise AnswerTooLargeError(f"received {MAX_OTHER_ANSWERS} answers to other requests")
 
 
-def record_words(vm: Gateway, info: Upstream, fields: AnswerFields) -> None:
-    """Record what an upstream says of itself in an answer."""
-    now_ms = vm.clock.now_ms()
-    process = process_of(info.id, info.started_ms)
-    if fields.leaving and vm.table.record_left(process, now_ms):
-        record_word(vm, info, "leaving", 0.0)
-    closed_until_ms = now_ms + fields.closed_ms
-    if fields.closed_ms and vm.table.record_closed(process, closed_until_ms):
-        record_word(vm, info, "closed", fields.closed_ms)
-
-
-def record_word(vm: Gateway, info: Upstream, word: str, for_ms: float) -> None:
-    """Log and count a word of an upstream that is new."""
-    vm.metrics.words_total.inc({"service": info.service, "word": word})
-    vm.journal.record(
-        Event.UPSTREAM_SAID,
-        upstream=info.id,
-        service=info.service,
-        word=word,
-        for_ms=round(for_ms),
-    )
-
-
 async def record_not_run(
     vm: Gateway,
     state: UpstreamState,
@@ -330,85 +200,6 @@
         send.detail += f", then {error}"
 
 
-async def forward_answer(
-    vm: Gateway,
-    call: Call,
-    state: UpstreamState,
-    connection: HttpConnection,
-    head: AnswerHead,
-    send: Send,
-) -> None:
-    """Forward an answer once it is complete."""
-    body = await connection.receive_rest()
-    vm.pool.release(state.info.id, connection, vm.clock.now_ms())
-    send.answer.begun = True
-    send.outcome = Outcome.FORWARDED
-    await call.out.write_answer(head.status, end_to_end_headers(head.headers), body)
-
-
-async def stream_answer(
-    vm: Gateway,
-    call: Call,
-    state: UpstreamState,
-    connection: HttpConnection,
-    head: AnswerHead,
-    send: Send,
-    mark_running: Callable[[], None],
-) -> None:
-    """Forward a stream or a large body as it arrives.
-
-    Only complete events of a resumable stream are forwarded. If the answer breaks off,
-    it breaks off for the caller too, unless another upstream resumes it: an incomplete
-    answer never looks complete.
-    """
-    answer = send.answer
-    extend_timeout(vm, call, send)
-    if not answer.begun:
-        answer.begun = True
-        answer.has_length = head.length is not None
-        call.out.write_head(head.status, end_to_end_headers(head.headers), head.length)
-    try:
-        while True:
-            item = await connection.receive()
-            if isinstance(item, AnswerEnd):
-                break
-            if isinstance(item, bytes):
-                mark_running()
-                await call.out.write(forwardable_bytes(call, answer, item))
-    except (ConnectionLostError, EventTooLargeError, EventOrderError) as error:
-        answer.drop_partial()
-        send.detail = f"stream interrupted: {error}"
-        send.outcome = Outcome.UNKNOWN
-        return
-    await call.out.write(answer.flush())
-    call.out.finish()
-    vm.pool.release(state.info.id, connection, vm.clock.now_ms())
-    send.outcome = Outcome.FORWARDED
-
-
-def forwardable_bytes(call: Call, answer: AnswerProgress, data: bytes) -> bytes:
-    """Return the bytes that can be forwarded now.
-
-    Raises
-    ------
-    EventTooLargeError
-        If an event exceeds the size limit.
-    """
-    if call.route.resumable:
-        return answer.add_bytes(data)
-    if call.route.kind is RouteKind.STREAM:
-        answer.check_event_size(data)
-    return data
-
-
-def extend_timeout(vm: Gateway, call: Call, send: Send) -> None:
-    """Extend the timeout of a stream that has begun to the request's deadline."""
-    if send.timeout is None or send.timeout.expired():
-        return
-    left_ms = max(0.0, call.expires_at_ms - vm.clock.now_ms())
-    send.timeout.reschedule(asyncio.get_running_loop().time() + left_ms / 1000.0)
-
-
 def record_upstream_failure(
     vm: Gateway, call: Call, state: UpstreamState, send: Send
 ) -> None:
--- a/cuminstile/gateway/serving.py
+++ b/cuminstile/gateway/serving.py
@@ -11,7 +11,7 @@
 from .crash_guard import refuse_quarantined
 from .http_server import CallerConnection, Request
 from .refusals import Refusal, id_of, write_refusal
-from .sending import Call
+from .send_state import Call
 from .staged_results import free_results
 from .staged_work import results_for
 from .state import Gateway
--- a/cuminstile/gateway/staged_work.py
+++ b/cuminstile/gateway/staged_work.py
@@ -10,7 +10,7 @@
 from .choosing import preferred_upstream
 from .crash_guard import quarantined
 from .refusals import DEFAULT_RETRY_MS, Refusal
-from .sending import Call
+from .send_state import Call
 from .staged_results import ChainRefusedError, staged_results
 from .staging import QUARANTINED
 from .state import Gateway
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -21,6 +21,7 @@
 from .stage_crashes import StageCrashes
 from .stage_queue import Worker
 from .upstream_protocol import ItemRequest, StageFault, StageOutcome
+from .upstream_words import apply_words, record_word
 from .upstreams import UpstreamTable, process_of
 
 QUARANTINED = "quarantined"
@@ -409,27 +410,15 @@
         """Record what an upstream says of itself in the answer to a call."""
         now_ms = self.clock.now_ms()
         process = process_of(worker.id, worker.started_ms)
-        if answer.leaving:
-            worker.usable = False
-            if self.table.record_left(process, now_ms):
-                self.record_word(worker, "leaving", 0.0)
-        if answer.closed_ms:
-            until_ms = now_ms + answer.closed_ms
-            if self.table.record_closed(process, until_ms):
-                self.record_word(worker, "closed", answer.closed_ms)
+        words = apply_words(
+            self.table, process, answer.leaving, answer.closed_ms, now_ms
+        )
+        for word in words:
+            record_word(self.journal, worker.id, worker.service, word, answer.closed_ms)
+        worker.usable &= not answer.leaving
         closed_until_ms = self.table.closed_until_ms.get(process, 0.0)
         worker.available_at_ms = max(worker.available_at_ms, closed_until_ms)
 
-    def record_word(self, worker: Worker, word: str, for_ms: float) -> None:
-        """Log a word of an upstream that is new."""
-        self.journal.record(
-            Event.UPSTREAM_SAID,
-            upstream=worker.id,
-            service=worker.service,
-            word=word,
-            for_ms=round(for_ms),
-        )
-
     async def run_dispatch_loop(self) -> None:
         """Drop infeasible chains and dispatch waiting items, without end."""
         while True:
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -18,7 +18,7 @@
 from cuminstile.gateway.http_server import Request
 from cuminstile.gateway.model import RouteKind, Service
 from cuminstile.gateway.refusals import Refusal, correct_refusal
-from cuminstile.gateway.sending import Call, Outcome, Send
+from cuminstile.gateway.send_state import Call, Outcome, Send
 from cuminstile.gateway.upstream_protocol import CallFields
 from cuminstile.gateway.upstreams import UpstreamListAge
 
--- a/tests/gateway/test_crash_sharing.py
+++ b/tests/gateway/test_crash_sharing.py
@@ -189,6 +189,17 @@
     assert outcome.codes[-1] is ErrorCode.QUARANTINED
 
 
+@pytest.mark.parametrize("vms", SIZES)
+def test_copies_at_all_vms_at_once_are_stopped_soon(vms: int) -> None:
+    simulation = Simulation(vms, 32, seed=6)
+    simulation.fleet.exchange_heartbeats()
+    for vm in simulation.fleet.vms.values():
+        simulation.send_copy(vm, sends=1)
+    outcome = simulation.run()
+    assert outcome.late <= MAX_LATE_SENDS
+    assert outcome.blamed == 0
+
+
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("vms", SIZES)
 def test_lost_datagrams_are_made_up_for(vms: int, seed: int) -> None:
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -12,7 +12,8 @@
 from cuminstile.gateway.event_stream import AnswerProgress
 from cuminstile.gateway.http_server import Request
 from cuminstile.gateway.model import RouteKind, Service
-from cuminstile.gateway.sending import Call, Outcome, Send, send_with_timeout
+from cuminstile.gateway.send_state import Call, Outcome, Send
+from cuminstile.gateway.sending import send_with_timeout
 from cuminstile.gateway.state import Gateway
 from cuminstile.gateway.upstream_protocol import CallFields
 from cuminstile.gateway.upstreams import UpstreamListAge, UpstreamState
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -63,6 +63,19 @@
     assert table.record_crash(F, "s", "u9@1", 20.0, True) is Suspicion.QUARANTINED
 
 
+def test_several_requests_that_crash_upstreams_do_not_excuse_each_other() -> None:
+    table = make_table()
+    names = [b"%016d" % number for number in range(6)]
+    for name in names:
+        for number in range(3):
+            process = f"{name.decode()}-{number}@1"
+            table.record_crash(name, "s", process, 0.0, number == 2)
+    for name in names:
+        process = f"{name.decode()}-last@1"
+        table.record_crash(name, "s", process, 1.0, on_trial=True)
+    assert {table.get(name, 2.0) for name in names} == {Suspicion.QUARANTINED}
+
+
 def test_crashes_of_another_service_are_no_explanation() -> None:
     table = make_table()
     for number in range(12):
