Close the connection of a send that is given up before its first byte

Cause: read once more: a send whose upstream had said meanwhile that it leaves left its connection open and in no pool. Change: the connection is closed; events of a changed suspicion stand beside the other constants of the guard.

--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -26,6 +26,11 @@
 """Longest time after which a caller may retry during a trial."""
 SURVIVED_MS = 1_000.0
 """How long after a supposed crash an answer on an older connection disproves it."""
+CHANGE_EVENTS = {
+    Suspicion.SUSPECTED: Event.REQUEST_SUSPECTED,
+    Suspicion.QUARANTINED: Event.REQUEST_QUARANTINED,
+}
+"""Events of a request whose suspicion a crash has changed."""
 
 
 def suspicion_of(vm: Gateway, digest: bytes, service: str) -> Suspicion:
@@ -128,16 +133,10 @@
     vm.metrics.crashes_total.inc({"service": service})
     event = Event.REQUEST_CUT_OFF
     if after is not before:
-        event = EVENTS[after]
+        event = CHANGE_EVENTS.get(after, event)
     record_suspicion(vm, event, call, fingerprint, process)
 
 
-EVENTS = {
-    Suspicion.SUSPECTED: Event.REQUEST_SUSPECTED,
-    Suspicion.QUARANTINED: Event.REQUEST_QUARANTINED,
-}
-
-
 def record_suspicion(
     vm: Gateway, event: Event, call: Call, fingerprint: bytes, process: str
 ) -> None:
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -100,7 +100,8 @@
     """Send the request on a connection and handle the answer."""
     now_ms = vm.clock.now_ms()
     if not vm.table.may_get(state, now_ms):
-        raise ConnectionLostError("the upstream wants no requests now", sent=False)
+        connection.close("the upstream gets no requests now")
+        raise ConnectionLostError("the upstream gets no requests now", sent=False)
     dispatch = Dispatch(
         state.info.id,
         max(1.0, call.expires_at_ms - now_ms),
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -278,3 +278,16 @@
     async with serving(session) as (address, _):
         sent = await send(vm, address, "a1", progress=progress)
     assert (sent.caller.body, sent.caller.finished) == (rest, True)
+
+
+# Guards against a request that was assigned to an upstream before it said that it
+# leaves, and against a connection that nobody closes then.
+async def test_upstream_that_leaves_after_the_choice_gets_nothing() -> None:
+    vm = make_vm(Clock())
+    vm.table.record_left("u1@1", 0.0)
+    async with serving(answering) as (address, begun):
+        sent = await send(vm, address, "a1", RouteKind.IDEMPOTENT)
+        await asyncio.sleep(0.05)
+        assert begun == [answering]
+    assert sent.outcome is Outcome.UNSENT
+    assert vm.pool.idle == {}
