Test streams that crash their upstreams midway

Cause: the tests of a request that crashes upstreams ended them before the first event only. Change: the stand-in can end after some events; resumable and other streams, 1 and 3 VMs.

--- a/standins/gateway_upstream.py
+++ b/standins/gateway_upstream.py
@@ -64,6 +64,8 @@
         It refuses requests, and wants none for so long; 0 to serve them.
     crash_on : bytes
         The process ends when it begins to run a request whose body contains this.
+    crash_after_events : int
+        Events of a stream that it sends before it ends so; 0 to end at once.
     on_crash : callable
         Called after the process has ended.
     """
@@ -82,6 +84,7 @@
     leaving: bool = False
     closed_s: float = 0.0
     crash_on: bytes = b""
+    crash_after_events: int = 0
     on_crash: Callable[[], None] = field(default=lambda: None)
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -112,7 +115,7 @@
             while True:
                 received = await read_request(reader)
                 self.received.append(received)
-                if self.crash_on and self.crash_on in received.body:
+                if self.is_crashed_by(received) and not self.crash_after_events:
                     self.crash()
                     return
                 await self.answer(received, reader, writer)
@@ -122,6 +125,10 @@
             self.writers.discard(writer)
             writer.close()
 
+    def is_crashed_by(self, received: ReceivedRequest) -> bool:
+        """Return whether a request ends the process."""
+        return bool(self.crash_on) and self.crash_on in received.body
+
     async def answer(
         self,
         received: ReceivedRequest,
@@ -167,7 +174,10 @@
             await asyncio.sleep(30)
         if "token-count" in received.headers:
             first = int(received.headers.get("last-event-id", "0")) + 1
-            await self.stream(attempt, first, fault, reader, writer)
+            crash_at = first + self.crash_after_events
+            if not self.is_crashed_by(received):
+                crash_at = 0
+            await self.stream(attempt, first, fault, reader, writer, crash_at)
         else:
             await self.respond(attempt, fault, writer)
 
@@ -222,8 +232,12 @@
         fault: Fault,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        crash_at: int,
     ) -> None:
-        """Respond with an event stream that starts at event `first`."""
+        """Respond with an event stream that starts at event `first`.
+
+        The process ends instead of sending event `crash_at`, if that is not 0.
+        """
         start = response_head(200, attempt, None, chunked=True, leaving=self.leaving)
         writer.write(start)
         for number in range(first, self.events + 1):
@@ -231,6 +245,9 @@
             if reader.at_eof():
                 self.cancelled.append(attempt)
                 raise ConnectionError
+            if number == crash_at:
+                self.crash()
+                raise ConnectionError
             event = f"id: {number}\ndata: {attempt}\n\n".encode()
             if fault is Fault.TORN and number == 3:
                 writer.write(b"8\r\n%b\r\n" % event[:8])
--- a/tests/platform/crash_site.py
+++ b/tests/platform/crash_site.py
@@ -37,6 +37,7 @@
     poison_received: list[float] = field(default_factory=list)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
+    crash_after_events: int = 0
 
     async def fill(self, service: str, count: int) -> None:
         """Replace the upstreams of a service by `count` ones that can crash."""
@@ -51,6 +52,7 @@
         number = next(self.numbers)
         name = f"{service}-run-{number}"
         upstream = GatewayUpstream(name, crash_on=POISON)
+        upstream.crash_after_events = self.crash_after_events
         upstream.on_crash = lambda: self.on_crash(upstream, service)
         server = await upstream.serve(f"{self.site.network}.220", port)
         self.site.servers.append(server)
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -73,3 +73,26 @@
     assert served >= SERVED_SHARE
     assert answers[-1] is not None
     assert answers[-1].status == 500
+
+
+# Guards against resuming a stream on and on that crashes each upstream midway.
+@pytest.mark.parametrize("crash_site", [1, 3], indirect=True)
+@pytest.mark.parametrize("target", ["/note/x", "/draft/x"])
+async def test_stream_that_crashes_upstreams_midway_is_stopped(
+    crash_site: CrashSite, target: str
+) -> None:
+    crash_site.crash_after_events = 1
+    await crash_site.fill("engines", UPSTREAMS)
+    await asyncio.sleep(2.0)
+    done = asyncio.Event()
+    others = asyncio.create_task(crash_site.send_others(target, done, 0.05))
+    answers = await crash_site.send_poison(target, SENDS, INTERVAL_S)
+    done.set()
+    served = served_share(await others)
+    assert crash_site.late_sends(CONTACT_S) <= MAX_LATE_SENDS
+    assert 1 <= len(crash_site.crashes) <= MAX_CRASHES
+    assert served >= SERVED_SHARE
+    assert answers[0] is not None
+    assert not answers[0].complete
+    assert answers[-1] is not None
+    assert answers[-1].status == 500
