Log the parts of a prompt under which an upstream ended

From the logs, requests that share a bad part can't be told from many requests with bad luck: a fingerprint names one request alone. request_cut_off and its kin now name the parts that other requests can share, 16 at most.

--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -26,6 +26,7 @@
 """Longest time after which a caller may retry during a trial."""
 SURVIVED_MS = 1_000.0
 """How long after a supposed crash an answer on an older connection disproves it."""
+MAX_LOGGED_PARTS = 16
 CHANGE_EVENTS = {
     Suspicion.SUSPECTED: Event.REQUEST_SUSPECTED,
     Suspicion.QUARANTINED: Event.REQUEST_QUARANTINED,
@@ -149,12 +150,18 @@
         request=call.fields.attempt_id,
         fingerprint=fingerprint.hex(),
         service=call.service.name,
+        parts=shared_part_ids(call),
         upstream=process,
         crashes=0 if suspect is None else len(suspect.crashes),
         unrelated=table.unrelated_crashes(suspect) if suspect and known else None,
     )
 
 
+def shared_part_ids(call: Call) -> list[str]:
+    """Return the ids of the parts of a prompt that other requests can share."""
+    return [part.id for part in call.fields.parts[:-1]][:MAX_LOGGED_PARTS]
+
+
 def record_survivor(vm: Gateway, state: UpstreamState, opened_ms: float) -> None:
     """Retract a crash of an upstream that answers on an older connection.
 
