Show with failing tests that requests sharing a bad part are sent on

Cause of the report, as far as known: the guard names a request by a digest of all of it, so requests that share one part of their prompts are each new to it.

--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -157,9 +157,9 @@
     )
 
 
-def shared_part_ids(call: Call) -> list[str]:
+def shared_part_ids(call: Call) -> str:
     """Return the ids of the parts of a prompt that other requests can share."""
-    return [part.id for part in call.fields.parts[:-1]][:MAX_LOGGED_PARTS]
+    return " ".join(part.id for part in call.fields.parts[:-1][:MAX_LOGGED_PARTS])
 
 
 def record_survivor(vm: Gateway, state: UpstreamState, opened_ms: float) -> None:
--- a/standins/gateway_upstream.py
+++ b/standins/gateway_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -34,12 +35,24 @@
 
 @dataclass(frozen=True)
 class ReceivedRequest:
-    """Request as received, with header names in lower case."""
+    """Request as received, with header names in lower case.
+
+    Parameters
+    ----------
+    at_s : float
+        When it was read, in monotonic seconds.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at_s: float = 0.0
+
+    def shared_parts(self) -> list[str]:
+        """Return the ids of the parts of the prompt, without the last one."""
+        entries = self.headers.get("prompt-prefix", "").split(",")
+        return [entry.partition(":")[0] for entry in entries[:-1]]
 
 
 @dataclass
@@ -64,6 +77,8 @@
         It refuses requests, and wants none for so long; 0 to serve them.
     crash_on : bytes
         The process ends when it begins to run a request whose body contains this.
+    crash_part : str
+        The process ends when it begins to run a request with this part in its prompt.
     crash_after_events : int
         Events of a stream that it sends before it ends so; 0 to end at once.
     on_crash : callable
@@ -84,6 +99,7 @@
     leaving: bool = False
     closed_s: float = 0.0
     crash_on: bytes = b""
+    crash_part: str = ""
     crash_after_events: int = 0
     on_crash: Callable[[], None] = field(default=lambda: None)
     server: asyncio.Server | None = None
@@ -127,6 +143,8 @@
 
     def is_crashed_by(self, received: ReceivedRequest) -> bool:
         """Return whether a request ends the process."""
+        if self.crash_part and self.crash_part in received.shared_parts():
+            return True
         return bool(self.crash_on) and self.crash_on in received.body
 
     async def answer(
@@ -305,4 +323,4 @@
     pairs = (line.split(": ", 1) for line in lines if line)
     headers = {name.lower(): value for name, value in pairs}
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return ReceivedRequest(method, target, headers, body)
+    return ReceivedRequest(method, target, headers, body, time.monotonic())
--- a/tests/platform/crash_site.py
+++ b/tests/platform/crash_site.py
@@ -30,6 +30,10 @@
         Monotonic times of the crashes, in s: one for each send of `POISON`.
     crash_after_events : int
         Events of a stream that an upstream sends before it crashes.
+    crash_part : str
+        Part of a prompt that crashes each upstream that begins to run it.
+    down : set of int
+        Numbers of the VMs that get no requests from callers.
     """
 
     site: Site
@@ -37,6 +41,9 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
     crash_after_events: int = 0
+    crash_part: str = ""
+    down: set[int] = field(default_factory=set)
+    servers: list[GatewayUpstream] = field(default_factory=list)
 
     async def fill(self, service: str, count: int) -> None:
         """Replace the upstreams of a service by `count` ones that can crash."""
@@ -51,11 +58,13 @@
         number = next(self.numbers)
         name = f"{service}-run-{number}"
         upstream = GatewayUpstream(name, crash_on=POISON)
+        upstream.crash_part = self.crash_part
         upstream.crash_after_events = self.crash_after_events
         upstream.on_crash = lambda: self.on_crash(upstream, service)
         server = await upstream.serve(f"{self.site.network}.220")
         self.site.servers.append(server)
         self.site.upstreams[name] = upstream
+        self.servers.append(upstream)
         await self.site.register(name, service, born=number + 1)
 
     def on_crash(self, upstream: GatewayUpstream, service: str) -> None:
