--- a/cuminstile/gateway/crash_sharing.py
+++ b/cuminstile/gateway/crash_sharing.py
@@ -2,8 +2,8 @@
 
 In a large fleet a VM tells the hubs (see `hubs`), which add the crashes up and tell the
 VMs of their data centre about the suspected requests alone. A VM that is new, restarted
-or back is sent what is known. What is lost is sent again by a VM that knows it, as it
-receives less.
+or back is sent what is known. Suspicions are repeated every few seconds, and a VM that
+receives less than it knows answers with that, so lost datagrams are made up for.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 
 SHARE_INTERVAL_MS = 20.0
 """How long changes are collected before they are sent: less than a caller's retry."""
+REPEAT_INTERVAL_MS = 2_000.0
 ENTRIES_PER_DATAGRAM = 24
 MAX_SENT_SUSPECTS = 480
 """Most entries that a VM sends to one that is new or back; the newest ones."""
@@ -32,10 +33,21 @@
     while True:
         await vm.clock.sleep_ms(SHARE_INTERVAL_MS)
         settle_old(vm)
+        repeat_suspicions(vm)
         if vm.crash_guard.unsent or vm.crash_guard.unsent_survivors:
             share_changes(vm)
 
 
+def repeat_suspicions(vm: Gateway) -> None:
+    """Have the newest suspicions sent again from time to time."""
+    guard, now_ms = vm.crash_guard, vm.clock.now_ms()
+    if not guard.table.by_fingerprint or now_ms < guard.repeat_at_ms:
+        return
+    guard.repeat_at_ms = now_ms + REPEAT_INTERVAL_MS
+    suspected = guard.table.suspected(guard.table.by_fingerprint, now_ms)
+    guard.unsent.update(dict.fromkeys(suspected[-ENTRIES_PER_DATAGRAM:]))
+
+
 def share_changes(vm: Gateway) -> None:
     """Send the changed entries to the other VMs that need them."""
     changed = list(vm.crash_guard.unsent)
--- a/cuminstile/gateway/crash_state.py
+++ b/cuminstile/gateway/crash_state.py
@@ -35,6 +35,8 @@
         Processes whose crash was retracted since the last message, in order.
     unframed : dict of str to list
         By upstream process, answers that may have ended because it crashed.
+    repeat_at_ms : float
+        When the suspicions are sent again, in monotonic ms.
     """
 
     table: CrashTable = field(
@@ -43,6 +45,7 @@
     unsent: dict[bytes, None] = field(default_factory=dict)
     unsent_survivors: dict[str, None] = field(default_factory=dict)
     unframed: dict[str, list[UnframedAnswer]] = field(default_factory=dict)
+    repeat_at_ms: float = 0.0
 
 
 def digest_of(
