--- a/cuminstile/crash_blame.py
+++ b/cuminstile/crash_blame.py
@@ -40,7 +40,7 @@
     told_by : str
         Address of the VM that reported it first, empty if this VM saw it itself.
     trial_by : str
-        Address of the VM that reported the trial, empty for one of this VM.
+        Address of the VM that holds the trial, empty for this VM.
     """
 
     service: str = ""
@@ -63,14 +63,19 @@
 
 
 def merge_trial(suspect: Suspect, other: Suspect) -> None:
-    """Take over whether a trial goes on from what another VM reports."""
-    ended = other.trial_crashes > suspect.trial_crashes
-    if ended or other.told_by == suspect.trial_by:
-        suspect.trial_until_ms = other.trial_until_ms
-    elif other.trial_until_ms > suspect.trial_until_ms:
-        suspect.trial_until_ms = other.trial_until_ms
-        suspect.trial_by = other.told_by
+    """Take over whether a trial goes on from what another VM reports.
+
+    A trial of this VM is not touched. The end of another one is believed from the VM
+    that holds it, or if a crash on trial is reported that was not known.
+    """
+    new_crash = other.trial_crashes > suspect.trial_crashes
     suspect.trial_crashes = max(suspect.trial_crashes, other.trial_crashes)
+    if suspect.trial_until_ms > 0.0 and not suspect.trial_by:
+        return
+    longer = other.trial_until_ms > suspect.trial_until_ms
+    if new_crash or longer or other.told_by == suspect.trial_by:
+        suspect.trial_until_ms = max(0.0, other.trial_until_ms)
+        suspect.trial_by = other.trial_by or other.told_by
 
 
 def blamed_together(suspects: Mapping[bytes, Suspect], name: bytes) -> set[bytes]:
--- a/cuminstile/gateway/crash_sharing.py
+++ b/cuminstile/gateway/crash_sharing.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 
 from ..crash_blame import Suspect
 from ..crash_suspects import Suspicion
@@ -140,6 +141,7 @@
         NEVER_CLEARED if cleared_ms is None else now_ms - cleared_ms,
         suspect.is_part or fingerprint in table.answered_ms,
         suspect.ran_well,
+        suspect.trial_by,
     )
 
 
@@ -170,6 +172,8 @@
             changed = table.record_good_run(
                 entry.fingerprint, cleared_ms, entry.is_part
             )
+    if entry.trial_by == vm.settings.peer_address:
+        entry = replace(entry, trial_left_ms=0.0)
     other = suspect_of(entry, address, now_ms)
     return table.merge(entry.fingerprint, other, now_ms) or changed
 
@@ -195,6 +199,7 @@
         is_part=entry.is_part,
         ran_well=entry.ran_well,
         told_by=address,
+        trial_by=entry.trial_by,
     )
 
 
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -276,6 +276,8 @@
         The name of the request or part.
     cleared_age_ms : float
         Time since it was cleared, negative if it was not.
+    trial_by : str
+        Address of the VM that holds the trial, empty for the sender.
     """
 
     fingerprint: bytes
@@ -289,6 +291,7 @@
     cleared_age_ms: float
     is_part: bool = False
     ran_well: bool = False
+    trial_by: str = ""
 
 
 @dataclass(frozen=True)
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -1,5 +1,7 @@
 """Test cuminstile.crash_suspects: which parts of prompts are blamed."""
 
+from dataclasses import replace
+
 from cuminstile.crash_suspects import (
     MAX_ANSWERED,
     MAX_SUSPECTS,
@@ -165,3 +167,21 @@
     assert len(table.answered_ms) <= MAX_ANSWERED
     assert len(table.by_fingerprint) <= MAX_SUSPECTS
     assert table.get(BAD, 11.0) is Suspicion.QUARANTINED
+
+
+# Guards against two VMs that each believe the other one's trial goes on, as both begin
+# one before they hear of each other.
+def test_trials_that_two_vms_begin_at_once_both_end() -> None:
+    tables = [make_table(), make_table()]
+    for table in tables:
+        crash(table, R, (BAD,), "u0@1", 0.0)
+        table.begin_trial(BAD, 3_000.0)
+    reports = [replace(table.by_fingerprint[BAD]) for table in tables]
+    for number, table in enumerate(tables):
+        reports[1 - number].told_by = f"10.0.0.{1 - number}:1"
+        reports[1 - number].trial_until_ms += 1.0
+        table.merge(BAD, reports[1 - number], 1.0)
+    for table in tables:
+        assert table.by_fingerprint[BAD].trial_by == ""
+        table.end_trial(BAD)
+        assert table.trial_left_ms(BAD, 2.0) == 0.0
