Retract a crash only for an answer to a later request

Found by reading: an answer that was on its way as its upstream crashed, on another connection, was taken for a sign that the upstream lives, and the crash was forgotten by all VMs. Only an answer to a request that was sent after the crash, on a connection opened before it, shows that.

--- a/cuminstile/gateway/crash_evidence.py
+++ b/cuminstile/gateway/crash_evidence.py
@@ -14,8 +14,6 @@
 if TYPE_CHECKING:
     from .send_state import Call
 
-SURVIVED_MS = 1_000.0
-"""How long after a supposed crash an answer on an older connection disproves it."""
 MAX_LOGGED_PARTS = 16
 CHANGE_EVENTS = {
     Suspicion.SUSPECTED: Event.REQUEST_SUSPECTED,
@@ -115,13 +113,18 @@
     return " ".join(part.id for part in call.fields.parts[:-1][:MAX_LOGGED_PARTS])
 
 
-def record_survivor(vm: Gateway, state: UpstreamState, opened_ms: float) -> None:
-    """Retract a crash of an upstream that answers on an older connection.
+def record_survivor(
+    vm: Gateway, state: UpstreamState, opened_ms: float, sent_ms: float
+) -> None:
+    """Retract a crash of an upstream that answers a later request on an old connection.
+
+    An answer to an earlier request proves nothing: it may have been on its way.
 
     Parameters
     ----------
-    opened_ms : float
-        When the connection of the answer was opened, in monotonic ms.
+    opened_ms, sent_ms : float
+        When the connection of the answer was opened and its request was sent, in
+        monotonic ms.
     """
     guard = vm.crash_guard
     ended = guard.table.ended_ms.get(state.info.service)
@@ -129,11 +132,9 @@
         return
     process = process_of(state.info.id, state.info.started_ms)
     crashed_ms = ended.get(process)
-    now_ms = vm.clock.now_ms()
-    if crashed_ms is None or not opened_ms < crashed_ms < now_ms < (
-        crashed_ms + SURVIVED_MS
-    ):
+    if crashed_ms is None or not opened_ms < crashed_ms < sent_ms:
         return
+    now_ms = vm.clock.now_ms()
     guard.table.retract_crash(process, now_ms)
     guard.unsent_survivors[process] = None
     vm.journal.record(
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -121,7 +121,7 @@
     connection.send(data)
     send.sent = True
     head, fields = await receive_matching_head(vm, call, state, connection)
-    record_survivor(vm, state, connection.opened_ms)
+    record_survivor(vm, state, connection.opened_ms, now_ms)
     record_alive(vm, state, now_ms)
     if fields.load is not None:
         record_load(state, fields.load, vm.clock.now_ms())
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
+from ..recency import remember
 from ..rendezvous import weight
 from .model import PromptPart, Service, Upstream
 
@@ -196,9 +197,7 @@
         """
         if process in self.left:
             return False
-        self.left[process] = now_ms
-        while len(self.left) > MAX_WORDS:
-            self.left.popitem(last=False)
+        remember(self.left, process, now_ms, MAX_WORDS)
         return True
 
     def record_closed(self, process: str, until_ms: float) -> bool:
@@ -208,10 +207,7 @@
         """
         if until_ms <= self.closed_until_ms.get(process, 0.0):
             return False
-        self.closed_until_ms.pop(process, None)
-        self.closed_until_ms[process] = until_ms
-        while len(self.closed_until_ms) > MAX_WORDS:
-            self.closed_until_ms.popitem(last=False)
+        remember(self.closed_until_ms, process, until_ms, MAX_WORDS)
         return True
 
 
--- a/cuminstile/traffic.py
+++ b/cuminstile/traffic.py
@@ -14,6 +14,7 @@
 from .evidence import CallCounter, CallResult
 from .exceptions import CuminstileError, ErrorCode
 from .moves import SHARES, MoveState, hash_position, route_number
+from .recency import remember
 from .records.verdicts import settled_version
 from .traffic_state import NO_MOVE, FirstShareCalls, Traffic
 
@@ -234,10 +235,7 @@
             bodies.pop(digest, None)
         return False
     failed_on = bodies.get(digest, frozenset())
-    bodies[digest] = failed_on | {is_new}
-    bodies.move_to_end(digest)
-    while len(bodies) > MAX_FAILED_BODIES:
-        bodies.popitem(last=False)
+    remember(bodies, digest, failed_on | {is_new}, MAX_FAILED_BODIES)
     return (not is_new) in failed_on
 
 
--- a/cuminstile/traffic_state.py
+++ b/cuminstile/traffic_state.py
@@ -9,6 +9,7 @@
 
 from .latency import Latencies
 from .moves import BY_EVIDENCE, MoveDecision, MovePolicy, MoveState
+from .recency import remember
 from .records.verdicts import VerdictState
 from .vm.messages import RouteEvidence
 
@@ -110,6 +111,4 @@
 
     def store_decision(self, number: int, decision: MoveDecision) -> None:
         """Store a decision on a move that this VM does not know yet."""
-        self.decisions[number] = decision
-        while len(self.decisions) > MAX_EARLY_DECISIONS:
-            self.decisions.popitem(last=False)
+        remember(self.decisions, number, decision, MAX_EARLY_DECISIONS)
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -10,6 +10,7 @@
     "clock",
     "events",
     "exceptions",
+    "recency",
     "rendezvous",
     "supervision",
     "message_codec",
