Read the operator's records in time though the store turns the readers away

Cause: a VM read the operator's topic itself when its last confirmation was 5.5 s old, as the readers' calls wait 3 s and return together with each record.

The readers' calls now wait in turns, so that one of them confirms the topic each second, and others read after 1.4 s without a confirmation, without waiting.

--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -72,6 +72,22 @@
     return min(max_ms, single_vm_ms * vms)
 
 
+def staggered_wait_ms(
+    role: ReaderRole, readers: int, interval_ms: float, waited_in_full: bool
+) -> float:
+    """Return how long a reader's call waits if one reader is to answer each interval.
+
+    The calls of all readers return with a record, and each waits for another time then.
+
+    Parameters
+    ----------
+    waited_in_full : bool
+        Whether the reader's last call found no record until its wait was over.
+    """
+    turn = min(role.rank, readers - 1) + 1
+    return interval_ms * (readers if waited_in_full else turn)
+
+
 async def follow_topic(topic: FollowedTopic, store: KeyedStore, vm: Gateway) -> None:
     """Read a topic in an endless loop and apply the changes after each answer.
 
@@ -82,8 +98,9 @@
     await fetch_first_records(vm, topic)
     while True:
         await wait_until_due(topic, vm)
+        wait_ms, began_ms = topic.wait_ms(), vm.clock.now_ms()
         try:
-            keys = await read_once(state, store, topic.wait_ms())
+            keys = await read_once(state, store, wait_ms)
         except TrimmedError:
             vm.journal.record(Event.STORE_TRIMMED, topic=state.name)
             state.trimmed = True
@@ -95,6 +112,7 @@
             continue
         retry_ms = RETRY_MIN_MS
         record_answered_call(state, vm)
+        state.waited_in_full = vm.clock.now_ms() - began_ms >= wait_ms
         topic.apply_changes(keys, STORE)
         push_update(vm, state)
         await vm.clock.sleep_ms(topic.pause_ms())
--- a/cuminstile/gateway/topics.py
+++ b/cuminstile/gateway/topics.py
@@ -114,6 +114,9 @@
         An end that another VM has reported, and since when it is not reached here.
     always_read : bool
         Whether this VM reads the topic whatever other VMs pass on.
+    waited_in_full : bool
+        Whether this VM's last read found no record until its wait was over. If it found
+        one, the reads of all VMs returned then.
     unavailable_since_ms : float or None
         Since when this VM's calls of the store fail, None while they succeed.
     """
@@ -135,6 +138,7 @@
     unavailable_since_ms: float | None = None
     failed_calls: int = 0
     always_read: bool = False
+    waited_in_full: bool = False
 
     @property
     def must_read_all(self) -> bool:
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 
 from ..events import Event
-from ..gateway.following import follow_topic, shared_interval_ms
+from ..gateway.following import (
+    follow_topic,
+    shared_interval_ms,
+    staggered_wait_ms,
+)
 from ..gateway.model import Upstream
 from ..gateway.readers import ReaderRole
 from ..gateway.state import OUTAGE_GRACE_MS, FollowedTopic, Gateway
@@ -42,9 +46,10 @@
 """How long the store may take to deliver an upstream's record that another VM has: one
 pause and one slow answer."""
 
-OPERATOR_STANDBY_MS = 2_500.0
-"""Age, beyond one long-poll, at which a VM that others pass records on to reads the
-operator's topic itself. It hears of a record from the VMs of all data centres."""
+OPERATOR_STANDBY_MS = 1_400.0
+"""Age at which a VM that others pass records on to reads the operator's topic itself:
+more than the time between two readers' answers. With the steps between the VMs and one
+call it is less than the time after which a record must be in force."""
 UPSTREAM_STANDBY_MS = 1_400.0
 """Age at which such a VM reads the upstreams' topic itself. With the steps between the
 VMs it is less than the time after which a leaving upstream must get no more requests.
@@ -91,7 +96,7 @@
                 pause_ms=lambda: 0.0,
                 lag_ms=OPERATOR_LAG_MS,
                 always_read=follows_operator,
-                max_age_ms=lambda: self.operator_wait_ms() + OPERATOR_STANDBY_MS,
+                max_age_ms=lambda: OPERATOR_STANDBY_MS,
             ),
             UPSTREAM_TOPIC: FollowedTopic(
                 self.upstreams,
@@ -105,10 +110,19 @@
         }
 
     def operator_wait_ms(self) -> float:
-        """Return the long-poll time of the next read of the operator's topic."""
+        """Return the long-poll time of the next read of the operator's topic.
+
+        A VM that reads because others have passed nothing on asks at once, so that it
+        can tell the rest.
+        """
         role = self.vm.reader_role()
+        if not follows_operator(role):
+            return 0.0
         readers = max(role.readers, role.data_centres)
-        return shared_interval_ms(OPERATOR_WAIT_MS, OPERATOR_WAIT_MAX_MS, readers)
+        wait_ms = staggered_wait_ms(
+            role, readers, OPERATOR_WAIT_MS, self.operator.waited_in_full
+        )
+        return min(OPERATOR_WAIT_MAX_MS, wait_ms)
 
     def upstream_pause_ms(self) -> float:
         """Return the pause before the next read of the upstreams' topic."""
--- /dev/null
+++ b/tests/platform/test_follow.py
@@ -0,0 +1,121 @@
+"""Test cuminstile.platform.follow: many VMs follow the operator's records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import pytest
+
+from cuminstile.clock import VirtualClock
+from cuminstile.gateway.following import StoreCallError, follow_topic
+from cuminstile.gateway.sharing import run_topic_sync_loop
+from cuminstile.gateway.topics import TopicPage
+from cuminstile.platform.follow import OPERATOR_TOPIC, Follower
+from cuminstile.platform.records import EVACUATION_PREFIX
+
+from ..gateway.fleet import HEARTBEAT_MS, CountedStore, Fleet
+
+pytestmark = pytest.mark.anyio
+CONFIG_MS = 2_000.0
+"""Time after which VMs in touch go by a record that the store has accepted."""
+STEP_MS = 20.0
+QUIET_MS = 12_000.0
+MAX_CALLS_PER_S = 1.2
+"""As many as a single VM would make, and a fifth for the start of a wait."""
+
+
+@dataclass
+class WaitingStore:
+    """The store as one VM calls it; a read waits for the next record."""
+
+    store: CountedStore
+    name: str
+    clock: VirtualClock
+
+    async def newest(self, topic: str) -> TopicPage:
+        """Return all records."""
+        del topic
+        return self.store.page(self.name, 0)
+
+    async def read(self, topic: str, start: int, wait_ms: float) -> TopicPage:
+        """Return the records from an offset on as soon as there is one."""
+        del topic
+        end_ms = self.clock.now_ms() + wait_ms
+        while len(self.store.records) <= start and self.clock.now_ms() < end_ms:
+            if self.name in self.store.refused:
+                raise StoreCallError("refused", calls_before=1)
+            await self.clock.sleep_ms(STEP_MS)
+        return self.store.page(self.name, start)
+
+
+@dataclass(frozen=True)
+class Figures:
+    """How long a record took to all VMs in ms, and calls of the store before it."""
+
+    known_after_ms: float
+    calls_per_s: float
+
+
+async def follow_record(vms: int, refused: int, put_after_ms: float = 200.0) -> Figures:
+    """Return how long a record takes to all VMs that the store serves.
+
+    The store turns away VMs that read for the others, some time before the record.
+    """
+    clock = VirtualClock(at_ms=100_000.0)
+    fleet = Fleet(clock, CountedStore())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.run_heartbeats)
+        for number in range(vms):
+            vm = fleet.add(number, "abc"[number % 3])
+            store = WaitingStore(fleet.store, vm.settings.name, clock)
+            client: Any = store
+            Follower(vm, client)
+            topic = vm.topics[OPERATOR_TOPIC]
+            tasks.start_soon(follow_topic, topic, store, vm)
+            tasks.start_soon(run_topic_sync_loop, vm)
+        await clock.advance_ms(6 * HEARTBEAT_MS)
+        fleet.store.put("other", b"{}")
+        await clock.advance_ms(HEARTBEAT_MS)
+        fleet.store.calls.clear()
+        await clock.advance_ms(QUIET_MS)
+        calls_per_s = len(fleet.store.calls) / QUIET_MS * 1_000.0
+        readers = [
+            vm
+            for vm in fleet.vms.values()
+            if vm.topics[OPERATOR_TOPIC].state.always_read
+        ]
+        turned_away = readers[:refused]
+        fleet.store.refused = {vm.settings.name for vm in turned_away}
+        await clock.advance_ms(put_after_ms)
+        fleet.store.put(f"{EVACUATION_PREFIX}b", b"{}")
+        put_ms = clock.now_ms()
+        others = [vm for vm in fleet.vms.values() if vm not in turned_away]
+        while not all(vm.table.taken_out for vm in others):
+            await clock.advance_ms(STEP_MS)
+        tasks.cancel_scope.cancel()
+    return Figures(clock.now_ms() - put_ms, calls_per_s)
+
+
+@pytest.mark.parametrize("vms", [9, 30, 195])
+@pytest.mark.parametrize("refused", [0, 1, 2])
+async def test_operators_record_is_known_while_the_store_turns_some_readers_away(
+    vms: int, refused: int
+) -> None:
+    figures = await follow_record(vms, refused)
+    print(f"FIG {vms=} {refused=} {figures}")
+    assert figures.known_after_ms <= CONFIG_MS
+    assert figures.calls_per_s <= MAX_CALLS_PER_S
+
+
+# Guards against a VM that goes by an old manifest, since it waits for readers that the
+# store turns away.
+@pytest.mark.parametrize("put_after_ms", [20.0, 700.0, 1_500.0, 2_800.0])
+@pytest.mark.parametrize("vms", [9, 30, 195])
+async def test_operators_record_is_known_though_all_readers_are_turned_away(
+    vms: int, put_after_ms: float
+) -> None:
+    figures = await follow_record(vms, 3, put_after_ms)
+    print(f"FIG {vms=} {put_after_ms=} {figures}")
+    assert figures.known_after_ms <= CONFIG_MS
