Keep the address of the VM that reported a quarantined part out of the answer

The refusal named the VM that had told of the part to the caller; that is for the log. Text only: the answer names the part and the number of crashes, the log adds the VM.

--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -90,12 +90,12 @@
 
 def quarantined_part(part: str, suspect: Suspect) -> Refusal:
     """Return the refusal of a request with a quarantined part in its prompt."""
-    source = f", as VM {suspect.told_by} reports" if suspect.told_by else ""
     text = (
         f"quarantined: {len(suspect.crashes)} upstreams crashed under requests with"
-        f" part {part} of this prompt{source}; do not retry"
+        f" part {part} of this prompt; do not retry"
     )
-    return Refusal(ErrorCode.QUARANTINED, text)
+    source = f" (reported by {suspect.told_by or 'this VM'})"
+    return Refusal(ErrorCode.QUARANTINED, text, logged=source)
 
 
 async def wait_for_trial(vm: Gateway, call: Call) -> None:
--- a/cuminstile/gateway/refusals.py
+++ b/cuminstile/gateway/refusals.py
@@ -22,11 +22,18 @@
 
 @dataclass
 class Refusal(Exception):
-    """The error answer to a request that is not served."""
+    """The error answer to a request that is not served.
+
+    Parameters
+    ----------
+    logged : str
+        What the log says beyond the message; callers don't see it.
+    """
 
     code: ErrorCode
     message: str
     retry_after_ms: float | None = None
+    logged: str = ""
 
 
 def out_of_time(maybe_ran: bool) -> Refusal:
@@ -82,7 +89,7 @@
         route=route_name,
         code=refusal.code.value,
         status=status,
-        reason=refusal.message,
+        reason=refusal.message + refusal.logged,
         retry_after_ms=refusal.retry_after_ms,
         at_ms=round(vm.clock.now_ms() - request.arrived_ms, 1),
         manifest=vm.manifest.version if vm.manifest else -1,
