--- a/tests/gateway/prompt_traffic.py
+++ b/tests/gateway/prompt_traffic.py
@@ -145,8 +145,8 @@
         self.clock.at_ms = max(self.clock.at_ms, end_ms)
 
     def live_vms(self) -> list[Gateway]:
-        """Return the VMs that run."""
-        return list(self.fleet.vms.values())
+        """Return the VMs that run and are not frozen."""
+        return [vm for a, vm in self.fleet.vms.items() if a not in self.fleet.dead]
 
     def any_vm(self) -> Gateway:
         """Return a VM that runs."""
@@ -264,6 +264,15 @@
         new.incarnation = f"incarnation-{next(self.numbers)}"
         self.started_ms[new.settings.peer_address] = self.clock.now_ms()
 
+    def freeze(self, vm: Gateway) -> None:
+        """Let a VM stand still: it keeps what it knows and hears nothing."""
+        self.fleet.dead.add(vm.settings.peer_address)
+
+    def wake(self, vm: Gateway) -> None:
+        """Let a frozen VM go on."""
+        self.fleet.dead.remove(vm.settings.peer_address)
+        self.started_ms[vm.settings.peer_address] = self.clock.now_ms()
+
     def in_touch(self, vm: Gateway) -> bool:
         """Return whether a VM did not start just now and is not cut off."""
         started_ms = self.started_ms.get(vm.settings.peer_address, 0.0)
--- a/tests/gateway/test_part_sharing.py
+++ b/tests/gateway/test_part_sharing.py
@@ -147,6 +147,27 @@
     assert states == {Suspicion.QUARANTINED}
 
 
+# Guards against a VM that goes on by what it knew before it stood still.
+@pytest.mark.parametrize("vms", SIZES)
+def test_frozen_vm_soon_stops_sending_the_part_when_it_is_back(vms: int) -> None:
+    """The VM that stands still may be one that tells the others."""
+    traffic = PromptTraffic(vms, 40, 6, [BAD])
+    frozen = traffic.any_vm()
+    traffic.freeze(frozen)
+    send_sound(traffic, 40.0, 20_000.0)
+    send_bad(traffic, 20, 200.0)
+    traffic.run_for(8_000.0)
+    ended = len(traffic.seen.ended)
+    traffic.wake(frozen)
+    for _ in range(30):
+        traffic.request([COMMON, BAD], frozen)
+        traffic.run_for(200.0)
+    more = len(traffic.seen.ended) - ended
+    print(f"FIG frozen vms={vms} ended={ended} more={more}")
+    assert late_sends(traffic) == 0
+    assert more <= MAX_LATE_SENDS
+
+
 # Guards against refusing what everybody needs while half of a service is killed.
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("vms", SIZES)
