Give each process of the tests ports that no outgoing connection uses

Cause, traced by reading: free_port took a port of the kernel's ephemeral range, closed it and listened on it later; a connection of a test beside it can take the port meanwhile. The ports now lie below that range, and each process of the tests has a range of its own.

--- a/tests/fakes/vms.py
+++ b/tests/fakes/vms.py
@@ -1,5 +1,7 @@
 """VMs that run in the process of the test."""
 
+import itertools
+import os
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -22,11 +24,28 @@
 OPERATOR_KEY = "a-key-for-operators-1"
 
 
+FIRST_PORT = 12_000
+"""Below the kernel's ephemeral ports, so that no outgoing connection uses one."""
+PORTS_PER_PROCESS = 500
+PROCESSES = 40
+numbers = itertools.count()
+
+
 def free_port() -> int:
-    """Return a loopback TCP port that is unused now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a loopback TCP port that is unused now and that no other call returns.
+
+    Each process of the tests has a range of its own.
+    """
+    first = FIRST_PORT + os.getpid() % PROCESSES * PORTS_PER_PROCESS
+    for _ in range(PORTS_PER_PROCESS):
+        port = first + next(numbers) % PORTS_PER_PROCESS
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f"no unused port from {first} on")
 
 
 def make_settings(name: str, data_centre: str, **fields: object) -> Settings:
