Look a part's id up in one place, by the names that the call has

part_id_of hashed each part of the prompt again for each log line, though the call holds their names, and the refusal of a quarantined part looked the id up by itself.

--- a/cuminstile/gateway/crash_evidence.py
+++ b/cuminstile/gateway/crash_evidence.py
@@ -7,7 +7,6 @@
 
 from ..crash_suspects import Suspicion
 from ..events import Event
-from .crash_state import part_name
 from .state import Gateway
 from .upstreams import UpstreamState, process_of
 
@@ -102,10 +101,9 @@
 
 def part_id_of(call: Call, name: bytes) -> str:
     """Return the id of the part that a name stands for, empty for a request's own."""
-    for part in call.fields.parts[:-1]:
-        if part_name(part.id) == name:
-            return part.id
-    return ""
+    if name not in call.part_names:
+        return ""
+    return call.fields.parts[call.part_names.index(name)].id
 
 
 def shared_part_ids(call: Call) -> str:
--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -14,7 +14,12 @@
 from ..crash_suspects import Suspicion
 from ..events import Event
 from ..exceptions import ErrorCode
-from .crash_evidence import record_answer, record_crash, record_suspicion
+from .crash_evidence import (
+    part_id_of,
+    record_answer,
+    record_crash,
+    record_suspicion,
+)
 from .crash_state import fingerprint_of
 from .refusals import Refusal
 from .state import Gateway
@@ -78,8 +83,7 @@
         return
     if name == names[0]:
         raise quarantined(call.service.name)
-    part = call.fields.parts[call.part_names.index(name)].id
-    raise quarantined_part(part, table.by_fingerprint[name])
+    raise quarantined_part(part_id_of(call, name), table.by_fingerprint[name])
 
 
 def quarantined(service: str) -> Refusal:
