Log which request of its connection a send was, and bytes on idle connections

Change: request_sent and answer_dropped have nth_request; answer_unexpected has the first line of bytes that come while no request is in progress. No decision changed.

--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -99,6 +99,7 @@
     REQUEST_SENT = 3401
     STREAM_BROKEN = 3402
     STREAM_RESUMED = 3403
+    ANSWER_UNEXPECTED = 3404
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -293,6 +293,7 @@
         list_version=send.chosen_by.version,
         list_age_ms=send.chosen_by.age_ms,
         outcome=send.outcome.value,
+        nth_request=send.nth_request,
         detail=send.detail,
         at_ms=round(vm.clock.now_ms() - call.request.arrived_ms, 1),
         target_ms=round(call.target_at_ms - call.request.arrived_ms),
--- a/cuminstile/gateway/connection_pool.py
+++ b/cuminstile/gateway/connection_pool.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
 
 from .http_client import HttpConnection
 
 
 @dataclass
 class ConnectionPool:
-    """Idle connections by the key of their peer; the newest one is used first."""
+    """Idle connections by the key of their peer; the newest one is used first.
+
+    Parameters
+    ----------
+    on_unexpected : callable
+        Called with a key and the bytes that came on an idle connection of that peer.
+    """
 
     idle: dict[str, deque[HttpConnection]]
+    on_unexpected: Callable[[str, bytes], None] = field(default=lambda *_: None)
 
     def acquire(self, key: str, now_ms: float) -> HttpConnection | None:
         """Return an idle connection that the peer still keeps open, or None."""
@@ -28,6 +37,7 @@
     def release(self, key: str, connection: HttpConnection, now_ms: float) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
         if connection.release(now_ms):
+            connection.on_unexpected = partial(self.on_unexpected, key)
             self.idle.setdefault(key, deque()).append(connection)
 
     def close_expired(self, now_ms: float) -> None:
--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
 
@@ -113,7 +114,8 @@
     `refused_attempts` holds the ids of attempts that were refused on the connection,
     `handles` the stored results that were returned on it with the items they are of.
     `ended_by_peer` is true if the peer closed or reset the connection, as its process
-    does when it ends.
+    does when it ends. `on_unexpected` is called with bytes that come while no request
+    is in progress.
     """
 
     def __init__(self) -> None:
@@ -135,6 +137,7 @@
         self.lost: str | None = None
         self.peer_sent_eof = False
         self.ended_by_peer = False
+        self.on_unexpected: Callable[[bytes], None] = lambda _: None
         self.opened_ms = 0.0
         self.refused_attempts: set[str] = set()
         self.handles: OrderedDict[str, str] = OrderedDict()
@@ -158,6 +161,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is in progress."""
         if not self.in_use:
+            self.on_unexpected(data)
             self.close("received bytes without a request in progress")
             return
         for start in range(0, len(data), FEED_BYTES):
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -10,8 +10,9 @@
 from aioprometheus.renderer import render
 from anyio.abc import TaskGroup
 
-from ..events import Event
+from ..events import Event, Journal
 from ..supervision import run_with_restarts
+from .connection_pool import ConnectionPool
 from .crash_checks import run_crash_check_loop
 from .crash_sharing import run_crash_sharing_loop
 from .heartbeats import HeartbeatSocket, open_heartbeats, run_heartbeat_loop
@@ -25,6 +26,7 @@
 
 HOUSEKEEPING_INTERVAL_MS = 200.0
 """Interval of checks for idle connections and lost VMs."""
+MAX_LOGGED_LINE_BYTES = 64
 
 Job = Callable[[], Awaitable[None]]
 
@@ -82,6 +84,7 @@
         Reloads the settings file.
     """
     vm.crash_guard.lives = liveness_check(vm.clock)
+    log_unexpected_answers(vm.journal, vm.pool, vm.scheduler.caller.pool)
     server = Server(vm.clock, make_handler(vm), lambda: vm.limits)
     readiness = Server(vm.clock, make_readiness(vm), lambda: vm.limits)
     heartbeats = await open_heartbeats(vm)
@@ -134,6 +137,19 @@
     tasks.cancel_scope.cancel()
 
 
+def log_unexpected_answers(journal: Journal, *pools: ConnectionPool) -> None:
+    """Log the bytes that upstreams send on idle connections, by their first line."""
+
+    def record(key: str, data: bytes) -> None:
+        line = data[:MAX_LOGGED_LINE_BYTES].partition(b"\r\n")[0]
+        journal.record(
+            Event.ANSWER_UNEXPECTED, upstream=key, answer=line.decode("latin-1")
+        )
+
+    for pool in pools:
+        pool.on_unexpected = record
+
+
 async def run_housekeeping_loop(vm: Gateway, server: Server, log: LogOutput) -> None:
     """Close idle connections and lost sessions and flush the log, in a loop."""
     while True:
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -87,6 +87,8 @@
         What was sent to the caller, in this send and in earlier ones.
     chosen_by : ListAge
         The list of upstreams from which the upstream was chosen.
+    nth_request : int
+        Which request of its connection this is, counted from 1.
     sent : bool
         Whether a byte of the request may have reached the upstream.
     crashed : bool
@@ -108,6 +110,7 @@
     outcome: Outcome = Outcome.UNSENT
     failure: Failure | None = None
     detail: str = ""
+    nth_request: int = 0
     sent: bool = False
     crashed: bool = False
     events_since_ms: float = 0.0
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -120,6 +120,7 @@
     data = render_request(request.method, request.target, headers, request.body)
     connection.send(data)
     send.sent = True
+    send.nth_request = connection.requests
     head, fields = await receive_matching_head(vm, call, state, connection)
     record_survivor(vm, state, connection.opened_ms, now_ms)
     record_alive(vm, state, now_ms)
@@ -177,6 +178,7 @@
             request=call.fields.attempt_id,
             other=fields.attempt_id,
             status=head.status,
+            nth_request=connection.requests,
         )
     raise AnswerTooLargeError(f"received {MAX_OTHER_ANSWERS} answers to other requests")
 
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -73,3 +73,32 @@
             assert await connection.receive_rest() == b"ok"
             pool.release(KEY, connection, 0.0)
             assert pool.acquire(KEY, 0.0) is connection
+
+
+async def test_bytes_on_an_idle_connection_are_reported_with_their_peer() -> None:
+    """Guards against a second answer that leaves no trace in the log."""
+    reported: list[tuple[str, bytes]] = []
+    pool = ConnectionPool({}, lambda key, data: reported.append((key, data)))
+    late = asyncio.Event()
+
+    async def answer_twice(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER)
+        await late.wait()
+        writer.write(ANSWER)
+        await reader.read()
+
+    async with serving(answer_twice) as (address, _):
+        connection = await open_connection(address)
+        connection.send(REQUEST)
+        await connection.receive_head()
+        await connection.receive_rest()
+        pool.release(KEY, connection, 0.0)
+        late.set()
+        async with asyncio.timeout(2.0):
+            while connection.lost is None:
+                await asyncio.sleep(0.01)
+    assert reported == [(KEY, ANSWER)]
+    assert pool.acquire(KEY, 0.0) is None
