--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -225,6 +225,94 @@
     assert sent.caller.body == second_id.encode()
 
 
+SEALED = b"HTTP/1.1 %s\r\n%sResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+ID_FIELD = b"Attempt-Id: %s\r\n"
+
+
+def answering_in_turn(*answers: bytes) -> Session:
+    """Return a session that writes the next answers to each request.
+
+    An answer with `%s` for its id gets that of the request. The last one follows the
+    one before it without another request.
+    """
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for number, answer in enumerate(answers):
+            if number < len(answers) - 1:
+                name = await read_id(reader)
+            writer.write(answer.replace(b"%s", name))
+        await reader.read()
+
+    return session
+
+
+OWN = SEALED % (b"200 OK", ID_FIELD)
+OWN_FAILURE = SEALED % (b"500 Failed", ID_FIELD)
+OWN_REFUSAL = REFUSAL % ID_FIELD
+REFUSAL_WITHOUT_ID = REFUSAL % b""
+
+
+# Guards against "not run" for a request that runs, so that it is sent once more or
+# refused after its run: on a connection that has carried another request, a refusal
+# without an id may be a second answer to that one.
+@pytest.mark.parametrize(
+    "first", [OWN_REFUSAL, OWN, OWN_FAILURE], ids=["refused", "answered", "failed"]
+)
+@pytest.mark.parametrize(
+    "last", [OWN, OWN_FAILURE, b""], ids=["answer", "failure", "nothing"]
+)
+async def test_refusal_without_id_proves_nothing_on_a_used_connection(
+    first: bytes, last: bytes
+) -> None:
+    vm = make_vm(Clock())
+    session = answering_in_turn(first, REFUSAL_WITHOUT_ID, last)
+    async with serving(session) as (address, begun):
+        await send(vm, address, "a1", RouteKind.ONCE)
+        async with asyncio.timeout(FIRST_EVENT_MS / 2_000.0):
+            sent = await send(vm, address, "a2", RouteKind.ONCE)
+        assert len(begun) == 1
+    assert sent.outcome is Outcome.UNKNOWN
+    assert vm.pool.idle == {}
+
+
+# Guards against a success where the upstream had answered with a failure: the answer
+# without an id may be the one to this request, and the next one its second.
+@pytest.mark.parametrize("status", [b"500 Failed", b"404 Not Found", b"200 OK"])
+@pytest.mark.parametrize("used", [False, True])
+async def test_nothing_is_accepted_after_an_answer_without_id(
+    status: bytes, used: bool
+) -> None:
+    vm = make_vm(Clock())
+    session = answering_in_turn(*[OWN] * used, SEALED % (status, b""), OWN)
+    async with serving(session) as (address, _):
+        if used:
+            await send(vm, address, "a1", RouteKind.ONCE)
+        async with asyncio.timeout(FIRST_EVENT_MS / 2_000.0):
+            sent = await send(vm, address, "a2", RouteKind.ONCE)
+    assert sent.outcome is Outcome.UNKNOWN
+    assert sent.caller.body == b""
+
+
+async def test_refusal_without_id_of_a_first_request_is_believed() -> None:
+    """Guards against a request that no upstream has run and that is not sent again."""
+    vm = make_vm(Clock())
+    async with serving(answering_in_turn(REFUSAL_WITHOUT_ID, b"")) as (address, _):
+        sent = await send(vm, address, "a1", RouteKind.ONCE)
+    assert sent.outcome is Outcome.NOT_RUN
+
+
+async def test_sound_requests_share_one_connection() -> None:
+    """Guards against a new connection for each request, which costs the upstream."""
+    vm = make_vm(Clock())
+    session = answering_in_turn(*[OWN, OWN_REFUSAL, OWN_FAILURE] * 5, b"")
+    async with serving(session) as (address, begun):
+        for number in range(15):
+            await send(vm, address, f"a{number}", RouteKind.ONCE)
+        assert len(begun) == 1
+
+
 def after_a_break(head: bytes, body: bytes) -> Session:
     """Return a session that answers a resumed stream with something else."""
 
