Accept nothing after an answer without an id but a refusal of a first request

Cause: an answer without an id was matched by its place. On a connection that had carried another request a refusal without an id (a second answer to the earlier request) counted as "not run", so the request was sent again or refused although it ran. Any other answer without an id was passed over and the next one with the id was forwarded: a success where the upstream had answered with a failure. Class: an answer that is matched by its place alone. Change: an answer without an id ends its send as one that may have run, at once, and its connection; only on the first request of a connection, where no other answer can be due, a refusal without an id still means "not run".

--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -44,6 +44,13 @@
 """Answers to other requests that are dropped before the connection is closed."""
 
 
+class UnidentifiedAnswerError(ConnectionLostError):
+    """An answer had no id, so neither it nor a later one can be trusted."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"status {status} without an id", sent=True)
+
+
 async def send_once(
     vm: Gateway, call: Call, state: UpstreamState, inputs: tuple[str, ...], send: Send
 ) -> None:
@@ -161,6 +168,9 @@
     ------
     AnswerTooLargeError
         If too many answers to other requests arrive.
+    UnidentifiedAnswerError
+        If an answer without an id arrives that may be the one to this request or to
+        another.
     ConnectionLostError
         If the connection ends first.
     """
@@ -171,7 +181,7 @@
             record_words(vm, state.info, fields)
         if not call.fields.attempt_id or fields.attempt_id == call.fields.attempt_id:
             return head, fields
-        if fields.states_not_run(state.info.id) and not fields.attempt_id:
+        if is_first_refusal(connection, fields, state):
             return head, fields
         vm.journal.record(
             Event.ANSWER_DROPPED,
@@ -180,9 +190,24 @@
             status=head.status,
             nth_request=connection.requests,
         )
+        if not fields.attempt_id:
+            raise UnidentifiedAnswerError(head.status)
     raise AnswerTooLargeError(f"received {MAX_OTHER_ANSWERS} answers to other requests")
 
 
+def is_first_refusal(
+    connection: HttpConnection, fields: AnswerFields, state: UpstreamState
+) -> bool:
+    """Return whether an answer without an id refuses the request in progress.
+
+    Upstreams may refuse a request before they read its id. On a connection that has
+    carried another request, the refusal may be a late second answer to that one.
+    """
+    if fields.attempt_id or connection.requests > 1:
+        return False
+    return fields.states_not_run(state.info.id)
+
+
 async def record_not_run(
     vm: Gateway,
     state: UpstreamState,
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -274,7 +274,7 @@
             sent = await send(vm, address, "a2", RouteKind.ONCE)
         assert len(begun) == 1
     assert sent.outcome is Outcome.UNKNOWN
-    assert vm.pool.idle == {}
+    assert not any(vm.pool.idle.values())
 
 
 # Guards against a success where the upstream had answered with a failure: the answer
