Show that an answer to a stage call with unknown handles is taken for the next

Cause: a second answer is recognized by handles that its connection has returned. A piece that was produced again has new handles, so its answer is taken for that to the next call, and the connection stays one answer behind.

--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import orjson
 import pytest
@@ -17,8 +18,11 @@
 from .test_state import make_vm
 
 pytestmark = pytest.mark.anyio
+Copy = Callable[[list[dict]], bytes]
 CALLS = 12
 LOST = {"reason": "late"}
+WORK_MS = 120.0
+"""How long a call takes at an upstream that works, and is expected to."""
 
 
 async def read_items(reader: asyncio.StreamReader) -> list[dict]:
@@ -134,3 +138,86 @@
         answer = await vm.scheduler.caller.run(worker, [item(3)], 500.0)
         assert answer.outcomes[0].handle == "h:1/r3"
         assert len(begun) == 2
+
+
+def late_copies(number: int, copy: Copy, delay_ms: float) -> Session:
+    """Return a session that works, and answers one call a second time, late.
+
+    Parameters
+    ----------
+    number : int
+        Number of the call whose answer is sent again.
+    copy : callable
+        Returns the second answer to a call with some items.
+    delay_ms : float
+        How long after the next call begins the second answer is sent.
+    """
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        late = b""
+        for call in range(1_000):
+            items = await read_items(reader)
+            left_ms = WORK_MS
+            if late:
+                await asyncio.sleep(delay_ms / 1_000.0)
+                writer.write(late)
+                left_ms -= delay_ms
+            await asyncio.sleep(left_ms / 1_000.0)
+            writer.write(answer_of(items, False))
+            late = copy(items) if call == number else b""
+
+    return session
+
+
+def made_again(items: list[dict]) -> bytes:
+    """Return an answer with other handles for the same items."""
+    return answer_of([{"id": f"{item['id']}-again"} for item in items], False)
+
+
+def made_again_in_chunks(items: list[dict]) -> bytes:
+    """Return such an answer, its body in chunks."""
+    head, _, body = made_again(items).partition(b"\r\n\r\n")
+    status = head.partition(b"\r\n")[0]
+    size = b"%x" % len(body)
+    chunked = b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return status + chunked + size + b"\r\n" + body + b"\r\n0\r\n\r\n"
+
+
+async def make_calls(
+    caller: StageCaller, address: str, count: int, pause_ms: float
+) -> tuple[dict[str, str], int]:
+    """Make calls of one item each; return the handles by request and the losses."""
+    worker = Worker("w", "s", address, "a")
+    handles, lost = {}, 0
+    for number in range(count):
+        try:
+            answer = await caller.run(worker, [item(number)], WORK_MS)
+        except ConnectionLostError:
+            lost += 1
+        else:
+            handles[f"r{number}"] = str(answer.outcomes[0].handle)
+        await asyncio.sleep(pause_ms / 1_000.0)
+    return handles, lost
+
+
+def foreign_of(handles: dict[str, str]) -> list[str]:
+    """Return the handles that were made for other requests."""
+    return [made for request, made in handles.items() if made != f"h:1/{request}"]
+
+
+@pytest.mark.parametrize("copy", [made_again, made_again_in_chunks])
+async def test_second_answer_with_other_handles_is_not_that_to_the_next_call(
+    copy: Copy,
+) -> None:
+    """Guards against results of others by a piece that was produced again.
+
+    Its handles are unknown, so nothing but its time tells it apart: it comes as the
+    next call begins, sooner than any call can be done.
+    """
+    vm = make_vm(Clock())
+    async with serving(late_copies(1, copy, 0.0)) as (address, _):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 5, 0.0)
+    assert foreign_of(handles) == []
+    assert lost == 1
