Refuse an answer to a stage call that is sooner than its work can be done

Cause: nothing but handles seen before told a second answer apart; a piece that was produced again has others. Change: on a connection that has carried a call, an answer with results that comes in less than half of the time that a call takes is no answer to it: the call is lost and the connection closed. That time is the expected one, or that of the last call that was the first one on its connection if it is shorter, times the share of the items that completed. Sound calls share connections as before. Price: 100 sound calls of 0.6 to 1.5 of the expected time open 1 connection before and after.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from ..clock import Clock
@@ -31,6 +32,12 @@
 """Time added to that for fetching inputs over slow network links."""
 MAX_HANDLES = 4_096
 """Handles that are remembered of a connection: those of some hundred calls."""
+EARLY_SHARE = 0.5
+"""Share of a call's duration before which an answer with results is not its own. If an
+answer comes twice, the second one or the one that it displaced comes before this share
+of a call."""
+MIN_EARLY_MS = 10.0
+"""Such times below this say nothing: the network may take as long."""
 FREE_TIMEOUT_MS = 1_000.0
 """How long an upstream may take to free results; they expire without that too."""
 
@@ -60,12 +67,20 @@
 
 @dataclass
 class StageCaller:
-    """Client for the upstreams of stages; has separate connections for frees."""
+    """Client for the upstreams of stages; has separate connections for frees.
+
+    Parameters
+    ----------
+    first_ms : dict of str to float
+        Duration of the last call of each upstream that was the first one on its
+        connection, so that no other answer could be due.
+    """
 
     clock: Clock
     protocol: UpstreamProtocol
     stage_protocol: StageProtocol
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
+    first_ms: dict[str, float] = field(default_factory=dict)
 
     async def run(
         self, worker: Worker, items: Sequence[ItemRequest], expected_ms: float
@@ -87,8 +102,16 @@
         limit_ms = expected_ms * slowness * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_MS
         request = self.stage_protocol.run_request(worker.id, items)
         try:
-            async with asyncio.timeout(limit_ms / 1000.0):
-                answer = await self.exchange(worker.id, worker.address, request, items)
+            async with (
+                asyncio.timeout(limit_ms / 1000.0),
+                self.connection_to(worker.id, worker.address) as connection,
+            ):
+                began_ms = self.clock.now_ms()
+                answer = await self.exchange(connection, request)
+                took_ms = self.clock.now_ms() - began_ms
+                self.check_own_answer(
+                    worker, connection, items, answer, expected_ms, took_ms
+                )
         except TimeoutError as error:
             raise ConnectionLostError(
                 "upstream did not answer the call in time", sent=True
@@ -106,7 +129,8 @@
         request = self.stage_protocol.free_request(handles)
         try:
             async with asyncio.timeout(FREE_TIMEOUT_MS / 1000.0):
-                await self.exchange(f"{upstream_id} free", address, request)
+                async with self.connection_to(f"{upstream_id} free", address) as free:
+                    await self.exchange(free, request)
         except TimeoutError as error:
             raise ConnectionLostError(
                 "upstream did not confirm in time that results are freed", sent=True
@@ -114,69 +138,95 @@
 
     def drop(self, upstream_id: str) -> None:
         """Close the idle connections to an upstream that is gone."""
+        self.first_ms.pop(upstream_id, None)
         self.pool.drop(upstream_id)
         self.pool.drop(f"{upstream_id} free")
 
-    async def exchange(
-        self,
-        key: str,
-        address: str,
-        request: bytes,
-        items: Sequence[ItemRequest] = (),
-    ) -> StageAnswer:
-        """Send a request on the connection pooled under a key; return the answer.
-
-        Parameters
-        ----------
-        items : sequence of ItemRequest
-            The work items that the request asks for.
+    @asynccontextmanager
+    async def connection_to(
+        self, key: str, address: str
+    ) -> AsyncIterator[HttpConnection]:
+        """Yield a connection pooled under a key; it is closed after an error.
 
         Raises
         ------
         ConnectionLostError
-            If the connection ends, or the answer is not that to this request.
+            If none can be opened.
         """
-        connection: HttpConnection | None = self.pool.acquire(key, self.clock.now_ms())
+        connection = self.pool.acquire(key, self.clock.now_ms())
         if connection is None:
             connection = await open_connection(address)
         try:
-            connection.send(request)
-            head = await connection.receive_head()
-            body = await connection.receive_rest()
-            fields = self.protocol.read_answer(head.status, head.headers)
-            outcomes: tuple[StageOutcome, ...] = ()
-            if head.status == 200:
-                outcomes = self.stage_protocol.read_outcomes(body)
-                check_own_answer(connection, items, outcomes)
-            if items and not any(outcome.handle for outcome in outcomes):
-                connection.close("a copy of the answer could not be recognized")
-            else:
-                self.pool.release(key, connection, self.clock.now_ms())
+            yield connection
         except BaseException:
             connection.close("call aborted")
             raise
+        self.pool.release(key, connection, self.clock.now_ms())
+
+    async def exchange(self, connection: HttpConnection, request: bytes) -> StageAnswer:
+        """Send a request; return the first answer that comes.
+
+        Raises
+        ------
+        ConnectionLostError
+            If the connection ends before.
+        """
+        connection.send(request)
+        head = await connection.receive_head()
+        body = await connection.receive_rest()
+        fields = self.protocol.read_answer(head.status, head.headers)
+        outcomes: tuple[StageOutcome, ...] = ()
+        if head.status == 200:
+            outcomes = self.stage_protocol.read_outcomes(body)
         return StageAnswer(
             head.status, fields.not_run, outcomes, fields.leaving, fields.closed_ms
         )
 
+    def check_own_answer(
+        self,
+        worker: Worker,
+        connection: HttpConnection,
+        items: Sequence[ItemRequest],
+        answer: StageAnswer,
+        expected_ms: float,
+        took_ms: float,
+    ) -> None:
+        """Check that an answer is not that to an earlier call on its connection.
+
+        Answers to calls have no id. A copy of an earlier one has handles that the
+        upstream returned for other items, or comes sooner than the work can be done.
 
-def check_own_answer(
+        Raises
+        ------
+        ConnectionLostError
+            If it is, or it does not have one outcome for each work item.
+        """
+        if answer.status == 200:
+            check_outcomes(connection, items, answer.outcomes)
+        made = sum(1 for outcome in answer.outcomes if outcome.handle)
+        if not made:
+            connection.close("a copy of the answer could not be recognized")
+            return
+        if connection.requests == 1:
+            self.first_ms[worker.id] = took_ms
+            return
+        least_ms = min(expected_ms, self.first_ms.get(worker.id, 0.0)) * EARLY_SHARE
+        if least_ms >= MIN_EARLY_MS and took_ms < least_ms * made / len(items):
+            raise ConnectionLostError("answer is sooner than the work", sent=True)
+
+
+def check_outcomes(
     connection: HttpConnection,
     items: Sequence[ItemRequest],
     outcomes: Sequence[StageOutcome],
 ) -> None:
-    """Check that an answer is not that to an earlier call on its connection.
-
-    Answers to calls have no id. A copy of an earlier one has handles that the upstream
-    returned for other items.
+    """Check that there is one outcome for each work item, and no handle of another.
 
     Raises
     ------
     ConnectionLostError
-        If it is, or it does not have one outcome for each work item.
+        If that is not so.
     """
-    if not items:
-        return
     if len(outcomes) != len(items):
         raise ConnectionLostError(
             "answer does not have one outcome for each work item", sent=True
--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import orjson
@@ -221,3 +222,25 @@
         handles, lost = await make_calls(vm.scheduler.caller, address, 5, 0.0)
     assert foreign_of(handles) == []
     assert lost == 1
+
+
+async def test_hundred_sound_calls_of_differing_speed_share_one_connection() -> None:
+    """Guards against sound answers that are refused as those to other calls."""
+    source = random.Random(42)
+    expected_ms = 30.0
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            items = await read_items(reader)
+            await asyncio.sleep(expected_ms * source.uniform(0.6, 1.5) / 1_000.0)
+            writer.write(answer_of(items, False))
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, begun):
+        worker = Worker("w", "s", address, "a")
+        for number in range(100):
+            items = [item(2 * number), item(2 * number + 1)]
+            await vm.scheduler.caller.run(worker, items, expected_ms)
+        assert len(begun) == 1
