Show that foreign results are kept when a call's own answer comes after them

Cause: a second answer that comes late in the next call is taken for that call's. The connection is one answer ahead then: the own answer comes together with it, while the connection is idle, or too soon in the next call. The first is ignored, and the others close the connection, but the results stay.

--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -153,12 +153,13 @@
     delay_ms : float
         How long after the next call begins the second answer is sent.
     """
+    calls = iter(range(1_000))
 
     async def session(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         late = b""
-        for call in range(1_000):
+        while True:
             items = await read_items(reader)
             left_ms = WORK_MS
             if late:
@@ -167,7 +168,7 @@
                 left_ms -= delay_ms
             await asyncio.sleep(left_ms / 1_000.0)
             writer.write(answer_of(items, False))
-            late = copy(items) if call == number else b""
+            late = copy(items) if next(calls) == number else b""
 
     return session
 
@@ -244,3 +245,64 @@
             items = [item(2 * number), item(2 * number + 1)]
             await vm.scheduler.caller.run(worker, items, expected_ms)
         assert len(begun) == 1
+
+
+@pytest.mark.parametrize(("pause_ms", "lost_calls"), [(100.0, 0), (0.0, 1)])
+async def test_results_of_an_answer_that_was_not_the_last_one_are_doubted(
+    pause_ms: float, lost_calls: int
+) -> None:
+    """Guards against results of others by a second answer that comes late in a call.
+
+    The call's own answer then comes while the connection is idle, or too soon in the
+    next call.
+    """
+    vm = make_vm(Clock())
+    doubted: list[str] = []
+    caller = vm.scheduler.caller
+    caller.on_doubt = lambda _, handles: doubted.extend(handles)
+    late = late_copies(1, made_again, 0.7 * WORK_MS)
+    async with serving(late) as (address, _):
+        handles, lost = await make_calls(caller, address, 6, pause_ms)
+    assert set(foreign_of(handles)) <= set(doubted)
+    assert lost == lost_calls
+    assert len(doubted) == 1
+
+
+@pytest.mark.parametrize("used", [True, False])
+async def test_two_answers_that_come_together_prove_nothing_on_a_used_connection(
+    used: bool,
+) -> None:
+    """Guards against the first of two answers, of which only the second is due."""
+    calls = iter(range(1_000))
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            items = await read_items(reader)
+            call = next(calls)
+            answers = [answer_of(items, False)]
+            if call == 0 and not used:
+                answers.append(made_again(items))
+            if call == 1 and used:
+                answers.insert(0, made_again(items))
+            await asyncio.sleep(WORK_MS / 1_000.0)
+            writer.write(b"".join(answers))
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, begun):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 3, 0.0)
+        assert len(begun) == 2
+    assert foreign_of(handles) == []
+    assert lost == used
+
+
+async def test_sound_calls_are_never_doubted() -> None:
+    vm = make_vm(Clock())
+    doubted: list[str] = []
+    caller = vm.scheduler.caller
+    caller.on_doubt = lambda _, handles: doubted.extend(handles)
+    async with serving(late_copies(-1, made_again, 0.0)) as (address, begun):
+        handles, lost = await make_calls(caller, address, 4, 10.0)
+    assert (foreign_of(handles), lost, doubted) == ([], 0, [])
+    assert len(begun) == 1
--- a/tests/gateway/test_staging.py
+++ b/tests/gateway/test_staging.py
@@ -112,6 +112,27 @@
     assert not stored(scheduler, "a0")
 
 
+async def test_items_of_doubted_results_run_again() -> None:
+    """Guards against results of others that are passed on although they are doubted."""
+    scheduler = make_scheduler(FakeCaller())
+    scheduler.planner.set_service("b", SPEC)
+    stages = (ChainStage(0, "a", (), 2, 1_000), ChainStage(1, "b", (0,), 1, 1_000))
+    spec = ChainSpec("c", "r", "k", 1, "", 105_000.0, 106_000.0, 0.0, stages)
+    chain = scheduler.planner.add(spec, 100_000.0)
+    scheduler.dispatch()
+    for _ in range(5):
+        await asyncio.sleep(0)
+    first, second = (item.result for item in chain.items[0])
+    assert first and second
+    scheduler.take_back(first.upstream_id, (first.handle,))
+    assert [item.result for item in chain.items[0]] == [None, second]
+    assert scheduler.pending_frees == [first]
+    scheduler.dispatch()
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert chain.stage_done(0)
+
+
 async def test_port_without_a_listener_is_told_from_other_failures() -> None:
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
