Take back results of a stage call when another answer comes after them

Cause: an answer that comes while a connection is idle, or too soon in the next call, shows that the connection was one answer ahead; the results of the answer before it stayed, though they were made for another call. Change: the handles of the last answer on a connection that was not its first are kept until the next one. If another answer comes, their items run again; a chain in which further items have used them is refused. The fake caller of the test made outcomes without a fault, so its calls ended with a TypeError; it makes whole ones now.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from weakref import WeakKeyDictionary
 
 from ..clock import Clock
 from ..recency import remember
@@ -74,6 +75,11 @@
     first_ms : dict of str to float
         Duration of the last call of each upstream that was the first one on its
         connection, so that no other answer could be due.
+    on_doubt : callable
+        Called with an upstream's id and the handles of an answer which turns out to be
+        that to another call, as another answer came after it.
+    unproven : mapping of HttpConnection to tuple of str
+        The handles of the last answer on each connection, unless it was the first.
     """
 
     clock: Clock
@@ -81,6 +87,10 @@
     stage_protocol: StageProtocol
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     first_ms: dict[str, float] = field(default_factory=dict)
+    on_doubt: Callable[[str, tuple[str, ...]], None] = field(default=lambda *_: None)
+    unproven: WeakKeyDictionary[HttpConnection, tuple[str, ...]] = field(
+        default_factory=WeakKeyDictionary
+    )
 
     async def run(
         self, worker: Worker, items: Sequence[ItemRequest], expected_ms: float
@@ -112,6 +122,7 @@
                 self.check_own_answer(
                     worker, connection, items, answer, expected_ms, took_ms
                 )
+            self.doubt_if_another_comes(worker.id, connection, answer)
         except TimeoutError as error:
             raise ConnectionLostError(
                 "upstream did not answer the call in time", sent=True
@@ -212,8 +223,31 @@
             return
         least_ms = min(expected_ms, self.first_ms.get(worker.id, 0.0)) * EARLY_SHARE
         if least_ms >= MIN_EARLY_MS and took_ms < least_ms * made / len(items):
+            self.doubt_last_answer(worker.id, connection)
             raise ConnectionLostError("answer is sooner than the work", sent=True)
 
+    def doubt_if_another_comes(
+        self, upstream_id: str, connection: HttpConnection, answer: StageAnswer
+    ) -> None:
+        """Have an answer doubted if bytes come before the next call."""
+        if connection.requests == 1:
+            return
+        handles = tuple(o.handle for o in answer.outcomes if o.handle)
+        self.unproven[connection] = handles
+        log_unexpected = connection.on_unexpected
+
+        def on_unexpected(data: bytes) -> None:
+            log_unexpected(data)
+            self.doubt_last_answer(upstream_id, connection)
+
+        connection.on_unexpected = on_unexpected
+
+    def doubt_last_answer(self, upstream_id: str, connection: HttpConnection) -> None:
+        """Report that the last answer on a connection may be that to another call."""
+        handles = self.unproven.pop(connection, ())
+        if handles:
+            self.on_doubt(upstream_id, handles)
+
 
 def check_outcomes(
     connection: HttpConnection,
--- a/tests/gateway/test_staging.py
+++ b/tests/gateway/test_staging.py
@@ -11,7 +11,7 @@
 import pytest
 
 from cuminstile.clock import VirtualClock
-from cuminstile.gateway.chain import ChainSpec, ChainStage
+from cuminstile.gateway.chain import Chain, ChainSpec, ChainStage
 from cuminstile.gateway.http_client import (
     ConnectionLostError,
     NoListenerError,
@@ -20,7 +20,7 @@
 from cuminstile.gateway.model import BatchSpec, Upstream
 from cuminstile.gateway.stage_calls import StageAnswer
 from cuminstile.gateway.stage_queue import StoredResult, Worker
-from cuminstile.gateway.staging import Scheduler
+from cuminstile.gateway.staging import ChainAnswer, Scheduler
 from cuminstile.gateway.upstream_protocol import ItemRequest, StageOutcome
 
 from .test_state import make_upstream, make_vm
@@ -45,7 +45,10 @@
         self.called.append(worker.id)
         if worker.id in self.errors:
             raise self.errors[worker.id]
-        outcomes = tuple(StageOutcome(f"{worker.id}/{n}") for n in range(len(items)))
+        outcomes = tuple(
+            StageOutcome(f"{worker.id}/{len(self.called)}-{n}", None)
+            for n in range(len(items))
+        )
         return StageAnswer(200, False, outcomes)
 
     async def free(self, *arguments: Any) -> None:
@@ -112,25 +115,54 @@
     assert not stored(scheduler, "a0")
 
 
-async def test_items_of_doubted_results_run_again() -> None:
-    """Guards against results of others that are passed on although they are doubted."""
-    scheduler = make_scheduler(FakeCaller())
+async def completed_chain(scheduler: Scheduler, replies: list[ChainAnswer]) -> Chain:
+    """Return a chain whose first two items are completed, and the third one waits."""
     scheduler.planner.set_service("b", SPEC)
     stages = (ChainStage(0, "a", (), 2, 1_000), ChainStage(1, "b", (0,), 1, 1_000))
     spec = ChainSpec("c", "r", "k", 1, "", 105_000.0, 106_000.0, 0.0, stages)
     chain = scheduler.planner.add(spec, 100_000.0)
+    scheduler.replies[spec.id] = replies.append
     scheduler.dispatch()
+    await run_tasks()
+    assert chain.stage_done(0)
+    return chain
+
+
+async def run_tasks() -> None:
+    """Let the tasks that have been started run."""
     for _ in range(5):
         await asyncio.sleep(0)
+
+
+async def test_items_of_doubted_results_run_again() -> None:
+    """Guards against results of others that are passed on although they are doubted."""
+    scheduler = make_scheduler(FakeCaller())
+    replies: list[ChainAnswer] = []
+    chain = await completed_chain(scheduler, replies)
     first, second = (item.result for item in chain.items[0])
     assert first and second
     scheduler.take_back(first.upstream_id, (first.handle,))
     assert [item.result for item in chain.items[0]] == [None, second]
     assert scheduler.pending_frees == [first]
+    scheduler.clock.at_ms += 500.0  # type: ignore[attr-defined]
     scheduler.dispatch()
-    for _ in range(5):
-        await asyncio.sleep(0)
+    await run_tasks()
     assert chain.stage_done(0)
+    assert replies == []
+
+
+async def test_chain_that_has_used_doubted_results_is_refused() -> None:
+    """Guards against results that were made from those of other requests."""
+    scheduler = make_scheduler(FakeCaller())
+    replies: list[ChainAnswer] = []
+    chain = await completed_chain(scheduler, replies)
+    (last,) = chain.items[1]
+    last.running_on = "b0"
+    result = chain.items[0][0].result
+    assert result
+    scheduler.take_back(result.upstream_id, (result.handle,))
+    assert chain.ended
+    assert [answer.refusal for answer in replies] == ["stage_failed"]
 
 
 async def test_port_without_a_listener_is_told_from_other_failures() -> None:
