Take neither of two answers that come together on a used connection

Cause: of two answers in one read the first was taken for that to the call, though it may be a second one to the call before. Change: if bytes follow the answer and the connection has carried a call before, the call is lost. On a new connection the first answer is the call's own, and is used.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -221,6 +221,8 @@
         if connection.requests == 1:
             self.first_ms[worker.id] = took_ms
             return
+        if has_more(connection):
+            raise ConnectionLostError("another answer came with it", sent=True)
         least_ms = min(expected_ms, self.first_ms.get(worker.id, 0.0)) * EARLY_SHARE
         if least_ms >= MIN_EARLY_MS and took_ms < least_ms * made / len(items):
             self.doubt_last_answer(worker.id, connection)
@@ -249,6 +251,12 @@
             self.on_doubt(upstream_id, handles)
 
 
+def has_more(connection: HttpConnection) -> bool:
+    """Return whether bytes came after the answer that was read."""
+    ended_here = connection.lost is not None and not connection.ended_by_peer
+    return bool(connection.incoming) or ended_here
+
+
 def check_outcomes(
     connection: HttpConnection,
     items: Sequence[ItemRequest],
