Show that a second answer with a turned status takes an upstream out of use

Cause: a 421 excludes an upstream from staged work, also as a second answer to an earlier call on its connection.

--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -306,3 +306,41 @@
         handles, lost = await make_calls(caller, address, 4, 10.0)
     assert (foreign_of(handles), lost, doubted) == ([], 0, [])
     assert len(begun) == 1
+
+
+def refusing(number: int, status: bytes) -> Session:
+    """Return a session that answers one call with a status and works on the others."""
+    refusal = b"HTTP/1.1 %b\r\nContent-Length: 0\r\nNot-Executed: 1\r\n\r\n" % status
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for call in range(1_000):
+            items = await read_items(reader)
+            writer.write(refusal if call == number else answer_of(items, False))
+
+    return session
+
+
+@pytest.mark.parametrize(
+    ("number", "status", "lost"),
+    [(0, b"421 Other", False), (1, b"421 Other", True), (1, b"503 Full", False)],
+)
+async def test_refusal_as_another_upstream_is_believed_on_a_new_connection_alone(
+    number: int, status: bytes, lost: bool
+) -> None:
+    """Guards against an upstream that gets no work after a second answer with a 421.
+
+    A connection that has carried calls to an upstream doesn't lead to another one.
+    """
+    vm = make_vm(Clock())
+    async with serving(refusing(number, status)) as (address, _):
+        worker = Worker("w", "s", address, "a")
+        for call in range(number):
+            await vm.scheduler.caller.run(worker, [item(call)], WORK_MS)
+        refused = vm.scheduler.caller.run(worker, [item(number)], WORK_MS)
+        if lost:
+            with pytest.raises(ConnectionLostError):
+                await refused
+        else:
+            assert (await refused).status == int(status[:3])
