Believe that an upstream is another one on a new connection alone

Cause: a 421 to a stage call was matched by its place; a second answer to the call before, with that status, excluded the upstream. Change: on a connection that has carried a call a 421 is no answer: the call is lost. Other refusals still pause the upstream for 60 ms, which a wrong one may do as well.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -214,6 +214,8 @@
         """
         if answer.status == 200:
             check_outcomes(connection, items, answer.outcomes)
+        elif answer.status == 421 and connection.requests > 1:
+            raise ConnectionLostError("another upstream on one connection", sent=True)
         made = sum(1 for outcome in answer.outcomes if outcome.handle)
         if not made:
             connection.close("a copy of the answer could not be recognized")
