Show that the answer to a free is not read

Cause: an upstream that says with the answer to a free that it leaves, or is closed for a time, gets further calls; a refused free counts as done in the log.

--- a/tests/gateway/test_staging.py
+++ b/tests/gateway/test_staging.py
@@ -11,7 +11,8 @@
 import pytest
 
 from cuminstile.clock import VirtualClock
-from cuminstile.gateway.chain import Chain, ChainSpec, ChainStage
+from cuminstile.events import Event
+from cuminstile.gateway.chain import Chain, ChainSpec, ChainStage, Result
 from cuminstile.gateway.http_client import (
     ConnectionLostError,
     NoListenerError,
@@ -23,6 +24,7 @@
 from cuminstile.gateway.staging import ChainAnswer, Scheduler
 from cuminstile.gateway.upstream_protocol import ItemRequest, StageOutcome
 
+from .servers import serving
 from .test_state import make_upstream, make_vm
 
 pytestmark = pytest.mark.anyio
@@ -165,6 +167,40 @@
     assert [answer.refusal for answer in replies] == ["stage_failed"]
 
 
+@pytest.mark.parametrize(
+    ("head", "leaving", "closed_ms"),
+    [
+        (b"200 OK\r\nServer-Leaving: 1", True, 0.0),
+        (b"503 Busy\r\nRetry-After: 2.5", False, 2_500.0),
+        (b"200 OK", False, 0.0),
+    ],
+)
+async def test_words_in_the_answer_to_a_free_are_read(
+    head: bytes, leaving: bool, closed_ms: float
+) -> None:
+    """Guards against calls to an upstream that has said it leaves or is closed."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 " + head + b"\r\nContent-Length: 0\r\n\r\n")
+        await reader.read()
+
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    scheduler = vm.scheduler
+    async with serving(session) as (address, _):
+        scheduler.planner.set_service("a", SPEC)
+        scheduler.planner.set_workers("a", [Worker("a0", "a", address, "z")])
+        scheduler.addresses["a0"] = address
+        await scheduler.free_at("a0", [Result("h", "a0", 1_000)])
+    worker = scheduler.planner.queues["a"].workers["a0"]
+    assert worker.usable is not leaving
+    assert max(0.0, worker.available_at_ms - 100_000.0) == closed_ms
+    failed = [e for e in vm.journal.ring if e.event is Event.STAGE_FREE_FAILED]
+    assert bool(failed) is head.startswith(b"503")
+
+
 async def test_port_without_a_listener_is_told_from_other_failures() -> None:
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
