Read what an upstream says in the answer to a free

Cause: the answer to a free was read for nothing but its end. Change: Server-Leaving and Retry-After are recorded as those of stage calls are; a free that is answered with another status than 200 is logged as failed.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -129,8 +129,10 @@
             ) from error
         return answer
 
-    async def free(self, upstream_id: str, address: str, handles: list[str]) -> None:
-        """Free results at an upstream.
+    async def free(
+        self, upstream_id: str, address: str, handles: list[str]
+    ) -> StageAnswer:
+        """Free results at an upstream; return its answer, which has no outcomes.
 
         Raises
         ------
@@ -141,7 +143,7 @@
         try:
             async with asyncio.timeout(FREE_TIMEOUT_MS / 1000.0):
                 async with self.connection_to(f"{upstream_id} free", address) as free:
-                    await self.exchange(free, request)
+                    return await self.exchange(free, request)
         except TimeoutError as error:
             raise ConnectionLostError(
                 "upstream did not confirm in time that results are freed", sent=True
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -511,13 +511,26 @@
         """Free results at one upstream; if that fails, they expire there."""
         handles = [result.handle for result in results]
         address = self.addresses[upstream_id]
+        failure = ""
         try:
-            await self.caller.free(upstream_id, address, handles)
+            answer = await self.caller.free(upstream_id, address, handles)
         except ConnectionLostError as error:
+            failure = str(error)
+        else:
+            self.record_free_answered(upstream_id, answer)
+            failure = "" if answer.status == 200 else f"status {answer.status}"
+        if failure:
             self.journal.record(
                 Event.STAGE_FREE_FAILED,
                 upstream=upstream_id,
                 results=len(results),
-                reason=str(error),
+                reason=failure,
             )
         self.planner.record_freed(results)
+
+    def record_free_answered(self, upstream_id: str, answer: StageAnswer) -> None:
+        """Record what an upstream says of itself in the answer to a free."""
+        for queue in self.planner.queues.values():
+            worker = queue.workers.get(upstream_id)
+            if worker is not None:
+                self.record_words(worker, answer)
