Show that a second answer of the store is taken for that to the next call

Cause: answers of the store are matched by their place; all topics share connections, and nothing in an answer is compared with the question. The guards pass: a connection with bytes between calls, and one of a call without its whole answer (3 cases), carry no further call; a first answer is believed; 100 reads of two topics open at most 2 connections.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -67,6 +67,141 @@
                 await waiting
 
 
+def page_of(end: int, records: int) -> bytes:
+    """Return the answer to a read of the last records before an end."""
+    record = b"\x00\x00\x00\x05\x03keyv"
+    body = end.to_bytes(8, "big") + bytes(8) + record * records
+    return answer_of(body)
+
+
+def newest_of(end: int) -> bytes:
+    """Return the answer that no key has a value."""
+    return answer_of(b'{"items":[],"has_more":false,"end":%d}' % end)
+
+
+def answer_of(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def repeating_first(*answers: bytes) -> Session:
+    """Return a session that repeats its first answer as the second one is due."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for number, answer in enumerate(answers):
+            await reader.readuntil(b"\r\n\r\n")
+            if number == 1:
+                writer.write(answers[0])
+                await asyncio.sleep(0.02)
+            writer.write(answer)
+        await reader.read()
+
+    return session
+
+
+async def test_second_answer_to_a_read_is_not_that_to_a_read_of_another_topic() -> None:
+    """Guards against a topic that gets the records of another one."""
+    session = repeating_first(page_of(7, 2), page_of(40, 1))
+    async with store_of(session) as (client, _):
+        assert (await client.read(TOPIC, 5, 0.0)).end == 7
+        page = await client.read("other", 39, 0.0)
+    assert (len(page.records), page.end) == (1, 40)
+
+
+@pytest.mark.parametrize(
+    ("first", "second_from"),
+    [(page_of(7, 2), 7), (page_of(5, 0), 7)],
+    ids=["records before", "end before"],
+)
+async def test_second_answer_to_a_read_is_not_that_to_the_next_one(
+    first: bytes, second_from: int
+) -> None:
+    """Guards against records of before that are numbered as those after them."""
+    sessions = repeating_first(first, page_of(8, 1)), repeating_first(page_of(8, 1))
+    async with store_of(*sessions) as (client, accepted):
+        await client.read(TOPIC, 5, 0.0)
+        with pytest.raises(StoreCallError):
+            await client.read(TOPIC, second_from, 0.0)
+        assert (await client.read(TOPIC, 7, 0.0)).end == 8
+        assert len(accepted) == 2
+
+
+async def test_answer_to_a_read_on_a_new_connection_is_the_stores_own() -> None:
+    """Guards against a store that began anew and is refused without end."""
+    async with store_of(repeating_first(page_of(0, 0))) as (client, _):
+        assert (await client.read(TOPIC, 5, 0.0)).records == ()
+
+
+async def test_second_answer_is_not_the_snapshot_of_another_topic() -> None:
+    """Guards against a topic that loses its keys by a second answer of another one."""
+    sessions = (
+        repeating_first(newest_of(7), newest_of(40)),
+        repeating_first(newest_of(40)),
+    )
+    async with store_of(*sessions) as (client, _):
+        assert (await client.newest(TOPIC)).end == 7
+        assert (await client.newest("other")).end == 40
+
+
+async def test_second_answer_does_not_confirm_an_append() -> None:
+    """Guards against an append that counts as done and was refused."""
+    done = answer_of(b'{"offset":0,"end":1}')
+    refused = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    async with store_of(repeating_first(done, refused), repeating_first(refused)) as (
+        client,
+        _,
+    ):
+        await client.append_keyed(TOPIC, "key", b"value")
+        with pytest.raises(StoreCallError):
+            await client.append_keyed(TOPIC, "key", b"value")
+
+
+async def test_connection_with_bytes_between_calls_is_not_used_again() -> None:
+    """Guards against a second answer that waits on an idle connection."""
+
+    async def twice(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(page_of(7, 2))
+        await asyncio.sleep(0.02)
+        writer.write(page_of(7, 2))
+        await reader.read()
+
+    sessions = twice, repeating_first(page_of(8, 1))
+    async with store_of(*sessions) as (client, accepted):
+        await client.read(TOPIC, 5, 0.0)
+        await asyncio.sleep(0.05)
+        assert (await client.read(TOPIC, 7, 0.0)).end == 8
+        assert len(accepted) == 2
+
+
+@pytest.mark.parametrize("shown", [0, 10, 45], ids=["none", "head", "body"])
+async def test_connection_of_a_call_without_its_whole_answer_is_not_used_again(
+    shown: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an answer whose rest comes in the next call."""
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_MS", 50.0)
+
+    async def part(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(page_of(7, 2)[:shown])
+        await reader.read()
+
+    async with store_of(part, answer_all) as (client, accepted):
+        with pytest.raises(StoreCallError):
+            await client.read(TOPIC, 0, 0.0)
+        assert (await client.read(TOPIC, 0, 0.0)).end == 0
+        assert len(accepted) == 2
+
+
+async def test_hundred_reads_of_two_topics_open_two_connections() -> None:
+    async with store_of(answer_all) as (client, accepted):
+        for _ in range(50):
+            await client.read(TOPIC, 0, 0.0)
+            await client.read("other", 0, 0.0)
+        assert len(accepted) <= 2
+
+
 async def test_answered_calls_share_a_connection() -> None:
     async with store_of(answer_all) as (client, accepted):
         for _ in range(3):
