Use separate connections to the store for each topic

Cause: a second answer to a read of one topic was taken for that to a read of another. Change: connections are kept by topic, as an answer doesn't name it. The second connection of the test's store repeated the first one's answers; it has its own now. Measured: 1 of 1 case fails before and passes after. Price: 100 reads of two topics by turns open 2 connections (1 before); the two topics are followed side by side, so a running program has both anyway.

--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -64,6 +64,8 @@
     ) -> tuple[AnswerHead, bytes]:
         """Return the answer to one call.
 
+        Answers don't name their topic, so each topic has connections of its own.
+
         Raises
         ------
         StoreCallError
@@ -76,7 +78,8 @@
         if body:
             headers.append((b"Content-Type", b"application/json"))
         request = render_request(method, target.encode(), headers, body)
-        connection = self.pool.acquire("store", self.clock.now_ms())
+        topic = str(query["topic"])
+        connection = self.pool.acquire(topic, self.clock.now_ms())
         calls_before = None if connection is None else connection.requests
         try:
             async with asyncio.timeout((CALL_TIMEOUT_MS + wait_ms) / 1000.0):
@@ -95,7 +98,7 @@
         finally:
             if connection is not None:
                 self.in_progress.discard(connection)
-                self.pool.release("store", connection, self.clock.now_ms())
+                self.pool.release(topic, connection, self.clock.now_ms())
         if head.status in (429, 500, 502, 503, 504, 507):
             raise StoreCallError(f"{path}: status {head.status}", calls_before)
         return head, answer
@@ -105,7 +108,8 @@
 
         A long poll would notice a dead connection only at the end of its wait.
         """
-        self.pool.drop("store")
+        for topic in list(self.pool.idle):
+            self.pool.drop(topic)
         for connection in self.in_progress:
             connection.close("another call of the store timed out")
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -102,8 +102,11 @@
 
 async def test_second_answer_to_a_read_is_not_that_to_a_read_of_another_topic() -> None:
     """Guards against a topic that gets the records of another one."""
-    session = repeating_first(page_of(7, 2), page_of(40, 1))
-    async with store_of(session) as (client, _):
+    sessions = (
+        repeating_first(page_of(7, 2), page_of(40, 1)),
+        repeating_first(page_of(40, 1)),
+    )
+    async with store_of(*sessions) as (client, _):
         assert (await client.read(TOPIC, 5, 0.0)).end == 7
         page = await client.read("other", 39, 0.0)
     assert (len(page.records), page.end) == (1, 40)
