Refuse a page of the store whose offsets can't follow from its read

Cause: a page was numbered from the offset that was asked for, so a second answer to the read before had its records numbered as new ones; the end that each page states was not looked at. Change: on a connection that has carried a call, a page that ends before the offset, or within its records, fails the call and ends the connection. The first page on a connection is believed, so a store that began anew is not refused without end.

--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import urlencode
 
@@ -61,11 +62,18 @@
         query: dict[str, object],
         body: bytes = b"",
         wait_ms: float = 0.0,
+        may_answer: Callable[[bytes], bool] = lambda _: True,
     ) -> tuple[AnswerHead, bytes]:
         """Return the answer to one call.
 
         Answers don't name their topic, so each topic has connections of its own.
 
+        Parameters
+        ----------
+        may_answer : callable
+            Returns whether the body of a status 200 can be the answer. It is asked on
+            a connection that has carried a call, whose answer may have come twice.
+
         Raises
         ------
         StoreCallError
@@ -90,7 +98,11 @@
                 connection.send(request)
                 head = await connection.receive_head()
                 answer = await connection.receive_rest(MAX_ANSWER_BYTES)
+                if calls_before and head.status == 200 and not may_answer(answer):
+                    raise ConnectionLostError("answer to an earlier call", sent=True)
         except ConnectionLostError as error:
+            if connection is not None:
+                connection.close("call failed")
             raise StoreCallError(f"{path}: {error!r}", calls_before) from error
         except TimeoutError as error:
             self.close_connections()
@@ -139,7 +151,13 @@
             "max_kb": MAX_PAGE_KB,
             "wait_ms": int(wait_ms),
         }
-        head, body = await self.call(b"GET", "/api/log-read", query, wait_ms=wait_ms)
+        head, body = await self.call(
+            b"GET",
+            "/api/log-read",
+            query,
+            wait_ms=wait_ms,
+            may_answer=lambda body: can_follow(body, start),
+        )
         if head.status == 410:
             raise TrimmedError(topic, start)
         if head.status != 200 or len(body) < HEAD_BYTES:
@@ -208,6 +226,18 @@
     return TopicPage(tuple(records), offset)
 
 
+def can_follow(body: bytes, start: int) -> bool:
+    """Return whether a page can be the answer to a read from an offset on.
+
+    The page says where the topic ends: not before the offset, nor within its records.
+    An answer to an earlier read is of records before the offset.
+    """
+    if len(body) < HEAD_BYTES:
+        return False
+    end = int.from_bytes(body[: HEAD_BYTES // 2], "big")
+    return start <= decode_records(body, start).end <= end
+
+
 def decode_keyed(content: bytes, offset: int) -> KeyedRecord:
     """Return one record of a keyed topic."""
     length = content[0] if content else 0
