Measure how soon a stage call can be answered by its fixed part alone

Cause: the items of some stages take a third of the time that is known for their service, so a sound answer could come in less than half of the expected time. Change: an answer with results is too soon below half of the time that any call takes (or of the last first one on a connection), whatever its items are.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -34,9 +34,9 @@
 MAX_HANDLES = 4_096
 """Handles that are remembered of a connection: those of some hundred calls."""
 EARLY_SHARE = 0.5
-"""Share of a call's duration before which an answer with results is not its own. If an
-answer comes twice, the second one or the one that it displaced comes before this share
-of a call."""
+"""Share of the duration of any call before which an answer with results is not the
+call's own. Of a second answer and the one that it displaces, one comes that soon if
+items take little of the time and the next call follows at once."""
 MIN_EARLY_MS = 10.0
 """Such times below this say nothing: the network may take as long."""
 FREE_TIMEOUT_MS = 1_000.0
@@ -93,14 +93,19 @@
     )
 
     async def run(
-        self, worker: Worker, items: Sequence[ItemRequest], expected_ms: float
+        self,
+        worker: Worker,
+        items: Sequence[ItemRequest],
+        expected_ms: float,
+        least_ms: float = 0.0,
     ) -> StageAnswer:
         """Run work items at an upstream.
 
         Parameters
         ----------
-        expected_ms : float
-            Duration of the call at an upstream of nominal speed.
+        expected_ms, least_ms : float
+            Duration of the call at an upstream of nominal speed, and of any call
+            whatever its items are, 0 if that is not known.
 
         Raises
         ------
@@ -120,7 +125,7 @@
                 answer = await self.exchange(connection, request)
                 took_ms = self.clock.now_ms() - began_ms
                 self.check_own_answer(
-                    worker, connection, items, answer, expected_ms, took_ms
+                    worker, connection, items, answer, least_ms, took_ms
                 )
             self.doubt_if_another_comes(worker.id, connection, answer)
         except TimeoutError as error:
@@ -201,7 +206,7 @@
         connection: HttpConnection,
         items: Sequence[ItemRequest],
         answer: StageAnswer,
-        expected_ms: float,
+        least_ms: float,
         took_ms: float,
     ) -> None:
         """Check that an answer is not that to an earlier call on its connection.
@@ -218,8 +223,7 @@
             check_outcomes(connection, items, answer.outcomes)
         elif answer.status == 421 and connection.requests > 1:
             raise ConnectionLostError("another upstream on one connection", sent=True)
-        made = sum(1 for outcome in answer.outcomes if outcome.handle)
-        if not made:
+        if not any(outcome.handle for outcome in answer.outcomes):
             connection.close("a copy of the answer could not be recognized")
             return
         if connection.requests == 1:
@@ -227,8 +231,8 @@
             return
         if has_more(connection):
             raise ConnectionLostError("another answer came with it", sent=True)
-        least_ms = min(expected_ms, self.first_ms.get(worker.id, 0.0)) * EARLY_SHARE
-        if least_ms >= MIN_EARLY_MS and took_ms < least_ms * made / len(items):
+        early_ms = min(least_ms, self.first_ms.get(worker.id, 0.0)) * EARLY_SHARE
+        if early_ms >= MIN_EARLY_MS and took_ms < early_ms:
             self.doubt_last_answer(worker.id, connection)
             raise ConnectionLostError("answer is sooner than the work", sent=True)
 
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -251,11 +251,14 @@
         """Call an upstream with a batch and apply the outcomes of the items."""
         started_ms = self.clock.now_ms()
         list_age = self.table.age(started_ms)
-        expected_ms = self.planner.queues[worker.service].call_time_ms(len(batch))
+        queue = self.planner.queues[worker.service]
+        expected_ms = queue.call_time_ms(len(batch))
         answer: StageAnswer | None = None
         crashed = False
         try:
-            answer = await self.caller.run(worker, requests, expected_ms)
+            answer = await self.caller.run(
+                worker, requests, expected_ms, queue.call_time_ms(0)
+            )
         except ConnectionLostError as error:
             self.record_lost_upstream(worker, str(error))
             crashed = error.sent and error.ended_by_peer
