--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -63,6 +63,7 @@
         body: bytes = b"",
         wait_ms: float = 0.0,
         may_answer: Callable[[bytes], bool] = lambda _: True,
+        alone: bool = False,
     ) -> tuple[AnswerHead, bytes]:
         """Return the answer to one call.
 
@@ -73,6 +74,8 @@
         may_answer : callable
             Returns whether the body of a status 200 can be the answer. It is asked on
             a connection that has carried a call, whose answer may have come twice.
+        alone : bool
+            Whether the call gets a new connection, which carries no other call.
 
         Raises
         ------
@@ -87,7 +90,9 @@
             headers.append((b"Content-Type", b"application/json"))
         request = render_request(method, target.encode(), headers, body)
         topic = str(query["topic"])
-        connection = self.pool.acquire(topic, self.clock.now_ms())
+        connection: HttpConnection | None = None
+        if not alone:
+            connection = self.pool.acquire(topic, self.clock.now_ms())
         calls_before = None if connection is None else connection.requests
         try:
             async with asyncio.timeout((CALL_TIMEOUT_MS + wait_ms) / 1000.0):
@@ -110,6 +115,8 @@
         finally:
             if connection is not None:
                 self.in_progress.discard(connection)
+                if alone:
+                    connection.close("the call had a connection of its own")
                 self.pool.release(topic, connection, self.clock.now_ms())
         if head.status in (429, 500, 502, 503, 504, 507):
             raise StoreCallError(f"{path}: status {head.status}", calls_before)
@@ -131,7 +138,7 @@
         query: dict[str, object] = {"topic": topic, "part": 0}
         first_end: int | None = None
         while True:
-            head, body = await self.call(b"GET", "/api/log-newest", query)
+            head, body = await self.call(b"GET", "/api/log-newest", query, alone=True)
             if head.status != 200:
                 raise StoreCallError(f"newest of {topic}: status {head.status}", None)
             page = decode_page(topic, body)
@@ -170,7 +177,7 @@
         record = bytes([len(name)]) + name + value
         body = len(record).to_bytes(LENGTH_BYTES, "big") + record
         query: dict[str, object] = {"topic": topic, "part": 0}
-        head, _ = await self.call(b"POST", "/api/log-append", query, body)
+        head, _ = await self.call(b"POST", "/api/log-append", query, body, alone=True)
         if head.status != 200:
             raise StoreCallError(f"append to {topic}: status {head.status}", None)
 
