Refuse answers to stage calls below three quarters of their fixed time

Cause: with half of it, a second answer in the middle of a call was taken for the call's own, and so was each answer after it: neither it nor the one that it displaced came too soon. Change: three quarters. Whenever a second answer comes, it or the next one is too soon.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -33,7 +33,7 @@
 """Time added to that for fetching inputs over slow network links."""
 MAX_HANDLES = 4_096
 """Handles that are remembered of a connection: those of some hundred calls."""
-EARLY_SHARE = 0.5
+EARLY_SHARE = 0.75
 """Share of the duration of any call before which an answer with results is not the
 call's own. Of a second answer and the one that it displaces, one comes that soon if
 items take little of the time and the next call follows at once."""
