Guard that messages between VMs are those of their call and session

Three guards: an answer on an earlier session whose call number is used again, one that comes twice, and records that come after their request has timed out are none of another call.

--- a/tests/gateway/test_peer_sessions.py
+++ b/tests/gateway/test_peer_sessions.py
@@ -1,6 +1,7 @@
 """Test the sessions between VMs with a VM that is silent on an open connection."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -9,9 +10,11 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
 
 from cuminstile.clock import Clock
 from cuminstile.events import Event
+from cuminstile.gateway import sharing
 from cuminstile.gateway.chain import ChainSpec, ChainStage
 from cuminstile.gateway.messages import (
     CODEC,
@@ -22,6 +25,7 @@
     ResultEntry,
     RunChain,
     TopicRequest,
+    TopicResponse,
 )
 from cuminstile.gateway.peer_sessions import SessionLostError
 from cuminstile.gateway.staged_results import run_on_peer
@@ -222,3 +226,81 @@
             await session.reply(call)
         with pytest.raises(SessionLostError):
             await session.reply(session.begin_call())
+
+
+def done(call: int, handle: str) -> bytes:
+    """Return the message that a call is done with one result."""
+    return CODEC.encode(ChainDone(call, (ResultEntry(handle, "u1", 10, "a"),)))
+
+
+async def test_answer_on_an_earlier_session_is_not_that_to_the_same_number() -> None:
+    """Guards against a result of an earlier call whose number is used again."""
+    vm = make_vm(Clock())
+    calls: list[int] = []
+
+    async def admit_alone(connection: Connection) -> None:
+        message = await receive_run_chain(connection)
+        calls.append(message.call)
+        await connection.send(CODEC.encode(ChainAdmitted(message.call, 100.0)))
+
+    async def answer_on_both(connection: Connection) -> None:
+        message = await receive_run_chain(connection)
+        calls.append(message.call)
+        await connection.send(CODEC.encode(ChainAdmitted(message.call, 100.0)))
+        with contextlib.suppress(ConnectionClosed):
+            await peer.opened[0].send(done(message.call, "foreign"))
+        await asyncio.sleep(0.05)
+        await connection.send(done(message.call, "handle"))
+
+    async with running_peer(admit_alone, answer_on_both) as peer:
+        first = asyncio.create_task(run_chain(vm, peer))
+        await asyncio.sleep(0.1)
+        vm.sessions.close_session_to(peer.address)
+        with pytest.raises(SessionLostError):
+            await first
+        assert await run_chain(vm, peer) == ("handle",)
+    assert calls == [0, 0]
+
+
+async def test_answer_that_comes_twice_is_not_that_to_the_next_call() -> None:
+    """Guards against results of an earlier call by a message that was sent again."""
+    vm = make_vm(Clock())
+
+    async def repeat(connection: Connection) -> None:
+        message = await receive_run_chain(connection)
+        await connection.send(CODEC.encode(ChainAdmitted(message.call, 100.0)))
+        await connection.send(done(message.call, "foreign"))
+        other = await receive_run_chain(connection)
+        await connection.send(done(message.call, "foreign"))
+        await connection.send(CODEC.encode(ChainAdmitted(other.call, 100.0)))
+        await connection.send(done(message.call, "foreign"))
+        await connection.send(done(other.call, "handle"))
+
+    async with running_peer(repeat) as peer:
+        assert await run_chain(vm, peer) == ("foreign",)
+        assert await run_chain(vm, peer) == ("handle",)
+        assert len(peer.opened) == 1
+
+
+async def test_late_records_are_not_those_of_another_topic(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against records of a topic that come after the request has timed out."""
+    monkeypatch.setattr(sharing, "DELTA_TIMEOUT_MS", 100.0)
+    vm = make_vm(Clock())
+
+    def response_to(data: bytes | str, end: int) -> bytes:
+        assert isinstance(data, bytes)
+        call = CODEC.decode(data).call
+        return CODEC.encode(TopicResponse(call, (), end, False, 0.0, 0.0, -1))
+
+    async def answer_late(connection: Connection) -> None:
+        first, second = await connection.recv(), await connection.recv()
+        await connection.send(response_to(first, 900))
+        await connection.send(response_to(second, 7))
+
+    async with running_peer(answer_late) as peer:
+        with pytest.raises(TimeoutError):
+            await sharing.request_delta(vm, peer.address, "first", 5)
+        delta = await sharing.request_delta(vm, peer.address, "second", 5)
+    assert delta.end == 7
