Tell an upstream that sends bytes when it is checked from one that ended

Change: a check asks whether the peer ended the connection, not whether it is over. Measured: 2 of 2 cases fail before; these and 3 guards pass after.

--- a/cuminstile/gateway/upstream_checks.py
+++ b/cuminstile/gateway/upstream_checks.py
@@ -19,7 +19,7 @@
 SETTLE_MS = 20.0
 """How long a process that ends may still listen after its connections are closed."""
 HOLD_MS = 30.0
-"""How long a new connection must stay open to show that its peer lives."""
+"""How long the peer must keep a new connection open to show that it lives."""
 CHECK_TIMEOUT_MS = 200.0
 """A live upstream accepts a connection within some network round trips."""
 MAX_CHECKED = 16
@@ -27,7 +27,10 @@
 
 
 def liveness_check(clock: Clock) -> LivenessCheck:
-    """Return a check that opens a connection and sends nothing."""
+    """Return a check that opens a connection and sends nothing.
+
+    What comes on it answers nothing, but shows that a process has sent it.
+    """
 
     async def lives(address: str) -> bool:
         try:
@@ -36,7 +39,7 @@
             return False
         try:
             await clock.sleep_ms(HOLD_MS)
-            return connection.lost is None
+            return not connection.ended_by_peer
         finally:
             connection.close("the check is done")
 
