Show that a late heartbeat of an earlier process counts as a restart

Cause: a heartbeat whose incarnation differs from the last one counts as that of a new process, also if the incarnation was replaced before.

--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -78,3 +78,17 @@
     assert len(members.live(10.0)) == 2
     assert len(members.live(10.0 + 2 * SILENCE_LIMIT_MS)) == 0
     assert members.fleet_size() == 3
+
+
+def test_late_heartbeat_of_an_earlier_process_changes_nothing() -> None:
+    """Guards against a restarted VM that is taken for the one it was before.
+
+    Its earlier process was leaving, and its last heartbeats come after the first ones
+    of the next process.
+    """
+    members = make_members()
+    members.record_heartbeat(heartbeat(3, 50, leaving=True), 100.0)
+    assert members.record_heartbeat(heartbeat(3, 60, run=1), 200.0)
+    assert not members.record_heartbeat(heartbeat(3, 50, leaving=True), 210.0)
+    assert members.scheduler(OWN, 210.0) == heartbeat(3, 60, run=1)
+    assert not members.record_heartbeat(heartbeat(3, 60, run=1), 220.0)
