--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -369,3 +369,56 @@
         assert len(begun) == 2
     assert set(foreign_of(handles)) <= set(doubted)
     assert lost == 1
+
+
+@pytest.mark.parametrize("cut", [5, 60])
+async def test_second_answer_in_two_halves_is_that_to_no_call(cut: int) -> None:
+    """Guards against a second answer that begins with the first and ends in a call."""
+    calls = iter(range(1_000))
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        rest = b""
+        while True:
+            items = await read_items(reader)
+            writer.write(rest)
+            await asyncio.sleep(WORK_MS / 1_000.0)
+            copy = made_again(items) if next(calls) == 1 else b""
+            writer.write(answer_of(items, False) + copy[:cut])
+            rest = copy[cut:]
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, _):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 5, 0.0)
+    assert foreign_of(handles) == []
+    assert lost == 1
+
+
+async def test_second_answer_with_reasons_ends_its_connection() -> None:
+    """Guards against a connection that stays one answer behind after lost items."""
+    vm = make_vm(Clock())
+    late = late_copies(1, lambda items: answer_of(items, True), 0.0)
+    async with serving(late) as (address, begun):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 5, 0.0)
+        assert len(begun) == 2
+    assert handles.pop("r2") == "None"
+    assert foreign_of(handles) == []
+    assert lost == 0
+
+
+async def test_answer_with_one_handle_for_two_items_is_refused() -> None:
+    """Guards against two items with one result, of which one is another request's."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        items = await read_items(reader)
+        writer.write(answer_of([items[0], items[0]], False))
+        await reader.read()
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, _):
+        worker = Worker("w", "s", address, "a")
+        with pytest.raises(ConnectionLostError):
+            await vm.scheduler.caller.run(worker, [item(1), item(2)], 500.0)
