--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -422,3 +422,58 @@
         worker = Worker("w", "s", address, "a")
         with pytest.raises(ConnectionLostError):
             await vm.scheduler.caller.run(worker, [item(1), item(2)], 500.0)
+
+
+def drawn(source: random.Random, work_ms: float) -> Session:
+    """Return a session that answers some calls a second time, at drawn times.
+
+    The second answer is a copy, has other handles, or has none; whole or in halves.
+    """
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        late = b""
+        while True:
+            items = await read_items(reader)
+            at_ms = work_ms * source.uniform(0.0, 1.0)
+            cut = source.randrange(len(late) + 1) if source.random() < 0.5 else 0
+            writer.write(late[:cut])
+            await asyncio.sleep(at_ms / 1_000.0)
+            writer.write(late[cut:])
+            await asyncio.sleep((work_ms - at_ms) / 1_000.0)
+            writer.write(answer_of(items, False))
+            copies = (
+                answer_of(items, False),
+                answer_of(items, True),
+                made_again(items),
+                made_again_in_chunks(items),
+            )
+            late = source.choice(copies) if source.random() < 0.3 else b""
+
+    return session
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_drawn_second_answers_leave_no_foreign_result_undoubted(
+    seed: int,
+) -> None:
+    """Guards against results of others by any mix of second answers and pauses."""
+    source = random.Random(seed)
+    work_ms = 60.0
+    vm = make_vm(Clock())
+    doubted: set[str] = set()
+    caller = vm.scheduler.caller
+    caller.on_doubt = lambda _, handles: doubted.update(handles)
+    handles: dict[str, str] = {}
+    async with serving(drawn(source, work_ms)) as (address, _):
+        worker = Worker("w", "s", address, "a")
+        for number in range(20):
+            try:
+                answer = await caller.run(worker, [item(number)], work_ms, work_ms)
+            except ConnectionLostError:
+                continue
+            handles[f"r{number}"] = answer.outcomes[0].handle or f"h:1/r{number}"
+            await asyncio.sleep(source.choice((0.0, 0.0, work_ms)) / 1_000.0)
+        await asyncio.sleep(2 * work_ms / 1_000.0)
+    assert set(foreign_of(handles)) <= doubted
