Accept answers only in forms that leave no doubt whose they are and what they say

Cause: found while listing what tells a foreign answer apart. An answer with two different ids counted as that of the first; a body with another transfer coding than chunked was forwarded undecoded, as a whole answer; spaces around an id made it another id, so a sound answer was dropped and its caller waited in vain. Change: several ids count as none, any coding but one "chunked" ends the answer, values lose the spaces around them.

--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -60,6 +60,10 @@
         self.ended_by_peer = ended_by_peer
 
 
+class UnsupportedCodingError(Exception):
+    """An answer has a transfer coding that the parser leaves undecoded."""
+
+
 class NoListenerError(ConnectionLostError):
     """Nothing listens at the address: the process there has ended."""
 
@@ -222,11 +226,17 @@
         self.headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append one header."""
-        self.headers.append((name.lower(), value))
+        """Append one header, without the spaces around its value."""
+        self.headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
-        """Queue the head of an answer, unless it is an interim one (1xx)."""
+        """Queue the head of an answer, unless it is an interim one (1xx).
+
+        Raises
+        ------
+        UnsupportedCodingError
+            If the body has a transfer coding other than `chunked`; the parser then ends.
+        """
         status = self.parser.get_status_code()
         if status < 200:
             return
@@ -235,6 +245,8 @@
             if name == b"content-length" and value.isdigit():
                 length = int(value)
             elif name == b"transfer-encoding":
+                if chunked or value.lower() != b"chunked":
+                    raise UnsupportedCodingError(value.decode("latin-1"))
                 chunked = True
             elif name == b"connection" and b"close" in value.lower():
                 self.keep_alive = False
--- a/cuminstile/platform/headers.py
+++ b/cuminstile/platform/headers.py
@@ -159,7 +159,7 @@
     values = dict(reversed(headers))
     instance = values.get(INSTANCE_ID, b"").decode("latin-1")
     return AnswerFields(
-        attempt_id=values.get(ATTEMPT_ID, b"").decode("latin-1"),
+        attempt_id=read_attempt_id(headers),
         sealed=RESPONSE_SEAL in values,
         not_run=NOT_EXECUTED in values,
         misdirected_to=instance if status == 421 else "",
@@ -169,6 +169,12 @@
     )
 
 
+def read_attempt_id(headers: RawHeaders) -> str:
+    """Return the id of the request that an answer names, "" for none or several."""
+    ids = {value for name, value in headers if name == ATTEMPT_ID}
+    return ids.pop().decode("latin-1") if len(ids) == 1 else ""
+
+
 def parse_retry_after(value: bytes | None) -> float:
     """Return a time in seconds as ms, at most `MAX_RETRY_AFTER_MS`.
 
