--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -235,7 +235,7 @@
         Raises
         ------
         UnsupportedCodingError
-            If the body has a transfer coding other than `chunked`; the parser then ends.
+            If the body has another transfer coding than `chunked`; parsing ends.
         """
         status = self.parser.get_status_code()
         if status < 200:
