Describe the end of a send in one data class

`end_send` had nine parameters and `record_crash` seven, which the calls repeated one by one. `SendEnd` (send_state.py) describes the end of a send; attempts.py builds it once, and an answer without a frame is kept as one. `names_of` moves to crash_state.py, where the names are made.

No behaviour changes.

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -18,7 +18,7 @@
 )
 from .event_stream import AnswerProgress
 from .refusals import Refusal, correct_refusal, no_upstream, out_of_time
-from .send_state import Call, Failure, Outcome, Send
+from .send_state import Call, Failure, Outcome, Send, SendEnd
 from .sending import record_upstream_failure, send_with_timeout
 from .staged_results import free_results
 from .staged_work import results_for
@@ -142,8 +142,7 @@
     finally:
         send.crashed |= send.outcome is Outcome.UNKNOWN and is_gone(vm, state)
         ran = send.outcome in (Outcome.FORWARDED, Outcome.FAILED)
-        end_send(
-            vm,
+        end = SendEnd(
             call,
             state,
             crashed=send.crashed,
@@ -153,6 +152,7 @@
             unframed=send.unframed,
             took_ms=vm.clock.now_ms() - began_ms,
         )
+        end_send(vm, end)
     record_send(vm, call, state, send)
     record_upstream_failure(vm, call, state, send)
     progress.tried.add(state.info.id)
--- a/cuminstile/gateway/crash_evidence.py
+++ b/cuminstile/gateway/crash_evidence.py
@@ -7,12 +7,13 @@
 
 from ..crash_limits import Suspicion
 from ..events import Event
+from .crash_state import names_of
 from .state import Gateway
 from .upstream_checks import chance_of_crash
 from .upstreams import UpstreamState
 
 if TYPE_CHECKING:
-    from .send_state import Call
+    from .send_state import Call, SendEnd
 
 MAX_LOGGED_PARTS = 16
 CHANGE_EVENTS = {
@@ -22,36 +23,18 @@
 """Events of a name whose suspicion a crash has changed."""
 
 
-def record_crash(
-    vm: Gateway,
-    call: Call,
-    names: Sequence[bytes],
-    state: UpstreamState,
-    trial: bool,
-    ran_long: bool = False,
-    took_ms: float = 0.0,
-) -> None:
-    """Record that an upstream process crashed while it ran a request.
-
-    Parameters
-    ----------
-    names : sequence of bytes
-        The name of the request, then those of the parts of its prompt.
-    trial : bool
-        Whether it was the only run of these names.
-    ran_long : bool
-        Whether the upstream had sent events for a while before it crashed.
-    took_ms : float
-        Time from the send to the crash.
-    """
+def record_crash(vm: Gateway, end: SendEnd) -> None:
+    """Record that an upstream process crashed while it ran a request."""
     guard, now_ms = vm.crash_guard, vm.clock.now_ms()
-    process = state.process
+    call, trial = end.call, end.trial
+    process = end.state.process
+    names = names_of(call)
     own, *parts = names
     chance = 1.0
     if trial:
-        chance = chance_of_crash(guard, vm.table, names, state, took_ms, now_ms)
+        chance = chance_of_crash(guard, vm.table, names, end.state, end.took_ms, now_ms)
     before = {name: guard.table.get(name, now_ms) for name in names}
-    if ran_long:
+    if end.ran_long:
         for part in parts:
             guard.table.record_long_run(part, now_ms)
     service = call.service.name
@@ -100,10 +83,10 @@
         guard.unsent[part] = None
 
 
-def record_answer(vm: Gateway, call: Call, names: Sequence[bytes]) -> None:
+def record_answer(vm: Gateway, call: Call) -> None:
     """Clear the names of a request that was answered in full, here and elsewhere."""
     table, now_ms = vm.crash_guard.table, vm.clock.now_ms()
-    for number, name in enumerate(names):
+    for number, name in enumerate(names_of(call)):
         was_suspected = table.get(name, now_ms) is not Suspicion.NONE
         if not table.record_good_run(name, now_ms, is_part=number > 0):
             continue
--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -24,14 +24,13 @@
     record_crash,
     record_suspicion,
 )
-from .crash_state import fingerprint_of
+from .crash_state import fingerprint_of, names_of
 from .refusals import Refusal
 from .state import Gateway
 from .unframed_answers import add_unframed_answer, record_ended
-from .upstreams import UpstreamState
 
 if TYPE_CHECKING:
-    from .send_state import Call
+    from .send_state import Call, SendEnd
 
 TRIAL_MS = 3_000.0
 """How long other VMs wait at most for the end of a trial."""
@@ -46,13 +45,6 @@
 """Turns after which it is the first ones' turn again."""
 
 
-def names_of(call: Call) -> tuple[bytes, ...]:
-    """Return the names of a request: its own, then those of the parts of its prompt."""
-    if not call.digest:
-        return ()
-    return (fingerprint_of(call.digest, call.service.name), *call.part_names)
-
-
 def suspicion_of(vm: Gateway, digest: bytes, service: str) -> Suspicion:
     """Return the suspicion of a request at the upstreams of a service."""
     table = vm.crash_guard.table
@@ -181,46 +173,20 @@
     return int(since_ms / TURN_MS) % turns == rank % turns
 
 
-def end_send(
-    vm: Gateway,
-    call: Call,
-    state: UpstreamState,
-    crashed: bool,
-    ran: bool,
-    trial: bool,
-    ran_long: bool = False,
-    unframed: bool = False,
-    took_ms: float = 0.0,
-) -> None:
-    """Record how a send of a request ended.
-
-    Parameters
-    ----------
-    crashed : bool
-        Whether the upstream ended the connection before the answer was complete.
-    ran : bool
-        Whether the upstream answered the request after it ran.
-    trial : bool
-        Whether the send was a trial.
-    ran_long : bool
-        Whether the upstream had sent events for a while before it crashed.
-    unframed : bool
-        Whether the answer had neither a length nor chunks: its end may be a crash.
-    took_ms : float
-        Time from the send to its end.
-    """
-    names = names_of(call)
+def end_send(vm: Gateway, end: SendEnd) -> None:
+    """Record how a send of a request ended."""
+    names = names_of(end.call)
     if not names:
         return
-    if crashed:
-        process = state.process
-        record_crash(vm, call, names, state, trial, ran_long, took_ms)
-        if not trial and not is_gone(vm, state):
-            vm.crash_guard.unchecked[process] = state
+    if end.crashed:
+        process = end.state.process
+        record_crash(vm, end)
+        if not end.trial and not is_gone(vm, end.state):
+            vm.crash_guard.unchecked[process] = end.state
         record_ended(vm, process)
-    elif ran and unframed:
-        add_unframed_answer(vm, call, names, state, trial)
-    elif ran:
-        record_answer(vm, call, names)
-    elif trial:
+    elif end.ran and end.unframed:
+        add_unframed_answer(vm, end)
+    elif end.ran:
+        record_answer(vm, end.call)
+    elif end.trial:
         end_trial(vm, names)
--- a/cuminstile/gateway/crash_state.py
+++ b/cuminstile/gateway/crash_state.py
@@ -15,6 +15,7 @@
 from .model import Organisation, PromptPart
 
 if TYPE_CHECKING:
+    from .send_state import Call
     from .unframed_answers import UnframedAnswer
     from .upstreams import UpstreamState
 
@@ -87,6 +88,13 @@
     return hashlib.blake2b(text, key=digest, digest_size=DIGEST_BYTES).digest()
 
 
+def names_of(call: Call) -> tuple[bytes, ...]:
+    """Return the names of a request: its own, then those of the parts of its prompt."""
+    if not call.digest:
+        return ()
+    return (fingerprint_of(call.digest, call.service.name), *call.part_names)
+
+
 def part_names_of(parts: tuple[PromptPart, ...]) -> tuple[bytes, ...]:
     """Return the names of the parts of a prompt, but for the last, the request's own.
 
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -13,7 +13,7 @@
 from .model import Organisation, Route, Service
 from .token_bucket import TokenBucket
 from .upstream_protocol import CallFields, RawHeaders
-from .upstreams import UpstreamListAge
+from .upstreams import UpstreamListAge, UpstreamState
 
 LONG_RUN_MS = 1_000.0
 """After so long an upstream that sends an answer has survived its beginning."""
@@ -129,3 +129,33 @@
         """Return whether the upstream has sent parts of its answer for a while."""
         since_ms = self.events_since_ms
         return since_ms > 0.0 and clock.now_ms() - since_ms >= LONG_RUN_MS
+
+
+@dataclass(frozen=True, slots=True)
+class SendEnd:
+    """How a send of a request to an upstream ended, for `crash_guard.end_send`.
+
+    Parameters
+    ----------
+    crashed : bool
+        Whether the upstream ended the connection before the answer was complete.
+    ran : bool
+        Whether the upstream answered the request after it ran.
+    trial : bool
+        Whether the send was a trial, the only run of the request's names.
+    ran_long : bool
+        Whether the upstream had sent events for a while before it crashed.
+    unframed : bool
+        Whether the answer had neither a length nor chunks: its end may be a crash.
+    took_ms : float
+        Time from the send to its end.
+    """
+
+    call: Call
+    state: UpstreamState
+    crashed: bool = False
+    ran: bool = False
+    trial: bool = False
+    ran_long: bool = False
+    unframed: bool = False
+    took_ms: float = 0.0
--- a/cuminstile/gateway/unframed_answers.py
+++ b/cuminstile/gateway/unframed_answers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from .crash_evidence import is_gone, record_answer, record_crash
@@ -15,7 +15,7 @@
 from .upstreams import UpstreamState
 
 if TYPE_CHECKING:
-    from .send_state import Call
+    from .send_state import SendEnd
 
 CRASH_MS = 500.0
 """How long after an answer its upstream's end may be that of the answer."""
@@ -29,20 +29,14 @@
 class UnframedAnswer:
     """An answer that ended with its connection, at a monotonic time in ms."""
 
-    call: Call
-    names: tuple[bytes, ...]
-    state: UpstreamState
-    trial: bool
+    end: SendEnd
     at_ms: float
 
 
-def add_unframed_answer(
-    vm: Gateway, call: Call, names: tuple[bytes, ...], state: UpstreamState, trial: bool
-) -> None:
+def add_unframed_answer(vm: Gateway, end: SendEnd) -> None:
     """Keep an answer until it is known whether its upstream lives on."""
-    process = state.process
-    answers = vm.crash_guard.unframed.setdefault(process, [])
-    answers.append(UnframedAnswer(call, names, state, trial, vm.clock.now_ms()))
+    answers = vm.crash_guard.unframed.setdefault(end.state.process, [])
+    answers.append(UnframedAnswer(end, vm.clock.now_ms()))
     del answers[:-MAX_ANSWERS]
 
 
@@ -68,7 +62,7 @@
     now_ms = vm.clock.now_ms()
     for answer in answers:
         if now_ms - answer.at_ms <= CRASH_MS:
-            record_crash(vm, answer.call, answer.names, answer.state, answer.trial)
+            record_crash(vm, crash_of(answer))
 
 
 def settle_old(vm: Gateway) -> None:
@@ -77,7 +71,7 @@
     for process, answers in list(vm.crash_guard.unframed.items()):
         old = [answer for answer in answers if answer.at_ms <= due_ms]
         if old:
-            settle(vm, process, old, is_gone(vm, old[0].state))
+            settle(vm, process, old, is_gone(vm, old[0].end.state))
 
 
 def settle(
@@ -86,9 +80,9 @@
     """Record some answers of a process as crashes or as complete, and forget them."""
     for answer in answers:
         if ended:
-            record_crash(vm, answer.call, answer.names, answer.state, answer.trial)
+            record_crash(vm, crash_of(answer))
         else:
-            record_answer(vm, answer.call, answer.names)
+            record_answer(vm, answer.end.call)
     left = [
         answer
         for answer in vm.crash_guard.unframed.get(process, [])
@@ -98,3 +92,11 @@
         vm.crash_guard.unframed[process] = left
     else:
         vm.crash_guard.unframed.pop(process, None)
+
+
+def crash_of(answer: UnframedAnswer) -> SendEnd:
+    """Return the crash that an answer turns out to be, as one at once.
+
+    How long it had run before says nothing: when its upstream ended is not known.
+    """
+    return replace(answer.end, crashed=True, ran_long=False, took_ms=0.0)
--- a/tests/gateway/prompt_traffic.py
+++ b/tests/gateway/prompt_traffic.py
@@ -21,7 +21,7 @@
 from cuminstile.gateway.crash_state import part_names_of
 from cuminstile.gateway.model import PromptPart
 from cuminstile.gateway.refusals import Refusal
-from cuminstile.gateway.send_state import LONG_RUN_MS, Call
+from cuminstile.gateway.send_state import LONG_RUN_MS, Call, SendEnd
 from cuminstile.gateway.state import Gateway
 from cuminstile.gateway.unframed_answers import settle_old
 from cuminstile.gateway.upstreams import UpstreamState, process_of
@@ -253,7 +253,7 @@
         for part in run.parts:
             self.seen.answered[part] = self.clock.now_ms()
         if self.is_live(run.vm):
-            end_send(run.vm, run.call, run.state, False, True, run.on_trial)
+            end_send(run.vm, SendEnd(run.call, run.state, ran=True, trial=run.on_trial))
 
     def crash(self, engine: Engine, cause: Run | None = None) -> None:
         """End an engine with all that it runs; resend some of it."""
@@ -283,21 +283,20 @@
             return
         if run.on_trial:
             self.check_engines(run.vm, run.state)
-        end_send(
-            run.vm,
+        end = SendEnd(
             run.call,
             run.state,
             crashed=True,
-            ran=False,
             trial=run.on_trial,
             ran_long=took_ms >= LONG_RUN_MS,
             took_ms=took_ms,
         )
+        end_send(run.vm, end)
         self.resend(run)
 
     def fail(self, run: Run) -> None:
         """Let a VM see that a run ended though its engine lives on."""
-        end_send(run.vm, run.call, run.state, False, False, run.on_trial)
+        end_send(run.vm, SendEnd(run.call, run.state, trial=run.on_trial))
         self.resend(run)
 
     def resend(self, run: Run) -> None:
--- a/tests/gateway/test_crash_evidence.py
+++ b/tests/gateway/test_crash_evidence.py
@@ -6,6 +6,7 @@
 from cuminstile.crash_limits import Suspicion
 from cuminstile.gateway.crash_evidence import record_survivor
 from cuminstile.gateway.crash_guard import end_send
+from cuminstile.gateway.send_state import SendEnd
 
 from .test_state import make_vm
 from .test_unframed_answers import PART, listed, prompt_call
@@ -29,7 +30,7 @@
     clock = VirtualClock(at_ms=CRASHED_MS)
     vm = make_vm(clock)
     state = listed(vm)
-    end_send(vm, prompt_call(1), state, True, False, False)
+    end_send(vm, SendEnd(prompt_call(1), state, crashed=True))
     clock.at_ms += 30.0
     record_survivor(vm, state, opened_ms, sent_ms)
     expected = Suspicion.NONE if alive else Suspicion.SUSPECTED
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -8,6 +8,7 @@
 from cuminstile.gateway.crash_guard import begin_send, end_send, refuse_quarantined
 from cuminstile.gateway.crash_sharing import share_changes
 from cuminstile.gateway.refusals import Refusal
+from cuminstile.gateway.send_state import SendEnd
 from cuminstile.gateway.state import Gateway
 
 from .fleet import CountedStore, Fleet
@@ -19,7 +20,7 @@
     for number in range(3):
         call = prompt_call(number)
         trial = begin_send(vm, call)
-        end_send(vm, call, listed(vm, number), True, False, trial)
+        end_send(vm, SendEnd(call, listed(vm, number), crashed=True, trial=trial))
     assert vm.crash_guard.table.get(PART, vm.clock.now_ms()) is Suspicion.QUARANTINED
 
 
--- a/tests/gateway/test_crash_sharing.py
+++ b/tests/gateway/test_crash_sharing.py
@@ -14,6 +14,7 @@
 from cuminstile.gateway.crash_guard import begin_send, end_send, suspicion_of
 from cuminstile.gateway.crash_sharing import SHARE_INTERVAL_MS, share_changes
 from cuminstile.gateway.refusals import Refusal
+from cuminstile.gateway.send_state import SendEnd
 from cuminstile.gateway.state import Gateway
 from cuminstile.gateway.upstreams import UpstreamState
 
@@ -114,7 +115,7 @@
                 return
             number = self.random.choice(self.up())
             state = self.upstream(number)
-            end_send(vm, call, state, crashed=True, ran=False, trial=on_trial)
+            end_send(vm, SendEnd(call, state, crashed=True, trial=on_trial))
             self.crash(number, state)
             if suspicion_of(vm, DIGEST, "s") is not Suspicion.NONE:
                 return
@@ -133,14 +134,14 @@
         call = replace(make_call(max_attempts=2), digest=digest)
         call = replace(call, expires_at_ms=self.clock.now_ms() + 5_000.0)
         self.outcome.cut_off += 1
-        end_send(vm, call, state, crashed=True, ran=False, trial=False)
+        end_send(vm, SendEnd(call, state, crashed=True))
         try:
             on_trial = begin_send(vm, call)
         except Refusal:
             self.outcome.lost += 1
             self.outcome.blamed += 1
             return
-        end_send(vm, call, state, crashed=False, ran=True, trial=on_trial)
+        end_send(vm, SendEnd(call, state, ran=True, trial=on_trial))
 
     def pass_time(self, duration_ms: float) -> None:
         """Let VMs share what they know, for a time."""
@@ -265,14 +266,14 @@
             call = replace(make_call(max_attempts=2), digest=digest)
             digests.append(digest)
             vm = simulation.any_vm()
-            end_send(vm, call, state, crashed=True, ran=False, trial=False)
+            end_send(vm, SendEnd(call, state, crashed=True))
     simulation.pass_time(200.0)
     for digest in digests:
         call = replace(make_call(max_attempts=2), digest=digest)
         call = replace(call, expires_at_ms=simulation.clock.now_ms() + 5_000.0)
         vm = simulation.any_vm()
         on_trial = begin_send(vm, call)
-        end_send(vm, call, state, crashed=False, ran=True, trial=on_trial)
+        end_send(vm, SendEnd(call, state, ran=True, trial=on_trial))
         simulation.pass_time(SHARE_INTERVAL_MS * 3)
     for vm in simulation.fleet.vms.values():
         states = {suspicion_of(vm, digest, "s") for digest in digests}
@@ -295,6 +296,9 @@
             assert refusal.code is not ErrorCode.QUARANTINED
             refused += 1
             continue
-        end_send(vm, late_call, state, crashed, not crashed, on_trial)
+        end_send(
+            vm,
+            SendEnd(late_call, state, crashed=crashed, ran=not crashed, trial=on_trial),
+        )
         simulation.pass_time(SHARE_INTERVAL_MS)
     assert refused <= 3
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -11,7 +11,7 @@
 from cuminstile.gateway.crash_guard import begin_send, end_send
 from cuminstile.gateway.crash_state import part_name, part_names_of
 from cuminstile.gateway.model import PromptPart
-from cuminstile.gateway.send_state import Call
+from cuminstile.gateway.send_state import Call, SendEnd
 from cuminstile.gateway.state import Gateway
 from cuminstile.gateway.unframed_answers import (
     CRASH_MS,
@@ -61,7 +61,7 @@
 
 def answer(vm: Gateway, state: UpstreamState, number: int = 0) -> None:
     """Let an upstream answer a call without length and chunks."""
-    end_send(vm, prompt_call(number), state, False, True, False, unframed=True)
+    end_send(vm, SendEnd(prompt_call(number), state, ran=True, unframed=True))
 
 
 def suspicion(vm: Gateway) -> Suspicion:
@@ -70,7 +70,7 @@
 
 def crash_one(vm: Gateway) -> None:
     """Make the part suspected."""
-    end_send(vm, prompt_call(99), listed(vm, 9), True, False, False)
+    end_send(vm, SendEnd(prompt_call(99), listed(vm, 9), crashed=True))
     assert suspicion(vm) is Suspicion.SUSPECTED
 
 
@@ -118,7 +118,7 @@
     state = listed(vm)
     answer(vm, state)
     clock.at_ms += 5.0
-    end_send(vm, prompt_call(5, ("other",)), state, True, False, False)
+    end_send(vm, SendEnd(prompt_call(5, ("other",)), state, crashed=True))
     assert suspicion(vm) is Suspicion.SUSPECTED
     assert not vm.crash_guard.unframed
 
@@ -161,7 +161,7 @@
             break
         sends += 1
         trial = begin_send(vm, call)
-        end_send(vm, call, state, False, True, trial, unframed=True)
+        end_send(vm, SendEnd(call, state, ran=True, trial=trial, unframed=True))
         clock.at_ms += 20.0
         record_ended(vm, f"u{number}@1")
     assert sends == 3
