Give chances and times that differ names that differ

`chance_of_crash` was the name of two functions and a method, `SETTLED_MS` and `SETTLE_MS` that of three times. Now `chance_of_unrelated_crash` computes the chance, `chance_at_upstream` and `chance_at_worker` ask for it; `SURVIVAL_MS` is after how long an upstream is taken to live on, `LATE_TRIALS_MS` how long trials from before a quarantine may end, `LISTENS_ON_MS` how long an ended process may still listen.

No behaviour changes: the tests of crash_evidence, crash_guard, unframed_answers, staging, crash_parts, crash_suspects and import_order pass, 138 of 138.

--- a/cuminstile/crash_blame.py
+++ b/cuminstile/crash_blame.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-SETTLED_MS = 1_000.0
+LATE_TRIALS_MS = 1_000.0
 """How long after a quarantine began trials may end that had begun before."""
 
 
@@ -72,7 +72,7 @@
     @property
     def retests(self) -> int:
         """Return how many upstreams crashed on trial in quarantine."""
-        since_ms = self.blamed_ms + SETTLED_MS
+        since_ms = self.blamed_ms + LATE_TRIALS_MS
         return sum(self.crashes[process] > since_ms for process in self.proofs)
 
     def add_crash(self, process: str, at_ms: float, limit: int) -> None:
--- a/cuminstile/crash_chance.py
+++ b/cuminstile/crash_chance.py
@@ -28,7 +28,7 @@
     took_ms: float
 
 
-def chance_of_crash(
+def chance_of_unrelated_crash(
     suspects: Mapping[bytes, Suspect],
     ended: EndedUpstreams,
     names: Iterable[bytes],
--- a/cuminstile/crash_suspects.py
+++ b/cuminstile/crash_suspects.py
@@ -161,7 +161,7 @@
         parts : sequence of bytes
             Names of the parts of its prompt.
         chance : float
-            How likely it had crashed without them, see `chance_of_crash`.
+            How likely it had crashed without them, see `chance_of_unrelated_crash`.
 
         Returns
         -------
--- a/cuminstile/gateway/crash_checks.py
+++ b/cuminstile/gateway/crash_checks.py
@@ -4,13 +4,13 @@
 
 from .crash_evidence import is_gone, retract_crash
 from .state import Gateway
-from .upstream_checks import MAX_CHECKED, SETTLE_MS, living
+from .upstream_checks import LISTENS_ON_MS, MAX_CHECKED, living
 
 
 async def run_crash_check_loop(vm: Gateway) -> None:
     """Retract the crashes of upstreams that turn out to live, without end."""
     while True:
-        await vm.clock.sleep_ms(SETTLE_MS)
+        await vm.clock.sleep_ms(LISTENS_ON_MS)
         if vm.crash_guard.unchecked:
             await check_crashes(vm)
 
--- a/cuminstile/gateway/crash_evidence.py
+++ b/cuminstile/gateway/crash_evidence.py
@@ -9,7 +9,7 @@
 from ..events import Event
 from .crash_state import names_of
 from .state import Gateway
-from .upstream_checks import chance_of_crash
+from .upstream_checks import chance_at_upstream
 from .upstreams import UpstreamState
 
 if TYPE_CHECKING:
@@ -32,7 +32,9 @@
     own, *parts = names
     chance = 1.0
     if trial:
-        chance = chance_of_crash(guard, vm.table, names, end.state, end.took_ms, now_ms)
+        chance = chance_at_upstream(
+            guard, vm.table, names, end.state, end.took_ms, now_ms
+        )
     before = {name: guard.table.get(name, now_ms) for name in names}
     if end.ran_long:
         for part in parts:
--- a/cuminstile/gateway/stage_crashes.py
+++ b/cuminstile/gateway/stage_crashes.py
@@ -15,7 +15,7 @@
 from .chain import WorkItem
 from .crash_state import CrashGuard, fingerprint_of
 from .stage_queue import Worker
-from .upstream_checks import chance_of_crash, has_ended
+from .upstream_checks import chance_at_upstream, has_ended
 from .upstreams import UpstreamTable, process_of
 
 
@@ -82,7 +82,7 @@
         """
         items = {key_of(item): item for item in batch if item.chain.spec.digest}
         process = process_of(worker.id, worker.started_ms)
-        chance = self.chance_of_crash(table, worker, list(items), took_ms)
+        chance = self.chance_at_worker(table, worker, list(items), took_ms)
         quarantined = False
         for key, item in items.items():
             suspicion = self.guard.table.record_crash(
@@ -107,7 +107,7 @@
             )
         return quarantined
 
-    def chance_of_crash(
+    def chance_at_worker(
         self,
         table: UpstreamTable,
         worker: Worker,
@@ -119,7 +119,7 @@
         if state is None:
             return 1.0
         now_ms = self.clock.now_ms()
-        return chance_of_crash(self.guard, table, names, state, took_ms, now_ms)
+        return chance_at_upstream(self.guard, table, names, state, took_ms, now_ms)
 
     def record_answer(self, batch: Sequence[WorkItem], ran: bool) -> None:
         """Clear the requests of an answered call; only end its trial if it didn't run.
--- a/cuminstile/gateway/unframed_answers.py
+++ b/cuminstile/gateway/unframed_answers.py
@@ -19,7 +19,7 @@
 
 CRASH_MS = 500.0
 """How long after an answer its upstream's end may be that of the answer."""
-SETTLED_MS = 3_000.0
+SURVIVAL_MS = 3_000.0
 """After this time an upstream that is still listed is taken to live on."""
 MAX_ANSWERS = 256
 """Answers of one upstream that are waited for; the oldest are dropped."""
@@ -67,7 +67,7 @@
 
 def settle_old(vm: Gateway) -> None:
     """Settle the answers for whose upstream's end was waited long enough."""
-    due_ms = vm.clock.now_ms() - SETTLED_MS
+    due_ms = vm.clock.now_ms() - SURVIVAL_MS
     for process, answers in list(vm.crash_guard.unframed.items()):
         old = [answer for answer in answers if answer.at_ms <= due_ms]
         if old:
--- a/cuminstile/gateway/upstream_checks.py
+++ b/cuminstile/gateway/upstream_checks.py
@@ -9,14 +9,13 @@
 import asyncio
 from collections.abc import Sequence
 
-from .. import crash_chance
 from ..clock import Clock
-from ..crash_chance import UpstreamCrash
+from ..crash_chance import UpstreamCrash, chance_of_unrelated_crash
 from .crash_state import CrashGuard, LivenessCheck
 from .http_client import ConnectionLostError, open_connection
 from .upstreams import UpstreamState, UpstreamTable
 
-SETTLE_MS = 20.0
+LISTENS_ON_MS = 20.0
 """How long a process that ends may still listen after its connections are closed."""
 HOLD_MS = 30.0
 """How long a new connection must stay open to show that its peer lives."""
@@ -52,7 +51,7 @@
     """
     if guard.lives is None:
         return True
-    await clock.sleep_ms(SETTLE_MS)
+    await clock.sleep_ms(LISTENS_ON_MS)
     others = table.others(state)
     found = await living(guard, [state, *others])
     if state in found:
@@ -75,7 +74,7 @@
     return [state for state, lives in zip(states, results, strict=True) if lives]
 
 
-def chance_of_crash(
+def chance_at_upstream(
     guard: CrashGuard,
     table: UpstreamTable,
     names: Sequence[bytes],
@@ -88,4 +87,4 @@
     process = state.process
     crash = UpstreamCrash(state.info.service, process, took_ms)
     suspects, ended = guard.table.by_fingerprint, guard.table.ended_ms
-    return crash_chance.chance_of_crash(suspects, ended, names, crash, others, now_ms)
+    return chance_of_unrelated_crash(suspects, ended, names, crash, others, now_ms)
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -16,7 +16,7 @@
 from cuminstile.gateway.unframed_answers import (
     CRASH_MS,
     MAX_ANSWERS,
-    SETTLED_MS,
+    SURVIVAL_MS,
     record_alive,
     record_ended,
     settle_old,
@@ -141,7 +141,7 @@
     answer(vm, listed(vm))
     if gone:
         del vm.table.states["u0"]
-    clock.at_ms += SETTLED_MS
+    clock.at_ms += SURVIVAL_MS
     settle_old(vm)
     assert not vm.crash_guard.unframed
     assert suspicion(vm) is (Suspicion.SUSPECTED if gone else Suspicion.NONE)
