Merge reports of crashes and quarantine names in modules of their own

crash_suspects.py (430 lines) held the table of suspects, the merging of what other VMs report and the quarantines. `crash_merging.merge_suspect` and `crash_quarantine` now do the latter two, and crash_suspects.py has 346 lines. The five tests that are about merging alone stand in test_crash_merging.py.

--- a/cuminstile/crash_limits.py
+++ b/cuminstile/crash_limits.py
@@ -10,6 +10,8 @@
 QUARANTINE_FACTOR = 6
 """Factor by which each further quarantine is longer."""
 QUARANTINE_MAX_MS = 86_400_000.0
+SUSPICION_VALID_MS = 600_000.0
+"""How long a suspicion is kept after the last crash or the end of a quarantine."""
 
 
 class Suspicion(IntEnum):
--- a/cuminstile/crash_suspects.py
+++ b/cuminstile/crash_suspects.py
@@ -11,24 +11,24 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from .crash_blame import Suspect, excuse_explained, is_proved, merge_trial
+from .crash_blame import Suspect, excuse_explained, is_proved
 from .crash_chance import EndedUpstreams, unrelated_crashes
 from .crash_limits import (
     PART_LIMITS,
     PROVEN_PART_LIMITS,
     QUARANTINE_MS,
+    SUSPICION_VALID_MS,
     CrashLimits,
     Suspicion,
     quarantine_length_ms,
 )
+from .crash_quarantine import quarantine_until, relax_quarantine
 from .recency import remember
 
 FINGERPRINT_BYTES = 16
-SUSPICION_VALID_MS = 600_000.0
-"""How long a suspicion is kept after the last crash or the end of a quarantine."""
 MAX_SUSPECTS = 4_096
 MAX_ANSWERED = 8_192
 """Parts of which it is remembered that requests with them were answered."""
@@ -232,12 +232,7 @@
         length_ms = quarantine_length_ms(limits, suspect.quarantines)
         suspect.quarantines += 1
         suspect.blamed_ms = suspect.blamed_ms or now_ms
-        self.quarantine_until(suspect, now_ms + length_ms)
-
-    def quarantine_until(self, suspect: Suspect, until_ms: float) -> None:
-        """Quarantine a name until a time; it stays suspected for longer."""
-        suspect.quarantined_until_ms = max(suspect.quarantined_until_ms, until_ms)
-        suspect.expires_ms = max(suspect.expires_ms, until_ms + SUSPICION_VALID_MS)
+        quarantine_until(suspect, now_ms + length_ms)
 
     def unrelated_crashes(self, suspect: Suspect) -> int:
         """Return how many upstreams of the service crashed for no known reason.
@@ -276,18 +271,7 @@
         """
         suspect = self.touch(part, now_ms, is_part=True)
         suspect.ran_well = True
-        self.relax_quarantine(suspect, now_ms)
-
-    def relax_quarantine(self, suspect: Suspect, now_ms: float) -> None:
-        """Shorten or end a quarantine of a part that turns out to have run well."""
-        if len(suspect.crashes) < PROVEN_PART_LIMITS.quarantine_after:
-            suspect.quarantines = 0
-            suspect.blamed_ms = 0.0
-        until_ms = now_ms + PROVEN_PART_LIMITS.first_quarantine_ms
-        if suspect.blamed:
-            suspect.quarantined_until_ms = min(suspect.quarantined_until_ms, until_ms)
-        else:
-            suspect.quarantined_until_ms = 0.0
+        relax_quarantine(suspect, now_ms)
 
     def cleared_at_ms(self, name: bytes) -> float | None:
         """Return when a name was last cleared, in monotonic ms; None for never."""
@@ -332,55 +316,7 @@
         suspect = self.touch(fingerprint, now_ms)
         suspect.suspected = True
         if suspicion is Suspicion.QUARANTINED:
-            self.quarantine_until(suspect, now_ms + QUARANTINE_MS)
-
-    def merge(self, fingerprint: bytes, other: Suspect, now_ms: float) -> bool:
-        """Merge what another VM knows of a request; return whether it was new."""
-        cleared_ms = self.cleared_at_ms(fingerprint) or -1.0
-        crashes = {
-            process: at_ms
-            for process, at_ms in other.crashes.items()
-            if at_ms > max(cleared_ms, self.survived_ms.get(process, -1.0))
-        }
-        for process, at_ms in crashes.items():
-            self.record_ended(other.service, process, at_ms)
-        if not crashes or other.expires_ms <= now_ms:
-            return False
-        known = self.by_fingerprint.get(fingerprint)
-        before = None if known is None else summary_of(known)
-        expires_ms = 0.0 if known is None else known.expires_ms
-        suspect = self.touch(fingerprint, now_ms, other.is_part)
-        suspect.expires_ms = max(expires_ms, other.expires_ms)
-        suspect.service = other.service
-        if known is None:
-            suspect.told_by = other.told_by
-        merge_crashes(suspect.crashes, crashes)
-        suspect.proofs |= other.proofs & suspect.crashes.keys()
-        if other.trial_crashes:
-            suspect.doubt = min(suspect.doubt, other.doubt)
-        merge_trial(suspect, other)
-        self.merge_quarantine(suspect, other, now_ms)
-        self.quarantine_if_proved(suspect, False, now_ms)
-        excuse_explained(self.by_fingerprint, (fingerprint,))
-        if fingerprint not in self.by_fingerprint:
-            return known is not None
-        return summary_of(suspect) != before
-
-    def merge_quarantine(self, suspect: Suspect, other: Suspect, now_ms: float) -> None:
-        """Take over the quarantine that another VM reports.
-
-        It is left out if only this VM knows that requests with the part ran well.
-        """
-        if other.ran_well and not suspect.ran_well:
-            suspect.ran_well = True
-            self.relax_quarantine(suspect, now_ms)
-        if suspect.ran_well and not other.ran_well:
-            return
-        suspect.quarantines = max(suspect.quarantines, other.quarantines)
-        blamed_ms = [one for one in (suspect.blamed_ms, other.blamed_ms) if one]
-        suspect.blamed_ms = min(blamed_ms, default=0.0)
-        if now_ms < other.quarantined_until_ms:
-            self.quarantine_until(suspect, other.quarantined_until_ms)
+            quarantine_until(suspect, now_ms + QUARANTINE_MS)
 
     def touch(
         self, fingerprint: bytes, now_ms: float, is_part: bool = False
@@ -408,25 +344,3 @@
                 next(iter(self.by_fingerprint)),
             )
             del self.by_fingerprint[oldest]
-
-
-def merge_crashes(crashes: dict[str, float], others: Mapping[str, float]) -> None:
-    """Add crashes that are not known yet, up to the limit."""
-    for process, at_ms in others.items():
-        if process not in crashes and len(crashes) < MAX_CRASHES:
-            crashes[process] = at_ms
-
-
-def summary_of(suspect: Suspect) -> tuple[frozenset[str], int, int, bool, bool]:
-    """Return what of an entry other VMs have to know.
-
-    These are the crashed processes, the crashes on trial, the quarantines, whether a
-    trial goes on and whether requests ran well before.
-    """
-    return (
-        frozenset(suspect.crashes),
-        suspect.trial_crashes,
-        suspect.quarantines,
-        suspect.trial_until_ms > 0.0,
-        suspect.ran_well,
-    )
--- a/cuminstile/gateway/crash_sharing.py
+++ b/cuminstile/gateway/crash_sharing.py
@@ -13,6 +13,7 @@
 
 from ..crash_blame import Suspect
 from ..crash_limits import Suspicion
+from ..crash_merging import merge_suspect
 from ..events import Event
 from .crash_state import SUSPECT_AFTER
 from .hubs import FULL_MESH_VMS, hub_addresses
@@ -192,7 +193,7 @@
     if entry.trial_by == vm.settings.peer_address:
         entry = replace(entry, trial_left_ms=0.0)
     other = suspect_of(entry, address, now_ms)
-    return table.merge(entry.fingerprint, other, now_ms) or changed
+    return merge_suspect(table, entry.fingerprint, other, now_ms) or changed
 
 
 def is_cleared_here(vm: Gateway, entry: SuspectEntry, now_ms: float) -> bool:
--- a/tests/operator/test_upstreams.py
+++ b/tests/operator/test_upstreams.py
@@ -3,8 +3,7 @@
 import dataclasses
 
 from cuminstile.commands.survey import merge_upstreams
-from cuminstile.crash_limits import Suspicion
-from cuminstile.crash_suspects import SUSPICION_VALID_MS
+from cuminstile.crash_limits import SUSPICION_VALID_MS, Suspicion
 from cuminstile.objects.model import DataCentre, DataCentreState
 from cuminstile.operator.report import (
     StatusReport,
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -1,8 +1,7 @@
 """Test cuminstile.crash_suspects: which parts of prompts are blamed."""
 
-from dataclasses import replace
-
 from cuminstile.crash_limits import PROVEN_PART_LIMITS, QUARANTINE_MS, Suspicion
+from cuminstile.crash_merging import merge_suspect
 from cuminstile.crash_suspects import (
     MAX_ANSWERED,
     MAX_SUSPECTS,
@@ -95,14 +94,6 @@
     assert table.get(POPULAR, 7.0) is Suspicion.NONE
 
 
-def test_stale_report_of_an_excused_part_is_left_out() -> None:
-    table, other = make_table(), make_table()
-    other.record_crash(R, "s", "u1@1", 0.0, parts=(POPULAR,))
-    blame(table, (BAD,))
-    assert not table.merge(POPULAR, other.by_fingerprint[POPULAR], 5.0)
-    assert table.get(POPULAR, 6.0) is Suspicion.NONE
-
-
 # Guards against requests that wait for a trial which has ended, as the crash of its
 # upstream was known already from another request there.
 def test_trial_at_an_upstream_whose_crash_is_known_ends_with_it() -> None:
@@ -113,19 +104,6 @@
     assert table.trial_left_ms(BAD, 2.0) == 0.0
 
 
-def test_end_of_a_trial_is_taken_over_from_the_vm_that_held_it() -> None:
-    holder, other = make_table(), make_table()
-    crash(holder, R, (BAD,), "u0@1", 0.0)
-    holder.begin_trial(BAD, 3_000.0)
-    report = holder.by_fingerprint[BAD]
-    report.told_by = "10.0.0.1:1"
-    other.merge(BAD, report, 1.0)
-    assert other.trial_left_ms(BAD, 2.0) > 0.0
-    holder.end_trial(BAD)
-    other.merge(BAD, report, 3.0)
-    assert other.trial_left_ms(BAD, 4.0) == 0.0
-
-
 def test_quarantine_is_lifted_as_a_run_with_the_part_goes_well() -> None:
     table = make_table()
     blame(table, (POPULAR,))
@@ -134,9 +112,12 @@
     assert table.get(POPULAR, 7.0) is Suspicion.SUSPECTED
     late = make_table()
     blame(late, (POPULAR,))
-    assert table.merge(POPULAR, late.by_fingerprint[POPULAR], 8.0) in (True, False)
+    assert merge_suspect(table, POPULAR, late.by_fingerprint[POPULAR], 8.0) in (
+        True,
+        False,
+    )
     assert table.get(POPULAR, 9.0) is Suspicion.SUSPECTED
-    assert late.merge(POPULAR, table.by_fingerprint[POPULAR], 9.0)
+    assert merge_suspect(late, POPULAR, table.by_fingerprint[POPULAR], 9.0)
     assert late.get(POPULAR, 10.0) is Suspicion.SUSPECTED
 
 
@@ -165,21 +146,3 @@
     assert len(table.answered_ms) <= MAX_ANSWERED
     assert len(table.by_fingerprint) <= MAX_SUSPECTS
     assert table.get(BAD, 11.0) is Suspicion.QUARANTINED
-
-
-# Guards against two VMs that each believe the other one's trial goes on, as both begin
-# one before they hear of each other.
-def test_trials_that_two_vms_begin_at_once_both_end() -> None:
-    tables = [make_table(), make_table()]
-    for table in tables:
-        crash(table, R, (BAD,), "u0@1", 0.0)
-        table.begin_trial(BAD, 3_000.0)
-    reports = [replace(table.by_fingerprint[BAD]) for table in tables]
-    for number, table in enumerate(tables):
-        reports[1 - number].told_by = f"10.0.0.{1 - number}:1"
-        reports[1 - number].trial_until_ms += 1.0
-        table.merge(BAD, reports[1 - number], 1.0)
-    for table in tables:
-        assert table.by_fingerprint[BAD].trial_by == ""
-        table.end_trial(BAD)
-        assert table.trial_left_ms(BAD, 2.0) == 0.0
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from cuminstile.crash_limits import QUARANTINE_MS, Suspicion
+from cuminstile.crash_limits import QUARANTINE_MS, SUSPICION_VALID_MS, Suspicion
+from cuminstile.crash_merging import merge_suspect
 from cuminstile.crash_suspects import (
     MAX_CRASHES,
     MAX_ENDED,
     MAX_SUSPECTS,
-    SUSPICION_VALID_MS,
     CrashTable,
 )
 
@@ -121,36 +121,14 @@
 def test_crash_of_a_living_upstream_is_retracted_everywhere() -> None:
     table, other = make_table(), make_table()
     crash_three(table)
-    other.merge(F, table.by_fingerprint[F], 5.0)
+    merge_suspect(other, F, table.by_fingerprint[F], 5.0)
     for each in (table, other):
         each.retract_crash("u1@0.0", 6.0)
         assert each.get(F, 7.0) is Suspicion.SUSPECTED
-    other.merge(F, table.by_fingerprint[F], 8.0)
+    merge_suspect(other, F, table.by_fingerprint[F], 8.0)
     assert other.crash_count(F, 9.0) == 2
 
 
-def test_merge_adds_up_the_crashes_that_several_vms_saw() -> None:
-    tables = [make_table() for _ in range(3)]
-    for number, table in enumerate(tables):
-        table.record_crash(F, "s", f"u{number}@1", float(number))
-    assert tables[2].merge(F, tables[0].by_fingerprint[F], 5.0)
-    assert tables[2].merge(F, tables[1].by_fingerprint[F], 5.0)
-    assert not tables[2].merge(F, tables[1].by_fingerprint[F], 6.0)
-    assert tables[2].get(F, 7.0) is Suspicion.SUSPECTED
-    assert tables[2].record_crash(F, "s", "u9@1", 8.0, True) is Suspicion.QUARANTINED
-    assert tables[0].merge(F, tables[2].by_fingerprint[F], 9.0)
-    assert tables[0].get(F, 10.0) is Suspicion.QUARANTINED
-
-
-def test_older_crashes_do_not_return_after_a_good_run() -> None:
-    table, other = make_table(), make_table()
-    crash_three(table)
-    crash_three(other)
-    assert table.record_good_run(F, 10.0)
-    assert not table.merge(F, other.by_fingerprint[F], 11.0)
-    assert table.get(F, 12.0) is Suspicion.NONE
-
-
 def test_memory_is_bounded_and_quarantines_are_dropped_last() -> None:
     table = make_table()
     crash_three(table)
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -17,6 +17,7 @@
     "crash_blame",
     "crash_chance",
     "crash_limits",
+    "crash_merging",
     "crash_suspects",
 }
 """Modules outside the gateway that it shares with the product's own interface."""
