Split the planner of batches by job

`batch_choice` now chooses the items of a call, `lost_results` tells which results are lost, needed or of no use, `late_chains` finds the chains that can't be in time.

No behaviour changes.

--- a/cuminstile/gateway/batch_planner.py
+++ b/cuminstile/gateway/batch_planner.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
+from .batch_choice import choose_batch
 from .chain import (
     Chain,
     ChainSpec,
@@ -18,19 +19,23 @@
     CompletedItem,
     Result,
     WorkItem,
-    has_started,
     preferred_data_centre,
-    will_miss_deadline,
-    will_miss_target,
 )
 from .forecast import remaining_times_ms
+from .late_chains import expired_chains, late_chains
+from .lost_results import (
+    dequeue_blocked_items,
+    inputs_of,
+    is_stored_at,
+    items_stored_at,
+    still_needed,
+    unneeded_inputs,
+)
 from .model import BatchSpec
 from .stage_queue import (
     ServiceQueue,
     StoredResult,
     Worker,
-    urgency,
-    waits_for_data_centre,
 )
 
 MAX_ITEM_FAILURES = 4
@@ -162,32 +167,7 @@
         Empty if no call should start now.
         """
         queue = self.queues[worker.service]
-        if not worker.usable or worker.calls or now_ms < worker.available_at_ms:
-            return []
-        queue.ready = [item for item in queue.ready if item.can_start()]
-        if not queue.ready:
-            return []
-        if len(queue.ready) < queue.spec.batch and now_ms < queue.next_start_ms():
-            return []
-        speeds = queue.speeds_at(now_ms)
-        if queue.is_too_slow(worker, speeds, now_ms):
-            return []
-        available_ms = queue.available_by_data_centre(speeds, now_ms)
-        memory = queue.spec.memory_bytes - worker.memory_used(now_ms)
-        if now_ms < worker.full_until_ms:
-            memory = min(memory, worker.full_size - 1)
-        batch: list[WorkItem] = []
-        for item in sorted(queue.ready, key=lambda i: urgency(i, worker, now_ms)):
-            if len(batch) == queue.spec.batch:
-                break
-            if not self.may_join(item, batch):
-                continue
-            if item.stage.result_bytes > memory:
-                continue
-            if waits_for_data_centre(item, worker, available_ms):
-                continue
-            memory -= item.stage.result_bytes
-            batch.append(item)
+        batch = choose_batch(queue, worker, self.may_join, now_ms)
         for item in batch:
             item.queued = False
             item.running_on = worker.id
@@ -213,12 +193,7 @@
 
     def inputs_of(self, item: WorkItem) -> tuple[str, ...]:
         """Return the handles of all results that an item needs."""
-        return tuple(
-            other.result.handle
-            for number in item.stage.after
-            for other in item.chain.items.get(number, ())
-            if other.result
-        )
+        return tuple(other.result.handle for other in inputs_of(item) if other.result)
 
     def record_call_ended(self, worker: Worker) -> None:
         """Record that a call to an upstream has ended."""
@@ -252,11 +227,8 @@
 
     def release_inputs(self, chain: Chain, stage: ChainStage) -> None:
         """Release the inputs of a completed stage that no other stage needs."""
-        for number in stage.after:
-            consumers = [s for s in chain.spec.stages if number in s.after]
-            if all(chain.stage_done(consumer.number) for consumer in consumers):
-                for item in chain.items.get(number, ()):
-                    self.release_result(item)
+        for item in unneeded_inputs(chain, stage):
+            self.release_result(item)
 
     def release_result(self, item: WorkItem) -> None:
         """Release the result of an item unless that was done before."""
@@ -301,18 +273,14 @@
             inputs if they store none.
         """
         chain = item.chain
-        inputs = [o for n in item.stage.after for o in chain.items.get(n, ())]
+        inputs = inputs_of(item)
         if chain.ended or not all(other.result for other in inputs):
             return
         chain.recomputations += 1
-        suspected = [
-            other
-            for other in inputs
-            if other.result and other.result.upstream_id in suspects
-        ]
-        for other in suspected or inputs:
+        lost = [other for other in inputs if is_stored_at(other, suspects)]
+        for other in lost or inputs:
             self.discard_result(other)
-        self.dequeue_blocked_items(chain)
+        dequeue_blocked_items(chain)
         self.queue_startable(chain, now_ms)
 
     def discard_result(self, item: WorkItem) -> None:
@@ -332,33 +300,14 @@
     def recompute_lost_results(self, upstream_id: str, now_ms: float = 0.0) -> None:
         """Recompute the results that were stored at a lost upstream."""
         for chain in self.chains.values():
-            lost = [
-                item
-                for items in chain.items.values()
-                for item in items
-                if item.result and item.result.upstream_id == upstream_id
-            ]
+            lost = items_stored_at(chain, upstream_id)
             for item in lost:
-                if self.still_needed(chain, item):
+                if still_needed(chain, item):
                     self.discard_result(item)
             if lost:
-                self.dequeue_blocked_items(chain)
+                dequeue_blocked_items(chain)
                 self.queue_startable(chain, now_ms)
 
-    def still_needed(self, chain: Chain, item: WorkItem) -> bool:
-        """Return whether unfinished work, or the request, needs an item's result."""
-        consumers = [s for s in chain.spec.stages if item.stage.number in s.after]
-        return not consumers or any(
-            not chain.stage_done(consumer.number) for consumer in consumers
-        )
-
-    def dequeue_blocked_items(self, chain: Chain) -> None:
-        """Remove items from the queue whose inputs are no longer available."""
-        for stage in chain.spec.stages:
-            if not all(chain.stage_done(number) for number in stage.after):
-                for item in chain.items[stage.number]:
-                    item.queued = False
-
     def end(self, chain: Chain, keep_outputs: bool = False) -> None:
         """Remove a chain and release its results.
 
@@ -382,29 +331,9 @@
                 elif stage.number not in final_stages:
                     self.release_result(item)
 
-    def waiting_chains(self) -> list[Chain]:
-        """Return the chains with an item that waits in a queue, each once."""
-        return list(
-            {
-                id(item.chain): item.chain
-                for queue in self.queues.values()
-                for item in queue.ready
-                if item.queued and not item.chain.ended
-            }.values()
-        )
-
     def end_expired(self, now_ms: float) -> list[Chain]:
         """End and return the chains that can't be ready before their deadline."""
-        gone = [
-            chain
-            for chain in self.chains.values()
-            if now_ms >= chain.spec.expires_at_ms
-        ]
-        gone += [
-            chain
-            for chain in self.waiting_chains()
-            if will_miss_deadline(chain, now_ms) and now_ms < chain.spec.expires_at_ms
-        ]
+        gone = expired_chains(self.chains.values(), self.queues.values(), now_ms)
         for chain in gone:
             self.end(chain)
         return gone
@@ -414,13 +343,7 @@
 
         Chains that were admitted as late are not among them.
         """
-        gone = [
-            chain
-            for chain in self.waiting_chains()
-            if chain.in_time
-            and will_miss_target(chain, now_ms)
-            and not has_started(chain)
-        ]
+        gone = late_chains(self.queues.values(), now_ms)
         for chain in gone:
             self.end(chain)
         return gone
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -17,8 +17,8 @@
 )
 from cuminstile.gateway.stage_queue import StoredResult, Worker
 
+from .planners import complete_all, make_planner, make_spec, worker_of
 from .stage_load import FOUR_UPSTREAMS, Load, office_load
-from .test_batch_planner import complete_all, make_planner, make_spec, worker_of
 
 NOW_MS = 50.0
 
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -23,6 +23,7 @@
 """Modules outside the gateway that it shares with the product's own interface."""
 DECISIONS = (
     "admission",
+    "batch_choice",
     "batch_planner",
     "chain",
     "duties",
@@ -30,6 +31,8 @@
     "forecast",
     "handover",
     "hubs",
+    "late_chains",
+    "lost_results",
     "membership",
     "model",
     "readers",
