--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -17,11 +17,13 @@
     "crash_blame",
     "crash_chance",
     "crash_limits",
+    "crash_merging",
     "crash_suspects",
 }
 """Modules outside the gateway that it shares with the product's own interface."""
 DECISIONS = (
     "admission",
+    "batch_choice",
     "batch_planner",
     "chain",
     "duties",
@@ -29,6 +31,8 @@
     "forecast",
     "handover",
     "hubs",
+    "late_chains",
+    "lost_results",
     "membership",
     "model",
     "readers",
