--- /dev/null
+++ b/tests/gateway/test_http_server.py
@@ -0,0 +1,179 @@
+"""Test cuminstile.gateway.http_server with raw bytes of callers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+
+from cuminstile.clock import Clock
+from cuminstile.gateway.http_server import (
+    CallerConnection,
+    Request,
+    Server,
+    listen,
+)
+from cuminstile.gateway.model import Limits
+from cuminstile.gateway.upstream_protocol import Dispatch
+from cuminstile.platform.headers import forwarded_headers, read_call
+
+pytestmark = pytest.mark.anyio
+LIMITS = Limits(max_header_bytes=4_096, max_body_bytes=65_536)
+HEAD = b"POST /x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: a1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n"
+FRAMING_NAMES = [b"Content-Length", b"Transfer-Encoding"]
+"""The parser refuses these after a body, as they concern its length."""
+TRAILER_NAMES = [
+    b"Attempt-Id",
+    b"Host",
+    b"Model",
+    b"Token-Count",
+    b"Prompt-Prefix",
+    b"Pieces",
+    b"Piece-Key",
+    b"Last-Event-Id",
+    b"Idempotency-Key",
+    b"Cookie",
+    b"X-Foo",
+    b"Authorization",
+    b"Deadline-Ms",
+    b"Tenant",
+    b"Inputs",
+    b"Expect-Instance",
+    *FRAMING_NAMES,
+]
+BODIES = {
+    "no chunk": b"",
+    "one chunk": b"4\r\nbody\r\n",
+    "many chunks": b"1\r\nx\r\n" * 200,
+}
+ENDLESS = b"x" * 16_384
+ENDLESS_TIMES = 64
+
+
+@dataclass
+class Callers:
+    """A server, the requests that it read, and one connection to it."""
+
+    server: Server
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    requests: list[Request] = field(default_factory=list)
+
+    async def exchange(self, data: bytes) -> tuple[int, bytes]:
+        """Send bytes and return the status and the head of the answer."""
+        self.writer.write(data)
+        async with asyncio.timeout(2.0):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+        return int(head.split(b" ", 2)[1]), head
+
+
+@asynccontextmanager
+async def connected() -> AsyncIterator[Callers]:
+    """Connect to a server that answers each request with 200 and an empty body."""
+    requests: list[Request] = []
+
+    async def answer(request: Request, out: CallerConnection) -> None:
+        requests.append(request)
+        await out.write_answer(200, (), b"")
+
+    server = Server(Clock(), answer, lambda: LIMITS)
+    listener = await listen(server, "127.0.0.1:0")
+    host, port = listener.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        yield Callers(server, reader, writer, requests)
+    finally:
+        writer.close()
+        listener.close()
+
+
+def forwarded(request: Request) -> list[tuple[bytes, bytes]]:
+    """Return the headers that an upstream gets of a request."""
+    return forwarded_headers(request.headers, Dispatch("u1", 900.0, "o", None, ()))
+
+
+async def first_forwarded(data: bytes) -> list[tuple[bytes, bytes]]:
+    """Return the headers that an upstream gets of one sound request."""
+    async with connected() as callers:
+        assert (await callers.exchange(data))[0] == 200
+        return forwarded(callers.requests[0])
+
+
+# Guards against fields after a caller's body that reach the upstream as if they stood
+# in the head, which is what was checked: the upstream then runs another request.
+@pytest.mark.parametrize("announced", [False, True], ids=["plain", "announced"])
+@pytest.mark.parametrize("body", BODIES)
+@pytest.mark.parametrize("name", TRAILER_NAMES, ids=lambda name: name.decode())
+async def test_no_trailer_reaches_an_upstream(
+    name: bytes, body: str, announced: bool
+) -> None:
+    value = b"Bearer key" if name == b"Authorization" else b"31337"
+    trailer = name + b": " + value + b"\r\n"
+    start = CHUNKED + (b"Trailer: " + name + b"\r\n" if announced else b"") + b"\r\n"
+    sound = await first_forwarded(start + BODIES[body] + b"0\r\n\r\n")
+    async with connected() as callers:
+        data = start + BODIES[body] + b"0\r\n" + trailer + b"\r\n"
+        status, _ = await callers.exchange(data)
+        if name in FRAMING_NAMES:
+            assert (status, callers.requests) == (400, [])
+            return
+        assert status == 200
+        request = callers.requests[0]
+        assert forwarded(request) == sound
+        assert read_call(request.headers).key is None
+        assert read_call(request.headers).deadline_ms is None
+        assert (await callers.exchange(HEAD + b"Content-Length: 0\r\n\r\n"))[0] == 200
+
+
+# Guards against a caller whose bytes after the head never end and cost memory.
+@pytest.mark.parametrize(
+    ("before", "endless"),
+    [
+        (b"0\r\nX-Foo: ", ENDLESS),
+        (b"0\r\n", b"X-Foo: abcdefg\r\n" * 1_024),
+        (b"1;name=", ENDLESS),
+        (b"4\r\nbody\r\n0;name=", ENDLESS),
+        (b"", b"1;name=" + b"x" * 4_000 + b"\r\nx\r\n"),
+    ],
+    ids=[
+        "one trailer",
+        "many trailers",
+        "chunk extension",
+        "last chunk extension",
+        "many chunk extensions",
+    ],
+)
+async def test_bytes_without_end_after_the_head_are_refused(
+    before: bytes, endless: bytes
+) -> None:
+    async with connected() as callers:
+        callers.writer.write(CHUNKED + b"\r\n" + before)
+        sent = 0
+        for _ in range(ENDLESS_TIMES):
+            callers.writer.write(endless)
+            sent += len(endless)
+            await asyncio.sleep(0.001)
+            if not callers.server.connections:
+                break
+        assert not callers.server.connections
+        assert not callers.requests
+
+
+async def test_trailers_that_come_at_once_are_bounded_too() -> None:
+    """Guards against many trailers that come whole before they are counted."""
+    async with connected() as callers:
+        trailers = b"X-Foo: abcdefg\r\n" * 1_024
+        data = CHUNKED + b"\r\n0\r\n" + trailers + b"\r\n"
+        assert (await callers.exchange(data))[0] == 431
+        assert not callers.requests
+
+
+async def test_body_in_the_smallest_chunks_is_accepted() -> None:
+    """Guards against a bound on the bytes around a body that refuses a sound one."""
+    async with connected() as callers:
+        chunks = b"1\r\nx\r\n" * LIMITS.max_body_bytes
+        data = CHUNKED + b"\r\n" + chunks + b"0\r\n\r\n"
+        assert (await callers.exchange(data))[0] == 200
+        assert len(callers.requests[0].body) == LIMITS.max_body_bytes
--- /dev/null
+++ b/tests/platform/test_caller_heads.py
@@ -0,0 +1,75 @@
+"""Test cuminstile.platform as a program with unusual heads of callers' requests."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from .site import Answer, Site, draft_fields, read_answer
+
+pytestmark = [pytest.mark.anyio, pytest.mark.process]
+TRAILERS = {
+    "Attempt-Id": "31337",
+    "Host": "other.example",
+    "Model": "other",
+    "Token-Count": "1,1",
+    "Prompt-Prefix": "ff:1",
+    "Last-Event-Id": "7",
+    "Idempotency-Key": "k",
+    "Cookie": "c=1",
+}
+
+
+@pytest.fixture
+async def site(tmp_path: Path) -> AsyncIterator[Site]:
+    running = Site(tmp_path)
+    try:
+        await running.start()
+        yield running
+    finally:
+        await running.stop()
+
+
+def render_fields(fields: dict[str, str]) -> bytes:
+    return "".join(f"{name}: {value}\r\n" for name, value in fields.items()).encode()
+
+
+async def send_bytes(site: Site, data: bytes) -> Answer:
+    """Send the bytes of one request on a new connection and return its answer."""
+    host, port = site.vms[0].address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        async with asyncio.timeout(5.0):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def received_headers(
+    site: Site, target: str, attempt: str, trailers: dict[str, str]
+) -> dict[str, str]:
+    """Return the headers that an upstream gets of a request with such trailers."""
+    fields = draft_fields(attempt, **{"Transfer-Encoding": "chunked"})
+    start = f"POST {target} HTTP/1.1\r\n".encode() + render_fields(fields)
+    end = b"0\r\n" + render_fields(trailers) + b"\r\n"
+    answer = await send_bytes(site, start + b"\r\n4\r\nbody\r\n" + end)
+    assert (answer.status, answer.complete) == (200, True)
+    assert answer.headers["attempt-id"] == attempt
+    received = [one for up in site.upstreams.values() for one in up.received]
+    found = [one for one in received if one.target == target and one.body == b"body"]
+    headers = dict(found[-1].headers)
+    assert headers.pop("attempt-id") == attempt
+    del headers["deadline-ms"], headers["expect-instance"]
+    headers.pop("inputs", None)
+    return headers
+
+
+@pytest.mark.parametrize("target", ["/look/x", "/book/x", "/draft/x", "/note/x"])
+async def test_trailers_change_nothing_for_the_upstream(
+    site: Site, target: str
+) -> None:
+    """Guards against fields after a body that run it under another id or model."""
+    sound = await received_headers(site, target, "a1", {})
+    assert await received_headers(site, target, "a2", TRAILERS) == sound
