Bound the bytes that a caller sends outside of a head and a body

Cause: only the head and the body had limits. Fields after the body and extensions of chunks were read for as long as the idle timeout allows, 15 s, and one field was kept in memory whole. Change: the bytes around a body may be as many as a head may have, and 16 for each byte of the body; fields after it as many as a head may have. More is refused with 431, and the connection is closed.

--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -17,6 +17,9 @@
 
 MAX_BACKLOG_BYTES = 64 * 1024
 """Limit of bytes that may arrive after a request before its answer is written."""
+FRAMING_PER_BODY_BYTE = 16
+"""Bytes of chunk headers that are accepted for each byte of a body, on average; the
+smallest chunk needs five."""
 
 
 def reason_phrase(status: int) -> bytes:
@@ -118,7 +121,8 @@
         self.body = bytearray()
         self.began_ms: float | None = None
         self.last_used_ms = server.clock.now_ms()
-        self.header_bytes = 0
+        self.received_bytes = 0
+        self.trailer_bytes = 0
         self.headers_done = False
         self.rejected = False
         self.keep_alive = True
@@ -184,18 +188,24 @@
             return
         if self.began_ms is None:
             self.began_ms = self.server.clock.now_ms()
-        if not self.headers_done:
-            self.header_bytes += len(data)
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(400)
         except httptools.HttpParserError:
             self.reject(400)
-        limits = self.server.limits()
-        if not self.headers_done and self.header_bytes > limits.max_header_bytes:
+        if self.request is None and self.received_bytes > self.most_bytes():
             self.reject(431)
 
+    def most_bytes(self) -> int:
+        """Return how many bytes may have come of a request that isn't complete."""
+        limit = self.server.limits().max_header_bytes
+        if not self.headers_done:
+            return limit
+        framing_limit = limit + FRAMING_PER_BODY_BYTE * len(self.body)
+        return limit + framing_limit + len(self.body)
+
     def on_message_begin(self) -> None:
         """Start a new request; a pipelined one ends the connection after the answer."""
         if self.request is not None:
@@ -212,8 +222,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append one header; drop a trailer, as only the head is checked."""
-        if self.request is None and not self.headers_done:
+        if self.request is not None:
+            return
+        if not self.headers_done:
             self.headers.append((name.lower(), value))
+            return
+        self.trailer_bytes += len(name) + len(value) + 4
+        if self.trailer_bytes > self.server.limits().max_header_bytes:
+            self.reject(431)
 
     def on_headers_complete(self) -> None:
         """Reject headers that are ambiguous or too large."""
@@ -280,7 +296,8 @@
         self.request = None
         self.began_ms = None
         self.headers_done = False
-        self.header_bytes = 0
+        self.received_bytes = 0
+        self.trailer_bytes = 0
         self.last_used_ms = self.server.clock.now_ms()
         if not self.answered or not self.keep_alive or self.server.closing:
             self.close()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -170,10 +170,21 @@
         assert not callers.requests
 
 
-async def test_body_in_the_smallest_chunks_is_accepted() -> None:
-    """Guards against a bound on the bytes around a body that refuses a sound one."""
-    async with connected() as callers:
-        chunks = b"1\r\nx\r\n" * LIMITS.max_body_bytes
+# Guards against a bound on the bytes around a body that refuses a sound request or ends
+# its connection.
+@pytest.mark.parametrize("chunk_bytes", [1, 100, 65_536, None])
+async def test_largest_body_is_accepted_and_its_connection_is_kept(
+    chunk_bytes: int | None,
+) -> None:
+    size = LIMITS.max_body_bytes
+    data = HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+    if chunk_bytes is not None:
+        chunk = b"%x\r\n%s\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+        chunks = chunk * (size // chunk_bytes)
         data = CHUNKED + b"\r\n" + chunks + b"0\r\n\r\n"
-        assert (await callers.exchange(data))[0] == 200
-        assert len(callers.requests[0].body) == LIMITS.max_body_bytes
+    async with connected() as callers:
+        for _ in range(2):
+            status, head = await callers.exchange(data)
+            assert (status, b"Connection: close" in head) == (200, False)
+        bodies = [len(request.body) for request in callers.requests]
+        assert bodies == [size // (chunk_bytes or 1) * (chunk_bytes or 1)] * 2
