--- a/tests/platform/test_caller_heads.py
+++ b/tests/platform/test_caller_heads.py
@@ -1,6 +1,7 @@
 """Test cuminstile.platform as a program with unusual heads of callers' requests."""
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -19,6 +20,17 @@
     "Idempotency-Key": "k",
     "Cookie": "c=1",
 }
+REPEATED = {
+    "Attempt-Id": "a2",
+    "Authorization": "Bearer other",
+    "Deadline-Ms": "9000",
+    "Model": "other",
+    "Token-Count": "1,1",
+    "Prompt-Prefix": "ff:1",
+    "Pieces": "1,1",
+    "Piece-Key": "7c1e",
+    "Last-Event-Id": "7",
+}
 
 
 @pytest.fixture
@@ -73,3 +85,30 @@
     """Guards against fields after a body that run it under another id or model."""
     sound = await received_headers(site, target, "a1", {})
     assert await received_headers(site, target, "a2", TRAILERS) == sound
+
+
+def repeating(attempt: str, name: str, *values: str) -> bytes:
+    """Return the bytes of a request with one field once more for each value."""
+    fields = draft_fields(attempt, **{"Last-Event-Id": "0"})
+    again = b"".join(render_fields({name: value}) for value in values)
+    return b"GET /note/x HTTP/1.1\r\n" + render_fields(fields) + again + b"\r\n"
+
+
+async def test_request_with_a_repeated_field_is_refused(site: Site) -> None:
+    """Guards against a second id, key, deadline or prompt that nothing has checked."""
+    for number, (name, other) in enumerate(REPEATED.items()):
+        same = draft_fields(f"a{number}", **{"Last-Event-Id": "0"})[name]
+        for value in (same, other):
+            answer = await send_bytes(site, repeating(f"a{number}", name, value))
+            assert (answer.status, name) == (400, name)
+            assert json.loads(answer.body)["code"] == "repeated_field"
+    assert not any(upstream.received for upstream in site.upstreams.values())
+    refused = site.vms[0].events("request_refused")
+    assert {event["code"] for event in refused} == {"repeated_field"}
+
+
+async def test_request_that_repeats_another_field_is_served(site: Site) -> None:
+    """Guards against a sound request that is refused for a list on two lines."""
+    for name in ("Accept", "Cookie", "X-Foo"):
+        answer = await send_bytes(site, repeating(f"s{name}", name, "a", "b"))
+        assert (answer.status, answer.complete) == (200, True)
