Refuse a request with a field that must stand once and stands twice

Cause: of such a field the first value is checked and all reach the upstream, which may read another one: a second id, key, deadline or prompt that nothing checked. Change: the adapter names the fields that may stand once; a request with one of them twice gets 400 repeated_field before a route is looked up, equal values too. Other fields may be repeated as before. The test waits for the log, which is flushed later.

--- a/cuminstile/exceptions.py
+++ b/cuminstile/exceptions.py
@@ -22,6 +22,7 @@
     MALFORMED_BODY = "malformed_body"
     BODY_TOO_LARGE = "body_too_large"
     BODY_TIMEOUT = "body_timeout"
+    REPEATED_FIELD = "repeated_field"
     UNAUTHENTICATED = "unauthenticated"
     UNKNOWN_PIPELINE = "unknown_pipeline"
     UNKNOWN_PATH = "unknown_path"
@@ -53,6 +54,7 @@
     ErrorCode.MALFORMED_BODY: 400,
     ErrorCode.BODY_TOO_LARGE: 413,
     ErrorCode.BODY_TIMEOUT: 408,
+    ErrorCode.REPEATED_FIELD: 400,
     ErrorCode.UNAUTHENTICATED: 401,
     ErrorCode.UNKNOWN_PIPELINE: 404,
     ErrorCode.UNKNOWN_PATH: 404,
--- a/cuminstile/gateway/accepting.py
+++ b/cuminstile/gateway/accepting.py
@@ -32,6 +32,10 @@
         raise Refusal(ErrorCode.NO_CONFIGURATION, "no manifest yet", DEFAULT_RETRY_MS)
     manifest = vm.index.manifest
     fields = vm.protocol.read_call(request.headers)
+    if fields.repeated:
+        raise Refusal(
+            ErrorCode.REPEATED_FIELD, f"{fields.repeated} must not stand twice"
+        )
     host = (request.get(b"host") or b"").decode("latin-1").partition(":")[0].lower()
     path = request.target.partition(b"?")[0].decode("latin-1")
     route = find_route(vm.index, host, path)
--- a/cuminstile/gateway/upstream_protocol.py
+++ b/cuminstile/gateway/upstream_protocol.py
@@ -29,6 +29,8 @@
         Input of the first stages.
     resumed : bool
         Whether the caller resumes a stream that broke off.
+    repeated : str
+        Name of a header that stands more than once and must not, empty if none does.
     """
 
     attempt_id: str
@@ -40,6 +42,7 @@
     item_counts: tuple[int, ...] = ()
     item_key: str = ""
     resumed: bool = False
+    repeated: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminstile/platform/headers.py
+++ b/cuminstile/platform/headers.py
@@ -14,6 +14,7 @@
 )
 
 ATTEMPT_ID = b"attempt-id"
+MODEL = b"model"
 DEADLINE = b"deadline-ms"
 AUTHORIZATION = b"authorization"
 BEARER = b"bearer "
@@ -41,6 +42,21 @@
 MAX_ITEMS_PER_STAGE = 10_000
 """A larger number counts as malformed: no upstream could hold so many work items."""
 
+SINGULAR = frozenset(
+    {
+        ATTEMPT_ID,
+        AUTHORIZATION,
+        DEADLINE,
+        MODEL,
+        TOKEN_COUNT,
+        PROMPT_PREFIX,
+        ITEM_COUNTS,
+        ITEM_KEY,
+        LAST_EVENT,
+    }
+)
+"""Headers that may stand only once: one value is checked, and an upstream might read
+another."""
 NOT_FORWARDED = frozenset(
     {
         b"connection",
@@ -86,9 +102,20 @@
         item_counts=parse_item_counts(values.get(ITEM_COUNTS, b"")),
         item_key=values.get(ITEM_KEY, b"").decode("latin-1"),
         resumed=LAST_EVENT in values,
+        repeated=find_repeated(headers) if len(values) < len(headers) else "",
     )
 
 
+def find_repeated(headers: RawHeaders) -> str:
+    """Return the first name that stands twice and may not, empty if none does."""
+    seen: set[bytes] = set()
+    for name, _ in headers:
+        if name in seen and name in SINGULAR:
+            return name.decode("latin-1")
+        seen.add(name)
+    return ""
+
+
 def parse_positive_ms(value: bytes | None) -> float | None:
     """Return a positive number of ms below 1e9, None if it is absent or malformed."""
     try:
--- a/tests/platform/test_caller_heads.py
+++ b/tests/platform/test_caller_heads.py
@@ -10,6 +10,7 @@
 from .site import Answer, Site, draft_fields, read_answer
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
+LOGGED_S = 2.0
 TRAILERS = {
     "Attempt-Id": "31337",
     "Host": "other.example",
@@ -103,6 +104,9 @@
             assert (answer.status, name) == (400, name)
             assert json.loads(answer.body)["code"] == "repeated_field"
     assert not any(upstream.received for upstream in site.upstreams.values())
+    async with asyncio.timeout(LOGGED_S):
+        while len(site.vms[0].events("request_refused")) < 2 * len(REPEATED):
+            await asyncio.sleep(0.05)
     refused = site.vms[0].events("request_refused")
     assert {event["code"] for event in refused} == {"repeated_field"}
 
