Show that fields that Connection names are forwarded

Cause: a fixed list of names is kept from the other side; those that a peer names in Connection as concerning this connection alone are not.

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -8,6 +8,7 @@
 
 from cuminstile.clock import Clock
 from cuminstile.gateway.event_stream import AnswerProgress
+from cuminstile.gateway.forwarding import end_to_end_headers
 from cuminstile.gateway.model import RouteKind
 from cuminstile.gateway.send_state import Outcome
 
@@ -112,3 +113,14 @@
     sent = await send_to(writing(head, body), kind, resumable)
     assert sent.outcome is Outcome.UNKNOWN
     assert not sent.caller.finished
+
+
+# Guards against a field of the upstream's connection that reaches the caller.
+@pytest.mark.parametrize(
+    "options", [[b"close, X-Foo, x-bar"], [b"close", b",X-FOO ,\tX-Bar"]]
+)
+def test_fields_that_connection_names_are_not_forwarded(options: list[bytes]) -> None:
+    sound = [(b"x-baz", b"3"), (b"content-type", b"text/plain")]
+    connection = [(b"connection", option) for option in options]
+    nominated = [(b"x-foo", b"1"), (b"x-bar", b"2"), (b"x-foo", b"3")]
+    assert end_to_end_headers([*nominated, *sound, *connection]) == sound
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from cuminstile.platform.headers import read_call
+from cuminstile.gateway.upstream_protocol import Dispatch
+from cuminstile.platform.headers import forwarded_headers, read_call
 
 SINGULAR = {
     b"attempt-id": (b"a1", b"a2"),
@@ -33,3 +34,25 @@
     """Guards against a sound request that is refused for a list on two lines."""
     assert read_call(HEADERS).repeated == ""
     assert read_call([*HEADERS, (name, b"a"), (name, b"b")]).repeated == ""
+
+
+# Guards against a field of one connection that reaches the upstream, and against a
+# caller that takes a checked field away by naming it as one of its connection.
+@pytest.mark.parametrize(
+    "options",
+    [
+        [b"close, X-Foo, x-bar"],
+        [b"close", b"X-FOO ,\tX-Bar"],
+        [b", x-foo,,x-bar, host, Attempt-Id, Model, Token-Count, Prompt-Prefix"],
+        [b"x-foo, x-bar, pieces, piece-key, last-event-id, authorization"],
+    ],
+)
+def test_nominated_fields_end_here_but_checked_ones_do_not(
+    options: list[bytes],
+) -> None:
+    dispatch = Dispatch("u1", 900.0, "o", None, ())
+    sound = [(b"host", b"h"), *HEADERS, (b"x-baz", b"3")]
+    nominated = [(b"x-foo", b"1"), (b"x-bar", b"2"), (b"x-foo", b"3")]
+    connection = [(b"connection", option) for option in options]
+    headers = [*nominated, *sound, *connection]
+    assert forwarded_headers(headers, dispatch) == forwarded_headers(sound, dispatch)
