Forward no field that Connection names as one of the connection

Cause: only a fixed list of names was kept from the other side. Change: in requests and answers the names in Connection are dropped as well, but for those that this VM reads (id, key, prompt, seal, Content-Type and so on) and Host: a peer can't take away what was checked.

--- a/cuminstile/gateway/forwarding.py
+++ b/cuminstile/gateway/forwarding.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from .connection_headers import nominated_headers
 from .crash_evidence import record_long_run
 from .event_stream import (
     AnswerProgress,
@@ -25,6 +26,7 @@
 from .upstream_protocol import RawHeaders
 from .upstreams import UpstreamState
 
+CONTENT_TYPE = b"content-type"
 EVENT_STREAM_TYPE = b"text/event-stream"
 HOP_HEADERS = frozenset(
     {
@@ -40,14 +42,23 @@
 )
 
 
-def end_to_end_headers(headers: RawHeaders) -> list[tuple[bytes, bytes]]:
-    """Return the headers of an answer without the hop-by-hop headers."""
-    return [(name, value) for name, value in headers if name not in HOP_HEADERS]
+def end_to_end_headers(
+    headers: RawHeaders, read: frozenset[bytes] = frozenset()
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an answer without the hop-by-hop headers.
+
+    Parameters
+    ----------
+    read : frozenset of bytes
+        Names that are forwarded even if the upstream's `Connection` lists them.
+    """
+    dropped = HOP_HEADERS | (nominated_headers(headers) - read - {CONTENT_TYPE})
+    return [(name, value) for name, value in headers if name not in dropped]
 
 
 def continues_stream(head: AnswerHead) -> bool:
     """Return whether an answer can go on with a stream that has begun."""
-    kind = head.get(b"content-type") or EVENT_STREAM_TYPE
+    kind = head.get(CONTENT_TYPE) or EVENT_STREAM_TYPE
     return head.status == 200 and kind.startswith(EVENT_STREAM_TYPE)
 
 
@@ -65,7 +76,8 @@
     vm.pool.release(state.info.id, connection, vm.clock.now_ms())
     send.answer.begun = True
     send.outcome = Outcome.FORWARDED
-    await call.out.write_answer(head.status, end_to_end_headers(head.headers), body)
+    headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
+    await call.out.write_answer(head.status, headers, body)
 
 
 async def stream_answer(
@@ -88,7 +100,8 @@
     if not answer.begun:
         answer.begun = True
         answer.has_length = head.length is not None
-        call.out.write_head(head.status, end_to_end_headers(head.headers), head.length)
+        headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
+        call.out.write_head(head.status, headers, head.length)
     try:
         while True:
             item = await connection.receive()
--- a/cuminstile/gateway/upstream_protocol.py
+++ b/cuminstile/gateway/upstream_protocol.py
@@ -115,11 +115,14 @@
         Returns the headers of a request to an upstream.
     read_answer : callable
         Decodes status and headers of an upstream's answer.
+    read_in_answers : frozenset of bytes
+        Lower-case names of the headers that `read_answer` reads.
     """
 
     read_call: Callable[[RawHeaders], CallFields]
     forwarded_headers: Callable[[RawHeaders, Dispatch], list[tuple[bytes, bytes]]]
     read_answer: Callable[[int, RawHeaders], AnswerFields]
+    read_in_answers: frozenset[bytes]
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminstile/platform/headers.py
+++ b/cuminstile/platform/headers.py
@@ -4,6 +4,7 @@
 
 import math
 
+from ..gateway.connection_headers import nominated_headers
 from ..gateway.model import PromptPart
 from ..gateway.upstream_protocol import (
     AnswerFields,
@@ -57,6 +58,19 @@
 )
 """Headers that may stand only once: one value is checked, and an upstream might read
 another."""
+KEPT = SINGULAR | {b"host"}
+"""Headers that were checked: a caller can't keep them from the upstream."""
+READ_IN_ANSWERS = frozenset(
+    {
+        ATTEMPT_ID,
+        RESPONSE_SEAL,
+        NOT_EXECUTED,
+        SERVER_LEAVING,
+        RETRY_AFTER,
+        INSTANCE_LOAD,
+        INSTANCE_ID,
+    }
+)
 NOT_FORWARDED = frozenset(
     {
         b"connection",
@@ -165,7 +179,8 @@
     headers: RawHeaders, dispatch: Dispatch
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request that is forwarded to an upstream."""
-    forwarded = [(n, v) for n, v in headers if n not in NOT_FORWARDED]
+    dropped = NOT_FORWARDED | (nominated_headers(headers) - KEPT)
+    forwarded = [(n, v) for n, v in headers if n not in dropped]
     forwarded.append((DEADLINE, b"%d" % max(1, int(dispatch.left_ms))))
     forwarded.append((EXPECT_INSTANCE, dispatch.upstream_id.encode("latin-1")))
     if dispatch.organisation is not None:
@@ -218,4 +233,4 @@
     return int(numbers[0]), int(numbers[1]), int(numbers[2])
 
 
-PROTOCOL = UpstreamProtocol(read_call, forwarded_headers, read_answer)
+PROTOCOL = UpstreamProtocol(read_call, forwarded_headers, read_answer, READ_IN_ANSWERS)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -11,6 +11,7 @@
 from cuminstile.gateway.forwarding import end_to_end_headers
 from cuminstile.gateway.model import RouteKind
 from cuminstile.gateway.send_state import Outcome
+from cuminstile.platform.headers import PROTOCOL
 
 from .servers import Session, serving
 from .test_sending import Sent, read_id, send
@@ -124,3 +125,11 @@
     connection = [(b"connection", option) for option in options]
     nominated = [(b"x-foo", b"1"), (b"x-bar", b"2"), (b"x-foo", b"3")]
     assert end_to_end_headers([*nominated, *sound, *connection]) == sound
+
+
+def test_fields_of_an_answer_that_are_read_stay() -> None:
+    """Guards against a checked seal of an upstream that doesn't reach the caller."""
+    sound = [(b"attempt-id", b"a1"), (b"content-type", b"x"), (b"response-seal", b"s")]
+    connection = (b"connection", b"close, Content-Type, Response-Seal, Attempt-Id")
+    read = PROTOCOL.read_in_answers
+    assert end_to_end_headers([*sound, connection], read) == sound
