--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -188,3 +188,49 @@
             assert (status, b"Connection: close" in head) == (200, False)
         bodies = [len(request.body) for request in callers.requests]
         assert bodies == [size // (chunk_bytes or 1) * (chunk_bytes or 1)] * 2
+
+
+@pytest.mark.parametrize(
+    "value", [b"chunked", b"Chunked", b"CHUNKED", b"chunked ", b"\tchUnked\t"]
+)
+async def test_case_of_a_transfer_coding_has_no_meaning(value: bytes) -> None:
+    """Guards against a sound request that is refused for the case of `Chunked`."""
+    async with connected() as callers:
+        for _ in range(2):
+            data = HEAD + b"Transfer-Encoding: " + value + b"\r\n\r\n"
+            data += BODIES["many chunks"] + b"0\r\n\r\n"
+            assert (await callers.exchange(data))[0] == 200
+        assert [len(request.body) for request in callers.requests] == [200, 200]
+
+
+# Guards against a body that this VM and a proxy before it end at different places.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        [b"Transfer-Encoding: chunked, chunked"],
+        [b"Transfer-Encoding: Chunked, Chunked"],
+        [b"Transfer-Encoding: gzip, chunked"],
+        [b"Transfer-Encoding: gzip, Chunked"],
+        [b"Transfer-Encoding: chunked, gzip"],
+        [b"Transfer-Encoding: identity"],
+        [b"Transfer-Encoding: , chunked"],
+        [b"Transfer-Encoding: chunked,"],
+        [b"Transfer-Encoding: chunked;q=1"],
+        [b"Transfer-Encoding: xchunked"],
+        [b"Transfer-Encoding: \x0bchunked"],
+        [b"Transfer-Encoding: chunked\x0b"],
+        [b"Transfer-Encoding:"],
+        [b"Transfer-Encoding: chunked", b"Transfer-Encoding: chunked"],
+        [b"Transfer-Encoding: Chunked", b"Transfer-Encoding: Chunked"],
+        [b"Transfer-Encoding: gzip", b"Transfer-Encoding: Chunked"],
+        [b"Transfer-Encoding: Chunked", b"Content-Length: 4"],
+        [b"Content-Length: 4", b"Transfer-Encoding: Chunked"],
+        [b"Content-Length: 4", b"Content-Length: 4"],
+    ],
+)
+async def test_ambiguous_framing_is_refused(fields: list[bytes]) -> None:
+    async with connected() as callers:
+        head = HEAD + b"\r\n".join(fields) + b"\r\n\r\n"
+        status, answer = await callers.exchange(head + b"0\r\n\r\n")
+        assert (status, callers.requests) == (400, [])
+        assert b"Connection: close" in answer
