Accept chunked in any case as a caller's Transfer-Encoding

Cause: the value was compared byte by byte with chunked; names of codings have no case, and spaces around a value don't belong to it. Change: one function says whether the length of a body is ambiguous.

--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -30,6 +30,15 @@
         return b"Answer"
 
 
+def has_ambiguous_length(headers: RawHeaders) -> bool:
+    """Return whether another reader of the headers may end the body elsewhere."""
+    lengths = [value for name, value in headers if name == b"content-length"]
+    codings = [value for name, value in headers if name == b"transfer-encoding"]
+    if not codings:
+        return len(lengths) > 1
+    return bool(lengths) or [c.strip(b" \t").lower() for c in codings] != [b"chunked"]
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """One complete request.
@@ -237,18 +246,10 @@
             return
         self.headers_done = True
         names = [name for name, _ in self.headers]
-        encodings = [
-            value for name, value in self.headers if name == b"transfer-encoding"
-        ]
         limits = self.server.limits()
         if sum(len(n) + len(v) + 4 for n, v in self.headers) > limits.max_header_bytes:
             self.reject(431)
-        elif (
-            encodings
-            and (encodings != [b"chunked"] or b"content-length" in names)
-            or names.count(b"content-length") > 1
-            or names.count(b"host") > 1
-        ):
+        elif has_ambiguous_length(self.headers) or names.count(b"host") > 1:
             self.reject(400)
         elif b"expect" in names and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
