Show that HEAD is answered with a body, and waits for one

Cause: neither the server nor the client of the upstreams knows the method when it frames an answer. The stand-in of an upstream answers HEAD without a body now.

--- a/standins/gateway_upstream.py
+++ b/standins/gateway_upstream.py
@@ -200,7 +200,7 @@
                 crash_at = 0
             await self.stream(attempt, first, fault, reader, writer, crash_at)
         else:
-            await self.respond(attempt, fault, writer)
+            await self.respond(attempt, fault, writer, received.method != "HEAD")
 
     async def answer_without_end(
         self, received: ReceivedRequest, fault: Fault, writer: asyncio.StreamWriter
@@ -220,9 +220,13 @@
             raise
 
     async def respond(
-        self, attempt: str, fault: Fault, writer: asyncio.StreamWriter
+        self,
+        attempt: str,
+        fault: Fault,
+        writer: asyncio.StreamWriter,
+        has_body: bool = True,
     ) -> None:
-        """Respond as a plain service."""
+        """Respond as a plain service; a response to HEAD is only its head."""
         await asyncio.sleep(self.work_s)
         body = f"answer to {attempt}".encode()
         if fault is Fault.STALE_FIRST:
@@ -241,7 +245,7 @@
             writer.write(start + body[:4])
             await writer.drain()
             raise ConnectionError
-        writer.write(start + body)
+        writer.write(start + body if has_body else start)
         await writer.drain()
         if fault is Fault.UNFRAMED:
             raise ConnectionError
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -10,6 +10,7 @@
 from cuminstile.clock import Clock
 from cuminstile.gateway.http_server import (
     CallerConnection,
+    Handler,
     Request,
     Server,
     listen,
@@ -69,16 +70,20 @@
         return int(head.split(b" ", 2)[1]), head
 
 
+async def answer_empty(request: Request, out: CallerConnection) -> None:
+    await out.write_answer(200, (), b"")
+
+
 @asynccontextmanager
-async def connected() -> AsyncIterator[Callers]:
-    """Connect to a server that answers each request with 200 and an empty body."""
+async def connected(answer: Handler = answer_empty) -> AsyncIterator[Callers]:
+    """Connect to a server that keeps the requests and answers them by a handler."""
     requests: list[Request] = []
 
-    async def answer(request: Request, out: CallerConnection) -> None:
+    async def keep_and_answer(request: Request, out: CallerConnection) -> None:
         requests.append(request)
-        await out.write_answer(200, (), b"")
+        await answer(request, out)
 
-    server = Server(Clock(), answer, lambda: LIMITS)
+    server = Server(Clock(), keep_and_answer, lambda: LIMITS)
     listener = await listen(server, "127.0.0.1:0")
     host, port = listener.sockets[0].getsockname()
     reader, writer = await asyncio.open_connection(host, port)
@@ -234,3 +239,26 @@
         status, answer = await callers.exchange(head + b"0\r\n\r\n")
         assert (status, callers.requests) == (400, [])
         assert b"Connection: close" in answer
+
+
+async def test_answer_to_head_has_no_body_and_its_connection_is_kept() -> None:
+    """Guards against a body after HEAD that is read as the next answer."""
+
+    async def answer(request: Request, out: CallerConnection) -> None:
+        if request.target == b"/stream":
+            out.write_head(200, (), None)
+            await out.write(b"part")
+            out.finish()
+        else:
+            await out.write_answer(404, (), b"missing")
+
+    async with connected(answer) as callers:
+        for target in (b"/stream", b"/missing", b"/stream"):
+            start = b"HEAD " + target + b" HTTP/1.1\r\nHost: shop.example\r\n"
+            status, head = await callers.exchange(start + b"\r\n")
+            assert status == (404 if target == b"/missing" else 200)
+            assert b"Connection: close" not in head
+        status, _ = await callers.exchange(HEAD + b"Content-Length: 0\r\n\r\n")
+        assert status == 404
+        async with asyncio.timeout(2.0):
+            assert await callers.reader.readexactly(7) == b"missing"
--- a/tests/platform/test_caller_heads.py
+++ b/tests/platform/test_caller_heads.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from .site import Answer, Site, draft_fields, read_answer
+from .site import Answer, Site, draft_fields, fields, read_answer
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 LOGGED_S = 2.0
@@ -44,8 +44,8 @@
         await running.stop()
 
 
-def render_fields(fields: dict[str, str]) -> bytes:
-    return "".join(f"{name}: {value}\r\n" for name, value in fields.items()).encode()
+def render_fields(sent: dict[str, str]) -> bytes:
+    return "".join(f"{name}: {value}\r\n" for name, value in sent.items()).encode()
 
 
 async def send_bytes(site: Site, data: bytes) -> Answer:
@@ -64,8 +64,8 @@
     site: Site, target: str, attempt: str, trailers: dict[str, str]
 ) -> dict[str, str]:
     """Return the headers that an upstream gets of a request with such trailers."""
-    fields = draft_fields(attempt, **{"Transfer-Encoding": "chunked"})
-    start = f"POST {target} HTTP/1.1\r\n".encode() + render_fields(fields)
+    sent = draft_fields(attempt, **{"Transfer-Encoding": "chunked"})
+    start = f"POST {target} HTTP/1.1\r\n".encode() + render_fields(sent)
     end = b"0\r\n" + render_fields(trailers) + b"\r\n"
     answer = await send_bytes(site, start + b"\r\n4\r\nbody\r\n" + end)
     assert (answer.status, answer.complete) == (200, True)
@@ -90,9 +90,9 @@
 
 def repeating(attempt: str, name: str, *values: str) -> bytes:
     """Return the bytes of a request with one field once more for each value."""
-    fields = draft_fields(attempt, **{"Last-Event-Id": "0"})
+    sent = draft_fields(attempt, **{"Last-Event-Id": "0"})
     again = b"".join(render_fields({name: value}) for value in values)
-    return b"GET /note/x HTTP/1.1\r\n" + render_fields(fields) + again + b"\r\n"
+    return b"GET /note/x HTTP/1.1\r\n" + render_fields(sent) + again + b"\r\n"
 
 
 async def test_request_with_a_repeated_field_is_refused(site: Site) -> None:
@@ -116,3 +116,21 @@
     for name in ("Accept", "Cookie", "X-Foo"):
         answer = await send_bytes(site, repeating(f"s{name}", name, "a", "b"))
         assert (answer.status, answer.complete) == (200, True)
+
+
+async def test_head_is_answered_without_a_body(site: Site) -> None:
+    """Guards against HEAD that fails, or whose body is read as the next answer."""
+    host, port = site.vms[0].address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for number, target in enumerate(["/look/x", "/none/x", "/look/y", "/look/z"]):
+        method = "GET" if target == "/look/z" else "HEAD"
+        head = render_fields(fields(f"h{number}")) + b"\r\n"
+        writer.write(f"{method} {target} HTTP/1.1\r\n".encode() + head)
+        async with asyncio.timeout(5.0):
+            if method == "GET":
+                answer = await read_answer(reader)
+                assert (answer.status, answer.complete) == (200, True)
+                break
+            head = await reader.readuntil(b"\r\n\r\n")
+        assert int(head.split(b" ")[1]) == (404 if target == "/none/x" else 200)
+    writer.close()
