--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -17,6 +17,9 @@
 
 MAX_BACKLOG_BYTES = 64 * 1024
 """Limit of bytes that may arrive after a request before its answer is written."""
+FRAMING_PER_BODY_BYTE = 16
+"""Bytes of chunk headers that are accepted for each byte of a body, on average; the
+smallest chunk needs five."""
 
 
 def reason_phrase(status: int) -> bytes:
@@ -27,6 +30,15 @@
         return b"Answer"
 
 
+def has_ambiguous_length(headers: RawHeaders) -> bool:
+    """Return whether another reader of the headers may end the body elsewhere."""
+    lengths = [value for name, value in headers if name == b"content-length"]
+    codings = [value for name, value in headers if name == b"transfer-encoding"]
+    if not codings:
+        return len(lengths) > 1
+    return bool(lengths) or [c.strip(b" \t").lower() for c in codings] != [b"chunked"]
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """One complete request.
@@ -118,7 +130,8 @@
         self.body = bytearray()
         self.began_ms: float | None = None
         self.last_used_ms = server.clock.now_ms()
-        self.header_bytes = 0
+        self.received_bytes = 0
+        self.trailer_bytes = 0
         self.headers_done = False
         self.rejected = False
         self.keep_alive = True
@@ -184,18 +197,24 @@
             return
         if self.began_ms is None:
             self.began_ms = self.server.clock.now_ms()
-        if not self.headers_done:
-            self.header_bytes += len(data)
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(400)
         except httptools.HttpParserError:
             self.reject(400)
-        limits = self.server.limits()
-        if not self.headers_done and self.header_bytes > limits.max_header_bytes:
+        if self.request is None and self.received_bytes > self.most_bytes():
             self.reject(431)
 
+    def most_bytes(self) -> int:
+        """Return how many bytes may have come of a request that isn't complete."""
+        limit = self.server.limits().max_header_bytes
+        if not self.headers_done:
+            return limit
+        framing_limit = limit + FRAMING_PER_BODY_BYTE * len(self.body)
+        return limit + framing_limit + len(self.body)
+
     def on_message_begin(self) -> None:
         """Start a new request; a pipelined one ends the connection after the answer."""
         if self.request is not None:
@@ -211,9 +230,15 @@
             self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append one header."""
-        if self.request is None:
+        """Append one header; drop a trailer, as only the head is checked."""
+        if self.request is not None:
+            return
+        if not self.headers_done:
             self.headers.append((name.lower(), value))
+            return
+        self.trailer_bytes += len(name) + len(value) + 4
+        if self.trailer_bytes > self.server.limits().max_header_bytes:
+            self.reject(431)
 
     def on_headers_complete(self) -> None:
         """Reject headers that are ambiguous or too large."""
@@ -221,18 +246,10 @@
             return
         self.headers_done = True
         names = [name for name, _ in self.headers]
-        encodings = [
-            value for name, value in self.headers if name == b"transfer-encoding"
-        ]
         limits = self.server.limits()
         if sum(len(n) + len(v) + 4 for n, v in self.headers) > limits.max_header_bytes:
             self.reject(431)
-        elif (
-            encodings
-            and (encodings != [b"chunked"] or b"content-length" in names)
-            or names.count(b"content-length") > 1
-            or names.count(b"host") > 1
-        ):
+        elif has_ambiguous_length(self.headers) or names.count(b"host") > 1:
             self.reject(400)
         elif b"expect" in names and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -280,7 +297,8 @@
         self.request = None
         self.began_ms = None
         self.headers_done = False
-        self.header_bytes = 0
+        self.received_bytes = 0
+        self.trailer_bytes = 0
         self.last_used_ms = self.server.clock.now_ms()
         if not self.answered or not self.keep_alive or self.server.closing:
             self.close()
