Show that replaced VMs are never forgotten, and that a VM alone forgets all

Each VM mentions what it once heard, and a mention counts as news, so two VMs keep a gone one for ever; a VM alone on its side of a cut hears no mention and forgets all.

--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -1,5 +1,7 @@
 """Test cuminstile.gateway.hubs: heartbeats of hundreds of VMs."""
 
+from fractions import Fraction
+
 import pytest
 
 from cuminstile.clock import VirtualClock
@@ -8,7 +10,7 @@
     HUBS_PER_DATA_CENTRE,
     heartbeat_targets,
 )
-from cuminstile.gateway.membership import SILENCE_LIMIT_MS
+from cuminstile.gateway.membership import REMOVE_AFTER_MS, SILENCE_LIMIT_MS
 from cuminstile.gateway.messages import Heartbeat
 
 from .fleet import HEARTBEAT_MS, CountedStore, Fleet
@@ -17,6 +19,10 @@
 HUBS = DATA_CENTRES * HUBS_PER_DATA_CENTRE
 SETTLE_ROUNDS = 4
 """Rounds of heartbeats after which all VMs agree: a silence and two exchanges."""
+REPLACEMENTS = 100
+FORGET_ROUNDS = round(2 * REMOVE_AFTER_MS / HEARTBEAT_MS) + SETTLE_ROUNDS
+"""Rounds after which a VM that is gone is forgotten: others mention it for as long as
+they remember it themselves."""
 
 
 def make_fleet(vms: int) -> Fleet:
@@ -132,3 +138,60 @@
     run_rounds(fleet, 2)
     assert late.vm_count() >= 0.9 * len(fleet.vms)
     assert schedulers(fleet) == {fleet.oldest(1)[0]}
+
+
+def run_rounds_and_forget(fleet: Fleet, rounds: int) -> None:
+    """Exchange heartbeats once a second; each VM forgets those silent for long."""
+    for _ in range(rounds):
+        run_rounds(fleet, 1)
+        for address in live(fleet):
+            fleet.vms[address].membership.remove_silent(fleet.clock.now_ms())
+
+
+def replace_oldest(fleet: Fleet, number: int) -> None:
+    """End the VM that started first; start one at a new address that knows others."""
+    kill(fleet, fleet.oldest(1))
+    late = fleet.add(number, f"dc-{number % 2}")
+    late.membership.add_peers(fleet.oldest(3), fleet.clock.now_ms())
+
+
+def counts(fleet: Fleet) -> list[int]:
+    """Return by how many VMs each live VM divides a common limit."""
+    return [fleet.vms[address].vm_count() for address in live(fleet)]
+
+
+def sum_of_shares(fleet: Fleet) -> Fraction:
+    """Return the part of a common limit that all live VMs use together."""
+    return sum((Fraction(1, count) for count in counts(fleet)), Fraction(0))
+
+
+@pytest.mark.parametrize(("vms", "rounds"), [(2, 5), (6, 5), (6, 15), (30, 5)])
+def test_replaced_vms_are_forgotten(vms: int, rounds: int) -> None:
+    """Guards against shares of common limits that shrink with each replaced VM."""
+    fleet = make_fleet(vms)
+    for number in range(REPLACEMENTS):
+        replace_oldest(fleet, 1_000 + number)
+        run_rounds_and_forget(fleet, rounds)
+        assert sum_of_shares(fleet) <= 1
+    run_rounds_and_forget(fleet, FORGET_ROUNDS)
+    assert counts(fleet) == [vms] * vms
+
+
+@pytest.mark.parametrize("vms", [7, 60])
+def test_shares_stay_below_the_limit_while_a_data_centre_is_cut_off(vms: int) -> None:
+    """Guards against both sides of a cut that each divide a limit by themselves."""
+    fleet = make_fleet(vms)
+    fleet.cut_off = "dc-0"
+    for _ in range(round(REMOVE_AFTER_MS / HEARTBEAT_MS) - 1):
+        run_rounds_and_forget(fleet, 1)
+        assert sum_of_shares(fleet) <= 1
+
+
+@pytest.mark.parametrize("vms", [6, 7, 60])
+def test_smaller_side_of_a_long_cut_forgets_no_vm(vms: int) -> None:
+    """Guards against VMs that are cut off for long and take a whole limit each."""
+    fleet = make_fleet(vms)
+    fleet.cut_off = "dc-0"
+    run_rounds_and_forget(fleet, 2 * FORGET_ROUNDS)
+    inside = {a for a in live(fleet) if fleet.vms[a].settings.data_centre == "dc-0"}
+    assert {fleet.vms[address].vm_count() for address in inside} == {vms}
