Forget VMs that are gone for good, and none while cut off

Cause: a VM mentioned each VM that it had ever heard, and a mention kept a VM known, so two VMs reminded each other of a gone one for ever; a VM that heard nobody removed all.

Change: a VM mentions only those it heard itself in the last REMOVE_AFTER_MS. It removes a silent VM only while more than half of the VMs that were present with that one are matched by VMs present now, so the smaller side of a cut removes none.

--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -17,8 +17,10 @@
 SUSPECT_MS = 3_000.0
 """How long a VM is not chosen as the scheduler after it did not answer."""
 REMOVE_AFTER_MS = 60_000.0
-"""How long heartbeats are still sent to a silent VM; longer than network partitions
-last."""
+"""How long a silent VM is mentioned to others, and then how long without a heartbeat or
+a mention until it is removed; longer than network partitions last."""
+PRESENT_MS = REMOVE_AFTER_MS / 2
+"""How long a VM counts as present after the last heartbeat or mention of it."""
 
 
 @dataclass(slots=True)
@@ -49,6 +51,11 @@
         """Return whether any VM has heard of it."""
         return self.heartbeat is not None or self.mentioned_ms >= 0.0
 
+    @property
+    def last_known_ms(self) -> float:
+        """Return the time of the last heartbeat or mention."""
+        return max(self.last_heartbeat_ms, self.mentioned_ms)
+
 
 def is_address(text: str) -> bool:
     """Return whether a text is `host:port` with an IP address and a port."""
@@ -111,18 +118,49 @@
         if peer is not None:
             peer.suspect_until_ms = now_ms + SUSPECT_MS
 
-    def remove_silent(self, now_ms: float) -> list[str]:
-        """Remove VMs silent for `REMOVE_AFTER_MS`; return their addresses."""
-        gone = [
+    def remembered(self, now_ms: float) -> list[str]:
+        """Return the addresses of the VMs that were heard of late, to mention them.
+
+        Only heartbeats count, not mentions: otherwise VMs would remind each other of a
+        VM that is gone for good.
+        """
+        return [
             address
             for address, peer in self.peers.items()
-            if now_ms - max(peer.last_heartbeat_ms, peer.added_ms, peer.mentioned_ms)
-            > REMOVE_AFTER_MS
+            if peer.heartbeat is not None
+            and now_ms - peer.last_heartbeat_ms <= REMOVE_AFTER_MS
+        ]
+
+    def remove_silent(self, now_ms: float) -> list[str]:
+        """Remove VMs silent for `REMOVE_AFTER_MS`; return their addresses.
+
+        A VM that is itself cut off from the others must not take their shares of common
+        limits. It removes none of them, as it can't tell them from ended ones.
+        """
+        silent = [
+            peer
+            for peer in self.peers.values()
+            if now_ms - max(peer.last_known_ms, peer.added_ms) > REMOVE_AFTER_MS
+        ]
+        present = self.present_at(now_ms)
+        gone = [
+            peer.address
+            for peer in silent
+            if not peer.is_member or 2 * present > self.present_at(peer.last_known_ms)
         ]
         for address in gone:
             del self.peers[address]
         return gone
 
+    def present_at(self, at_ms: float) -> int:
+        """Return how many of the known VMs were present, including this one."""
+        return 1 + sum(
+            1
+            for peer in self.peers.values()
+            if peer.is_member
+            and peer.added_ms <= at_ms <= peer.last_known_ms + PRESENT_MS
+        )
+
     def live(self, now_ms: float) -> list[Heartbeat]:
         """Return the heartbeats of the other VMs that are alive."""
         return [
@@ -157,6 +195,7 @@
         VMs that only other VMs hear of count too.
 
         Counting VMs that may only be partitioned keeps the sum of all shares below the
-        limit even when the VMs disagree on which are alive.
+        limit even when the VMs disagree on which are alive. VMs that are gone for good
+        count until `remove_silent` removes them.
         """
         return 1 + sum(1 for peer in self.peers.values() if peer.is_member)
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -157,11 +157,7 @@
     def own_heartbeat(self) -> Heartbeat:
         """Return this VM's heartbeat."""
         topics = (topic.state for topic in self.topics.values())
-        known = [
-            address
-            for address, peer in self.membership.peers.items()
-            if peer.heartbeat is not None
-        ]
+        known = self.membership.remembered(self.clock.now_ms())
         some = self.random.sample(known, min(len(known), MAX_KNOWN))
         return Heartbeat(
             self.settings.name,
