Show that an older write carried out late brings a leaving upstream back

The store may carry out a write without an answer seconds later, so a record's number may be lower than that of the record before it; it isn't compared.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -385,6 +385,29 @@
     assert "b" not in site.upstreams["desk-2"].ran
 
 
+@pytest.mark.parametrize("removed", [False, True])
+async def test_older_write_that_the_store_carries_out_late_changes_nothing(
+    site: Site, removed: bool
+) -> None:
+    """Guards against a leaving upstream that gets requests again by its older write."""
+    await site.register("desk-1", "desk", state="draining", seq=7)
+    if removed:
+        await asyncio.sleep(1.0)
+        await site.store.put(SERVER_TOPIC, "desk-1", None)
+    await asyncio.sleep(DRAIN_S)
+    await site.register("desk-1", "desk", seq=6)
+    await asyncio.sleep(1.0)
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert answer.status == 200
+    assert site.upstreams["desk-1"].ran == []
+    await site.register("desk-1", "desk", seq=0, born=2)
+    await site.store.put(SERVER_TOPIC, "desk-2", None)
+    await asyncio.sleep(DRAIN_S)
+    answer = await call(site.vms[0].address, "GET", "/look/x", fields("b"))
+    assert site.upstreams["desk-1"].ran == ["b"]
+
+
 async def test_data_centre_that_is_taken_out_gets_no_requests(site: Site) -> None:
     await site.store.put_json(OPERATOR_TOPIC, "evacuate/a", {})
     await until(lambda: site.vms[0].events("data_centres_taken_out"))
