Ignore an older write of an upstream that the store carries out late

Cause: the last record in the log was taken for the newest. A write without an answer may be carried out seconds later, behind newer ones or behind the removal.

Change: records of an upstream are ordered by its start and the record's number; an older one changes nothing, also behind a removal. VMs pass each other the records as written.

--- a/cuminstile/gateway/topics.py
+++ b/cuminstile/gateway/topics.py
@@ -83,6 +83,12 @@
     return value
 
 
+def without_order(value: bytes) -> tuple[int, ...]:
+    """Return the order of a value of a topic whose values have none."""
+    del value
+    return ()
+
+
 @dataclass
 class TopicState:
     """Newest value of each key of a topic; times are monotonic ms.
@@ -96,6 +102,12 @@
     canonical : callable
         Returns a value without what changes in each heartbeat of its writer. Values
         with the same canonical form are no change.
+    order : callable
+        Returns by what a value is compared with others of its writer, the older first;
+        empty if that isn't known. The store may carry out an older write late.
+    written : dict of str to bytes
+        The record of the last change of each key as it was written. Those of `dropped`
+        are kept too.
     changed_end : int
         The offset after the last change; the records from there to `end` changed
         nothing.
@@ -124,8 +136,10 @@
     name: str
     end: int = -1
     canonical: Callable[[bytes], bytes] = unchanged
+    order: Callable[[bytes], tuple[int, ...]] = without_order
     changed_end: int = -1
     values: dict[str, bytes] = field(default_factory=dict)
+    written: dict[str, bytes] = field(default_factory=dict)
     offsets: dict[str, int] = field(default_factory=dict)
     dropped: dict[str, int] = field(default_factory=dict)
     drops_complete_from: int = 0
@@ -160,17 +174,30 @@
             drop_key(state, record.key, record.offset)
             keys.add(record.key)
             continue
-        state.dropped.pop(record.key, None)
         value = state.canonical(record.value)
-        if state.values.get(record.key) != value:
-            state.values[record.key] = value
-            state.offsets[record.key] = record.offset
-            state.changed_end = max(state.changed_end, record.offset + 1)
-            keys.add(record.key)
+        if state.values.get(record.key) == value:
+            continue
+        if is_older(state, record.key, record.value):
+            continue
+        state.dropped.pop(record.key, None)
+        state.values[record.key] = value
+        state.written[record.key] = record.value
+        state.offsets[record.key] = record.offset
+        state.changed_end = max(state.changed_end, record.offset + 1)
+        keys.add(record.key)
     state.end = max(state.end, page.end)
     return keys
 
 
+def is_older(state: TopicState, key: str, written: bytes) -> bool:
+    """Return whether a record was written before the last known one of its key."""
+    known = state.written.get(key)
+    if known is None:
+        return False
+    order, known_order = state.order(written), state.order(known)
+    return bool(order and known_order) and order < known_order
+
+
 def apply_snapshot(state: TopicState, page: TopicPage) -> set[str]:
     """Apply the newest records of all keys; return the keys changed or dropped.
 
@@ -189,7 +216,11 @@
     state.end = -1
     keys = {*gone, *apply_records(state, page)}
     # A value may have changed and changed back in between.
-    state.offsets.update((record.key, record.offset) for record in page.records)
+    state.offsets.update(
+        (record.key, record.offset)
+        for record in page.records
+        if record.key in state.values
+    )
     known_ends = (record.offset + 1 for record in page.records)
     state.changed_end = max(page.end, *known_ends, state.changed_end)
     return keys
@@ -207,6 +238,7 @@
         state.drops_complete_from = max(
             state.drops_complete_from, state.dropped.pop(oldest) + 1
         )
+        state.written.pop(oldest, None)
 
 
 def record_confirmation(state: TopicState, now_ms: float) -> None:
@@ -239,7 +271,7 @@
     whole = end < state.drops_complete_from
     start = 0 if whole else end
     records = [
-        KeyedRecord(key, state.values[key], offset)
+        KeyedRecord(key, state.written[key], offset)
         for key, offset in state.offsets.items()
         if offset >= start
     ]
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -23,6 +23,7 @@
     decode_move_target,
     decode_upstream,
     without_sequence,
+    writing_order,
 )
 from .store import StoreClient
 
@@ -81,7 +82,9 @@
     store: StoreClient
     operator: TopicState = field(default_factory=lambda: TopicState(OPERATOR_TOPIC))
     upstreams: TopicState = field(
-        default_factory=lambda: TopicState(UPSTREAM_TOPIC, canonical=without_sequence)
+        default_factory=lambda: TopicState(
+            UPSTREAM_TOPIC, canonical=without_sequence, order=writing_order
+        )
     )
     decoded: dict[str, tuple[bytes, Upstream | None]] = field(default_factory=dict)
     applied: dict[str, Upstream] | None = None
--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -240,6 +240,23 @@
         return payload
 
 
+def writing_order(payload: bytes) -> tuple[int, ...]:
+    """Return the start of an upstream's process and the number of its record.
+
+    The numbers start anew with each process. Empty if the record doesn't name both.
+    """
+    try:
+        raw = orjson.loads(payload)
+    except orjson.JSONDecodeError:
+        return ()
+    if not isinstance(raw, dict):
+        return ()
+    born, number = raw.get("born"), raw.get("seq")
+    if type(born) is not int or type(number) is not int:
+        return ()
+    return (born, number)
+
+
 def upstream_of(upstream_id: str, raw: dict[str, Any]) -> Upstream:
     """Return an upstream; missing or mistyped fields raise Python's own errors."""
     address = text_at(raw, "address")
--- a/tests/gateway/test_topics.py
+++ b/tests/gateway/test_topics.py
@@ -126,6 +126,43 @@
     assert state.values == {"a": b"draining"}
 
 
+def numbered() -> TopicState:
+    """Return a topic whose values are texts with a number that orders them."""
+    return TopicState(
+        "t",
+        canonical=lambda value: value.partition(b"#")[0],
+        order=lambda value: (int(value.partition(b"#")[2]),),
+    )
+
+
+@pytest.mark.parametrize("dropped", [False, True])
+def test_older_write_changes_nothing_on_any_vm(dropped: bool) -> None:
+    """Guards against a leaving upstream that its older write brings back."""
+    log = Log()
+    log.put("a", b"ready#1")
+    state, other, starting = numbered(), numbered(), numbered()
+    read(state, log)
+    log.put("a", b"draining#3")
+    read(state, log)
+    send_delta(state, other)
+    if dropped:
+        log.put("a", None)
+        read(state, log)
+        send_delta(state, other)
+    log.put("a", b"ready#2")
+    known = {} if dropped else {"a": b"draining"}
+    assert read(state, log) == set()
+    assert state.values == known
+    assert apply_snapshot(other, log.newest()) == set()
+    assert other.values == known
+    send_delta(state, starting)
+    assert starting.values == known
+    log.put("a", b"ready#4")
+    assert read(state, log) == {"a"}
+    assert send_delta(state, other) == {"a"}
+    assert state.values == other.values == {"a": b"ready"}
+
+
 def test_only_changes_are_sent_if_the_other_vm_knows_the_rest() -> None:
     log = Log()
     for number in range(200):
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -11,6 +11,7 @@
     InvalidRecordError,
     decode_upstream,
     without_sequence,
+    writing_order,
 )
 
 
@@ -37,6 +38,20 @@
     )
 
 
+def test_records_of_an_upstream_are_in_the_order_of_start_and_number() -> None:
+    older, newer = record(seq=9), record(seq=10)
+    later_start = record(seq=0, born=1_700_000_000_001)
+    assert writing_order(older) < writing_order(newer) < writing_order(later_start)
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [b"", b"[1]", b"5", record(seq="7"), record(seq=True), record(born=None)],
+)
+def test_record_without_start_or_number_has_no_order(payload: bytes) -> None:
+    assert writing_order(payload) == ()
+
+
 @pytest.mark.parametrize(
     "changes",
     [
