--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -431,6 +431,36 @@
     assert site.upstreams["desk-2"].ran == []
 
 
+async def test_second_order_does_not_let_the_first_version_through(site: Site) -> None:
+    """Guards against a version without a verdict that a later order sets free."""
+    for target in ("v2", "v3"):
+        order = {"service": "desk", "target": target, "duration_s": 12}
+        await site.store.put_json(OPERATOR_TOPIC, "rollout/desk", order)
+        await asyncio.sleep(MANIFEST_S)
+    await site.register("desk-2", "desk", version="v2", seq=7)
+    await asyncio.sleep(1.0)
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert answer.status == 200
+    assert site.upstreams["desk-2"].ran == []
+
+
+async def test_order_back_to_the_version_in_service_holds_back_the_other(
+    site: Site,
+) -> None:
+    """Guards against an order back that leaves a version without a verdict alone."""
+    for target in ("v2", "v1"):
+        order = {"service": "desk", "target": target, "duration_s": 12}
+        await site.store.put_json(OPERATOR_TOPIC, "rollout/desk", order)
+        await asyncio.sleep(MANIFEST_S)
+    await site.register("desk-2", "desk", version="v2", seq=7)
+    await asyncio.sleep(1.0)
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert answer.status == 200
+    assert site.upstreams["desk-2"].ran == []
+
+
 async def test_trimmed_topic_is_read_again(site: Site) -> None:
     await site.store.refuse_calls()
     await until(lambda: site.vms[0].events("platform_lost"))
