Hold back the versions of earlier orders too

Cause: the versions held back were those of the newest order of each service.

Change: a later order adds its version to those held back, unless it names the version that alone got requests until then. A VM that starts after the second order knows the newest order only and still lets the first version through.

--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -108,8 +108,8 @@
         Until when processes of upstreams want no requests of this VM.
     taken_out : frozenset of str
         Data centres that get no new requests.
-    held_back : dict of str to str
-        By service, the version that gets no requests because it has not been judged.
+    held_back : dict of str to frozenset of str
+        By service, the versions that get no requests because they have not been judged.
     """
 
     states: dict[str, UpstreamState] = field(default_factory=dict)
@@ -118,7 +118,7 @@
     left: OrderedDict[str, float] = field(default_factory=OrderedDict)
     closed_until_ms: OrderedDict[str, float] = field(default_factory=OrderedDict)
     taken_out: frozenset[str] = frozenset()
-    held_back: dict[str, str] = field(default_factory=dict)
+    held_back: dict[str, frozenset[str]] = field(default_factory=dict)
 
     def confirm(self, version: int, at_ms: float) -> None:
         """Record that the list was read up to an offset at a monotonic time in ms."""
@@ -129,6 +129,14 @@
         """Return the version and age of the list."""
         return UpstreamListAge(self.version, round(now_ms - self.confirmed_ms))
 
+    def versions(self, service: str) -> set[str]:
+        """Return the versions that the upstreams of a service run."""
+        return {
+            state.info.version
+            for state in self.states.values()
+            if state.info.service == service
+        }
+
     def replace(
         self, upstreams: Iterable[Upstream], unconfirmed: Collection[str], now_ms: float
     ) -> list[str]:
@@ -168,7 +176,7 @@
             not info.leaving
             and process_of(info.id, info.started_ms) not in self.left
             and info.data_centre not in self.taken_out
-            and info.version != self.held_back.get(info.service)
+            and info.version not in self.held_back.get(info.service, ())
         )
 
     def others(self, state: UpstreamState) -> list[UpstreamState]:
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -74,6 +74,8 @@
     decoded : dict of str to tuple
         Record and decoded upstream by upstream id; the upstream is None if its record
         is invalid.
+    targets : dict of str to str
+        By service, the version to which the last order moves the traffic.
     applied : dict of str to Upstream or None
         The upstreams that the VM was given last, None before the first time.
     """
@@ -87,6 +89,7 @@
         )
     )
     decoded: dict[str, tuple[bytes, Upstream | None]] = field(default_factory=dict)
+    targets: dict[str, str] = field(default_factory=dict)
     applied: dict[str, Upstream] | None = None
 
     def __post_init__(self) -> None:
@@ -173,24 +176,50 @@
         New versions are not evaluated on this platform yet, and one that was not
         evaluated may be bad.
         """
-        held_back: dict[str, str] = {}
+        targets = self.move_targets()
+        held_back = {
+            service: self.versions_to_hold_back(service, target)
+            for service, target in targets.items()
+        }
+        self.targets = targets
+        if held_back == self.vm.table.held_back:
+            return False
+        self.vm.table.held_back = held_back
+        versions = ",".join(
+            f"{service}={version}"
+            for service, held in held_back.items()
+            for version in sorted(held)
+        )
+        self.vm.journal.record(Event.VERSIONS_HELD_BACK, versions=versions)
+        return True
+
+    def move_targets(self) -> dict[str, str]:
+        """Return by service to which version the newest order moves the traffic."""
+        targets: dict[str, str] = {}
         for key, payload in self.operator.values.items():
             if not key.startswith(ROLLOUT_PREFIX):
                 continue
             try:
-                held_back[key.removeprefix(ROLLOUT_PREFIX)] = decode_move_target(
-                    payload
-                )
+                targets[key.removeprefix(ROLLOUT_PREFIX)] = decode_move_target(payload)
             except InvalidRecordError as error:
                 self.vm.journal.record(
                     Event.CONFIG_RECORD_REFUSED, source=key, error=str(error)
                 )
-        if held_back == self.vm.table.held_back:
-            return False
-        self.vm.table.held_back = held_back
-        versions = ",".join(f"{name}={version}" for name, version in held_back.items())
-        self.vm.journal.record(Event.VERSIONS_HELD_BACK, versions=versions)
-        return True
+        return targets
+
+    def versions_to_hold_back(self, service: str, target: str) -> frozenset[str]:
+        """Return the versions of a service to hold back once an order is in force.
+
+        Those of earlier orders have not been judged either. An order back to the
+        version that alone got requests until now holds back no more than before.
+        """
+        held = self.vm.table.held_back.get(service, frozenset())
+        if target == self.targets.get(service):
+            return held
+        ordered = held | {target}
+        listed = self.vm.table.versions(service)
+        is_order_back = bool(held) and bool(listed) and listed <= ordered
+        return held if is_order_back else ordered
 
     def apply_manifest(self, payload: bytes, source: str) -> None:
         """Apply a manifest; an invalid one is logged and ignored."""
