--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -578,6 +578,44 @@
     assert answer.status == 200
 
 
+@pytest.fixture
+async def importing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> AsyncIterator[Site]:
+    """Return a site with a VM whose process has begun to import its modules."""
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    site = Site(tmp_path)
+    try:
+        await site.start(vms=0)
+        vm = site.start_vm(0)
+        await until(lambda: "asyncio" in vm.log_file.read_text())
+        yield site
+    finally:
+        await site.stop()
+
+
+async def test_sighup_during_the_start_does_not_end_the_program(
+    importing: Site,
+) -> None:
+    """Guards against a process that a signal ends before it has a handler."""
+    vm = importing.vms[0]
+    vm.process.send_signal(signal.SIGHUP)
+    await importing.wait_ready(vm)
+    await until(lambda: vm.events("settings_read_again"))
+    assert vm.process.poll() is None
+
+
+async def test_sigterm_during_the_start_ends_the_program_in_order(
+    importing: Site,
+) -> None:
+    """Guards against a process that a signal ends before it has a handler."""
+    vm = importing.vms[0]
+    vm.process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(vm.process.wait, 10.0)
+    assert vm.process.returncode == 0
+    assert vm.events("vm_stopped")
+
+
 async def test_invalid_settings_end_the_program_with_all_findings(
     tmp_path: Path,
 ) -> None:
