Keep signals from the first module of the program on

Cause: the handlers were installed after all imports and listeners, some tenths of a second after the start; until then SIGHUP and SIGTERM ended the process.

Change: the program installs handlers that keep signals before it imports anything else; the VM acts on them once its own are installed.

--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import anyio
 from aioprometheus.renderer import render
@@ -73,6 +73,7 @@
     log: LogOutput,
     follow: tuple[Job, ...],
     reload: Callable[[], None],
+    early: Collection[int],
 ) -> None:
     """Run the VM until SIGTERM, then finish its requests.
 
@@ -82,6 +83,8 @@
         Endless loops that follow the store.
     reload : callable
         Reloads the settings file.
+    early : collection of int
+        The signals that came before this VM handles them itself.
     """
     vm.crash_guard.lives = liveness_check(vm.clock)
     log_unexpected_answers(vm.journal, vm.pool, vm.scheduler.caller.pool)
@@ -113,7 +116,7 @@
         ]
         for job in jobs:
             tasks.start_soon(run_with_restarts, job, vm.journal, vm.clock)
-        await wait_for_end(vm, server, callers, heartbeats, reload, tasks)
+        await wait_for_end(vm, server, callers, heartbeats, reload, early, tasks)
     vm.journal.record(Event.VM_STOPPED, name=vm.settings.name)
     log.flush()
 
@@ -124,6 +127,7 @@
     callers: asyncio.Server,
     heartbeats: HeartbeatSocket,
     reload: Callable[[], None],
+    early: Collection[int],
     tasks: TaskGroup,
 ) -> None:
     """Wait for SIGTERM or SIGINT, drain the VM, and cancel all tasks."""
@@ -132,6 +136,10 @@
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    if signal.SIGHUP in early:
+        reload()
+    if signal.SIGTERM in early or signal.SIGINT in early:
+        stop_requested.set()
     await stop_requested.wait()
     await drain(vm, server, callers, heartbeats)
     tasks.cancel_scope.cancel()
--- a/cuminstile/platform/__main__.py
+++ b/cuminstile/platform/__main__.py
@@ -2,109 +2,16 @@
 
 from __future__ import annotations
 
-import gc
-import os
-import secrets
-import sys
-from pathlib import Path
-
-import anyio
-import eliot
-
-from ..clock import Clock
-from ..events import Event, Journal
-from ..exceptions import CuminstileError
-from ..gateway.crash_state import CrashGuard
-from ..gateway.gateway_metrics import make_gateway_metrics
-from ..gateway.log_output import LogOutput, make_log_output
-from ..gateway.membership import Membership
-from ..gateway.messages import TopicRequest, TopicResponse
-from ..gateway.peer_sessions import PeerSessions
-from ..gateway.retry_budget import RetryBudget
-from ..gateway.running import run_gateway
-from ..gateway.sharing import answer_topic_request
-from ..gateway.stage_calls import StageCaller
-from ..gateway.staging import Scheduler
-from ..gateway.state import Gateway
-from .follow import Follower
-from .headers import PROTOCOL
-from .settings import PlatformSettings, load_platform_settings
-from .stage_calls import STAGE_PROTOCOL
-from .store import StoreClient
-
-SETTINGS_VARIABLE = "CUMINSTILE_SETTINGS"
-EXIT_BAD_INPUT = 2
-
-
-def make_gateway(settings: PlatformSettings, clock: Clock) -> Gateway:
-    """Return the state of a VM that has not started yet."""
-    journal = Journal(settings.gateway.name, clock)
-    guard = CrashGuard()
-    caller = StageCaller(clock, PROTOCOL, STAGE_PROTOCOL)
-    scheduler = Scheduler(clock, journal, caller, guard)
-
-    def answer_request(request: TopicRequest) -> TopicResponse:
-        topic = vm.topics.get(request.name)
-        state = None if topic is None else topic.state
-        return answer_topic_request(state, request, clock.now_ms())
-
-    vm = Gateway(
-        settings=settings.gateway,
-        clock=clock,
-        journal=journal,
-        metrics=make_gateway_metrics(),
-        protocol=PROTOCOL,
-        scheduler=scheduler,
-        membership=Membership(settings.gateway.peer_address),
-        retries=RetryBudget(
-            settings.gateway.retry_ratio,
-            settings.gateway.retry_slack,
-            settings.gateway.retry_window_ms,
-        ),
-        sessions=PeerSessions(clock, journal, scheduler, answer_request),
-        incarnation=secrets.token_hex(6),
-        started_ms=clock.wall_ms(),
-        crash_guard=guard,
-    )
-    return vm
-
-
-async def run(path: Path, settings: PlatformSettings, log: LogOutput) -> None:
-    """Run the VM until it is asked to stop."""
-    clock = log.clock
-    vm = make_gateway(settings, clock)
-    follower = Follower(vm, StoreClient(settings.store_address, clock))
-
-    def reload() -> None:
-        try:
-            changed = load_platform_settings(path) != settings
-        except CuminstileError as error:
-            vm.journal.record(Event.SETTINGS_REFUSED, error=error.message)
-            return
-        vm.journal.record(Event.SETTINGS_READ_AGAIN, changed=changed)
-
-    await run_gateway(
-        vm,
-        log,
-        (follower.follow_operator, follower.follow_upstreams),
-        reload,
-    )
+from .early_signals import keep_signals
 
 
 def main() -> None:
-    """Start the program; invalid settings are logged and end it with exit status 2."""
-    clock = Clock()
-    log = make_log_output(clock, sys.stdout.fileno())
-    eliot.add_destinations(log.write)
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    try:
-        settings = load_platform_settings(path)
-    except CuminstileError as error:
-        Journal("", clock).record(Event.SETTINGS_REFUSED, error=error.message)
-        log.flush()
-        sys.exit(EXIT_BAD_INPUT)
-    gc.freeze()
-    anyio.run(run, path, settings, log, backend_options={"use_uvloop": True})
+    """Start the program; signals are kept before its modules are imported."""
+    early = keep_signals()
+    # Importing the rest takes some tenths of a second.
+    from .program import run_program
+
+    run_program(early)
 
 
 if __name__ == "__main__":
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -3,7 +3,7 @@
 from cuminstile.clock import VirtualClock
 from cuminstile.gateway.model import Upstream
 from cuminstile.gateway.state import Gateway, GatewaySettings
-from cuminstile.platform.__main__ import make_gateway
+from cuminstile.platform.program import make_gateway
 from cuminstile.platform.settings import PlatformSettings
 
 DRAIN_MS = 2_000.0
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -588,7 +588,7 @@
     try:
         await site.start(vms=0)
         vm = site.start_vm(0)
-        await until(lambda: "asyncio" in vm.log_file.read_text())
+        await until(lambda: "anyio" in vm.log_file.read_text())
         yield site
     finally:
         await site.stop()
