--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -37,6 +37,8 @@
 """Time after which a data centre that is taken out gets no more requests."""
 ENDLESS_BYTES = 16 * 1024 * 1024
 """Maximum bytes read of an endless answer, including the network's buffers."""
+GRACE_S = 4.0
+"""Time from SIGTERM to the forced end of a VM whose settings were changed."""
 DRAIN_S = 2.0
 """Time after which a draining upstream gets no more requests."""
 
@@ -578,6 +580,31 @@
     assert answer.status == 200
 
 
+async def test_changed_settings_are_applied_or_named_as_needing_a_restart(
+    site: Site,
+) -> None:
+    """Guards against changed settings that neither hold nor are named in the log."""
+    vm = site.vms[0]
+    settings = json.loads(vm.settings_file.read_text())
+    settings["bounds"]["grace_s"] = GRACE_S
+    settings["zone"] = "b"
+    vm.settings_file.write_text(json.dumps(settings))
+    vm.process.send_signal(signal.SIGHUP)
+    await until(lambda: vm.events("settings_read_again"))
+    (event,) = vm.events("settings_read_again")
+    assert (event.get("applied"), event.get("restart")) == (
+        "shutdown_ms",
+        "data_centre",
+    )
+    for upstream in site.upstreams.values():
+        upstream.work_s = 2 * GRACE_S
+    calling = asyncio.create_task(call(vm.address, "GET", "/look/x", fields("a1")))
+    await asyncio.sleep(0.2)
+    vm.process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(vm.process.wait, GRACE_S)
+    await asyncio.gather(calling, return_exceptions=True)
+
+
 @pytest.fixture
 async def importing(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
