--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import urlencode
 
@@ -61,9 +62,21 @@
         query: dict[str, object],
         body: bytes = b"",
         wait_ms: float = 0.0,
+        may_answer: Callable[[bytes], bool] = lambda _: True,
+        alone: bool = False,
     ) -> tuple[AnswerHead, bytes]:
         """Return the answer to one call.
 
+        Answers don't name their topic, so each topic has connections of its own.
+
+        Parameters
+        ----------
+        may_answer : callable
+            Returns whether the body of a status 200 can be the answer. It is asked on
+            a connection that has carried a call, whose answer may have come twice.
+        alone : bool
+            Whether the call gets a new connection, which carries no other call.
+
         Raises
         ------
         StoreCallError
@@ -76,7 +89,10 @@
         if body:
             headers.append((b"Content-Type", b"application/json"))
         request = render_request(method, target.encode(), headers, body)
-        connection = self.pool.acquire("store", self.clock.now_ms())
+        topic = str(query["topic"])
+        connection: HttpConnection | None = None
+        if not alone:
+            connection = self.pool.acquire(topic, self.clock.now_ms())
         calls_before = None if connection is None else connection.requests
         try:
             async with asyncio.timeout((CALL_TIMEOUT_MS + wait_ms) / 1000.0):
@@ -87,7 +103,11 @@
                 connection.send(request)
                 head = await connection.receive_head()
                 answer = await connection.receive_rest(MAX_ANSWER_BYTES)
+                if calls_before and head.status == 200 and not may_answer(answer):
+                    raise ConnectionLostError("answer to an earlier call", sent=True)
         except ConnectionLostError as error:
+            if connection is not None:
+                connection.close("call failed")
             raise StoreCallError(f"{path}: {error!r}", calls_before) from error
         except TimeoutError as error:
             self.close_connections()
@@ -95,7 +115,9 @@
         finally:
             if connection is not None:
                 self.in_progress.discard(connection)
-                self.pool.release("store", connection, self.clock.now_ms())
+                if alone:
+                    connection.close("the call had a connection of its own")
+                self.pool.release(topic, connection, self.clock.now_ms())
         if head.status in (429, 500, 502, 503, 504, 507):
             raise StoreCallError(f"{path}: status {head.status}", calls_before)
         return head, answer
@@ -105,7 +127,8 @@
 
         A long poll would notice a dead connection only at the end of its wait.
         """
-        self.pool.drop("store")
+        for topic in list(self.pool.idle):
+            self.pool.drop(topic)
         for connection in self.in_progress:
             connection.close("another call of the store timed out")
 
@@ -115,7 +138,7 @@
         query: dict[str, object] = {"topic": topic, "part": 0}
         first_end: int | None = None
         while True:
-            head, body = await self.call(b"GET", "/api/log-newest", query)
+            head, body = await self.call(b"GET", "/api/log-newest", query, alone=True)
             if head.status != 200:
                 raise StoreCallError(f"newest of {topic}: status {head.status}", None)
             page = decode_page(topic, body)
@@ -135,7 +158,13 @@
             "max_kb": MAX_PAGE_KB,
             "wait_ms": int(wait_ms),
         }
-        head, body = await self.call(b"GET", "/api/log-read", query, wait_ms=wait_ms)
+        head, body = await self.call(
+            b"GET",
+            "/api/log-read",
+            query,
+            wait_ms=wait_ms,
+            may_answer=lambda body: can_follow(body, start),
+        )
         if head.status == 410:
             raise TrimmedError(topic, start)
         if head.status != 200 or len(body) < HEAD_BYTES:
@@ -148,7 +177,7 @@
         record = bytes([len(name)]) + name + value
         body = len(record).to_bytes(LENGTH_BYTES, "big") + record
         query: dict[str, object] = {"topic": topic, "part": 0}
-        head, _ = await self.call(b"POST", "/api/log-append", query, body)
+        head, _ = await self.call(b"POST", "/api/log-append", query, body, alone=True)
         if head.status != 200:
             raise StoreCallError(f"append to {topic}: status {head.status}", None)
 
@@ -204,6 +233,18 @@
     return TopicPage(tuple(records), offset)
 
 
+def can_follow(body: bytes, start: int) -> bool:
+    """Return whether a page can be the answer to a read from an offset on.
+
+    The page says where the topic ends: not before the offset, nor within its records.
+    An answer to an earlier read is of records before the offset.
+    """
+    if len(body) < HEAD_BYTES:
+        return False
+    end = int.from_bytes(body[: HEAD_BYTES // 2], "big")
+    return start <= decode_records(body, start).end <= end
+
+
 def decode_keyed(content: bytes, offset: int) -> KeyedRecord:
     """Return one record of a keyed topic."""
     length = content[0] if content else 0
--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Callable
 
 import orjson
 import pytest
@@ -17,8 +19,11 @@
 from .test_state import make_vm
 
 pytestmark = pytest.mark.anyio
+Copy = Callable[[list[dict]], bytes]
 CALLS = 12
 LOST = {"reason": "late"}
+WORK_MS = 120.0
+"""How long a call takes at an upstream that works, and is expected to."""
 
 
 async def read_items(reader: asyncio.StreamReader) -> list[dict]:
@@ -134,3 +139,286 @@
         answer = await vm.scheduler.caller.run(worker, [item(3)], 500.0)
         assert answer.outcomes[0].handle == "h:1/r3"
         assert len(begun) == 2
+
+
+def late_copies(number: int, copy: Copy, delay_ms: float) -> Session:
+    """Return a session that works, and answers one call a second time, late.
+
+    Parameters
+    ----------
+    number : int
+        Number of the call whose answer is sent again.
+    copy : callable
+        Returns the second answer to a call with some items.
+    delay_ms : float
+        How long after the next call begins the second answer is sent.
+    """
+    calls = iter(range(1_000))
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        late = b""
+        while True:
+            items = await read_items(reader)
+            left_ms = WORK_MS
+            if late:
+                await asyncio.sleep(delay_ms / 1_000.0)
+                writer.write(late)
+                left_ms -= delay_ms
+            await asyncio.sleep(left_ms / 1_000.0)
+            writer.write(answer_of(items, False))
+            late = copy(items) if next(calls) == number else b""
+
+    return session
+
+
+def made_again(items: list[dict]) -> bytes:
+    """Return an answer with other handles for the same items."""
+    return answer_of([{"id": f"{item['id']}-again"} for item in items], False)
+
+
+def made_again_in_chunks(items: list[dict]) -> bytes:
+    """Return such an answer, its body in chunks."""
+    head, _, body = made_again(items).partition(b"\r\n\r\n")
+    status = head.partition(b"\r\n")[0]
+    size = b"%x" % len(body)
+    chunked = b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return status + chunked + size + b"\r\n" + body + b"\r\n0\r\n\r\n"
+
+
+async def make_calls(
+    caller: StageCaller, address: str, count: int, pause_ms: float
+) -> tuple[dict[str, str], int]:
+    """Make calls of one item each; return the handles by request and the losses."""
+    worker = Worker("w", "s", address, "a")
+    handles, lost = {}, 0
+    for number in range(count):
+        try:
+            answer = await caller.run(worker, [item(number)], WORK_MS, WORK_MS)
+        except ConnectionLostError:
+            lost += 1
+        else:
+            handles[f"r{number}"] = str(answer.outcomes[0].handle)
+        await asyncio.sleep(pause_ms / 1_000.0)
+    return handles, lost
+
+
+def foreign_of(handles: dict[str, str]) -> list[str]:
+    """Return the handles that were made for other requests."""
+    return [made for request, made in handles.items() if made != f"h:1/{request}"]
+
+
+@pytest.mark.parametrize("copy", [made_again, made_again_in_chunks])
+async def test_second_answer_with_other_handles_is_not_that_to_the_next_call(
+    copy: Copy,
+) -> None:
+    """Guards against results of others by a piece that was produced again.
+
+    Its handles are unknown, so nothing but its time tells it apart: it comes as the
+    next call begins, sooner than any call can be done.
+    """
+    vm = make_vm(Clock())
+    async with serving(late_copies(1, copy, 0.0)) as (address, _):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 5, 0.0)
+    assert foreign_of(handles) == []
+    assert lost == 1
+
+
+async def test_hundred_sound_calls_of_differing_speed_share_one_connection() -> None:
+    """Guards against sound answers that are refused as those to other calls.
+
+    The items of some stages take a third of the time that is known for their service.
+    """
+    source = random.Random(42)
+    least_ms, expected_ms = 25.0, 60.0
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            items = await read_items(reader)
+            items_ms = (expected_ms - least_ms) * source.uniform(0.3, 1.0)
+            call_ms = (least_ms + items_ms) * source.uniform(0.6, 1.5)
+            await asyncio.sleep(call_ms / 1_000.0)
+            writer.write(answer_of(items, False))
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, begun):
+        worker = Worker("w", "s", address, "a")
+        for number in range(100):
+            items = [item(2 * number), item(2 * number + 1)]
+            await vm.scheduler.caller.run(worker, items, expected_ms, least_ms)
+        assert len(begun) == 1
+
+
+@pytest.mark.parametrize(("pause_ms", "lost_calls"), [(100.0, 0), (0.0, 1)])
+async def test_results_of_an_answer_that_was_not_the_last_one_are_doubted(
+    pause_ms: float, lost_calls: int
+) -> None:
+    """Guards against results of others by a second answer that comes late in a call.
+
+    The call's own answer then comes while the connection is idle, or too soon in the
+    next call.
+    """
+    vm = make_vm(Clock())
+    doubted: list[str] = []
+    caller = vm.scheduler.caller
+    caller.on_doubt = lambda _, handles: doubted.extend(handles)
+    late = late_copies(1, made_again, 0.85 * WORK_MS)
+    async with serving(late) as (address, _):
+        handles, lost = await make_calls(caller, address, 6, pause_ms)
+    assert set(foreign_of(handles)) <= set(doubted)
+    assert lost == lost_calls
+    assert len(doubted) == 1
+
+
+@pytest.mark.parametrize("used", [True, False])
+async def test_two_answers_that_come_together_prove_nothing_on_a_used_connection(
+    used: bool,
+) -> None:
+    """Guards against the first of two answers, of which only the second is due."""
+    calls = iter(range(1_000))
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            items = await read_items(reader)
+            call = next(calls)
+            answers = [answer_of(items, False)]
+            if call == 0 and not used:
+                answers.append(made_again(items))
+            if call == 1 and used:
+                answers.insert(0, made_again(items))
+            await asyncio.sleep(WORK_MS / 1_000.0)
+            writer.write(b"".join(answers))
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, begun):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 3, 0.0)
+        assert len(begun) == 2
+    assert foreign_of(handles) == []
+    assert lost == used
+
+
+async def test_sound_calls_are_never_doubted() -> None:
+    vm = make_vm(Clock())
+    doubted: list[str] = []
+    caller = vm.scheduler.caller
+    caller.on_doubt = lambda _, handles: doubted.extend(handles)
+    async with serving(late_copies(-1, made_again, 0.0)) as (address, begun):
+        handles, lost = await make_calls(caller, address, 4, 10.0)
+    assert (foreign_of(handles), lost, doubted) == ([], 0, [])
+    assert len(begun) == 1
+
+
+def refusing(number: int, status: bytes) -> Session:
+    """Return a session that answers one call with a status and works on the others."""
+    refusal = b"HTTP/1.1 %b\r\nContent-Length: 0\r\nNot-Executed: 1\r\n\r\n" % status
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for call in range(1_000):
+            items = await read_items(reader)
+            writer.write(refusal if call == number else answer_of(items, False))
+
+    return session
+
+
+@pytest.mark.parametrize(
+    ("number", "status", "lost"),
+    [(0, b"421 Other", False), (1, b"421 Other", True), (1, b"503 Full", False)],
+)
+async def test_refusal_as_another_upstream_is_believed_on_a_new_connection_alone(
+    number: int, status: bytes, lost: bool
+) -> None:
+    """Guards against an upstream that gets no work after a second answer with a 421.
+
+    A connection that has carried calls to an upstream doesn't lead to another one.
+    """
+    vm = make_vm(Clock())
+    async with serving(refusing(number, status)) as (address, _):
+        worker = Worker("w", "s", address, "a")
+        for call in range(number):
+            await vm.scheduler.caller.run(worker, [item(call)], WORK_MS)
+        refused = vm.scheduler.caller.run(worker, [item(number)], WORK_MS)
+        if lost:
+            with pytest.raises(ConnectionLostError):
+                await refused
+        else:
+            assert (await refused).status == int(status[:3])
+
+
+@pytest.mark.parametrize("share", [0.1, 0.3, 0.5, 0.7, 0.9])
+async def test_foreign_results_are_refused_or_doubted_whenever_they_come(
+    share: float,
+) -> None:
+    """Guards against a second answer for which no time is too soon.
+
+    Either it comes too soon, or the answer that it displaces does in the next call.
+    """
+    vm = make_vm(Clock())
+    doubted: list[str] = []
+    caller = vm.scheduler.caller
+    caller.on_doubt = lambda _, handles: doubted.extend(handles)
+    late = late_copies(1, made_again, share * WORK_MS)
+    async with serving(late) as (address, begun):
+        handles, lost = await make_calls(caller, address, 6, 0.0)
+        assert len(begun) == 2
+    assert set(foreign_of(handles)) <= set(doubted)
+    assert lost == 1
+
+
+@pytest.mark.parametrize("cut", [5, 60])
+async def test_second_answer_in_two_halves_is_that_to_no_call(cut: int) -> None:
+    """Guards against a second answer that begins with the first and ends in a call."""
+    calls = iter(range(1_000))
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        rest = b""
+        while True:
+            items = await read_items(reader)
+            writer.write(rest)
+            await asyncio.sleep(WORK_MS / 1_000.0)
+            copy = made_again(items) if next(calls) == 1 else b""
+            writer.write(answer_of(items, False) + copy[:cut])
+            rest = copy[cut:]
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, _):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 5, 0.0)
+    assert foreign_of(handles) == []
+    assert lost == 1
+
+
+async def test_second_answer_with_reasons_ends_its_connection() -> None:
+    """Guards against a connection that stays one answer behind after lost items."""
+    vm = make_vm(Clock())
+    late = late_copies(1, lambda items: answer_of(items, True), 0.0)
+    async with serving(late) as (address, begun):
+        handles, lost = await make_calls(vm.scheduler.caller, address, 5, 0.0)
+        assert len(begun) == 2
+    assert handles.pop("r2") == "None"
+    assert foreign_of(handles) == []
+    assert lost == 0
+
+
+async def test_answer_with_one_handle_for_two_items_is_refused() -> None:
+    """Guards against two items with one result, of which one is another request's."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        items = await read_items(reader)
+        writer.write(answer_of([items[0], items[0]], False))
+        await reader.read()
+
+    vm = make_vm(Clock())
+    async with serving(session) as (address, _):
+        worker = Worker("w", "s", address, "a")
+        with pytest.raises(ConnectionLostError):
+            await vm.scheduler.caller.run(worker, [item(1), item(2)], 500.0)
--- a/tests/gateway/test_staging.py
+++ b/tests/gateway/test_staging.py
@@ -11,7 +11,8 @@
 import pytest
 
 from cuminstile.clock import VirtualClock
-from cuminstile.gateway.chain import ChainSpec, ChainStage
+from cuminstile.events import Event
+from cuminstile.gateway.chain import Chain, ChainSpec, ChainStage, Result
 from cuminstile.gateway.http_client import (
     ConnectionLostError,
     NoListenerError,
@@ -20,9 +21,10 @@
 from cuminstile.gateway.model import BatchSpec, Upstream
 from cuminstile.gateway.stage_calls import StageAnswer
 from cuminstile.gateway.stage_queue import StoredResult, Worker
-from cuminstile.gateway.staging import Scheduler
+from cuminstile.gateway.staging import ChainAnswer, Scheduler
 from cuminstile.gateway.upstream_protocol import ItemRequest, StageOutcome
 
+from .servers import serving
 from .test_state import make_upstream, make_vm
 
 pytestmark = pytest.mark.anyio
@@ -38,14 +40,21 @@
     called: list[str] = field(default_factory=list)
 
     async def run(
-        self, worker: Worker, items: Sequence[ItemRequest], expected_ms: float
+        self,
+        worker: Worker,
+        items: Sequence[ItemRequest],
+        expected_ms: float,
+        least_ms: float,
     ) -> StageAnswer:
         """Answer with one result for each item, or fail."""
-        del expected_ms
+        del expected_ms, least_ms
         self.called.append(worker.id)
         if worker.id in self.errors:
             raise self.errors[worker.id]
-        outcomes = tuple(StageOutcome(f"{worker.id}/{n}") for n in range(len(items)))
+        outcomes = tuple(
+            StageOutcome(f"{worker.id}/{len(self.called)}-{n}", None)
+            for n in range(len(items))
+        )
         return StageAnswer(200, False, outcomes)
 
     async def free(self, *arguments: Any) -> None:
@@ -112,6 +121,90 @@
     assert not stored(scheduler, "a0")
 
 
+async def completed_chain(scheduler: Scheduler, replies: list[ChainAnswer]) -> Chain:
+    """Return a chain whose first two items are completed, and the third one waits."""
+    scheduler.planner.set_service("b", SPEC)
+    stages = (ChainStage(0, "a", (), 2, 1_000), ChainStage(1, "b", (0,), 1, 1_000))
+    spec = ChainSpec("c", "r", "k", 1, "", 105_000.0, 106_000.0, 0.0, stages)
+    chain = scheduler.planner.add(spec, 100_000.0)
+    scheduler.replies[spec.id] = replies.append
+    scheduler.dispatch()
+    await run_tasks()
+    assert chain.stage_done(0)
+    return chain
+
+
+async def run_tasks() -> None:
+    """Let the tasks that have been started run."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+async def test_items_of_doubted_results_run_again() -> None:
+    """Guards against results of others that are passed on although they are doubted."""
+    scheduler = make_scheduler(FakeCaller())
+    replies: list[ChainAnswer] = []
+    chain = await completed_chain(scheduler, replies)
+    first, second = (item.result for item in chain.items[0])
+    assert first and second
+    scheduler.take_back(first.upstream_id, (first.handle,))
+    assert [item.result for item in chain.items[0]] == [None, second]
+    assert scheduler.pending_frees == [first]
+    scheduler.clock.at_ms += 500.0  # type: ignore[attr-defined]
+    scheduler.dispatch()
+    await run_tasks()
+    assert chain.stage_done(0)
+    assert replies == []
+
+
+async def test_chain_that_has_used_doubted_results_is_refused() -> None:
+    """Guards against results that were made from those of other requests."""
+    scheduler = make_scheduler(FakeCaller())
+    replies: list[ChainAnswer] = []
+    chain = await completed_chain(scheduler, replies)
+    (last,) = chain.items[1]
+    last.running_on = "b0"
+    result = chain.items[0][0].result
+    assert result
+    scheduler.take_back(result.upstream_id, (result.handle,))
+    assert chain.ended
+    assert [answer.refusal for answer in replies] == ["stage_failed"]
+
+
+@pytest.mark.parametrize(
+    ("head", "leaving", "closed_ms"),
+    [
+        (b"200 OK\r\nServer-Leaving: 1", True, 0.0),
+        (b"503 Busy\r\nRetry-After: 2.5", False, 2_500.0),
+        (b"200 OK", False, 0.0),
+    ],
+)
+async def test_words_in_the_answer_to_a_free_are_read(
+    head: bytes, leaving: bool, closed_ms: float
+) -> None:
+    """Guards against calls to an upstream that has said it leaves or is closed."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 " + head + b"\r\nContent-Length: 0\r\n\r\n")
+        await reader.read()
+
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    scheduler = vm.scheduler
+    async with serving(session) as (address, _):
+        scheduler.planner.set_service("a", SPEC)
+        scheduler.planner.set_workers("a", [Worker("a0", "a", address, "z")])
+        scheduler.addresses["a0"] = address
+        await scheduler.free_at("a0", [Result("h", "a0", 1_000)])
+    worker = scheduler.planner.queues["a"].workers["a0"]
+    assert worker.usable is not leaving
+    assert max(0.0, worker.available_at_ms - 100_000.0) == closed_ms
+    failed = [e for e in vm.journal.ring if e.event is Event.STAGE_FREE_FAILED]
+    assert bool(failed) is head.startswith(b"503")
+
+
 async def test_port_without_a_listener_is_told_from_other_failures() -> None:
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
