Begin a soak of the real program under drawn faults

Change: script/soak runs VMs, upstreams, links and callers by a seed; twelve checks judge the observations of callers and upstreams.

--- /dev/null
+++ b/standins/soak/__main__.py
@@ -0,0 +1,152 @@
+"""Command line of the soak: seeds in, one line an outcome and all findings out."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import asdict
+from pathlib import Path
+from typing import NoReturn
+
+from .checks import Finding
+from .fleet import ROOT
+from .observations import Record
+from .soak import Outcome, soak
+
+BAD_OPTION_STATUS = 2
+FOUND_STATUS = 1
+STOPPED_STATUS = 130
+AROUND_S = 5.0
+"""Observations this long before and after a finding are printed with it."""
+MOST_LINES = 40
+MOST_FINDINGS = 3
+"""Findings of one check that are printed; the others are counted."""
+
+
+class OptionParser(argparse.ArgumentParser):
+    """Parser that reports a bad option as one line with a code."""
+
+    def error(self, message: str) -> NoReturn:
+        """Print one line and exit."""
+        print(f"soak: bad_option: {message}", file=sys.stderr)
+        raise SystemExit(BAD_OPTION_STATUS)
+
+
+def parse_seeds(text: str) -> range:
+    """Return the seeds of `A-B`."""
+    first, _, last = text.partition("-")
+    if not (first.isdigit() and last.isdigit()) or int(last) < int(first):
+        raise argparse.ArgumentTypeError(f"{text!r} is not of the form A-B")
+    return range(int(first), int(last) + 1)
+
+
+def parse_seed(text: str) -> range:
+    """Return one seed as a range."""
+    if not text.isdigit():
+        raise argparse.ArgumentTypeError(f"{text!r} is not a whole number")
+    return range(int(text), int(text) + 1)
+
+
+def parse_seconds(text: str) -> float:
+    """Return a number of seconds from 1 to 3,600."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 1.0 <= seconds <= 3_600.0:
+        raise argparse.ArgumentTypeError(f"{text!r} is not from 1 to 3600")
+    return seconds
+
+
+def parse_program(text: str) -> Path:
+    """Return a folder that holds the program."""
+    folder = Path(text).resolve()
+    if not (folder / "cuminstile" / "platform" / "__main__.py").is_file():
+        raise argparse.ArgumentTypeError(f"{text!r} holds no cuminstile/platform")
+    return folder
+
+
+def make_parser() -> OptionParser:
+    """Return the parser of the options."""
+    parser = OptionParser(prog="script/soak", description=__doc__, allow_abbrev=False)
+    seeds = parser.add_mutually_exclusive_group()
+    seeds.add_argument("--seed", dest="seeds", type=parse_seed, metavar="N")
+    seeds.add_argument("--seeds", dest="seeds", type=parse_seeds, metavar="A-B")
+    parser.add_argument("--seconds", type=parse_seconds, default=20.0, metavar="S")
+    parser.add_argument("--large", action="store_true", help="4 VMs instead of 2")
+    parser.add_argument("--out", type=Path, default=Path("soak-out"), metavar="DIR")
+    parser.add_argument("--program", type=parse_program, default=ROOT, metavar="DIR")
+    return parser
+
+
+def lines_around(record: Record, finding: Finding) -> Iterator[str]:
+    """Return the observations around a finding: its request's and all faults."""
+    for observation in record.observations:
+        if abs(observation.at_s - finding.at_s) > AROUND_S:
+            continue
+        text = f"{type(observation).__name__} {asdict(observation)}"
+        if not finding.attempt or finding.attempt in text or "'fault'" in text:
+            yield f"    {text[:400]}"
+
+
+def report(outcome: Outcome) -> None:
+    """Print an outcome and its findings."""
+    print(
+        f"seed {outcome.seed}: {outcome.sent} sent, {outcome.received} answered,"
+        f" {outcome.succeeded} succeeded, {outcome.runs} runs,"
+        f" {len(outcome.findings)} findings",
+        flush=True,
+    )
+    counts = Counter(finding.check for finding in outcome.findings)
+    print(f"  {dict(counts)}")
+    shown: Counter[str] = Counter()
+    for finding in outcome.findings:
+        shown[finding.check] += 1
+        if shown[finding.check] > MOST_FINDINGS:
+            continue
+        print(f"  {finding.at_s:.3f} s {finding.check} {finding.attempt}")
+        print(f"    {finding.text}")
+        for line in list(lines_around(outcome.record, finding))[:MOST_LINES]:
+            print(line)
+
+
+async def run_seeds(options: argparse.Namespace) -> int:
+    """Run one seed after the other and return the exit status."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    status = 0
+    for seed in options.seeds or range(1):
+        began_s = time.monotonic()
+        try:
+            outcome = await soak(
+                seed,
+                options.seconds,
+                options.out / f"seed-{seed}",
+                options.large,
+                options.program,
+            )
+        except asyncio.CancelledError:
+            print("soak: stopped", file=sys.stderr)
+            return STOPPED_STATUS
+        report(outcome)
+        print(f"  took {time.monotonic() - began_s:.1f} s", flush=True)
+        if outcome.findings:
+            status = FOUND_STATUS
+    return status
+
+
+def main() -> None:
+    """Run the command."""
+    options = make_parser().parse_args()
+    sys.exit(asyncio.run(run_seeds(options)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/soak/callers.py
@@ -0,0 +1,177 @@
+"""Callers of a soak, which write down what they send and what they receive."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+from random import Random
+
+from .manifest import DEADLINE_MS, KEY, PIECES, ROUTES, STREAMS
+from .messages import read_answer_body, read_head, render_chunks, render_head
+from .observations import Fields, Received, Record, Sent, as_text, get_field
+
+ANSWER_TIMEOUT_S = 6.0
+"""Twice the deadline of each request."""
+TRAILERS: tuple[Fields, ...] = (
+    (),
+    (("x-sum", "1"),),
+    (("attempt-id", "00000000000000000000ffff"),),
+    (("model", "other"),),
+    (("tenant", "other"),),
+    (("not-executed", "1"),),
+    (("cookie", "a=b"),),
+)
+
+
+@dataclass(frozen=True)
+class Prepared:
+    """A request and its bytes, in the parts that are written one after the other."""
+
+    attempt: str
+    route: str
+    method: str
+    target: str
+    fields: Fields
+    body: bytes
+    parts: tuple[bytes, ...]
+
+
+@dataclass
+class Caller:
+    """One caller that sends requests one after the other to one VM.
+
+    Parameters
+    ----------
+    address : str
+        Address at which the VM is reached.
+    """
+
+    name: str
+    vm: str
+    address: str
+    record: Record
+    rng: Random
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+    reader: asyncio.StreamReader | None = None
+    writer: asyncio.StreamWriter | None = None
+    waiting: list[Prepared] = field(default_factory=list)
+
+    async def run(self, ends_s: float) -> None:
+        """Send requests until the time `ends_s` of the record."""
+        while self.record.now_s() < ends_s:
+            try:
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    await self.send_next()
+            except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+                self.hang_up()
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.01, 0.1)))
+        self.hang_up()
+
+    async def send_next(self) -> None:
+        """Send one request, and receive its answer unless the caller gives up."""
+        if self.writer is None:
+            host, _, port = self.address.rpartition(":")
+            self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        prepared = self.prepare()
+        await self.send(prepared)
+        match self.rng.random():
+            case draw if draw < 0.03:
+                await asyncio.sleep(self.rng.choice((0.0, 0.01, 0.05)))
+                self.hang_up()
+            case draw if draw < 0.06:
+                await self.give_up_after_first_byte()
+            case draw if draw < 0.1:
+                return
+            case draw:
+                await self.receive_all()
+                if draw < 0.2:
+                    self.hang_up()
+
+    def prepare(self) -> Prepared:
+        """Return the next request."""
+        rng = self.rng
+        route = rng.choice(ROUTES)
+        attempt = f"{self.name}{next(self.numbers):06x}"
+        method = "GET" if route == "look" and rng.random() < 0.5 else "POST"
+        size = rng.choice((0, 20, 300, 60_000)) if method == "POST" else 0
+        body = (attempt.encode() * (size // len(attempt) + 1))[:size]
+        fields = [
+            ("host", "shop.example"),
+            ("attempt-id", attempt),
+            ("deadline-ms", str(DEADLINE_MS)),
+            ("authorization", f"Bearer {KEY}"),
+            ("x-own", attempt),
+        ]
+        if route in STREAMS:
+            fields += [
+                ("model", "m"),
+                ("token-count", "100,10"),
+                ("prompt-prefix", f"aa:60,bb:30,{rng.randint(1, 2**32):x}:10"),
+            ]
+        if route in PIECES:
+            fields += [("pieces", PIECES[route]), ("piece-key", attempt)]
+        target = f"/{route}/{rng.randint(0, 99)}"
+        in_chunks = size > 0 and rng.random() < 0.5
+        framing = ("content-length", str(len(body)))
+        if in_chunks:
+            framing = ("transfer-encoding", "chunked")
+        framed = [*fields, framing] if method == "POST" else fields
+        head = render_head(f"{method} {target} HTTP/1.1", framed)
+        sent = render_chunks(body, rng, rng.choice(TRAILERS)) if in_chunks else body
+        cut = rng.randint(0, len(sent))
+        parts = (head + sent[:cut], sent[cut:])
+        return Prepared(attempt, route, method, target, tuple(fields), body, parts)
+
+    async def send(self, prepared: Prepared) -> None:
+        """Write one request to the connection."""
+        assert self.writer is not None
+        self.record.add(
+            Sent(
+                self.record.now_s(),
+                prepared.attempt,
+                self.vm,
+                prepared.route,
+                prepared.method,
+                prepared.target,
+                prepared.fields,
+                as_text(prepared.body),
+            )
+        )
+        self.waiting.append(prepared)
+        for part in prepared.parts:
+            self.writer.write(part)
+            await self.writer.drain()
+            if self.rng.random() < 0.1:
+                await asyncio.sleep(0.01)
+
+    async def give_up_after_first_byte(self) -> None:
+        """Close the connection after the first byte of an answer."""
+        assert self.reader is not None
+        await self.reader.read(1)
+        self.hang_up()
+
+    async def receive_all(self) -> None:
+        """Receive the answers to all requests that wait, in their sequence."""
+        while self.waiting and self.reader is not None:
+            first, fields = await read_head(self.reader)
+            body, complete = await read_answer_body(self.reader, fields)
+            status = int(first.split(" ")[1])
+            if status < 200:
+                continue
+            attempt = self.waiting.pop(0).attempt
+            now_s = self.record.now_s()
+            self.record.add(
+                Received(now_s, attempt, status, fields, as_text(body), complete)
+            )
+            ends = get_field(fields, "connection").lower() == "close"
+            if ends or not complete or self.reader.at_eof():
+                self.hang_up()
+
+    def hang_up(self) -> None:
+        """Close the connection; requests that wait on it get no answer."""
+        self.waiting.clear()
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
--- /dev/null
+++ b/standins/soak/checks.py
@@ -0,0 +1,253 @@
+"""What must hold of the observations of a soak; each check is one function."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from .manifest import PIECES, REPEATABLE, SERVICES, STREAMS
+from .observations import Received, Record, Run, Sent, get_field
+from .upstream import EVENTS
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that state that the request did not run and never will."""
+CHANGED_FIELDS = frozenset({"authorization", "deadline-ms", "content-length"})
+"""Fields that the program may take away or change."""
+ADDED_FIELDS = frozenset(
+    {
+        "content-length",
+        "expect-instance",
+        "expect-version",
+        "inputs",
+        "last-event-id",
+        "request-priority",
+        "tenant",
+    }
+)
+"""Fields that the program sets itself."""
+EVENT = re.compile(r"id: (\d+)\ndata: (\S+) (\d+)\n\n")
+
+
+@dataclass(frozen=True)
+class Finding:
+    """Something that must not be, at the time `at_s` of the record."""
+
+    check: str
+    at_s: float
+    attempt: str
+    text: str
+
+
+Wrong = Iterator[tuple[float, str, str]]
+"""Time, id of the request and what is wrong."""
+Check = Callable[[Record], Wrong]
+FieldCounts = Counter[tuple[str, str]]
+
+
+def run_of_seal(record: Record, received: Received) -> Run | None:
+    """Return the run whose seal an answer has."""
+    match = re.fullmatch(
+        r"3e1b\.07\.([0-9a-f]+)", get_field(received.fields, "response-seal")
+    )
+    return record.runs.get(int(match[1], 16)) if match else None
+
+
+def successes(record: Record) -> Iterator[Received]:
+    """Return the successes that callers received."""
+    return (received for received in record.received if 200 <= received.status < 300)
+
+
+def answers_are_own(record: Record) -> Wrong:
+    """Check that each answer has the id of its request, where it has one."""
+    for received in record.received:
+        other = get_field(received.fields, "attempt-id")
+        needs_id = 200 <= received.status < 300
+        if other != received.attempt and (other or needs_id):
+            yield received.at_s, received.attempt, f"answer has the id {other!r}"
+
+
+def successes_have_runs(record: Record) -> Wrong:
+    """Check that each success bears the seal of a run of this very request."""
+    for received in successes(record):
+        run = run_of_seal(record, received)
+        if run is None or run.attempt != received.attempt:
+            yield received.at_s, received.attempt, f"success with the seal of {run}"
+
+
+def statuses_are_first(record: Record) -> Wrong:
+    """Check that a sealed answer has the status that its run answered first."""
+    for received in record.received:
+        run = run_of_seal(record, received)
+        first = record.answered.get(run.run) if run else None
+        if first is None and run is None:
+            continue
+        if first is None or first.status != received.status:
+            text = f"status {received.status}, the upstream's answer was {first}"
+            yield received.at_s, received.attempt, text
+
+
+def bodies_are_whole(record: Record) -> Wrong:
+    """Check that a complete success has the whole body of its run."""
+    for received in successes(record):
+        run = run_of_seal(record, received)
+        first = record.answered.get(run.run) if run else None
+        if first is None or not received.complete:
+            continue
+        if record.sent[received.attempt].route in STREAMS:
+            continue
+        if first.body != received.body:
+            text = f"body {received.body!r}, the run's is {first.body!r}"
+            yield received.at_s, received.attempt, text
+
+
+def streams_are_in_order(record: Record) -> Wrong:
+    """Check the events of each stream: its own, in order, all of them if complete."""
+    for received in successes(record):
+        if record.sent[received.attempt].route not in STREAMS:
+            continue
+        wrong = describe_events(received)
+        if wrong:
+            yield received.at_s, received.attempt, wrong
+
+
+def describe_events(received: Received) -> str:
+    """Return what is wrong with the events of a stream, or an empty text."""
+    events = EVENT.findall(received.body)
+    if any(owner != received.attempt for _, owner, _ in events):
+        return f"events of another request: {received.body!r}"
+    ids = [int(number) for number, _, _ in events]
+    if ids != list(range(1, len(ids) + 1)):
+        return f"events {ids}"
+    if any(number != told for number, _, told in events):
+        return f"events of other numbers: {received.body!r}"
+    if received.complete and (
+        len(ids) != EVENTS or EVENT.sub("", received.body).strip()
+    ):
+        return f"ended as complete with events {ids}: {received.body!r}"
+    return ""
+
+
+def heads_are_the_callers(record: Record) -> Wrong:
+    """Check that upstreams got the fields of the caller's head and no others."""
+    for run in record.runs.values():
+        sent = record.sent.get(run.attempt)
+        if sent is None:
+            yield run.at_s, run.attempt, "ran under an id that no caller sent"
+            continue
+        if (run.method, run.target) != (sent.method, sent.target):
+            yield run.at_s, run.attempt, f"ran as {run.method} {run.target}"
+        added, missing = compare_fields(sent, run)
+        if added or missing:
+            text = f"head with {sorted(added)} added and {sorted(missing)} missing"
+            yield run.at_s, run.attempt, text
+
+
+def compare_fields(sent: Sent, run: Run) -> tuple[FieldCounts, FieldCounts]:
+    """Return the fields that were added to a head and those that are missing."""
+    had = Counter(field for field in sent.fields if field[0] not in CHANGED_FIELDS)
+    got = Counter(field for field in run.fields if field[0] not in CHANGED_FIELDS)
+    added = got - had
+    for name, value in list(added):
+        if name in ADDED_FIELDS and sum(key == name for key, _ in run.fields) == 1:
+            del added[(name, value)]
+    return added, had - got
+
+
+def bodies_are_the_callers(record: Record) -> Wrong:
+    """Check that upstreams got the body of the caller."""
+    for run in record.runs.values():
+        sent = record.sent.get(run.attempt)
+        if sent is not None and run.body and run.body != sent.body:
+            yield run.at_s, run.attempt, f"body {run.body[:80]!r}"
+
+
+def runs_are_single(record: Record) -> Wrong:
+    """Check that a request that is not idempotent runs at most once."""
+    for attempt, runs in record.runs_of.items():
+        sent = record.sent.get(attempt)
+        if sent is not None and sent.route not in REPEATABLE and len(runs) > 1:
+            places = [(run.at_s, run.upstream) for run in runs]
+            yield (
+                runs[-1].at_s,
+                attempt,
+                f"{sent.route} ran {len(runs)} times: {places}",
+            )
+
+
+def promises_hold(record: Record) -> Wrong:
+    """Check that a request that is not idempotent has no run beside a promise."""
+    for received in record.received:
+        sent = record.sent[received.attempt]
+        runs = record.runs_of.get(received.attempt, [])
+        if received.status in PROMISES and sent.route not in REPEATABLE and runs:
+            text = f"{sent.route} was told {received.status}, ran at {runs[0].upstream}"
+            yield received.at_s, received.attempt, text
+
+
+def services_are_right(record: Record) -> Wrong:
+    """Check that a request runs at an upstream of its route's service alone."""
+    for run in record.runs.values():
+        sent = record.sent.get(run.attempt)
+        if sent is not None and run.service != SERVICES[sent.route]:
+            yield run.at_s, run.attempt, f"{sent.route} ran at {run.service}"
+
+
+def inputs_are_own(record: Record) -> Wrong:
+    """Check that stages and requests get all inputs of their own, each once."""
+    for run in record.runs.values():
+        sent = record.sent.get(run.attempt)
+        if sent is None or sent.route not in PIECES:
+            continue
+        counts = [int(count) for count in PIECES[sent.route].split(",")]
+        want = make_names(run.attempt, len(counts) - 1, counts[-1])
+        handles = get_field(run.fields, "inputs").replace(" ", "").split(",")
+        got = sorted(handle.partition("/")[2] for handle in handles)
+        if got != want:
+            yield run.at_s, run.attempt, f"inputs {got}"
+    for item in record.stage_items:
+        sent = record.sent.get(item.attempt)
+        if sent is None:
+            yield item.at_s, item.attempt, "stage work of no request"
+        elif item.stage == 0 and item.key != get_field(sent.fields, "piece-key"):
+            yield item.at_s, item.attempt, f"stage work with the key {item.key!r}"
+        elif item.stage == 1:
+            got = sorted(handle.partition("/")[2] for handle in item.inputs)
+            if got != make_names(item.attempt, 0, 2):
+                yield item.at_s, item.attempt, f"stage inputs {got}"
+
+
+def make_names(attempt: str, stage: int, count: int) -> list[str]:
+    """Return the names of all results of a stage."""
+    return sorted(f"{attempt}-{stage}-{piece}" for piece in range(count))
+
+
+def vms_live_on(record: Record) -> Wrong:
+    """Check that no process of a VM ended by itself."""
+    for ended in record.ended:
+        yield ended.at_s, "", f"{ended.vm} ended by itself with {ended.code}"
+
+
+CHECKS: tuple[Check, ...] = (
+    answers_are_own,
+    successes_have_runs,
+    statuses_are_first,
+    bodies_are_whole,
+    streams_are_in_order,
+    heads_are_the_callers,
+    bodies_are_the_callers,
+    runs_are_single,
+    promises_hold,
+    services_are_right,
+    inputs_are_own,
+    vms_live_on,
+)
+
+
+def find(record: Record) -> list[Finding]:
+    """Return what is wrong with the observations, in the sequence of time."""
+    findings = [
+        Finding(check.__name__, *wrong) for check in CHECKS for wrong in check(record)
+    ]
+    return sorted(findings, key=lambda finding: finding.at_s)
--- /dev/null
+++ b/standins/soak/faults.py
@@ -0,0 +1,138 @@
+"""Faults of a soak from outside; each is one function of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+from .fleet import Fleet, SoakVm
+from .links import Link
+
+STOP_S = 8.0
+"""The time that the program has to stop, as in its settings."""
+Fault = Callable[[Fleet, Random], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Planned:
+    """A fault that begins at `at_s` and draws all else from `seed`."""
+
+    at_s: float
+    fault: str
+    seed: int
+
+
+async def restart(fleet: Fleet, vm: SoakVm, number: signal.Signals) -> None:
+    """End the process of a VM with a signal and start it anew."""
+    if vm.is_stopping or vm.process is None:
+        return
+    vm.is_stopping = True
+    vm.send_signal(number)
+    for _ in range(int(STOP_S * 20)):
+        if vm.process.poll() is not None:
+            break
+        await asyncio.sleep(0.05)
+    vm.send_signal(signal.SIGKILL)
+    vm.process.wait()
+    vm.start(fleet.program)
+
+
+async def stop_vm(fleet: Fleet, rng: Random) -> None:
+    """Stop a VM in order and start it anew."""
+    await restart(fleet, rng.choice(fleet.vms), signal.SIGTERM)
+
+
+async def kill_vm(fleet: Fleet, rng: Random) -> None:
+    """Kill a VM and start it anew."""
+    await restart(fleet, rng.choice(fleet.vms), signal.SIGKILL)
+
+
+async def freeze_vm(fleet: Fleet, rng: Random) -> None:
+    """Let a VM stand still for a while."""
+    vm = rng.choice(fleet.vms)
+    vm.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(rng.choice((0.05, 0.3, 1.5)))
+    vm.send_signal(signal.SIGCONT)
+
+
+async def delay_link(fleet: Fleet, rng: Random) -> None:
+    """Delay the bytes of a link."""
+    link = rng.choice(fleet.links)
+    link.delay_s = rng.choice((0.01, 0.05, 0.2))
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    link.delay_s = 0.0
+
+
+async def reset_link(fleet: Fleet, rng: Random) -> None:
+    """Reset all connections of a link."""
+    rng.choice(fleet.links).reset()
+
+
+async def cut_link(fleet: Fleet, rng: Random) -> None:
+    """Hold back the bytes of a link in one direction."""
+    link: Link = rng.choice(fleet.links)
+    passing = link.passing[rng.choice(("forth", "back"))]
+    passing.clear()
+    await asyncio.sleep(rng.choice((0.05, 0.3, 1.0)))
+    passing.set()
+
+
+async def delay_store(fleet: Fleet, rng: Random) -> None:
+    """Let the store's answers come late at one VM."""
+    link = rng.choice(fleet.vms).store
+    link.delay_s = rng.choice((0.2, 0.8))
+    await asyncio.sleep(2.0)
+    link.delay_s = 0.0
+
+
+async def restart_upstream(fleet: Fleet, rng: Random) -> None:
+    """Let a new process of the same service take over an upstream's address."""
+    place = rng.choice(list(fleet.upstreams))
+    before = fleet.upstreams[place]
+    await fleet.stop_upstream(place, listed=rng.random() < 0.3)
+    await asyncio.sleep(rng.choice((0.0, 0.2, 1.0)))
+    name = f"{place}-{rng.randint(0, 2**32):x}"
+    await fleet.start_upstream(place, name, before.service)
+    await fleet.store.put("keyed.servers", before.id, None)
+
+
+async def swap_upstreams(fleet: Fleet, rng: Random) -> None:
+    """Let two upstreams of different services come back at each other's address."""
+    places = rng.sample(list(fleet.upstreams), 2)
+    services = [fleet.upstreams[place].service for place in places]
+    for place in places:
+        await fleet.stop_upstream(place, listed=False)
+    await asyncio.sleep(2.0)
+    for place, service in zip(places, reversed(services), strict=True):
+        name = f"{place}-{rng.randint(0, 2**32):x}"
+        await fleet.start_upstream(place, name, service)
+
+
+FAULTS: dict[str, Fault] = {
+    function.__name__: function
+    for function in (
+        stop_vm,
+        kill_vm,
+        freeze_vm,
+        delay_link,
+        reset_link,
+        cut_link,
+        delay_store,
+        restart_upstream,
+        swap_upstreams,
+    )
+}
+
+
+def make_schedule(rng: Random, seconds: float) -> list[Planned]:
+    """Return the faults of a soak in the sequence of their time."""
+    names = rng.sample(list(FAULTS), rng.randint(3, len(FAULTS)))
+    count = max(1, int(seconds / rng.choice((1.0, 2.0, 4.0))))
+    times = sorted(rng.uniform(0.5, seconds) for _ in range(count))
+    return [
+        Planned(round(at_s, 3), rng.choice(names), rng.randrange(2**32))
+        for at_s in times
+    ]
--- /dev/null
+++ b/standins/soak/fleet.py
@@ -0,0 +1,269 @@
+"""The processes, upstreams, links and callers of one soak."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import uvicorn
+
+from ..keyed_store import OPERATOR_TOPIC, SERVER_TOPIC, KeyedStoreServer
+from .answers import draw
+from .links import Link
+from .manifest import DATA_CENTRES, make_manifest, make_settings
+from .messages import read_head
+from .observations import Record, VmEnded
+from .upstream import SoakUpstream
+
+ROOT = Path(__file__).parent.parent.parent
+START_TIMEOUT_S = 30.0
+FIRST_PORT = 2_000
+"""Below the kernel's ephemeral ports, so that no outgoing connection uses one."""
+PORTS_PER_FLEET = 40
+UPSTREAMS = {
+    "desk-1": "desk",
+    "desk-2": "desk",
+    "engine-1": "engines",
+    "engine-2": "engines",
+    "encode-1": "encode",
+    "rank-1": "rank",
+}
+LARGE_UPSTREAMS = {
+    **UPSTREAMS,
+    "desk-3": "desk",
+    "engine-3": "engines",
+    "encode-2": "encode",
+    "rank-2": "rank",
+}
+numbers = itertools.count()
+
+
+def own_network() -> str:
+    """Return the first three octets of loopback addresses of this process alone."""
+    pid = os.getpid()
+    return f"127.{1 + pid % 250}.{pid // 250 % 250}"
+
+
+@dataclass
+class SoakVm:
+    """One VM: its process, and the links from callers and to the store.
+
+    Parameters
+    ----------
+    is_stopping : bool
+        Whether the soak itself ends the process at the moment.
+    """
+
+    name: str
+    settings_file: Path
+    log_file: Path
+    readiness: str
+    callers: Link
+    store: Link
+    process: subprocess.Popen[bytes] | None = None
+    is_stopping: bool = False
+
+    def start(self, program: Path) -> None:
+        """Start the process with the code in the folder `program`."""
+        with self.log_file.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "cuminstile.platform"],
+                cwd=program,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": str(program),
+                    "CUMINSTILE_SETTINGS": str(self.settings_file),
+                },
+            )
+        self.is_stopping = False
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+@dataclass
+class Fleet:
+    """All that one soak started.
+
+    Parameters
+    ----------
+    program : Path
+        Folder of the code that the VMs run.
+    """
+
+    folder: Path
+    record: Record
+    rng: Random
+    program: Path = ROOT
+    large: bool = False
+    network: str = field(default_factory=own_network)
+    port: int = field(
+        default_factory=lambda: FIRST_PORT + PORTS_PER_FLEET * (next(numbers) % 20)
+    )
+    store: KeyedStoreServer = field(default_factory=KeyedStoreServer)
+    vms: list[SoakVm] = field(default_factory=list)
+    upstreams: dict[str, SoakUpstream] = field(default_factory=dict)
+    upstream_links: dict[str, Link] = field(default_factory=dict)
+    runs: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    web: uvicorn.Server | None = None
+    web_task: asyncio.Task[None] | None = None
+
+    @property
+    def links(self) -> list[Link]:
+        """Return all links."""
+        links = list(self.upstream_links.values())
+        return links + [link for vm in self.vms for link in (vm.callers, vm.store)]
+
+    async def start(self) -> None:
+        """Start store, upstreams and VMs, and wait until all VMs are ready."""
+        store_host = f"{self.network}.200"
+        sockets = [socket.create_server((store_host, self.port))]
+        self.web = uvicorn.Server(uvicorn.Config(self.store.app(), log_level="error"))
+        self.web_task = asyncio.create_task(self.web.serve(sockets))
+        await self.store.put_json(OPERATOR_TOPIC, "config", make_manifest())
+        for name, service in (LARGE_UPSTREAMS if self.large else UPSTREAMS).items():
+            await self.add_upstream(name, service)
+        for number in range(4 if self.large else 2):
+            await self.add_vm(number, f"{store_host}:{self.port}")
+        for vm in self.vms:
+            await wait_ready(vm)
+
+    async def add_upstream(self, place: str, service: str) -> None:
+        """Start an upstream behind a link and write its record."""
+        link = Link(place, "")
+        await link.start(f"{self.network}.220")
+        self.upstream_links[place] = link
+        await self.start_upstream(place, place, service)
+
+    async def start_upstream(self, place: str, name: str, service: str) -> None:
+        """Start an upstream process at the address of a place."""
+        link = self.upstream_links[place]
+        upstream = SoakUpstream(
+            name,
+            service,
+            self.record,
+            Random(f"{self.rng.random()} {name}"),
+            draw,
+            self.runs,
+            born=time.time_ns() // 1_000_000,
+            shown_address=link.address,
+        )
+        await upstream.start(f"{self.network}.221")
+        link.target = upstream.address
+        self.upstreams[place] = upstream
+        await self.register(place)
+
+    async def register(self, place: str) -> None:
+        """Write the record of the upstream at a place."""
+        upstream = self.upstreams[place]
+        zone = DATA_CENTRES[list(self.upstream_links).index(place) % 2]
+        record = {
+            "service": upstream.service,
+            "address": upstream.shown_address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 16,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 1,
+            "born": upstream.born,
+        }
+        await self.store.put_json(SERVER_TOPIC, upstream.id, record)
+
+    async def stop_upstream(self, place: str, listed: bool) -> None:
+        """End the upstream at a place; its record stays if `listed`."""
+        upstream = self.upstreams[place]
+        upstream.stop()
+        self.upstream_links[place].reset()
+        if not listed:
+            await self.store.put(SERVER_TOPIC, upstream.id, None)
+
+    async def add_vm(self, number: int, store: str) -> None:
+        """Start a VM with links of its own."""
+        store_link = Link(f"vm-{number}-store", store)
+        await store_link.start(f"{self.network}.{210 + number}")
+        settings = make_settings(number, self.network, self.port, store_link.address)
+        settings_file = self.folder / f"vm-{number}.json"
+        settings_file.write_text(json.dumps(settings))
+        callers = Link(f"vm-{number}-callers", settings["listen"]["front"])
+        await callers.start(f"{self.network}.{210 + number}")
+        vm = SoakVm(
+            f"vm-{number}",
+            settings_file,
+            self.folder / f"vm-{number}.log",
+            settings["listen"]["readiness"],
+            callers,
+            store_link,
+        )
+        self.vms.append(vm)
+        vm.start(self.program)
+
+    def note_ended(self) -> None:
+        """Write down the VMs whose processes ended by themselves; start them again."""
+        for vm in self.vms:
+            if vm.is_stopping or vm.process is None or vm.process.poll() is None:
+                continue
+            code = vm.process.returncode
+            self.record.add(VmEnded(self.record.now_s(), vm.name, code))
+            vm.start(self.program)
+
+    async def stop(self) -> None:
+        """Stop all that was started."""
+        for vm in self.vms:
+            vm.is_stopping = True
+            vm.send_signal(signal.SIGKILL)
+            if vm.process is not None:
+                vm.process.wait()
+        for upstream in self.upstreams.values():
+            upstream.stop()
+        for link in self.links:
+            link.stop()
+        if self.web is not None and self.web_task is not None:
+            self.web.should_exit = True
+            self.web.force_exit = True
+            await self.web_task
+
+
+async def wait_ready(vm: SoakVm) -> None:
+    """Wait until a VM reports that it is ready.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not in time.
+    """
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < end_s:
+        try:
+            if await is_ready(vm.readiness):
+                return
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        await asyncio.sleep(0.1)
+    raise TimeoutError(f"{vm.name} is not ready after {START_TIMEOUT_S:g} s")
+
+
+async def is_ready(address: str) -> bool:
+    """Return whether the VM at an address reports that it is ready."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(b"GET /api/readyz HTTP/1.1\r\nHost: vm\r\n\r\n")
+        first, _ = await read_head(reader)
+    finally:
+        writer.close()
+    return first.split(" ")[1] == "200"
--- /dev/null
+++ b/standins/soak/links.py
@@ -0,0 +1,87 @@
+"""Relays between the programs of a soak, whose links can be disturbed."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+PIECE_BYTES = 65_536
+
+
+@dataclass
+class Link:
+    """One relayed address.
+
+    Parameters
+    ----------
+    delay_s : float
+        Delay of each piece in either direction, s.
+    passing : dict of str to asyncio.Event
+        Set while bytes pass `forth` and `back`.
+    """
+
+    name: str
+    target: str
+    address: str = ""
+    delay_s: float = 0.0
+    passing: dict[str, asyncio.Event] = field(default_factory=dict)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen on a host; a port of 0 takes a free one."""
+        for direction in ("forth", "back"):
+            self.passing[direction] = asyncio.Event()
+            self.passing[direction].set()
+        self.server = await asyncio.start_server(self.relay, host, port)
+        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+
+    async def relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Relay one connection until either end closes it."""
+        host, _, port = self.target.rpartition(":")
+        self.writers.add(writer)
+        try:
+            ahead, onward = await asyncio.open_connection(host, int(port))
+        except OSError:
+            self.writers.discard(writer)
+            writer.transport.abort()
+            return
+        self.writers.add(onward)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self.forward(reader, onward, "forth"))
+                tasks.create_task(self.forward(ahead, writer, "back"))
+        except* ConnectionError:
+            writer.transport.abort()
+            onward.transport.abort()
+        finally:
+            self.writers -= {writer, onward}
+
+    async def forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: str,
+    ) -> None:
+        """Forward bytes in one direction, and the end of the connection."""
+        while data := await reader.read(PIECE_BYTES):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            await self.passing[direction].wait()
+            writer.write(data)
+            await writer.drain()
+        await self.passing[direction].wait()
+        writer.close()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def stop(self) -> None:
+        """Listen no more and reset all connections."""
+        if self.server is not None:
+            self.server.close()
+        self.reset()
--- /dev/null
+++ b/standins/soak/observations.py
@@ -0,0 +1,168 @@
+"""What callers and upstreams saw in a soak, and the record that keeps it."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from dataclasses import asdict, dataclass, field
+from typing import TextIO
+
+Fields = tuple[tuple[str, str], ...]
+"""Head fields in the sequence of the message, with names in lower case."""
+LONGEST_TEXT = 2_000
+"""Longer bodies are kept as their digest."""
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A caller sent the request `attempt` to a VM on the route `route`."""
+
+    at_s: float
+    attempt: str
+    vm: str
+    route: str
+    method: str
+    target: str
+    fields: Fields
+    body: str
+
+
+@dataclass(frozen=True)
+class Received:
+    """A caller received an answer at the place of the answer to `attempt`."""
+
+    at_s: float
+    attempt: str
+    status: int
+    fields: Fields
+    body: str
+    complete: bool
+
+
+@dataclass(frozen=True)
+class Run:
+    """An upstream began to run a request; `run` is unique in the soak."""
+
+    at_s: float
+    run: int
+    upstream: str
+    service: str
+    attempt: str
+    method: str
+    target: str
+    fields: Fields
+    body: str
+
+
+@dataclass(frozen=True)
+class Answered:
+    """An upstream began its first answer to a run; `body` is the whole of it."""
+
+    at_s: float
+    run: int
+    status: int
+    body: str
+
+
+@dataclass(frozen=True)
+class StageItem:
+    """An upstream worked on one item of a stage call."""
+
+    at_s: float
+    upstream: str
+    service: str
+    attempt: str
+    stage: int
+    piece: int
+    key: str
+    inputs: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Disturbed:
+    """A fault of the schedule began."""
+
+    at_s: float
+    fault: str
+    target: str
+
+
+@dataclass(frozen=True)
+class VmEnded:
+    """A VM's process ended with `code` and nobody had asked for it."""
+
+    at_s: float
+    vm: str
+    code: int
+
+
+Observation = Sent | Received | Run | Answered | StageItem | Disturbed | VmEnded
+
+
+@dataclass
+class Record:
+    """All observations of one soak.
+
+    Parameters
+    ----------
+    file : TextIO or None
+        Takes one JSON line an observation.
+    """
+
+    file: TextIO | None = None
+    observations: list[Observation] = field(default_factory=list)
+    began_s: float = field(default_factory=time.monotonic)
+    sent: dict[str, Sent] = field(default_factory=dict)
+    received: list[Received] = field(default_factory=list)
+    runs: dict[int, Run] = field(default_factory=dict)
+    runs_of: dict[str, list[Run]] = field(default_factory=dict)
+    answered: dict[int, Answered] = field(default_factory=dict)
+    stage_items: list[StageItem] = field(default_factory=list)
+    ended: list[VmEnded] = field(default_factory=list)
+
+    def now_s(self) -> float:
+        """Return the seconds since the soak began."""
+        return round(time.monotonic() - self.began_s, 4)
+
+    def add(self, observation: Observation) -> None:
+        """Keep and write one observation."""
+        self.observations.append(observation)
+        self.index(observation)
+        if self.file is not None:
+            line = {"seen": type(observation).__name__, **asdict(observation)}
+            self.file.write(json.dumps(line) + "\n")
+
+    def index(self, observation: Observation) -> None:
+        """Make an observation available by what the checks ask for."""
+        match observation:
+            case Sent():
+                self.sent[observation.attempt] = observation
+            case Received():
+                self.received.append(observation)
+            case Run():
+                self.runs[observation.run] = observation
+                self.runs_of.setdefault(observation.attempt, []).append(observation)
+            case Answered():
+                self.answered.setdefault(observation.run, observation)
+            case StageItem():
+                self.stage_items.append(observation)
+            case VmEnded():
+                self.ended.append(observation)
+            case Disturbed():
+                pass
+
+
+def as_text(body: bytes) -> str:
+    """Return a body as text, or the digest of a long one."""
+    if len(body) > LONGEST_TEXT:
+        return "sha256 " + hashlib.sha256(body).hexdigest()
+    return body.decode("latin-1")
+
+
+def get_field(fields: Fields, name: str) -> str:
+    """Return the first field with a lower-case name, or an empty text."""
+    for key, value in fields:
+        if key == name:
+            return value
+    return ""
--- /dev/null
+++ b/standins/soak/soak.py
@@ -0,0 +1,126 @@
+"""One soak: faults and callers of a seed, until its time is over."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from random import Random
+
+from .callers import Caller
+from .checks import Finding, find
+from .faults import FAULTS, Planned, make_schedule
+from .fleet import ROOT, Fleet
+from .observations import Disturbed, Record
+
+CALLERS_PER_VM = 8
+SETTLE_S = 4.0
+"""Longer than the deadline of each request; then nothing may run any more."""
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What one soak found, with the number of requests that were sent and answered."""
+
+    seed: int
+    seconds: float
+    sent: int
+    received: int
+    succeeded: int
+    runs: int
+    findings: list[Finding]
+    record: Record
+
+
+async def soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    large: bool = False,
+    program: Path = ROOT,
+) -> Outcome:
+    """Run the program under the faults of a seed, and judge what was seen.
+
+    Parameters
+    ----------
+    seconds : float
+        How long callers send requests, s.
+    folder : Path
+        Takes the schedule, the observations and the logs.
+    program : Path
+        Folder of the code that the VMs run.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    rng = Random(seed)
+    schedule = make_schedule(rng, seconds)
+    plan = [asdict(planned) for planned in schedule]
+    (folder / "schedule.json").write_text(json.dumps(plan, indent=1))
+    with (folder / "observations.jsonl").open("w") as file:
+        record = Record(file)
+        fleet = Fleet(folder, record, rng, program, large)
+        try:
+            await fleet.start()
+            record.began_s = time.monotonic()
+            await disturb(fleet, seed, schedule, seconds)
+        finally:
+            await fleet.stop()
+    return judge(seed, seconds, record)
+
+
+async def disturb(
+    fleet: Fleet, seed: int, schedule: list[Planned], seconds: float
+) -> None:
+    """Let callers send requests while the faults of the schedule come and go."""
+    watching = asyncio.create_task(watch(fleet))
+    try:
+        async with asyncio.TaskGroup() as tasks:
+            for planned in schedule:
+                tasks.create_task(apply(fleet, planned))
+            for number, caller in enumerate(make_callers(fleet, seed)):
+                tasks.create_task(caller.run(seconds), name=f"caller {number}")
+        await asyncio.sleep(SETTLE_S)
+    finally:
+        watching.cancel()
+
+
+def make_callers(fleet: Fleet, seed: int) -> list[Caller]:
+    """Return the callers of all VMs."""
+    callers = []
+    for vm in fleet.vms:
+        for number in range(CALLERS_PER_VM):
+            name = f"{seed:04x}{vm.name[3:]:0>2}{number:02x}"
+            rng = Random(f"{seed} {name}")
+            callers.append(Caller(name, vm.name, vm.callers.address, fleet.record, rng))
+    return callers
+
+
+async def apply(fleet: Fleet, planned: Planned) -> None:
+    """Wait for the time of a fault and apply it."""
+    await asyncio.sleep(planned.at_s)
+    record = fleet.record
+    record.add(Disturbed(record.now_s(), planned.fault, str(planned.seed)))
+    await FAULTS[planned.fault](fleet, Random(planned.seed))
+
+
+async def watch(fleet: Fleet) -> None:
+    """Note processes that end by themselves, until cancelled."""
+    while True:
+        fleet.note_ended()
+        await asyncio.sleep(0.1)
+
+
+def judge(seed: int, seconds: float, record: Record) -> Outcome:
+    """Return the outcome of a soak."""
+    succeeded = sum(200 <= received.status < 300 for received in record.received)
+    return Outcome(
+        seed,
+        seconds,
+        len(record.sent),
+        len(record.received),
+        succeeded,
+        len(record.runs),
+        find(record),
+        record,
+    )
--- /dev/null
+++ b/standins/soak/upstream.py
@@ -0,0 +1,217 @@
+"""Upstreams of a soak, which keep a record of all that they run and answer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from .messages import read_body, read_head, render_head
+from .observations import Answered, Fields, Record, Run, StageItem, as_text, get_field
+
+EVENTS = 6
+"""Events of each stream."""
+Answer = Callable[["Exchange"], Awaitable[None]]
+
+
+@dataclass
+class SoakUpstream:
+    """One upstream, as plain service, engine or stage by the request.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service that the process belongs to.
+    draw : callable
+        Returns how to answer a request that runs.
+    shown_address : str
+        Address by which VMs reach it.
+    """
+
+    id: str
+    service: str
+    record: Record
+    rng: Random
+    draw: Callable[[Random], Answer]
+    runs: itertools.count[int]
+    born: int = 1
+    shown_address: str = ""
+    address: str = ""
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen on a host; a port of 0 takes a free one."""
+        self.server = await asyncio.start_server(self.serve, host, port)
+        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        """End as a process does: reset all connections and listen no more."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve the requests of one connection in sequence."""
+        self.writers.add(writer)
+        late: list[bytes] = []
+        try:
+            while not writer.is_closing():
+                first, fields = await read_head(reader)
+                exchange = Exchange(self, reader, writer, first, fields, late)
+                await exchange.serve()
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            writer.transport.abort()
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+@dataclass
+class Exchange:
+    """One request on a connection, and what is needed to answer it.
+
+    Parameters
+    ----------
+    late : list of bytes
+        Second answers that are sent when the next request of the connection arrives;
+        shared by the exchanges of the connection.
+    """
+
+    upstream: SoakUpstream
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    first: str
+    fields: Fields
+    late: list[bytes]
+    body: bytes = b""
+    body_read: bool = False
+    run: int = 0
+    status: int = 200
+
+    @property
+    def attempt(self) -> str:
+        """Return the id of the request."""
+        return get_field(self.fields, "attempt-id")
+
+    @property
+    def seal(self) -> str:
+        """Return the seal of the run."""
+        return f"3e1b.07.{self.run:x}"
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the request asks for a stream."""
+        return bool(get_field(self.fields, "token-count"))
+
+    async def read_body(self) -> None:
+        """Read the body of the request, once."""
+        if not self.body_read:
+            self.body_read = True
+            self.body = await read_body(self.reader, self.fields)
+
+    async def serve(self) -> None:
+        """Send what is late, then answer the request."""
+        method, target, _ = self.first.split(" ")
+        while self.late:
+            self.writer.write(self.late.pop())
+            await asyncio.sleep(self.upstream.rng.choice((0.0, 0.02)))
+        wanted = get_field(self.fields, "expect-instance")
+        if wanted not in ("", self.upstream.id):
+            await self.read_body()
+            self.refuse(421, has_id=True)
+        elif target.startswith("/api/"):
+            await self.read_body()
+            await self.serve_stage_call(target)
+        elif method == "GET" and target == "/healthz":
+            self.writer.write(
+                self.render(200, b"", [("Instance-Id", self.upstream.id)])
+            )
+        else:
+            await self.upstream.draw(self.upstream.rng)(self)
+
+    def refuse(self, status: int, has_id: bool) -> None:
+        """State that the request did not run."""
+        fields = [("Not-Executed", "1"), ("Instance-Id", self.upstream.id)]
+        if has_id:
+            fields.append(("Attempt-Id", self.attempt))
+        self.writer.write(self.render(status, b"", fields))
+
+    async def begin(self) -> None:
+        """Begin to run the request: read it and write it down."""
+        await self.read_body()
+        self.begin_unread()
+
+    def begin_unread(self) -> None:
+        """Write down a run of a request whose body may not be read yet."""
+        method, target, _ = self.first.split(" ")
+        self.run = next(self.upstream.runs)
+        body = as_text(self.body) if self.body_read else ""
+        record = self.upstream.record
+        record.add(
+            Run(
+                record.now_s(),
+                self.run,
+                self.upstream.id,
+                self.upstream.service,
+                self.attempt,
+                method,
+                target,
+                self.fields,
+                body,
+            )
+        )
+
+    def answer_body(self) -> bytes:
+        """Return the body of a plain answer, which no other run has."""
+        return f"run {self.run} of {self.attempt} at {self.upstream.id}".encode()
+
+    def note_answer(self, status: int, body: bytes) -> None:
+        """Write down the first answer to the run."""
+        self.status = status
+        record = self.upstream.record
+        record.add(Answered(record.now_s(), self.run, status, as_text(body)))
+
+    def render(self, status: int, body: bytes, fields: list[tuple[str, str]]) -> bytes:
+        """Return an answer with a length."""
+        fields = [*fields, ("Content-Length", str(len(body)))]
+        return render_head(f"HTTP/1.1 {status} Answer", fields) + body
+
+    def own_fields(self) -> list[tuple[str, str]]:
+        """Return the fields that make an answer one of this run."""
+        return [("Attempt-Id", self.attempt), ("Response-Seal", self.seal)]
+
+    async def serve_stage_call(self, target: str) -> None:
+        """Answer a call for stage work, or another call that needs no run."""
+        if target != "/api/stage-run":
+            self.writer.write(self.render(200, b"{}", []))
+            return
+        items = json.loads(self.body)["items"]
+        record = self.upstream.record
+        made = []
+        for item in items:
+            record.add(
+                StageItem(
+                    record.now_s(),
+                    self.upstream.id,
+                    self.upstream.service,
+                    item["id"],
+                    item["stage"],
+                    item["piece"],
+                    item.get("key", ""),
+                    tuple(item.get("inputs", ())),
+                )
+            )
+            name = f"{item['id']}-{item['stage']}-{item['piece']}"
+            made.append({"handle": f"{self.upstream.shown_address}/{name}"})
+        await asyncio.sleep(0.005)
+        body = json.dumps({"items": made}).encode()
+        fields = [("Content-Type", "application/json")]
+        self.writer.write(self.render(200, body, fields))
