--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -13,7 +13,10 @@
 from pathlib import Path
 from typing import NoReturn
 
+from .answers import WEIGHTS
+from .callers import HABITS
 from .checks import Finding
+from .faults import FAULTS
 from .fleet import ROOT
 from .observations import Record
 from .soak import Outcome, soak
@@ -71,6 +74,15 @@
     return folder
 
 
+def parse_name(text: str) -> str:
+    """Return the name of a fault, a way to answer or a habit of callers."""
+    known = {*FAULTS, *(way.__name__ for way in WEIGHTS), *HABITS}
+    if text not in known:
+        names = ", ".join(sorted(known))
+        raise argparse.ArgumentTypeError(f"{text!r} is none of {names}")
+    return text
+
+
 def make_parser() -> OptionParser:
     """Return the parser of the options."""
     parser = OptionParser(prog="script/soak", description=__doc__, allow_abbrev=False)
@@ -81,6 +93,9 @@
     parser.add_argument("--large", action="store_true", help="4 VMs instead of 2")
     parser.add_argument("--out", type=Path, default=Path("soak-out"), metavar="DIR")
     parser.add_argument("--program", type=parse_program, default=ROOT, metavar="DIR")
+    parser.add_argument(
+        "--without", type=parse_name, action="append", default=[], metavar="NAME"
+    )
     return parser
 
 
@@ -131,6 +146,7 @@
                 options.out / f"seed-{seed}",
                 options.large,
                 options.program,
+                frozenset(options.without),
             )
         except asyncio.CancelledError:
             print("soak: stopped", file=sys.stderr)
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -127,12 +127,18 @@
 }
 
 
-def make_schedule(rng: Random, seconds: float) -> list[Planned]:
-    """Return the faults of a soak in the sequence of their time."""
+def make_schedule(
+    rng: Random, seconds: float, without: frozenset[str] = frozenset()
+) -> list[Planned]:
+    """Return the faults of a soak in the sequence of their time.
+
+    Faults that `without` names are left out; the others stay as they are.
+    """
     names = rng.sample(list(FAULTS), rng.randint(3, len(FAULTS)))
     count = max(1, int(seconds / rng.choice((1.0, 2.0, 4.0))))
     times = sorted(rng.uniform(0.5, seconds) for _ in range(count))
-    return [
+    planned = [
         Planned(round(at_s, 3), rng.choice(names), rng.randrange(2**32))
         for at_s in times
     ]
+    return [fault for fault in planned if fault.fault not in without]
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -18,7 +18,7 @@
 import uvicorn
 
 from ..keyed_store import OPERATOR_TOPIC, SERVER_TOPIC, KeyedStoreServer
-from .answers import draw
+from .answers import make_draw
 from .links import Link
 from .manifest import DATA_CENTRES, make_manifest, make_settings
 from .messages import read_head
@@ -103,6 +103,8 @@
     ----------
     program : Path
         Folder of the code that the VMs run.
+    without : frozenset of str
+        Ways to answer that upstreams leave out.
     """
 
     folder: Path
@@ -110,6 +112,7 @@
     rng: Random
     program: Path = ROOT
     large: bool = False
+    without: frozenset[str] = frozenset()
     network: str = field(default_factory=own_network)
     port: int = field(
         default_factory=lambda: FIRST_PORT + PORTS_PER_FLEET * (next(numbers) % 20)
@@ -132,7 +135,9 @@
         """Start store, upstreams and VMs, and wait until all VMs are ready."""
         store_host = f"{self.network}.200"
         sockets = [socket.create_server((store_host, self.port))]
-        self.web = uvicorn.Server(uvicorn.Config(self.store.app(), log_level="error"))
+        self.web = uvicorn.Server(
+            uvicorn.Config(self.store.app(), log_level="error", lifespan="off")
+        )
         self.web_task = asyncio.create_task(self.web.serve(sockets))
         await self.store.put_json(OPERATOR_TOPIC, "config", make_manifest())
         for name, service in (LARGE_UPSTREAMS if self.large else UPSTREAMS).items():
@@ -157,7 +162,7 @@
             service,
             self.record,
             Random(f"{self.rng.random()} {name}"),
-            draw,
+            make_draw(self.without),
             self.runs,
             born=time.time_ns() // 1_000_000,
             shown_address=link.address,
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -40,6 +40,7 @@
     folder: Path,
     large: bool = False,
     program: Path = ROOT,
+    without: frozenset[str] = frozenset(),
 ) -> Outcome:
     """Run the program under the faults of a seed, and judge what was seen.
 
@@ -51,15 +52,17 @@
         Takes the schedule, the observations and the logs.
     program : Path
         Folder of the code that the VMs run.
+    without : frozenset of str
+        Names of faults, ways to answer and habits of callers that are left out.
     """
     folder.mkdir(parents=True, exist_ok=True)
     rng = Random(seed)
-    schedule = make_schedule(rng, seconds)
+    schedule = make_schedule(rng, seconds, without)
     plan = [asdict(planned) for planned in schedule]
     (folder / "schedule.json").write_text(json.dumps(plan, indent=1))
     with (folder / "observations.jsonl").open("w") as file:
         record = Record(file)
-        fleet = Fleet(folder, record, rng, program, large)
+        fleet = Fleet(folder, record, rng, program, large, without)
         try:
             await fleet.start()
             record.began_s = time.monotonic()
@@ -92,7 +95,11 @@
         for number in range(CALLERS_PER_VM):
             name = f"{seed:04x}{vm.name[3:]:0>2}{number:02x}"
             rng = Random(f"{seed} {name}")
-            callers.append(Caller(name, vm.name, vm.callers.address, fleet.record, rng))
+            callers.append(
+                Caller(
+                    name, vm.name, vm.callers.address, fleet.record, rng, fleet.without
+                )
+            )
     return callers
 
 
--- /dev/null
+++ b/tests/standins/test_soak.py
@@ -0,0 +1,257 @@
+"""Run short soaks of the real program, and check the soak's own checks and options."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from standins.soak.checks import CHECKS, find
+from standins.soak.faults import make_schedule
+from standins.soak.observations import (
+    Answered,
+    Observation,
+    Received,
+    Record,
+    Run,
+    Sent,
+    StageItem,
+    VmEnded,
+)
+from standins.soak.soak import soak
+
+SECONDS = 12.0
+ROOT = Path(__file__).parent.parent.parent
+BOOKING = (("attempt-id", "b1"), ("host", "shop.example"))
+DRAFT = (("attempt-id", "d1"), ("piece-key", "k1"))
+EVENTS = "".join(f"id: {number}\ndata: d1 {number}\n\n" for number in range(1, 7))
+INPUTS = ("inputs", "10.0.0.1:80/d1-1-0")
+SEAL_1 = ("response-seal", "3e1b.07.1")
+SEAL_2 = ("response-seal", "3e1b.07.2")
+
+
+def booking_observations() -> list[Observation]:
+    """Return the sound observations of a booking."""
+    return [
+        Sent(1.0, "b1", "vm-0", "book", "POST", "/book/1", BOOKING, "body"),
+        Run(1.1, 1, "desk-1", "desk", "b1", "POST", "/book/1", BOOKING, "body"),
+        Answered(1.2, 1, 200, "run 1"),
+        Received(1.3, "b1", 200, (("attempt-id", "b1"), SEAL_1), "run 1", True),
+    ]
+
+
+def draft_observations() -> list[Observation]:
+    """Return the sound observations of a stream with stages."""
+    head = (*DRAFT, INPUTS)
+    stored = ("10.0.0.1:80/d1-0-0", "10.0.0.1:80/d1-0-1")
+    return [
+        Sent(2.0, "d1", "vm-0", "draft", "POST", "/draft/1", DRAFT, ""),
+        StageItem(2.1, "encode-1", "encode", "d1", 0, 0, "k1", ()),
+        StageItem(2.1, "encode-1", "encode", "d1", 0, 1, "k1", ()),
+        StageItem(2.2, "rank-1", "rank", "d1", 1, 0, "", stored),
+        Run(2.3, 2, "engine-1", "engines", "d1", "POST", "/draft/1", head, ""),
+        Answered(2.4, 2, 200, EVENTS),
+        Received(2.5, "d1", 200, (("attempt-id", "d1"), SEAL_2), EVENTS, True),
+    ]
+
+
+def judge(observations: list[Observation]) -> set[str]:
+    """Return the names of the checks that find something."""
+    record = Record()
+    for observation in observations:
+        record.add(observation)
+    return {finding.check for finding in find(record)}
+
+
+def changed(kind: type[Observation], **changes: object) -> list[Observation]:
+    """Return the sound observations, those of one kind of the booking changed."""
+    booking = [
+        replace(observation, **changes)
+        if isinstance(observation, kind)
+        else observation
+        for observation in booking_observations()
+    ]
+    return [*booking, *draft_observations()]
+
+
+def changed_draft(kind: type[Observation], **changes: object) -> list[Observation]:
+    """Return the sound observations, those of one kind of the stream changed."""
+    return [
+        replace(observation, **changes)
+        if isinstance(observation, kind)
+        else observation
+        for observation in draft_observations()
+    ]
+
+
+RAN_AGAIN = Run(1.4, 3, "desk-2", "desk", "b1", "POST", "/book/1", BOOKING, "body")
+FOREIGN = EVENTS.replace("d1 3", "d2 3")
+TWICE = EVENTS.replace("id: 3\ndata: d1 3", "id: 2\ndata: d1 2")
+PLANTED = {
+    "answers_are_own": [
+        changed(Received, fields=(("attempt-id", "b2"), SEAL_1)),
+        changed(Received, fields=(SEAL_1,)),
+        changed(Received, status=502, fields=(("attempt-id", "b2"),)),
+    ],
+    "successes_have_runs": [
+        changed(Received, fields=(("attempt-id", "b1"),)),
+        changed(Received, fields=(("attempt-id", "b1"), SEAL_2)),
+    ],
+    "statuses_are_first": [
+        changed(Answered, status=500),
+        changed(Received, status=500),
+    ],
+    "bodies_are_whole": [
+        changed(Received, body="run"),
+        changed(Received, body="run 2"),
+    ],
+    "streams_are_in_order": [
+        changed_draft(Received, body=FOREIGN),
+        changed_draft(Received, body=TWICE),
+        changed_draft(Received, body=EVENTS[:-20]),
+        changed_draft(Received, body=EVENTS[20:], complete=False),
+    ],
+    "heads_are_the_callers": [
+        changed(Run, fields=(*BOOKING, ("attempt-id", "b2"))),
+        changed(Run, fields=(*BOOKING, ("cookie", "a=b"))),
+        changed(Run, fields=(*BOOKING, ("tenant", "x"), ("tenant", "y"))),
+        changed(Run, fields=BOOKING[:1]),
+        changed(Run, target="/book/2"),
+        changed(Run, attempt="b2"),
+    ],
+    "bodies_are_the_callers": [changed(Run, body="another body")],
+    "runs_are_single": [[*booking_observations(), RAN_AGAIN]],
+    "promises_hold": [
+        changed(Received, status=status, fields=()) for status in (408, 421, 429, 503)
+    ],
+    "services_are_right": [changed(Run, service="engines")],
+    "inputs_are_own": [
+        changed_draft(Run, fields=(*DRAFT, ("inputs", "10.0.0.1:80/d2-1-0"))),
+        changed_draft(Run, fields=(*DRAFT, ("inputs", "10.0.0.1:80/d1-0-0"))),
+        changed_draft(Run, fields=DRAFT),
+        changed_draft(StageItem, key="k2"),
+        changed_draft(StageItem, inputs=("10.0.0.1:80/d1-0-0",)),
+        changed_draft(StageItem, attempt="d2"),
+    ],
+    "vms_live_on": [[VmEnded(3.0, "vm-0", 1)]],
+}
+
+
+def test_each_check_has_planted_observations():
+    assert set(PLANTED) == {check.__name__ for check in CHECKS}
+
+
+def test_sound_observations_have_no_findings():
+    assert judge([*booking_observations(), *draft_observations()]) == set()
+
+
+def test_incomplete_answers_and_failures_have_no_findings():
+    cut = changed_draft(Received, body=EVENTS[:-20], complete=False)
+    failed = changed(Received, status=502, fields=(), body="")
+    assert judge(cut) == set()
+    assert judge(failed) == set()
+
+
+@pytest.mark.parametrize(
+    ("check", "observations"),
+    [(name, planted) for name, cases in PLANTED.items() for planted in cases],
+)
+def test_check_finds_planted_observation(check, observations):
+    """Guards against a check that passes what it is there to find."""
+    assert check in judge(observations)
+
+
+def test_same_seed_gives_the_same_schedule():
+    schedules = [make_schedule(Random(7), 20.0) for _ in range(2)]
+    assert schedules[0] == schedules[1]
+    left_out = schedules[0][0].fault
+    fewer = make_schedule(Random(7), 20.0, frozenset({left_out}))
+    assert fewer == [fault for fault in schedules[0] if fault.fault != left_out]
+
+
+def run_soak(folder, seed, without=frozenset()):
+    outcome = asyncio.run(soak(seed, SECONDS, folder, without=without))
+    lines = (folder / "observations.jsonl").read_text().splitlines()
+    assert len(lines) == len(outcome.record.observations)
+    assert json.loads((folder / "schedule.json").read_text())
+    assert outcome.succeeded > outcome.sent / 4
+    return outcome.findings
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("seed", [2, 3])
+def test_soak_finds_nothing(tmp_path, seed):
+    """Guards against answers, runs and promises that are wrong under faults."""
+    assert run_soak(tmp_path, seed, frozenset({"trailers"})) == []
+
+
+@pytest.mark.process
+def test_soak_with_trailers_finds_nothing(tmp_path):
+    """Guards against fields behind a caller's body that reach an upstream."""
+    assert run_soak(tmp_path, 1) == []
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        ["--seed", "x"],
+        ["--seeds", "5-1"],
+        ["--seeds", "5"],
+        ["--seconds", "0"],
+        ["--without", "nothing"],
+        ["--program", "/nowhere"],
+        ["--unknown"],
+        ["--seed", "1", "--seeds", "1-2"],
+    ],
+)
+def test_bad_option_gets_one_error_line(options):
+    command = [sys.executable, "-m", "standins.soak", *options]
+    ended = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    assert ended.returncode == 2
+    assert ended.stdout == ""
+    assert len(ended.stderr.splitlines()) == 1
+    assert ended.stderr.startswith("soak: bad_option: ")
+
+
+def children_of(pid: int) -> list[int]:
+    """Return the ids of the child processes of a process."""
+    text = Path(f"/proc/{pid}/task/{pid}/children").read_text()
+    return [int(child) for child in text.split()]
+
+
+def is_running(pid: int) -> bool:
+    """Return whether a process exists."""
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_stopped_soak_leaves_no_process(tmp_path, number):
+    """Guards against VMs that go on after the soak was stopped."""
+    command = [sys.executable, "-m", "standins.soak", "--out", str(tmp_path)]
+    process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE)
+    try:
+        observations = tmp_path / "seed-0" / "observations.jsonl"
+        end_s = time.monotonic() + 30.0
+        while not (observations.exists() and observations.stat().st_size):
+            assert time.monotonic() < end_s
+            time.sleep(0.1)
+        children = children_of(process.pid)
+        assert len(children) == 2
+        process.send_signal(number)
+        assert process.wait(10.0) == 130
+        assert not any(is_running(child) for child in children)
+    finally:
+        process.kill()
+        process.communicate()
