Draw how stage upstreams of the soak answer, with a new handle for each result

Cause: answers to calls for stage work have no id; the soak answered each call soundly. Change: calls are refused, torn, worked on in vain and answered twice; each result has a handle of its own, as a copy of an answer names results that were made before.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -20,6 +20,7 @@
 from .fleet import ROOT
 from .observations import Record
 from .soak import Outcome, soak
+from .stage_answers import STAGE_WEIGHTS
 
 BAD_OPTION_STATUS = 2
 FOUND_STATUS = 1
@@ -76,7 +77,8 @@
 
 def parse_name(text: str) -> str:
     """Return the name of a fault, a way to answer or a habit of callers."""
-    known = {*FAULTS, *(way.__name__ for way in WEIGHTS), *HABITS}
+    ways = {way.__name__ for way in (*WEIGHTS, *STAGE_WEIGHTS)}
+    known = {*FAULTS, *ways, *HABITS}
     if text not in known:
         names = ", ".join(sorted(known))
         raise argparse.ArgumentTypeError(f"{text!r} is none of {names}")
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -4,7 +4,7 @@
 
 import re
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from .manifest import PIECES, REPEATABLE, SERVICES, STREAMS
@@ -203,7 +203,7 @@
         counts = [int(count) for count in PIECES[sent.route].split(",")]
         want = make_names(run.attempt, len(counts) - 1, counts[-1])
         handles = get_field(run.fields, "inputs").replace(" ", "").split(",")
-        got = sorted(handle.partition("/")[2] for handle in handles)
+        got = read_names(handles)
         if got != want:
             yield run.at_s, run.attempt, f"inputs {got}"
     for item in record.stage_items:
@@ -213,11 +213,17 @@
         elif item.stage == 0 and item.key != get_field(sent.fields, "piece-key"):
             yield item.at_s, item.attempt, f"stage work with the key {item.key!r}"
         elif item.stage == 1:
-            got = sorted(handle.partition("/")[2] for handle in item.inputs)
+            got = read_names(item.inputs)
             if got != make_names(item.attempt, 0, 2):
                 yield item.at_s, item.attempt, f"stage inputs {got}"
 
 
+def read_names(handles: Iterable[str]) -> list[str]:
+    """Return request, stage and piece of the results that handles are for."""
+    paths = (handle.partition("/")[2] for handle in handles)
+    return sorted(path.rpartition("-")[0] for path in paths)
+
+
 def make_names(attempt: str, stage: int, count: int) -> list[str]:
     """Return the names of all results of a stage."""
     return sorted(f"{attempt}-{stage}-{piece}" for piece in range(count))
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -23,6 +23,7 @@
 from .manifest import DATA_CENTRES, make_manifest, make_settings
 from .messages import read_head
 from .observations import Record, VmEnded
+from .stage_answers import make_stage_draw
 from .upstream import SoakUpstream
 
 ROOT = Path(__file__).parent.parent.parent
@@ -163,6 +164,7 @@
             self.record,
             Random(f"{self.rng.random()} {name}"),
             make_draw(self.without),
+            make_stage_draw(self.without),
             self.runs,
             born=time.time_ns() // 1_000_000,
             shown_address=link.address,
--- /dev/null
+++ b/standins/soak/stage_answers.py
@@ -0,0 +1,112 @@
+"""How an upstream of a soak answers a call for stage work; each way is one function."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from random import Random
+
+from .observations import StageItem
+from .upstream import Answer, Exchange
+
+WORK_S = (0.002, 0.01, 0.05)
+JSON = ("Content-Type", "application/json")
+
+
+def make_results(exchange: Exchange) -> bytes:
+    """Work on the items of a call and return the answer with their results."""
+    made = [{"handle": make_handle(exchange, item)} for item in read_items(exchange)]
+    return exchange.render(200, json.dumps({"items": made}).encode(), [JSON])
+
+
+def read_items(exchange: Exchange) -> list[StageItem]:
+    """Return the items of a call."""
+    record, upstream = exchange.upstream.record, exchange.upstream
+    return [
+        StageItem(
+            record.now_s(),
+            upstream.id,
+            upstream.service,
+            item["id"],
+            item["stage"],
+            item["piece"],
+            item.get("key", ""),
+            tuple(item.get("inputs", ())),
+        )
+        for item in json.loads(exchange.body)["items"]
+    ]
+
+
+def make_handle(exchange: Exchange, item: StageItem) -> str:
+    """Note the work on an item and return the handle of its result."""
+    exchange.upstream.record.add(item)
+    name = f"{item.attempt}-{item.stage}-{item.piece}"
+    number = next(exchange.upstream.runs)
+    return f"{exchange.upstream.shown_address}/{name}-{number:x}"
+
+
+async def work(exchange: Exchange) -> None:
+    """Work and answer."""
+    await asyncio.sleep(exchange.upstream.rng.choice(WORK_S))
+    exchange.writer.write(make_results(exchange))
+
+
+async def refuse_work(exchange: Exchange) -> None:
+    """Refuse the call."""
+    exchange.writer.write(exchange.render(503, b"", [("Not-Executed", "1")]))
+
+
+async def fail_items(exchange: Exchange) -> None:
+    """Answer that no item could be worked on."""
+    made = [{"reason": "error"} for _ in read_items(exchange)]
+    body = json.dumps({"items": made}).encode()
+    exchange.writer.write(exchange.render(200, body, [JSON]))
+
+
+async def work_in_vain(exchange: Exchange) -> None:
+    """Work and reset the connection."""
+    make_results(exchange)
+    exchange.writer.transport.abort()
+
+
+async def tear_results(exchange: Exchange) -> None:
+    """Break off the answer in its middle."""
+    exchange.writer.write(make_results(exchange)[:-5])
+    await exchange.writer.drain()
+    exchange.writer.close()
+
+
+async def answer_work_twice(exchange: Exchange) -> None:
+    """Answer, and send a second answer when the next call arrives, or before it."""
+    rng = exchange.upstream.rng
+    results = make_results(exchange)
+    refusal = exchange.render(503, b"", [("Not-Executed", "1")])
+    second = results if rng.random() < 0.7 else refusal
+    exchange.writer.write(results)
+    if rng.random() < 0.7:
+        exchange.late.append(second)
+        return
+    await asyncio.sleep(rng.choice(WORK_S))
+    exchange.writer.write(second)
+
+
+STAGE_WEIGHTS: dict[Answer, int] = {
+    work: 80,
+    refuse_work: 2,
+    fail_items: 2,
+    work_in_vain: 2,
+    tear_results: 2,
+    answer_work_twice: 12,
+}
+"""How often each way to answer is drawn."""
+
+
+def make_stage_draw(without: frozenset[str]) -> Callable[[Random], Answer]:
+    """Return a function that draws how to answer; `without` names ways left out."""
+
+    def draw(rng: Random) -> Answer:
+        way = rng.choices(list(STAGE_WEIGHTS), list(STAGE_WEIGHTS.values()))[0]
+        return work if way.__name__ in without else way
+
+    return draw
--- a/standins/soak/upstream.py
+++ b/standins/soak/upstream.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import itertools
-import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from .messages import read_body, read_head, render_head
-from .observations import Answered, Fields, Record, Run, StageItem, as_text, get_field
+from .observations import Answered, Fields, Record, Run, as_text, get_field
 
 EVENTS = 6
 """Events of each stream."""
@@ -25,8 +24,8 @@
     ----------
     service : str
         Name of the service that the process belongs to.
-    draw : callable
-        Returns how to answer a request that runs.
+    draw, draw_stage : callable
+        Return how to answer a request, and a call for stage work.
     shown_address : str
         Address by which VMs reach it.
     """
@@ -36,6 +35,7 @@
     record: Record
     rng: Random
     draw: Callable[[Random], Answer]
+    draw_stage: Callable[[Random], Answer]
     runs: itertools.count[int]
     born: int = 1
     shown_address: str = ""
@@ -190,28 +190,7 @@
 
     async def serve_stage_call(self, target: str) -> None:
         """Answer a call for stage work, or another call that needs no run."""
-        if target != "/api/stage-run":
+        if target == "/api/stage-run":
+            await self.upstream.draw_stage(self.upstream.rng)(self)
+        else:
             self.writer.write(self.render(200, b"{}", []))
-            return
-        items = json.loads(self.body)["items"]
-        record = self.upstream.record
-        made = []
-        for item in items:
-            record.add(
-                StageItem(
-                    record.now_s(),
-                    self.upstream.id,
-                    self.upstream.service,
-                    item["id"],
-                    item["stage"],
-                    item["piece"],
-                    item.get("key", ""),
-                    tuple(item.get("inputs", ())),
-                )
-            )
-            name = f"{item['id']}-{item['stage']}-{item['piece']}"
-            made.append({"handle": f"{self.upstream.shown_address}/{name}"})
-        await asyncio.sleep(0.005)
-        body = json.dumps({"items": made}).encode()
-        fields = [("Content-Type", "application/json")]
-        self.writer.write(self.render(200, body, fields))
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -32,7 +32,7 @@
 BOOKING = (("attempt-id", "b1"), ("host", "shop.example"))
 DRAFT = (("attempt-id", "d1"), ("piece-key", "k1"))
 EVENTS = "".join(f"id: {number}\ndata: d1 {number}\n\n" for number in range(1, 7))
-INPUTS = ("inputs", "10.0.0.1:80/d1-1-0")
+INPUTS = ("inputs", "10.0.0.1:80/d1-1-0-9")
 SEAL_1 = ("response-seal", "3e1b.07.1")
 SEAL_2 = ("response-seal", "3e1b.07.2")
 
@@ -50,7 +50,7 @@
 def draft_observations() -> list[Observation]:
     """Return the sound observations of a stream with stages."""
     head = (*DRAFT, INPUTS)
-    stored = ("10.0.0.1:80/d1-0-0", "10.0.0.1:80/d1-0-1")
+    stored = ("10.0.0.1:80/d1-0-0-9", "10.0.0.1:80/d1-0-1-9")
     return [
         Sent(2.0, "d1", "vm-0", "draft", "POST", "/draft/1", DRAFT, ""),
         StageItem(2.1, "encode-1", "encode", "d1", 0, 0, "k1", ()),
@@ -133,11 +133,11 @@
     ],
     "services_are_right": [changed(Run, service="engines")],
     "inputs_are_own": [
-        changed_draft(Run, fields=(*DRAFT, ("inputs", "10.0.0.1:80/d2-1-0"))),
-        changed_draft(Run, fields=(*DRAFT, ("inputs", "10.0.0.1:80/d1-0-0"))),
+        changed_draft(Run, fields=(*DRAFT, ("inputs", "10.0.0.1:80/d2-1-0-9"))),
+        changed_draft(Run, fields=(*DRAFT, ("inputs", "10.0.0.1:80/d1-0-0-9"))),
         changed_draft(Run, fields=DRAFT),
         changed_draft(StageItem, key="k2"),
-        changed_draft(StageItem, inputs=("10.0.0.1:80/d1-0-0",)),
+        changed_draft(StageItem, inputs=("10.0.0.1:80/d1-0-0-9",)),
         changed_draft(StageItem, attempt="d2"),
     ],
     "vms_live_on": [[VmEnded(3.0, "vm-0", 1)]],
