--- a/standins/soak/answers.py
+++ b/standins/soak/answers.py
@@ -10,6 +10,8 @@
 from .upstream import EVENTS, Answer, Exchange
 
 WORK_S = (0.001, 0.005, 0.03, 0.12)
+FAILURES = (500, 500, 500, 503, 429, 404)
+"""Statuses of failures; some state elsewhere that a request did not run."""
 CHUNKED = ("Transfer-Encoding", "chunked")
 
 
@@ -59,9 +61,10 @@
     """Run the request and answer with a failure."""
     await exchange.begin()
     await asyncio.sleep(exchange.upstream.rng.choice(WORK_S))
+    status = exchange.upstream.rng.choice(FAILURES)
     body = exchange.answer_body()
-    exchange.note_answer(500, body)
-    exchange.writer.write(exchange.render(500, body, exchange.own_fields()))
+    exchange.note_answer(status, body)
+    exchange.writer.write(exchange.render(status, body, exchange.own_fields()))
 
 
 async def refuse(exchange: Exchange) -> None:
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -137,7 +137,7 @@
         store_host = f"{self.network}.200"
         sockets = [socket.create_server((store_host, self.port))]
         self.web = uvicorn.Server(
-            uvicorn.Config(self.store.app(), log_level="error", lifespan="off")
+            uvicorn.Config(self.store.app(), log_level="critical", lifespan="off")
         )
         self.web_task = asyncio.create_task(self.web.serve(sockets))
         await self.store.put_json(OPERATOR_TOPIC, "config", make_manifest())
--- /dev/null
+++ b/trials/planted_faults/faults.py
@@ -0,0 +1,89 @@
+"""The planted faults, each as a piece of code and what takes its place."""
+
+from __future__ import annotations
+
+import shutil
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+UPSTREAM_ANSWERS = "cuminstile/gateway/sending.py"
+
+
+class StalePatchError(Exception):
+    """The code that a fault replaces is not there exactly once."""
+
+
+@dataclass(frozen=True)
+class PlantedFault:
+    """A piece of a file and its replacement.
+
+    Parameters
+    ----------
+    file : str
+        Path from the root of the repository.
+    """
+
+    name: str
+    file: str
+    code: str
+    replacement: str
+
+    def plant(self, folder: Path) -> None:
+        """Write a copy of the program with the fault to a folder.
+
+        Raises
+        ------
+        StalePatchError
+            If the code has changed, so that the fault can't be planted.
+        """
+        shutil.copytree(
+            ROOT / "cuminstile",
+            folder / "cuminstile",
+            ignore=shutil.ignore_patterns("__pycache__"),
+            dirs_exist_ok=True,
+        )
+        text = (ROOT / self.file).read_text()
+        if text.count(self.code) != 1:
+            raise StalePatchError(f"{self.name}: {self.file} has changed")
+        (folder / self.file).write_text(text.replace(self.code, self.replacement))
+
+
+FAULTS = (
+    PlantedFault(
+        "the id of an answer is not compared",
+        UPSTREAM_ANSWERS,
+        "if not call.fields.attempt_id or fields.attempt_id == call.fields.attempt_id:",
+        "if True:",
+    ),
+    PlantedFault(
+        "a refusal without an id is believed on a used connection",
+        UPSTREAM_ANSWERS,
+        "if fields.attempt_id or connection.requests > 1:",
+        "if fields.attempt_id:",
+    ),
+    PlantedFault(
+        "an answer without an id is passed over",
+        UPSTREAM_ANSWERS,
+        "if not fields.attempt_id:\n            raise",
+        "if False:\n            raise",
+    ),
+    PlantedFault(
+        "a status that promises no run is passed on after a run",
+        UPSTREAM_ANSWERS,
+        "if head.status not in NOT_RUN_STATUSES:",
+        "if True:",
+    ),
+    PlantedFault(
+        "a stage answer is matched by its place",
+        "cuminstile/gateway/stage_calls.py",
+        "if connection.handles.get(outcome.handle, name) != name:",
+        "if False:",
+    ),
+    PlantedFault(
+        "a torn stream ends as complete",
+        "cuminstile/gateway/http_client.py",
+        "            and not self.framed\n",
+        "",
+    ),
+)
