Check in the soak that idle connections of callers stay quiet

Cause: a success on a connection with no request waiting was seen by no check. Change: a caller looks at a kept connection before it uses it, and notes bytes. Measured: the tests of the soak pass; the check finds its planted observation.

--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -9,7 +9,7 @@
 
 from .manifest import DEADLINE_MS, KEY, PIECES, ROUTES, STREAMS
 from .messages import read_answer_body, read_head, render_chunks, render_head
-from .observations import Fields, Received, Record, Sent, as_text, get_field
+from .observations import Fields, Received, Record, Sent, Unasked, as_text, get_field
 
 ANSWER_TIMEOUT_S = 6.0
 """Twice the deadline of each request."""
@@ -76,6 +76,7 @@
 
     async def send_next(self) -> None:
         """Send one request, and receive its answer unless the caller gives up."""
+        await self.check_idle()
         if self.writer is None:
             host, _, port = self.address.rpartition(":")
             self.reader, self.writer = await asyncio.open_connection(host, int(port))
@@ -96,6 +97,19 @@
                 if draw < 0.2:
                     self.hang_up()
 
+    async def check_idle(self) -> None:
+        """Leave a kept connection that was closed or on which bytes came unasked."""
+        if self.reader is None or self.waiting:
+            return
+        try:
+            async with asyncio.timeout(0.001):
+                data = await self.reader.read(1)
+        except TimeoutError:
+            return
+        if data:
+            self.record.add(Unasked(self.record.now_s(), self.vm))
+        self.hang_up()
+
     def prepare(self) -> Prepared:
         """Return the next request."""
         rng = self.rng
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -229,6 +229,12 @@
     return sorted(f"{attempt}-{stage}-{piece}" for piece in range(count))
 
 
+def idle_connections_are_quiet(record: Record) -> Wrong:
+    """Check that no bytes come to a caller that waits for none."""
+    for unasked in record.unasked:
+        yield unasked.at_s, "", f"{unasked.vm} sent bytes that nobody waited for"
+
+
 def vms_live_on(record: Record) -> Wrong:
     """Check that no process of a VM ended by itself."""
     for ended in record.ended:
@@ -247,6 +253,7 @@
     promises_hold,
     services_are_right,
     inputs_are_own,
+    idle_connections_are_quiet,
     vms_live_on,
 )
 
--- a/standins/soak/observations.py
+++ b/standins/soak/observations.py
@@ -79,6 +79,14 @@
     inputs: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class Unasked:
+    """A caller received a byte on a connection on which no request waited."""
+
+    at_s: float
+    vm: str
+
+
 @dataclass(frozen=True)
 class Disturbed:
     """A fault of the schedule began."""
@@ -97,7 +105,9 @@
     code: int
 
 
-Observation = Sent | Received | Run | Answered | StageItem | Disturbed | VmEnded
+Observation = (
+    Sent | Received | Run | Answered | StageItem | Disturbed | VmEnded | Unasked
+)
 
 
 @dataclass
@@ -120,6 +130,7 @@
     answered: dict[int, Answered] = field(default_factory=dict)
     stage_items: list[StageItem] = field(default_factory=list)
     ended: list[VmEnded] = field(default_factory=list)
+    unasked: list[Unasked] = field(default_factory=list)
 
     def now_s(self) -> float:
         """Return the seconds since the soak began."""
@@ -149,6 +160,8 @@
                 self.stage_items.append(observation)
             case VmEnded():
                 self.ended.append(observation)
+            case Unasked():
+                self.unasked.append(observation)
             case Disturbed():
                 pass
 
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -23,6 +23,7 @@
     Run,
     Sent,
     StageItem,
+    Unasked,
     VmEnded,
 )
 from standins.soak.soak import soak
@@ -140,6 +141,7 @@
         changed_draft(StageItem, inputs=("10.0.0.1:80/d1-0-0-9",)),
         changed_draft(StageItem, attempt="d2"),
     ],
+    "idle_connections_are_quiet": [[Unasked(3.0, "vm-0")]],
     "vms_live_on": [[VmEnded(3.0, "vm-0", 1)]],
 }
 
