Show that results of stage work done again are taken for those of the next call

Cause: an answer to a call for stage work has no id. A copy of one is recognized by its handles; second results of the same call have new handles and are matched by place.

--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass
 from random import Random
 
+from ..keyed_store import OPERATOR_TOPIC, SERVER_TOPIC
 from .fleet import Fleet, SoakVm
 from .links import Link
+from .manifest import DATA_CENTRES, make_manifest
 
 STOP_S = 8.0
 """The time that the program has to stop, as in its settings."""
@@ -96,7 +98,7 @@
     await asyncio.sleep(rng.choice((0.0, 0.2, 1.0)))
     name = f"{place}-{rng.randint(0, 2**32):x}"
     await fleet.start_upstream(place, name, before.service)
-    await fleet.store.put("keyed.servers", before.id, None)
+    await fleet.store.put(SERVER_TOPIC, before.id, None)
 
 
 async def swap_upstreams(fleet: Fleet, rng: Random) -> None:
@@ -111,6 +113,34 @@
         await fleet.start_upstream(place, name, service)
 
 
+async def drain_upstream(fleet: Fleet, rng: Random) -> None:
+    """Let an upstream say that it leaves, end, and come back under a new id."""
+    place = rng.choice(list(fleet.upstreams))
+    before = fleet.upstreams[place]
+    await fleet.register(place, state="draining")
+    await asyncio.sleep(2.0)
+    if fleet.upstreams[place] is not before:
+        return
+    await fleet.stop_upstream(place, listed=False)
+    name = f"{place}-{rng.randint(0, 2**32):x}"
+    await fleet.start_upstream(place, name, before.service)
+
+
+async def change_manifest(fleet: Fleet, rng: Random) -> None:
+    """Put a new version of the manifest in force."""
+    fleet.version += rng.randint(1, 5)
+    manifest = {**make_manifest(), "version": fleet.version}
+    await fleet.store.put_json(OPERATOR_TOPIC, "config", manifest)
+
+
+async def evacuate(fleet: Fleet, rng: Random) -> None:
+    """Ask for a while that the upstreams of a data centre get no requests."""
+    key = f"evacuate/{rng.choice(DATA_CENTRES)}"
+    await fleet.store.put_json(OPERATOR_TOPIC, key, {})
+    await asyncio.sleep(rng.uniform(1.0, 3.0))
+    await fleet.store.put(OPERATOR_TOPIC, key, None)
+
+
 FAULTS: dict[str, Fault] = {
     function.__name__: function
     for function in (
@@ -123,6 +153,9 @@
         delay_store,
         restart_upstream,
         swap_upstreams,
+        drain_upstream,
+        change_manifest,
+        evacuate,
     )
 }
 
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -123,6 +123,7 @@
     upstreams: dict[str, SoakUpstream] = field(default_factory=dict)
     upstream_links: dict[str, Link] = field(default_factory=dict)
     runs: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    version: int = 1
     web: uvicorn.Server | None = None
     web_task: asyncio.Task[None] | None = None
 
@@ -174,7 +175,7 @@
         self.upstreams[place] = upstream
         await self.register(place)
 
-    async def register(self, place: str) -> None:
+    async def register(self, place: str, state: str = "ready") -> None:
         """Write the record of the upstream at a place."""
         upstream = self.upstreams[place]
         zone = DATA_CENTRES[list(self.upstream_links).index(place) % 2]
@@ -184,7 +185,7 @@
             "zone": zone,
             "version": "v1",
             "slots": 16,
-            "state": "ready",
+            "state": state,
             "cold_remaining_ms": 0,
             "seq": 1,
             "born": upstream.born,
--- a/standins/soak/stage_answers.py
+++ b/standins/soak/stage_answers.py
@@ -91,6 +91,12 @@
     exchange.writer.write(second)
 
 
+async def work_again(exchange: Exchange) -> None:
+    """Answer, work a second time, and send those results when the next call arrives."""
+    await work(exchange)
+    exchange.late.append(make_results(exchange))
+
+
 STAGE_WEIGHTS: dict[Answer, int] = {
     work: 80,
     refuse_work: 2,
@@ -98,6 +104,7 @@
     work_in_vain: 2,
     tear_results: 2,
     answer_work_twice: 12,
+    work_again: 4,
 }
 """How often each way to answer is drawn."""
 
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -191,13 +191,19 @@
 @pytest.mark.parametrize("seed", [2, 3])
 def test_soak_finds_nothing(tmp_path, seed):
     """Guards against answers, runs and promises that are wrong under faults."""
-    assert run_soak(tmp_path, seed, frozenset({"trailers"})) == []
+    assert run_soak(tmp_path, seed, frozenset({"trailers", "work_again"})) == []
 
 
 @pytest.mark.process
 def test_soak_with_trailers_finds_nothing(tmp_path):
     """Guards against fields behind a caller's body that reach an upstream."""
-    assert run_soak(tmp_path, 1) == []
+    assert run_soak(tmp_path, 1, frozenset({"work_again"})) == []
+
+
+@pytest.mark.process
+def test_soak_with_stage_work_done_again_finds_nothing(tmp_path):
+    """Guards against results of one stage call taken for those of the next."""
+    assert run_soak(tmp_path, 1, frozenset({"trailers"})) == []
 
 
 @pytest.mark.parametrize(
