--- a/cuminstile/gateway/upstream_protocol.py
+++ b/cuminstile/gateway/upstream_protocol.py
@@ -29,6 +29,8 @@
         Input of the first stages.
     resumed : bool
         Whether the caller resumes a stream that broke off.
+    repeated : str
+        Name of a header that stands more than once and must not, empty if none does.
     """
 
     attempt_id: str
@@ -40,6 +42,7 @@
     item_counts: tuple[int, ...] = ()
     item_key: str = ""
     resumed: bool = False
+    repeated: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,11 +115,14 @@
         Returns the headers of a request to an upstream.
     read_answer : callable
         Decodes status and headers of an upstream's answer.
+    read_in_answers : frozenset of bytes
+        Lower-case names of the headers that `read_answer` reads.
     """
 
     read_call: Callable[[RawHeaders], CallFields]
     forwarded_headers: Callable[[RawHeaders, Dispatch], list[tuple[bytes, bytes]]]
     read_answer: Callable[[int, RawHeaders], AnswerFields]
+    read_in_answers: frozenset[bytes]
 
 
 @dataclass(frozen=True, slots=True)
