--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -418,7 +418,7 @@
         """Discard the results of items of a chain, so that they run again."""
         for item in items:
             self.planner.discard_result(item)
-        self.planner.dequeue_blocked_items(chain)
+        dequeue_blocked_items(chain)
         self.planner.queue_startable(chain, self.clock.now_ms())
 
     def notify_if_failed(self, chain: Chain | None) -> None:
