--- a/cuminstile/platform/headers.py
+++ b/cuminstile/platform/headers.py
@@ -4,6 +4,7 @@
 
 import math
 
+from ..gateway.connection_headers import nominated_headers
 from ..gateway.model import PromptPart
 from ..gateway.upstream_protocol import (
     AnswerFields,
@@ -14,6 +15,7 @@
 )
 
 ATTEMPT_ID = b"attempt-id"
+MODEL = b"model"
 DEADLINE = b"deadline-ms"
 AUTHORIZATION = b"authorization"
 BEARER = b"bearer "
@@ -41,6 +43,34 @@
 MAX_ITEMS_PER_STAGE = 10_000
 """A larger number counts as malformed: no upstream could hold so many work items."""
 
+SINGULAR = frozenset(
+    {
+        ATTEMPT_ID,
+        AUTHORIZATION,
+        DEADLINE,
+        MODEL,
+        TOKEN_COUNT,
+        PROMPT_PREFIX,
+        ITEM_COUNTS,
+        ITEM_KEY,
+        LAST_EVENT,
+    }
+)
+"""Headers that may stand only once: one value is checked, and an upstream might read
+another."""
+KEPT = SINGULAR | {b"host"}
+"""Headers that were checked: a caller can't keep them from the upstream."""
+READ_IN_ANSWERS = frozenset(
+    {
+        ATTEMPT_ID,
+        RESPONSE_SEAL,
+        NOT_EXECUTED,
+        SERVER_LEAVING,
+        RETRY_AFTER,
+        INSTANCE_LOAD,
+        INSTANCE_ID,
+    }
+)
 NOT_FORWARDED = frozenset(
     {
         b"connection",
@@ -86,9 +116,20 @@
         item_counts=parse_item_counts(values.get(ITEM_COUNTS, b"")),
         item_key=values.get(ITEM_KEY, b"").decode("latin-1"),
         resumed=LAST_EVENT in values,
+        repeated=find_repeated(headers) if len(values) < len(headers) else "",
     )
 
 
+def find_repeated(headers: RawHeaders) -> str:
+    """Return the first name that stands twice and may not, empty if none does."""
+    seen: set[bytes] = set()
+    for name, _ in headers:
+        if name in seen and name in SINGULAR:
+            return name.decode("latin-1")
+        seen.add(name)
+    return ""
+
+
 def parse_positive_ms(value: bytes | None) -> float | None:
     """Return a positive number of ms below 1e9, None if it is absent or malformed."""
     try:
@@ -138,7 +179,8 @@
     headers: RawHeaders, dispatch: Dispatch
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request that is forwarded to an upstream."""
-    forwarded = [(n, v) for n, v in headers if n not in NOT_FORWARDED]
+    dropped = NOT_FORWARDED | (nominated_headers(headers) - KEPT)
+    forwarded = [(n, v) for n, v in headers if n not in dropped]
     forwarded.append((DEADLINE, b"%d" % max(1, int(dispatch.left_ms))))
     forwarded.append((EXPECT_INSTANCE, dispatch.upstream_id.encode("latin-1")))
     if dispatch.organisation is not None:
@@ -159,7 +201,7 @@
     values = dict(reversed(headers))
     instance = values.get(INSTANCE_ID, b"").decode("latin-1")
     return AnswerFields(
-        attempt_id=values.get(ATTEMPT_ID, b"").decode("latin-1"),
+        attempt_id=read_attempt_id(headers),
         sealed=RESPONSE_SEAL in values,
         not_run=NOT_EXECUTED in values,
         misdirected_to=instance if status == 421 else "",
@@ -169,6 +211,12 @@
     )
 
 
+def read_attempt_id(headers: RawHeaders) -> str:
+    """Return the id of the request that an answer names, "" for none or several."""
+    ids = {value for name, value in headers if name == ATTEMPT_ID}
+    return ids.pop().decode("latin-1") if len(ids) == 1 else ""
+
+
 def parse_retry_after(value: bytes | None) -> float:
     """Return a time in seconds as ms, at most `MAX_RETRY_AFTER_MS`.
 
@@ -191,4 +239,4 @@
     return int(numbers[0]), int(numbers[1]), int(numbers[2])
 
 
-PROTOCOL = UpstreamProtocol(read_call, forwarded_headers, read_answer)
+PROTOCOL = UpstreamProtocol(read_call, forwarded_headers, read_answer, READ_IN_ANSWERS)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -37,6 +37,8 @@
 """Time after which a data centre that is taken out gets no more requests."""
 ENDLESS_BYTES = 16 * 1024 * 1024
 """Maximum bytes read of an endless answer, including the network's buffers."""
+GRACE_S = 4.0
+"""Time from SIGTERM to the forced end of a VM whose settings were changed."""
 DRAIN_S = 2.0
 """Time after which a draining upstream gets no more requests."""
 
@@ -385,6 +387,29 @@
     assert "b" not in site.upstreams["desk-2"].ran
 
 
+@pytest.mark.parametrize("removed", [False, True])
+async def test_older_write_that_the_store_carries_out_late_changes_nothing(
+    site: Site, removed: bool
+) -> None:
+    """Guards against a leaving upstream that gets requests again by its older write."""
+    await site.register("desk-1", "desk", state="draining", seq=7)
+    if removed:
+        await asyncio.sleep(1.0)
+        await site.store.put(SERVER_TOPIC, "desk-1", None)
+    await asyncio.sleep(DRAIN_S)
+    await site.register("desk-1", "desk", seq=6)
+    await asyncio.sleep(1.0)
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert answer.status == 200
+    assert site.upstreams["desk-1"].ran == []
+    await site.register("desk-1", "desk", seq=0, born=2)
+    await site.store.put(SERVER_TOPIC, "desk-2", None)
+    await asyncio.sleep(DRAIN_S)
+    answer = await call(site.vms[0].address, "GET", "/look/x", fields("b"))
+    assert site.upstreams["desk-1"].ran == ["b"]
+
+
 async def test_data_centre_that_is_taken_out_gets_no_requests(site: Site) -> None:
     await site.store.put_json(OPERATOR_TOPIC, "evacuate/a", {})
     await until(lambda: site.vms[0].events("data_centres_taken_out"))
@@ -408,6 +433,36 @@
     assert site.upstreams["desk-2"].ran == []
 
 
+async def test_second_order_does_not_let_the_first_version_through(site: Site) -> None:
+    """Guards against a version without a verdict that a later order sets free."""
+    for target in ("v2", "v3"):
+        order = {"service": "desk", "target": target, "duration_s": 12}
+        await site.store.put_json(OPERATOR_TOPIC, "rollout/desk", order)
+        await asyncio.sleep(MANIFEST_S)
+    await site.register("desk-2", "desk", version="v2", seq=7)
+    await asyncio.sleep(1.0)
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert answer.status == 200
+    assert site.upstreams["desk-2"].ran == []
+
+
+async def test_order_back_to_the_version_in_service_holds_back_the_other(
+    site: Site,
+) -> None:
+    """Guards against an order back that leaves a version without a verdict alone."""
+    for target in ("v2", "v1"):
+        order = {"service": "desk", "target": target, "duration_s": 12}
+        await site.store.put_json(OPERATOR_TOPIC, "rollout/desk", order)
+        await asyncio.sleep(MANIFEST_S)
+    await site.register("desk-2", "desk", version="v2", seq=7)
+    await asyncio.sleep(1.0)
+    for number in range(6):
+        answer = await call(site.vms[0].address, "GET", "/look/x", fields(f"a{number}"))
+        assert answer.status == 200
+    assert site.upstreams["desk-2"].ran == []
+
+
 async def test_trimmed_topic_is_read_again(site: Site) -> None:
     await site.store.refuse_calls()
     await until(lambda: site.vms[0].events("platform_lost"))
@@ -525,6 +580,69 @@
     assert answer.status == 200
 
 
+async def test_changed_settings_are_applied_or_named_as_needing_a_restart(
+    site: Site,
+) -> None:
+    """Guards against changed settings that neither hold nor are named in the log."""
+    vm = site.vms[0]
+    settings = json.loads(vm.settings_file.read_text())
+    settings["bounds"]["grace_s"] = GRACE_S
+    settings["zone"] = "b"
+    vm.settings_file.write_text(json.dumps(settings))
+    vm.process.send_signal(signal.SIGHUP)
+    await until(lambda: vm.events("settings_read_again"))
+    (event,) = vm.events("settings_read_again")
+    assert (event.get("applied"), event.get("restart")) == (
+        "shutdown_ms",
+        "data_centre",
+    )
+    for upstream in site.upstreams.values():
+        upstream.work_s = 2 * GRACE_S
+    calling = asyncio.create_task(call(vm.address, "GET", "/look/x", fields("a1")))
+    await asyncio.sleep(0.2)
+    vm.process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(vm.process.wait, GRACE_S)
+    await asyncio.gather(calling, return_exceptions=True)
+
+
+@pytest.fixture
+async def importing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> AsyncIterator[Site]:
+    """Return a site with a VM whose process has begun to import its modules."""
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    site = Site(tmp_path)
+    try:
+        await site.start(vms=0)
+        vm = site.start_vm(0)
+        await until(lambda: "anyio" in vm.log_file.read_text())
+        yield site
+    finally:
+        await site.stop()
+
+
+async def test_sighup_during_the_start_does_not_end_the_program(
+    importing: Site,
+) -> None:
+    """Guards against a process that a signal ends before it has a handler."""
+    vm = importing.vms[0]
+    vm.process.send_signal(signal.SIGHUP)
+    await importing.wait_ready(vm)
+    await until(lambda: vm.events("settings_read_again"))
+    assert vm.process.poll() is None
+
+
+async def test_sigterm_during_the_start_ends_the_program_in_order(
+    importing: Site,
+) -> None:
+    """Guards against a process that a signal ends before it has a handler."""
+    vm = importing.vms[0]
+    vm.process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(vm.process.wait, 10.0)
+    assert vm.process.returncode == 0
+    assert vm.events("vm_stopped")
+
+
 async def test_invalid_settings_end_the_program_with_all_findings(
     tmp_path: Path,
 ) -> None:
