--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -15,6 +15,7 @@
 from .crash_state import CrashGuard, fingerprint_of
 from .handover import completed_items
 from .http_client import ConnectionLostError, NoListenerError
+from .lost_results import dequeue_blocked_items
 from .model import Manifest
 from .returning_callers import ReturningCallers
 from .stage_calls import StageAnswer, StageCaller, by_upstream
