--- a/tests/gateway/test_stage_calls.py
+++ b/tests/gateway/test_stage_calls.py
@@ -477,3 +477,31 @@
             await asyncio.sleep(source.choice((0.0, 0.0, work_ms)) / 1_000.0)
         await asyncio.sleep(2 * work_ms / 1_000.0)
     assert set(foreign_of(handles)) <= doubted
+
+
+async def test_upstream_that_answered_twice_gets_a_connection_for_each_call() -> None:
+    """Guards against further second answers of an upstream that was seen to repeat.
+
+    Its calls take differing times, so that none of them comes too soon.
+    """
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            items = await read_items(reader)
+            writer.write(answer_of(items, False))
+            await asyncio.sleep(0.02)
+            writer.write(made_again(items))
+
+    vm = make_vm(Clock())
+    caller = vm.scheduler.caller
+    async with serving(session) as (address, begun):
+        worker = Worker("w", "s", address, "a")
+        answer = await caller.run(worker, [item(0)], WORK_MS)
+        assert answer.outcomes[0].handle == "h:1/r0"
+        await asyncio.sleep(0.05)
+        for number in range(1, 6):
+            answer = await caller.run(worker, [item(number)], WORK_MS)
+            assert answer.outcomes[0].handle == f"h:1/r{number}"
+        assert len(begun) == 6
