Give each stage call to an upstream that answered twice its own connection

Change: an upstream from which a second answer was seen (bytes while a connection is idle, an answer too soon, two answers at once) gets a new connection for each call until it is gone. On a new connection the first answer is the call's own.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -78,6 +78,9 @@
     on_doubt : callable
         Called with an upstream's id and the handles of an answer which turns out to be
         that to another call, as another answer came after it.
+    repeating : set of str
+        The upstreams that were seen to answer twice. Each call to them gets a
+        connection of its own.
     unproven : mapping of HttpConnection to tuple of str
         The handles of the last answer on each connection, unless it was the first.
     """
@@ -88,6 +91,7 @@
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     first_ms: dict[str, float] = field(default_factory=dict)
     on_doubt: Callable[[str, tuple[str, ...]], None] = field(default=lambda *_: None)
+    repeating: set[str] = field(default_factory=set)
     unproven: WeakKeyDictionary[HttpConnection, tuple[str, ...]] = field(
         default_factory=WeakKeyDictionary
     )
@@ -127,6 +131,8 @@
                 self.check_own_answer(
                     worker, connection, items, answer, least_ms, took_ms
                 )
+                if worker.id in self.repeating:
+                    connection.close("the upstream was seen to answer twice")
             self.doubt_if_another_comes(worker.id, connection, answer)
         except TimeoutError as error:
             raise ConnectionLostError(
@@ -157,6 +163,7 @@
     def drop(self, upstream_id: str) -> None:
         """Close the idle connections to an upstream that is gone."""
         self.first_ms.pop(upstream_id, None)
+        self.repeating.discard(upstream_id)
         self.pool.drop(upstream_id)
         self.pool.drop(f"{upstream_id} free")
 
@@ -230,9 +237,11 @@
             self.first_ms[worker.id] = took_ms
             return
         if has_more(connection):
+            self.repeating.add(worker.id)
             raise ConnectionLostError("another answer came with it", sent=True)
         early_ms = min(least_ms, self.first_ms.get(worker.id, 0.0)) * EARLY_SHARE
         if early_ms >= MIN_EARLY_MS and took_ms < early_ms:
+            self.repeating.add(worker.id)
             self.doubt_last_answer(worker.id, connection)
             raise ConnectionLostError("answer is sooner than the work", sent=True)
 
@@ -240,14 +249,14 @@
         self, upstream_id: str, connection: HttpConnection, answer: StageAnswer
     ) -> None:
         """Have an answer doubted if bytes come before the next call."""
-        if connection.requests == 1:
-            return
-        handles = tuple(o.handle for o in answer.outcomes if o.handle)
-        self.unproven[connection] = handles
+        if connection.requests > 1:
+            handles = tuple(o.handle for o in answer.outcomes if o.handle)
+            self.unproven[connection] = handles
         log_unexpected = connection.on_unexpected
 
         def on_unexpected(data: bytes) -> None:
             log_unexpected(data)
+            self.repeating.add(upstream_id)
             self.doubt_last_answer(upstream_id, connection)
 
         connection.on_unexpected = on_unexpected
