Refuse answers that are too soon to short stage calls, too

Change: the time below which nothing is said of an answer is 2 ms instead of 10, so calls with a fixed part of 3 ms or more are covered.

--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -37,7 +37,7 @@
 """Share of the duration of any call before which an answer with results is not the
 call's own. Of a second answer and the one that it displaces, one comes that soon if
 items take little of the time and the next call follows at once."""
-MIN_EARLY_MS = 10.0
+MIN_EARLY_MS = 2.0
 """Such times below this say nothing: the network may take as long."""
 FREE_TIMEOUT_MS = 1_000.0
 """How long an upstream may take to free results; they expire without that too."""
