Share the fixtures of sites and the replacing of upstreams among tests

The fixture of a crash site stood in three files of tests/platform, that of a site in six, and three tests in one file built a site themselves; two files replaced the upstreams by one of their own with the same lines. They now stand in conftest.py, `site.running_site` and own_upstreams.py.

Each test keeps its id (383 collected before and after, compared) and its checks. Of tests/platform 99 tests were run, from each file that changed: 99 pass.

--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -9,6 +9,8 @@
 import subprocess
 import sys
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -295,6 +297,17 @@
             await self.web_task
 
 
+@asynccontextmanager
+async def running_site(folder: Path, vms: int = 1) -> AsyncIterator[Site]:
+    """Run a site with some VMs, and stop all that was started there."""
+    site = Site(folder)
+    try:
+        await site.start(vms)
+        yield site
+    finally:
+        await site.stop()
+
+
 def fields(attempt: str, **more: str) -> dict[str, str]:
     """Return the headers of a request."""
     headers = {
--- a/tests/platform/test_broken_promises.py
+++ b/tests/platform/test_broken_promises.py
@@ -2,16 +2,13 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
-from pathlib import Path
-from types import SimpleNamespace
 
 import pytest
 
 from standins.gateway_upstream import read_request
-from standins.keyed_store import SERVER_TOPIC
 
 from .crash_site import headers_for
+from .own_upstreams import replace_upstreams
 from .site import Answer, Site, call
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
@@ -66,26 +63,11 @@
             writer.close()
 
 
-@pytest.fixture
-async def site(tmp_path: Path) -> AsyncIterator[Site]:
-    running = Site(tmp_path)
-    try:
-        await running.start(1)
-        yield running
-    finally:
-        await running.stop()
-
-
-async def replace_upstreams(site: Site, upstream: RunningUpstream) -> None:
+async def prepare(site: Site, upstream: RunningUpstream) -> None:
     """Let one upstream serve the services of all routes, under two names each."""
-    for name in ("desk-1", "desk-2", "engine-1"):
-        await site.store.put(SERVER_TOPIC, name, None)
-    server = await asyncio.start_server(upstream.session, f"{site.network}.221", 0)
-    site.servers.append(server)
-    address = f"{site.network}.221:{server.sockets[0].getsockname()[1]}"
-    for number, service in itertools.product(range(2), ("desk", "engines")):
-        site.upstreams[f"{service}-r{number}"] = SimpleNamespace(address=address)  # type: ignore[assignment]
-        await site.register(f"{service}-r{number}", service, slots=1_000)
+    pairs = itertools.product(range(2), ("desk", "engines"))
+    services = {f"{service}-r{number}": service for number, service in pairs}
+    await replace_upstreams(site, upstream.session, services)
     await asyncio.sleep(1.5)
 
 
@@ -102,7 +84,7 @@
 # on the status with which its upstream answered after the run.
 async def test_status_of_a_run_is_no_promise_that_there_was_none(site: Site) -> None:
     upstream = RunningUpstream()
-    await replace_upstreams(site, upstream)
+    await prepare(site, upstream)
     numbers = itertools.count()
     broken, twice = [], []
     for status, form, target in itertools.product(PROMISES, FORMS, TARGETS):
@@ -125,7 +107,7 @@
 ) -> None:
     upstream = RunningUpstream()
     upstream.status, upstream.refuses = status, True
-    await replace_upstreams(site, upstream)
+    await prepare(site, upstream)
     for number, target in enumerate(TARGETS):
         answer = await send(site, target, number)
         assert answer is not None
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -4,16 +4,14 @@
 import itertools
 import random
 import time
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
-from pathlib import Path
 
 import pytest
 
 from standins.keyed_store import OPERATOR_TOPIC
 
 from .crash_site import CrashSite, stream_routes
-from .site import Answer, Site, call, fields, make_manifest
+from .site import Answer, call, fields, make_manifest
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 UPSTREAMS = 6
@@ -66,23 +64,12 @@
         return len(begun) / max(1, len(answers))
 
 
-@pytest.fixture
-async def crash_site(
-    tmp_path: Path, request: pytest.FixtureRequest
-) -> AsyncIterator[CrashSite]:
-    site = Site(tmp_path)
-    try:
-        await site.start(vms=request.param)
-        yield CrashSite(site, crash_part=BAD_PART)
-    finally:
-        await site.stop()
-
-
 async def prepare(crash_site: CrashSite, case: Case) -> None:
     """Start the upstreams, and add routes of streams without stages."""
     manifest = make_manifest(2)
     manifest["routes"] += stream_routes()
     await crash_site.site.store.put_json(OPERATOR_TOPIC, "config", manifest)
+    crash_site.crash_part = BAD_PART
     crash_site.crash_after_events = case.crash_after_events
     await crash_site.fill(case.service, UPSTREAMS)
     await asyncio.sleep(2.5)
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -1,13 +1,11 @@
 """Test cuminstile.platform as a program with a request that crashes upstreams."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
 from .crash_site import CrashSite, served_share
-from .site import Answer, Site
+from .site import Answer
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 UPSTREAMS = 6
@@ -22,18 +20,6 @@
 """Share of the other requests to serve, with up to three of six upstreams away."""
 
 
-@pytest.fixture
-async def crash_site(
-    tmp_path: Path, request: pytest.FixtureRequest
-) -> AsyncIterator[CrashSite]:
-    site = Site(tmp_path)
-    try:
-        await site.start(vms=request.param)
-        yield CrashSite(site)
-    finally:
-        await site.stop()
-
-
 async def send_both(
     crash_site: CrashSite, target: str, service: str
 ) -> tuple[list[Answer | None], float]:
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -3,17 +3,16 @@
 import asyncio
 import itertools
 import time
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from pathlib import Path
-from types import SimpleNamespace
 
 import pytest
 
 from standins.gateway_upstream import read_request
-from standins.keyed_store import OPERATOR_TOPIC, SERVER_TOPIC
+from standins.keyed_store import OPERATOR_TOPIC
 
 from .crash_site import headers_for
+from .own_upstreams import replace_upstreams
 from .site import Answer, RunningVm, Site, call, make_manifest, make_route, make_service
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
@@ -90,16 +89,6 @@
             writer.close()
 
 
-@pytest.fixture
-async def site(tmp_path: Path) -> AsyncIterator[Site]:
-    running = Site(tmp_path)
-    try:
-        await running.start(1)
-        yield running
-    finally:
-        await running.stop()
-
-
 async def prepare(site: Site, upstream: EndlessUpstream) -> None:
     """Let the upstream serve whole answers and streams; add a sound service."""
     manifest = make_manifest(2)
@@ -107,14 +96,8 @@
     manifest["routes"].append(make_route("chat", "streaming", "engines"))
     manifest["services"].append(make_service("fine"))
     await site.store.put_json(OPERATOR_TOPIC, "config", manifest)
-    for name in ("desk-1", "desk-2", "engine-1"):
-        await site.store.put(SERVER_TOPIC, name, None)
-    server = await asyncio.start_server(upstream.session, f"{site.network}.221", 0)
-    site.servers.append(server)
-    address = f"{site.network}.221:{server.sockets[0].getsockname()[1]}"
-    for service in ("desk", "engines"):
-        site.upstreams[f"{service}-bad"] = SimpleNamespace(address=address)  # type: ignore[assignment]
-        await site.register(f"{service}-bad", service, slots=1_000)
+    services = {f"{service}-bad": service for service in ("desk", "engines")}
+    await replace_upstreams(site, upstream.session, services)
     await site.add_upstream("fine-1", "fine")
     await asyncio.sleep(2.5)
 
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -1,8 +1,6 @@
 """Test cuminstile.platform as a program with keys that are taken away."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from pathlib import Path
 from typing import Any
 
 import pytest
@@ -19,13 +17,8 @@
 
 
 @pytest.fixture
-async def site(tmp_path: Path) -> AsyncIterator[Site]:
-    running = Site(tmp_path)
-    try:
-        await running.start(VMS)
-        yield running
-    finally:
-        await running.stop()
+def vm_count() -> int:
+    return VMS
 
 
 async def publish(site: Site, version: int, **changes: Any) -> None:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -3,9 +3,7 @@
 import asyncio
 import itertools
 import signal
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
-from pathlib import Path
 
 import pytest
 
@@ -34,16 +32,6 @@
     numbers: itertools.count = field(default_factory=itertools.count)
 
 
-@pytest.fixture
-async def site(tmp_path: Path, request: pytest.FixtureRequest) -> AsyncIterator[Site]:
-    site = Site(tmp_path)
-    try:
-        await site.start(vms=request.param)
-        yield site
-    finally:
-        await site.stop()
-
-
 async def keep_calling(site: Site, target: str, calls: Calls) -> None:
     """Send one request after the other to the first VM until it takes no more.
 
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -26,6 +26,7 @@
     make_route,
     read_answer,
     render,
+    running_site,
 )
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
@@ -41,16 +42,6 @@
 """Time after which a draining upstream gets no more requests."""
 
 
-@pytest.fixture
-async def site(tmp_path: Path) -> AsyncIterator[Site]:
-    running = Site(tmp_path)
-    try:
-        await running.start()
-        yield running
-    finally:
-        await running.stop()
-
-
 def received_by(site: Site, *names: str) -> list:
     return [received for name in names for received in site.upstreams[name].received]
 
@@ -545,27 +536,17 @@
         assert f": {place}" in line["error"] or f":{place}" in line["error"]
 
 
-async def test_other_vm_schedules_when_the_scheduler_is_killed(
-    tmp_path: Path,
-) -> None:
-    site = Site(tmp_path)
-    try:
-        await site.start(vms=2)
-        await until(lambda: all(vm.events("vm_heard") for vm in site.vms))
-        for vm in site.vms:
-            answer = await call(
-                vm.address, "POST", "/draft/x", draft_fields("a1"), b"p"
-            )
-            assert answer.complete
-        await until(lambda: all(vm.events("chain_judged") for vm in site.vms))
-        judged = {vm.address: vm.events("chain_judged")[0] for vm in site.vms}
-        (left,) = [vm for vm in site.vms if judged[vm.address]["scheduler"] != "here"]
-        (scheduler,) = [vm for vm in site.vms if vm is not left]
-        scheduler.process.kill()
-        answer = await call(left.address, "POST", "/draft/x", draft_fields("a2"), b"p")
-        assert (answer.status, answer.complete) == (200, True)
-    finally:
-        await site.stop()
+async def test_other_vm_schedules_when_the_scheduler_is_killed(pair: Site) -> None:
+    for vm in pair.vms:
+        answer = await call(vm.address, "POST", "/draft/x", draft_fields("a1"), b"p")
+        assert answer.complete
+    await until(lambda: all(vm.events("chain_judged") for vm in pair.vms))
+    judged = {vm.address: vm.events("chain_judged")[0] for vm in pair.vms}
+    (left,) = [vm for vm in pair.vms if judged[vm.address]["scheduler"] != "here"]
+    (scheduler,) = [vm for vm in pair.vms if vm is not left]
+    scheduler.process.kill()
+    answer = await call(left.address, "POST", "/draft/x", draft_fields("a2"), b"p")
+    assert (answer.status, answer.complete) == (200, True)
 
 
 async def test_staged_work_is_handed_over_when_its_scheduler_is_stopped(
@@ -613,13 +594,9 @@
 
 @pytest.fixture
 async def pair(tmp_path: Path) -> AsyncIterator[Site]:
-    running = Site(tmp_path)
-    try:
-        await running.start(vms=2)
+    async with running_site(tmp_path, vms=2) as running:
         await until(lambda: all(vm.events("vm_heard") for vm in running.vms))
         yield running
-    finally:
-        await running.stop()
 
 
 @pytest.mark.parametrize("silently", [False, True])
@@ -667,38 +644,28 @@
 
 
 async def test_vm_without_the_store_gets_the_manifest_from_another_vm(
-    tmp_path: Path,
+    site: Site,
 ) -> None:
-    site = Site(tmp_path)
-    try:
-        await site.start()
-        await site.store.refuse_calls()
-        late = site.start_vm(1)
-        await until(lambda: late.events("manifest_in_force"), 10.0)
-        assert late.events("manifest_in_force")[0]["source"] == "vm-0"
-        await site.wait_ready(late)
-        answer = await call(late.address, "GET", "/look/x", fields("a1"))
-        assert answer.status == 200
-    finally:
-        await site.stop()
+    await site.store.refuse_calls()
+    late = site.start_vm(1)
+    await until(lambda: late.events("manifest_in_force"), 10.0)
+    assert late.events("manifest_in_force")[0]["source"] == "vm-0"
+    await site.wait_ready(late)
+    answer = await call(late.address, "GET", "/look/x", fields("a1"))
+    assert answer.status == 200
 
 
-async def test_vm_without_a_manifest_answers_503(tmp_path: Path) -> None:
-    site = Site(tmp_path)
-    try:
-        await site.start()
-        await site.store.refuse_calls()
-        site.vms[0].process.kill()
-        site.vms[0].process.wait()
-        alone = site.start_vm(2)
-        await until(lambda: alone.events("vm_started"), 10.0)
-        for headers in (fields("a1"), fields("a2", Authorization=f"Bearer no{KEY}")):
-            answer = await call(alone.address, "GET", "/look/x", headers)
-            assert answer.status == 503
-        ready = await call(alone.readiness, "GET", "/api/readyz", {})
-        assert ready.status == 503
-    finally:
-        await site.stop()
+async def test_vm_without_a_manifest_answers_503(site: Site) -> None:
+    await site.store.refuse_calls()
+    site.vms[0].process.kill()
+    site.vms[0].process.wait()
+    alone = site.start_vm(2)
+    await until(lambda: alone.events("vm_started"), 10.0)
+    for headers in (fields("a1"), fields("a2", Authorization=f"Bearer no{KEY}")):
+        answer = await call(alone.address, "GET", "/look/x", headers)
+        assert answer.status == 503
+    ready = await call(alone.readiness, "GET", "/api/readyz", {})
+    assert ready.status == 503
 
 
 async def test_stages_run_again_when_a_result_is_lost(site: Site) -> None:
--- a/tests/platform/test_sound_requests.py
+++ b/tests/platform/test_sound_requests.py
@@ -3,9 +3,8 @@
 import asyncio
 import itertools
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from pathlib import Path
 
 import pytest
 
@@ -13,7 +12,7 @@
 from standins.keyed_store import OPERATOR_TOPIC
 
 from .crash_site import RESTART_S, CrashSite, stream_routes
-from .site import Answer, Site, call, fields, make_manifest, make_service
+from .site import Answer, call, fields, make_manifest, make_service
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 UPSTREAMS = 5
@@ -103,18 +102,6 @@
                 writer.transport.abort()
 
 
-@pytest.fixture
-async def crash_site(
-    tmp_path: Path, request: pytest.FixtureRequest
-) -> AsyncIterator[CrashSite]:
-    site = Site(tmp_path)
-    try:
-        await site.start(vms=request.param)
-        yield CrashSite(site)
-    finally:
-        await site.stop()
-
-
 async def prepare(crash_site: CrashSite, case: Case) -> None:
     """Start the upstreams, and add routes of streams without stages."""
     manifest = make_manifest(2)
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -3,8 +3,6 @@
 import asyncio
 import itertools
 import time
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
@@ -32,13 +30,8 @@
 
 
 @pytest.fixture
-async def site(tmp_path: Path) -> AsyncIterator[Site]:
-    running = Site(tmp_path)
-    try:
-        await running.start(VMS)
-        yield running
-    finally:
-        await running.stop()
+def vm_count() -> int:
+    return VMS
 
 
 async def load(site: Site, target: str) -> list[Answer]:
