--- a/tests/gateway/test_lost_results.py
+++ b/tests/gateway/test_lost_results.py
@@ -1,15 +1,24 @@
 """Test cuminstile.gateway.lost_results: what is computed again after a loss."""
 
+from cuminstile.gateway.batch_planner import BatchPlanner
+from cuminstile.gateway.chain import WorkItem
+
 from .planners import complete_all, make_planner, make_spec, worker_of
 
 
+def make_second_call(counts: tuple[int, int]) -> tuple[BatchPlanner, list[WorkItem]]:
+    """Return a planner whose first stage ran at `a0`, and the call then at `b0`."""
+    planner = make_planner()
+    planner.add(make_spec("r", counts))
+    worker = worker_of(planner, "a0")
+    complete_all(planner, worker, planner.assign_batch(worker, 0.0))
+    return planner, planner.assign_batch(worker_of(planner, "b0"), 300.0)
+
+
 def test_no_item_starts_without_its_inputs_after_one_was_lost() -> None:
     """Guards against items called without an input that a crashed upstream stored."""
-    planner = make_planner()
-    planner.add(make_spec("r", (3, 4)))
+    planner, batch = make_second_call((3, 4))
     first, second = worker_of(planner, "a0"), worker_of(planner, "b0")
-    complete_all(planner, first, planner.assign_batch(first, 0.0))
-    batch = planner.assign_batch(second, 300.0)
     planner.record_call_ended(second)
     planner.recompute_inputs(batch[0])
     for item in batch:
@@ -23,11 +32,7 @@
 
 
 def test_queued_pieces_wait_again_when_their_inputs_are_lost_meanwhile() -> None:
-    planner = make_planner()
-    planner.add(make_spec("r", (2, 20)))
-    first, second = worker_of(planner, "a0"), worker_of(planner, "b0")
-    complete_all(planner, first, planner.assign_batch(first, 0.0))
-    batch = planner.assign_batch(second, 300.0)
+    planner, batch = make_second_call((2, 20))
     planner.recompute_inputs(batch[0])
     assert planner.assign_batch(worker_of(planner, "b1"), 900.0) == []
 
@@ -66,11 +71,8 @@
 
 
 def test_all_inputs_are_recomputed_if_no_upstream_is_suspected() -> None:
-    planner = make_planner()
-    planner.add(make_spec("r", (3, 4)))
+    planner, batch = make_second_call((3, 4))
     first, second = worker_of(planner, "a0"), worker_of(planner, "b0")
-    complete_all(planner, first, planner.assign_batch(first, 0.0))
-    batch = planner.assign_batch(second, 300.0)
     planner.record_call_ended(second)
     for item in batch:
         planner.recompute_inputs(item, 600.0, {"a3"})
