Answer HEAD without a body, and wait for none from an upstream

Cause: the server wrote the body of every answer, refusals too, which callers read as the next answer; the client waited for the body that the head of an answer states, so HEAD on a route timed out. Change: the server sends only the head, with a length if it is known and not 0; the client ends an answer to HEAD with its head. Bytes of a body that come all the same close the connection, and the next request gets a parser of its own.

--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -114,8 +114,9 @@
     `refused_attempts` holds the ids of attempts that were refused on the connection,
     `handles` the stored results that were returned on it with the items they are of.
     `ended_by_peer` is true if the peer closed or reset the connection, as its process
-    does when it ends. `on_unexpected` is called with bytes that come while no request
-    is in progress.
+    does when it ends. `to_head` is true if the last request has the method HEAD: its
+    answer ends with its head, whatever length that states. `on_unexpected` is called
+    with bytes that come while no request is in progress.
     """
 
     def __init__(self) -> None:
@@ -129,6 +130,8 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.framed = True
         self.receiving_body = False
+        self.to_head = False
+        self.surplus = False
         self.in_use = False
         self.sent = False
         self.requests = 0
@@ -182,6 +185,9 @@
             self.enqueue_pieces()
             self.close(f"invalid HTTP answer: {error}")
             return False
+        if self.surplus:
+            self.close("received a body in an answer to HEAD")
+            return False
         self.enqueue_pieces()
         self.overhead_bytes = 0 if self.progressed else self.overhead_bytes + len(data)
         if self.overhead_bytes > MAX_HEAD_BYTES:
@@ -242,11 +248,13 @@
                 self.apply_keep_alive(value)
         if status in NO_BODY_STATUSES:
             length = 0
-        self.framed = chunked or length is not None
+        self.framed = chunked or length is not None or self.to_head
         if not self.framed:
             self.keep_alive = False
-        self.receiving_body = True
+        self.receiving_body = not self.to_head
         self.enqueue(AnswerHead(status, tuple(self.headers), length))
+        if self.to_head:
+            self.enqueue(AnswerEnd())
 
     def apply_keep_alive(self, value: bytes) -> None:
         """Apply the keep-alive timeout that the peer states."""
@@ -257,6 +265,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body until the bytes that came with it are parsed."""
+        if not self.receiving_body:
+            self.surplus = True
+            return
         self.pieces.append(body)
         self.small_pieces_received += len(body) < SMALL_PIECE_BYTES
 
@@ -353,6 +364,9 @@
         """
         if self.lost is not None or self.transport is None:
             raise ConnectionLostError(self.lost or "connection is not open", sent=False)
+        if self.to_head:
+            self.parser = httptools.HttpResponseParser(self)
+        self.to_head = data.startswith(b"HEAD ")
         self.in_use = True
         self.sent = True
         self.requests += 1
--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -124,7 +124,6 @@
         self.request: Request | None = None
         self.scope: anyio.CancelScope | None = None
         self.backlog = bytearray()
-        self.method = b""
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
@@ -136,6 +135,7 @@
         self.rejected = False
         self.keep_alive = True
         self.chunked = False
+        self.has_body = True
         self.answered = False
         self.lost = False
         self.write_waiter: asyncio.Future[None] | None = None
@@ -304,15 +304,20 @@
             self.close()
 
     def write_head(self, status: int, headers: RawHeaders, length: int | None) -> None:
-        """Write status and headers; without a length the body is sent in chunks."""
+        """Write status and headers; without a length the body is sent in chunks.
+
+        An answer to HEAD has no body, and a length only if it isn't 0: the length of a
+        body that an upstream left out is unknown.
+        """
         if self.transport is None or self.lost:
             return
-        self.chunked = length is None
+        self.has_body = self.request is None or self.request.method != b"HEAD"
+        self.chunked = length is None and self.has_body
         lines = [b"HTTP/1.1 %d %s" % (status, reason_phrase(status))]
         lines += [name + b": " + value for name, value in headers]
-        if length is None:
+        if self.chunked:
             lines.append(b"Transfer-Encoding: chunked")
-        else:
+        elif length is not None and (length or self.has_body):
             lines.append(b"Content-Length: %d" % length)
         if not self.keep_alive or self.server.closing:
             lines.append(b"Connection: close")
@@ -320,7 +325,7 @@
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body; wait while the caller reads too slowly."""
-        if self.transport is None or self.lost or not data:
+        if self.transport is None or self.lost or not data or not self.has_body:
             return
         if self.chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
