Drop the fields after a body on the product's own interface

Cause: uvicorn appends them to the headers of the request, so a key in one counted where the request came in one piece. Change: the daemon's servers use a protocol that closes the head once it is complete.

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -19,6 +19,7 @@
 from .clock import Clock
 from .events import Event, Journal, log_to
 from .exceptions import CuminstileError
+from .head_protocol import HeadProtocol
 from .moving import run_moves_loop
 from .operator.app import make_app as make_operator_app
 from .operator.moves import moves_reporter
@@ -144,7 +145,7 @@
         host=settings.host,
         port=port,
         loop="asyncio",
-        http="httptools",
+        http=HeadProtocol,
         ws="none",
         lifespan="off",
         log_config=None,
