--- a/tests/platform/test_caller_heads.py
+++ b/tests/platform/test_caller_heads.py
@@ -122,6 +122,7 @@
     """Guards against HEAD that fails, or whose body is read as the next answer."""
     host, port = site.vms[0].address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
+    length = len("answer to h0")
     for number, target in enumerate(["/look/x", "/none/x", "/look/y", "/look/z"]):
         method = "GET" if target == "/look/z" else "HEAD"
         head = render_fields(fields(f"h{number}")) + b"\r\n"
@@ -133,4 +134,20 @@
                 break
             head = await reader.readuntil(b"\r\n\r\n")
         assert int(head.split(b" ")[1]) == (404 if target == "/none/x" else 200)
+        states_length = b"Content-Length: %d\r\n" % length in head
+        assert states_length == (target != "/none/x")
     writer.close()
+
+
+async def test_fields_of_the_callers_connection_end_at_the_vm(site: Site) -> None:
+    """Guards against such fields at an upstream, and an id that is taken away so."""
+    sent = fields("n1", Connection="close, X-Foo, Attempt-Id")
+    sent |= {"X-Foo": "1", "X-Bar": "2"}
+    start = b"GET /look/x HTTP/1.1\r\n" + render_fields(sent)
+    answer = await send_bytes(site, start + b"\r\n")
+    assert (answer.status, answer.body) == (200, b"answer to n1")
+    received = [one for up in site.upstreams.values() for one in up.received]
+    headers = next(one.headers for one in received if one.target == "/look/x")
+    assert headers["attempt-id"] == "n1"
+    assert headers["x-bar"] == "2"
+    assert not {"x-foo", "connection"} & set(headers)
