Forward the length that an upstream states in its answer to HEAD

Cause: the length of a whole answer was that of the body that came, which HEAD lacks. Change: an answer to HEAD is forwarded with the length of its head.

--- a/cuminstile/gateway/forwarding.py
+++ b/cuminstile/gateway/forwarding.py
@@ -70,14 +70,17 @@
     head: AnswerHead,
     send: Send,
 ) -> None:
-    """Forward an answer once it is complete."""
+    """Forward an answer once it is complete; one to HEAD with the length it states."""
     body = await connection.receive_rest()
     send.unframed = not connection.framed
     vm.pool.release(state.info.id, connection, vm.clock.now_ms())
     send.answer.begun = True
     send.outcome = Outcome.FORWARDED
     headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
-    await call.out.write_answer(head.status, headers, body)
+    is_head = call.request.method == b"HEAD"
+    call.out.write_head(head.status, headers, head.length if is_head else len(body))
+    await call.out.write(body)
+    call.out.finish()
 
 
 async def stream_answer(
