--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -28,6 +28,7 @@
 from ..gateway.state import Gateway
 from .follow import Follower
 from .headers import PROTOCOL
+from .reloading import apply_settings
 from .settings import PlatformSettings, load_platform_settings
 from .stage_calls import STAGE_PROTOCOL
 from .store import StoreClient
@@ -79,11 +80,16 @@
 
     def reload() -> None:
         try:
-            changed = load_platform_settings(path) != settings
+            read = load_platform_settings(path)
         except CuminstileError as error:
             vm.journal.record(Event.SETTINGS_REFUSED, error=error.message)
             return
-        vm.journal.record(Event.SETTINGS_READ_AGAIN, changed=changed)
+        changed = apply_settings(vm, settings.store_address, read)
+        vm.journal.record(
+            Event.SETTINGS_READ_AGAIN,
+            applied=",".join(changed.applied),
+            restart=",".join(changed.restart),
+        )
 
     await run_gateway(
         vm,
