Wait for unsent answers at a planned stop

Cause: the process ended once no request was in progress, and a request counts as finished when its answer is written, up to 64 KiB of it in the process's own buffer.

Change: the stop waits, within the shutdown time, until no connection has unsent bytes.

--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -94,6 +94,10 @@
             if connection.idle():
                 connection.close()
 
+    def has_unsent(self) -> bool:
+        """Return whether written bytes of any connection are still in the process."""
+        return any(connection.has_unsent() for connection in self.connections)
+
     def enforce_timeouts(self) -> None:
         """Close connections that exceed the idle or the request timeout."""
         now_ms = self.clock.now_ms()
@@ -159,6 +163,12 @@
         """Return whether no request is being read or answered."""
         return self.request is None and self.began_ms is None
 
+    def has_unsent(self) -> bool:
+        """Return whether written bytes are still in the process, also after `close`."""
+        return self.transport is not None and (
+            self.transport.get_write_buffer_size() > 0
+        )
+
     def enforce_timeouts(self, now_ms: float, limits: Limits) -> None:
         """Close an idle connection, or reject a slow request, after its timeout."""
         if self.request is not None:
--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -41,10 +41,17 @@
             continue
         callers.close()
         server.close_idle()
-        if not vm.requests and not vm.scheduler.planner.chains:
+        if is_finished(vm, server):
             return
 
 
+def is_finished(vm: Gateway, server: Server) -> bool:
+    """Return whether the process may end: nothing of it is lost then."""
+    return (
+        not vm.requests and not vm.scheduler.planner.chains and not server.has_unsent()
+    )
+
+
 async def hand_over_work(vm: Gateway) -> None:
     """Hand the staged work over to the next scheduler, if another VM takes it."""
     scheduler = vm.scheduler
