--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -31,6 +31,12 @@
 """When a caller that paused reads on: before the end of the shutdown time."""
 
 
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request: pytest.FixtureRequest) -> tuple[str, dict[str, bool]]:
+    """Run on both event loops: each has transports of its own."""
+    return "asyncio", {"use_uvloop": request.param}
+
+
 async def answer(request: Request, out: CallerConnection) -> None:
     """Write an answer that fits into the process's own buffer only."""
     del request
