Halve the share of a VM on the smaller side of a long cut

Cause: after about two minutes the larger side shares a whole limit among itself, while the smaller side goes on with its shares.

Change: a VM counts as cut off once most of the VMs that were present with it have been silent for CUT_OFF_AFTER_MS, before they remove it; it then counts all VMs twice.

--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -21,6 +21,11 @@
 a mention until it is removed; longer than network partitions last."""
 PRESENT_MS = REMOVE_AFTER_MS / 2
 """How long a VM counts as present after the last heartbeat or mention of it."""
+CUT_OFF_AFTER_MS = 50_000.0
+"""Silence of most VMs after which this one counts as cut off: before they remove it."""
+CUT_OFF_FACTOR = 2
+"""By how much the share of a VM that is cut off is smaller, as the others may share the
+whole limit by then."""
 
 
 @dataclass(slots=True)
@@ -69,10 +74,17 @@
 
 @dataclass
 class Membership:
-    """The other VMs by address, and this VM's own address."""
+    """The other VMs by address, and this VM's own address.
+
+    Parameters
+    ----------
+    cut_off : bool
+        Whether this VM is on the smaller side of a cut that has lasted for long.
+    """
 
     own_address: str
     peers: dict[str, Peer] = field(default_factory=dict)
+    cut_off: bool = False
 
     def add_peers(self, addresses: Iterable[str], now_ms: float) -> None:
         """Add VMs by address; ignore malformed ones."""
@@ -137,17 +149,18 @@
         A VM that is itself cut off from the others must not take their shares of common
         limits. It removes none of them, as it can't tell them from ended ones.
         """
-        silent = [
-            peer
-            for peer in self.peers.values()
-            if now_ms - max(peer.last_known_ms, peer.added_ms) > REMOVE_AFTER_MS
-        ]
         present = self.present_at(now_ms)
-        gone = [
-            peer.address
-            for peer in silent
-            if not peer.is_member or 2 * present > self.present_at(peer.last_known_ms)
-        ]
+        gone: list[str] = []
+        self.cut_off = False
+        for peer in list(self.peers.values()):
+            silence_ms = now_ms - max(peer.last_known_ms, peer.added_ms)
+            if silence_ms <= CUT_OFF_AFTER_MS:
+                continue
+            before = self.present_at(peer.last_known_ms) if peer.is_member else 0
+            if 2 * present < before:
+                self.cut_off = True
+            elif 2 * present > before and silence_ms > REMOVE_AFTER_MS:
+                gone.append(peer.address)
         for address in gone:
             del self.peers[address]
         return gone
@@ -196,6 +209,8 @@
 
         Counting VMs that may only be partitioned keeps the sum of all shares below the
         limit even when the VMs disagree on which are alive. VMs that are gone for good
-        count until `remove_silent` removes them.
+        count until `remove_silent` removes them. The larger side of a long cut removes
+        the smaller one, whose VMs count all twice then.
         """
-        return 1 + sum(1 for peer in self.peers.values() if peer.is_member)
+        known = 1 + sum(1 for peer in self.peers.values() if peer.is_member)
+        return CUT_OFF_FACTOR * known if self.cut_off else known
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -1,6 +1,7 @@
 """Test cuminstile.gateway.membership."""
 
 from cuminstile.gateway.membership import (
+    CUT_OFF_FACTOR,
     REMOVE_AFTER_MS,
     SILENCE_LIMIT_MS,
     SUSPECT_MS,
@@ -81,7 +82,10 @@
     """Guards against a VM that is cut off and takes a whole limit for itself."""
     members = make_members()
     assert members.remove_silent(10 * REMOVE_AFTER_MS) == []
-    assert members.fleet_size() == 3
+    assert members.fleet_size() == CUT_OFF_FACTOR * 3
+    members.record_heartbeat(heartbeat(2, 100), 10 * REMOVE_AFTER_MS)
+    assert members.remove_silent(10 * REMOVE_AFTER_MS) == ["10.0.0.3:7000"]
+    assert members.fleet_size() == 2
 
 
 def test_vm_that_was_only_mentioned_is_not_mentioned_again() -> None:
