--- a/cuminstile/gateway/upstream_checks.py
+++ b/cuminstile/gateway/upstream_checks.py
@@ -9,17 +9,16 @@
 import asyncio
 from collections.abc import Sequence
 
-from .. import crash_chance
 from ..clock import Clock
-from ..crash_chance import UpstreamCrash
+from ..crash_chance import UpstreamCrash, chance_of_unrelated_crash
 from .crash_state import CrashGuard, LivenessCheck
 from .http_client import ConnectionLostError, open_connection
 from .upstreams import UpstreamState, UpstreamTable
 
-SETTLE_MS = 20.0
+LISTENS_ON_MS = 20.0
 """How long a process that ends may still listen after its connections are closed."""
 HOLD_MS = 30.0
-"""How long a new connection must stay open to show that its peer lives."""
+"""How long the peer must keep a new connection open to show that it lives."""
 CHECK_TIMEOUT_MS = 200.0
 """A live upstream accepts a connection within some network round trips."""
 MAX_CHECKED = 16
@@ -27,7 +26,10 @@
 
 
 def liveness_check(clock: Clock) -> LivenessCheck:
-    """Return a check that opens a connection and sends nothing."""
+    """Return a check that opens a connection and sends nothing.
+
+    What comes on it answers nothing, but shows that a process has sent it.
+    """
 
     async def lives(address: str) -> bool:
         try:
@@ -36,7 +38,7 @@
             return False
         try:
             await clock.sleep_ms(HOLD_MS)
-            return connection.lost is None
+            return not connection.ended_by_peer
         finally:
             connection.close("the check is done")
 
@@ -52,7 +54,7 @@
     """
     if guard.lives is None:
         return True
-    await clock.sleep_ms(SETTLE_MS)
+    await clock.sleep_ms(LISTENS_ON_MS)
     others = table.others(state)
     found = await living(guard, [state, *others])
     if state in found:
@@ -75,7 +77,7 @@
     return [state for state, lives in zip(states, results, strict=True) if lives]
 
 
-def chance_of_crash(
+def chance_at_upstream(
     guard: CrashGuard,
     table: UpstreamTable,
     names: Sequence[bytes],
@@ -88,4 +90,4 @@
     process = state.process
     crash = UpstreamCrash(state.info.service, process, took_ms)
     suspects, ended = guard.table.by_fingerprint, guard.table.ended_ms
-    return crash_chance.chance_of_crash(suspects, ended, names, crash, others, now_ms)
+    return chance_of_unrelated_crash(suspects, ended, names, crash, others, now_ms)
