Pass over late heartbeats of processes that a restart replaced

Cause: each heartbeat with another incarnation than the last one counted as a restart. Change: the last four replaced incarnations of an address are remembered, and their heartbeats change nothing.

--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from ipaddress import ip_address
@@ -16,6 +17,8 @@
 """How long a VM may be silent before it counts as lost: five heartbeats."""
 SUSPECT_MS = 3_000.0
 """How long a VM is not chosen as the scheduler after it did not answer."""
+KEPT_INCARNATIONS = 4
+"""Earlier processes of a VM whose late heartbeats are told from those of the next."""
 REMOVE_AFTER_MS = 60_000.0
 """How long a silent VM is mentioned to others, and then how long without a heartbeat or
 a mention until it is removed; longer than network partitions last."""
@@ -42,6 +45,8 @@
         Until when it is not chosen as the scheduler because it did not answer.
     mentioned_ms : float
         When another VM last said that it heard of it, negative before the first time.
+    ended : deque of str
+        The last incarnations that a restart replaced; none of them comes back.
     """
 
     address: str
@@ -50,6 +55,7 @@
     added_ms: float = 0.0
     suspect_until_ms: float = 0.0
     mentioned_ms: float = -REMOVE_AFTER_MS
+    ended: deque[str] = field(default_factory=lambda: deque(maxlen=KEPT_INCARNATIONS))
 
     @property
     def is_member(self) -> bool:
@@ -109,6 +115,8 @@
             return False
         self.add_peers((heartbeat.address,), now_ms)
         peer = self.peers[heartbeat.address]
+        if heartbeat.incarnation in peer.ended:
+            return False
         new = (
             peer.heartbeat is None
             or peer.heartbeat.incarnation != heartbeat.incarnation
@@ -119,6 +127,7 @@
             and peer.heartbeat.incarnation != heartbeat.incarnation
         ):
             peer.suspect_until_ms = 0.0
+            peer.ended.append(peer.heartbeat.incarnation)
         peer.heartbeat = heartbeat
         peer.last_heartbeat_ms = now_ms
         self.add_mentioned(heartbeat.known, now_ms)
