--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -27,6 +27,7 @@
     VmEnded,
 )
 from standins.soak.soak import soak
+from trials.planted_faults.faults import FAULTS
 
 SECONDS = 12.0
 ROOT = Path(__file__).parent.parent.parent
@@ -263,3 +264,12 @@
     finally:
         process.kill()
         process.communicate()
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=[fault.name for fault in FAULTS])
+def test_planted_fault_fits_the_program(tmp_path, fault):
+    """Guards against a planted fault that replaces nothing any more."""
+    fault.plant(tmp_path)
+    planted = (tmp_path / fault.file).read_text()
+    assert planted != (ROOT / fault.file).read_text()
+    compile(planted, fault.file, "exec")
--- a/trials/planted_faults/faults.py
+++ b/trials/planted_faults/faults.py
@@ -74,6 +74,12 @@
         "if head.status not in NOT_RUN_STATUSES:",
         "if True:",
     ),
+    PlantedFault(
+        "fields behind a body count as head fields",
+        "cuminstile/gateway/http_server.py",
+        "        if not self.headers_done:\n            self.headers.append",
+        "        if True:\n            self.headers.append",
+    ),
     PlantedFault(
         "a stage answer is matched by its place",
         "cuminstile/gateway/stage_calls.py",
