--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -17,8 +17,15 @@
 SUSPECT_MS = 3_000.0
 """How long a VM is not chosen as the scheduler after it did not answer."""
 REMOVE_AFTER_MS = 60_000.0
-"""How long heartbeats are still sent to a silent VM; longer than network partitions
-last."""
+"""How long a silent VM is mentioned to others, and then how long without a heartbeat or
+a mention until it is removed; longer than network partitions last."""
+PRESENT_MS = REMOVE_AFTER_MS / 2
+"""How long a VM counts as present after the last heartbeat or mention of it."""
+CUT_OFF_AFTER_MS = 50_000.0
+"""Silence of most VMs after which this one counts as cut off: before they remove it."""
+CUT_OFF_FACTOR = 2
+"""By how much the share of a VM that is cut off is smaller, as the others may share the
+whole limit by then."""
 
 
 @dataclass(slots=True)
@@ -49,6 +56,11 @@
         """Return whether any VM has heard of it."""
         return self.heartbeat is not None or self.mentioned_ms >= 0.0
 
+    @property
+    def last_known_ms(self) -> float:
+        """Return the time of the last heartbeat or mention."""
+        return max(self.last_heartbeat_ms, self.mentioned_ms)
+
 
 def is_address(text: str) -> bool:
     """Return whether a text is `host:port` with an IP address and a port."""
@@ -62,10 +74,17 @@
 
 @dataclass
 class Membership:
-    """The other VMs by address, and this VM's own address."""
+    """The other VMs by address, and this VM's own address.
+
+    Parameters
+    ----------
+    cut_off : bool
+        Whether this VM is on the smaller side of a cut that has lasted for long.
+    """
 
     own_address: str
     peers: dict[str, Peer] = field(default_factory=dict)
+    cut_off: bool = False
 
     def add_peers(self, addresses: Iterable[str], now_ms: float) -> None:
         """Add VMs by address; ignore malformed ones."""
@@ -111,18 +130,50 @@
         if peer is not None:
             peer.suspect_until_ms = now_ms + SUSPECT_MS
 
-    def remove_silent(self, now_ms: float) -> list[str]:
-        """Remove VMs silent for `REMOVE_AFTER_MS`; return their addresses."""
-        gone = [
+    def remembered(self, now_ms: float) -> list[str]:
+        """Return the addresses of the VMs that were heard of late, to mention them.
+
+        Only heartbeats count, not mentions: otherwise VMs would remind each other of a
+        VM that is gone for good.
+        """
+        return [
             address
             for address, peer in self.peers.items()
-            if now_ms - max(peer.last_heartbeat_ms, peer.added_ms, peer.mentioned_ms)
-            > REMOVE_AFTER_MS
+            if peer.heartbeat is not None
+            and now_ms - peer.last_heartbeat_ms <= REMOVE_AFTER_MS
         ]
+
+    def remove_silent(self, now_ms: float) -> list[str]:
+        """Remove VMs silent for `REMOVE_AFTER_MS`; return their addresses.
+
+        A VM that is itself cut off from the others must not take their shares of common
+        limits. It removes none of them, as it can't tell them from ended ones.
+        """
+        present = self.present_at(now_ms)
+        gone: list[str] = []
+        self.cut_off = False
+        for peer in list(self.peers.values()):
+            silence_ms = now_ms - max(peer.last_known_ms, peer.added_ms)
+            if silence_ms <= CUT_OFF_AFTER_MS:
+                continue
+            before = self.present_at(peer.last_known_ms) if peer.is_member else 0
+            if 2 * present < before:
+                self.cut_off = True
+            elif 2 * present > before and silence_ms > REMOVE_AFTER_MS:
+                gone.append(peer.address)
         for address in gone:
             del self.peers[address]
         return gone
 
+    def present_at(self, at_ms: float) -> int:
+        """Return how many of the known VMs were present, including this one."""
+        return 1 + sum(
+            1
+            for peer in self.peers.values()
+            if peer.is_member
+            and peer.added_ms <= at_ms <= peer.last_known_ms + PRESENT_MS
+        )
+
     def live(self, now_ms: float) -> list[Heartbeat]:
         """Return the heartbeats of the other VMs that are alive."""
         return [
@@ -157,6 +208,9 @@
         VMs that only other VMs hear of count too.
 
         Counting VMs that may only be partitioned keeps the sum of all shares below the
-        limit even when the VMs disagree on which are alive.
+        limit even when the VMs disagree on which are alive. VMs that are gone for good
+        count until `remove_silent` removes them. The larger side of a long cut removes
+        the smaller one, whose VMs count all twice then.
         """
-        return 1 + sum(1 for peer in self.peers.values() if peer.is_member)
+        known = 1 + sum(1 for peer in self.peers.values() if peer.is_member)
+        return CUT_OFF_FACTOR * known if self.cut_off else known
