End a stopped soak without errors of the event loop

Cause: callers' connections were open when the loop closed, so that a stopped soak printed tracebacks after its last line. Change: callers hang up whenever they end, and the handlers of closed connections get time. Measured: the test of both signals now asks for this one line, and passes; before, the stopped soaks by hand printed tracebacks.

--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -64,15 +64,21 @@
 
     async def run(self, ends_s: float) -> None:
         """Send requests until the time `ends_s` of the record."""
-        while self.record.now_s() < ends_s:
-            try:
-                async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                    await self.send_next()
-            except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
-                self.hang_up()
-                await asyncio.sleep(0.1)
-            await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.01, 0.1)))
-        self.hang_up()
+        try:
+            while self.record.now_s() < ends_s:
+                await self.send_or_hang_up()
+                await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.01, 0.1)))
+        finally:
+            self.hang_up()
+
+    async def send_or_hang_up(self) -> None:
+        """Send the next request; hang up if its answer does not come."""
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await self.send_next()
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            self.hang_up()
+            await asyncio.sleep(0.1)
 
     async def send_next(self) -> None:
         """Send one request, and receive its answer unless the caller gives up."""
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -31,6 +31,8 @@
 FIRST_PORT = 2_000
 """Below the kernel's ephemeral ports, so that no outgoing connection uses one."""
 PORTS_PER_FLEET = 40
+CLOSE_S = 0.2
+"""Time for the handlers of closed connections to end."""
 UPSTREAMS = {
     "desk-1": "desk",
     "desk-2": "desk",
@@ -244,6 +246,7 @@
             self.web.should_exit = True
             self.web.force_exit = True
             await self.web_task
+        await asyncio.sleep(CLOSE_S)
 
 
 async def wait_ready(vm: SoakVm) -> None:
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -261,9 +261,10 @@
         process.send_signal(number)
         assert process.wait(10.0) == 130
         assert not any(is_running(child) for child in children)
+        assert process.communicate()[1] == b"soak: stopped\n"
     finally:
         process.kill()
-        process.communicate()
+        process.wait()
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=[fault.name for fault in FAULTS])
