--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -27,6 +27,7 @@
     VmEnded,
 )
 from standins.soak.soak import soak
+from trials.planted_faults.faults import FAULTS
 
 SECONDS = 12.0
 ROOT = Path(__file__).parent.parent.parent
@@ -260,6 +261,16 @@
         process.send_signal(number)
         assert process.wait(10.0) == 130
         assert not any(is_running(child) for child in children)
+        assert process.communicate()[1] == b"soak: stopped\n"
     finally:
         process.kill()
-        process.communicate()
+        process.wait()
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=[fault.name for fault in FAULTS])
+def test_planted_fault_fits_the_program(tmp_path, fault):
+    """Guards against a planted fault that replaces nothing any more."""
+    fault.plant(tmp_path)
+    planted = (tmp_path / fault.file).read_text()
+    assert planted != (ROOT / fault.file).read_text()
+    compile(planted, fault.file, "exec")
