Take the spaces around a caller's header for no part of its value

Cause: an id with spaces behind it was another id than the one that the upstream returned, so a sound answer was dropped and its caller got none. Measured: 3 of 3 cases fail before, all pass after.

--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -240,11 +240,14 @@
             self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append one header; drop a trailer, as only the head is checked."""
+        """Append one header without the spaces around its value.
+
+        A trailer is dropped, as only the head is checked.
+        """
         if self.request is not None:
             return
         if not self.headers_done:
-            self.headers.append((name.lower(), value))
+            self.headers.append((name.lower(), value.strip(b" \t")))
             return
         self.trailer_bytes += len(name) + len(value) + 4
         if self.trailer_bytes > self.server.limits().max_header_bytes:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -262,3 +262,13 @@
         assert status == 404
         async with asyncio.timeout(2.0):
             assert await callers.reader.readexactly(7) == b"missing"
+
+
+@pytest.mark.parametrize("spaces", [b" ", b"\t", b" \t \t"])
+async def test_spaces_around_a_value_belong_to_no_header(spaces: bytes) -> None:
+    """Guards against an id that its upstream gives back without the caller's spaces."""
+    head = b"GET /x HTTP/1.1\r\nHost: h\r\nAttempt-Id:%sa1%s\r\n\r\n"
+    async with connected() as callers:
+        status, _ = await callers.exchange(head % (spaces, spaces))
+        assert status == 200
+        assert callers.requests[0].get(b"attempt-id") == b"a1"
