Hear a VM again that one late heartbeat made look like an earlier process

Cause: a VM that first heard the new process and then a late heartbeat of the one before took the new one for ended, and passed its heartbeats over for good. Change: a process that was taken for ended is heard again once the other is silent. Measured: the test fails before and passes after.

--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -110,17 +110,24 @@
                 peer.mentioned_ms = now_ms
 
     def record_heartbeat(self, heartbeat: Heartbeat, now_ms: float) -> bool:
-        """Record a heartbeat; return whether the VM is new, restarted or back."""
+        """Record a heartbeat; return whether the VM is new, restarted or back.
+
+        A late one of an earlier process is passed over, unless the process that is
+        taken for the next one is silent: then the two were mistaken for each other.
+        """
         if heartbeat.address == self.own_address:
             return False
         self.add_peers((heartbeat.address,), now_ms)
         peer = self.peers[heartbeat.address]
+        was_silent = now_ms - peer.last_heartbeat_ms > SILENCE_LIMIT_MS
         if heartbeat.incarnation in peer.ended:
-            return False
+            if not was_silent:
+                return False
+            peer.ended.remove(heartbeat.incarnation)
         new = (
             peer.heartbeat is None
             or peer.heartbeat.incarnation != heartbeat.incarnation
-            or now_ms - peer.last_heartbeat_ms > SILENCE_LIMIT_MS
+            or was_silent
         )
         if (
             peer.heartbeat is not None
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -115,3 +115,17 @@
     assert not members.record_heartbeat(heartbeat(3, 50, leaving=True), 210.0)
     assert members.scheduler(OWN, 210.0) == heartbeat(3, 60, run=1)
     assert not members.record_heartbeat(heartbeat(3, 60, run=1), 220.0)
+
+
+def test_process_is_heard_although_a_late_heartbeat_came_between() -> None:
+    """Guards against a live VM that is ignored for good after one late heartbeat.
+
+    This VM never heard the earlier process, so it takes its late heartbeat for that of
+    the next one.
+    """
+    members = make_members()
+    members.record_heartbeat(heartbeat(4, 60, run=1), 100.0)
+    members.record_heartbeat(heartbeat(4, 50), 110.0)
+    for at_ms in (410.0, 710.0, 1_010.0, 1_310.0, 1_610.0, 1_910.0):
+        members.record_heartbeat(heartbeat(4, 60, run=1), at_ms)
+    assert heartbeat(4, 60, run=1) in members.live(1_920.0)
