--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -143,7 +143,7 @@
         body = await connection.receive_rest()
         vm.pool.release(state.info.id, connection, vm.clock.now_ms())
         if head.status not in NOT_RUN_STATUSES:
-            headers = end_to_end_headers(head.headers)
+            headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
             send.failure = Failure(head.status, headers, body)
         send.detail = f"status {head.status}"
         send.outcome = Outcome.FAILED
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -12,7 +12,7 @@
 from cuminstile.gateway.event_stream import AnswerProgress
 from cuminstile.gateway.http_server import Request
 from cuminstile.gateway.model import RouteKind, Service
-from cuminstile.gateway.send_state import Call, Outcome, Send
+from cuminstile.gateway.send_state import Call, Failure, Outcome, Send
 from cuminstile.gateway.sending import send_with_timeout
 from cuminstile.gateway.state import Gateway
 from cuminstile.gateway.upstream_protocol import CallFields
@@ -65,6 +65,7 @@
 
     outcome: Outcome
     caller: FakeCaller
+    failure: Failure | None
 
 
 def chunk(data: bytes) -> bytes:
@@ -97,7 +98,7 @@
     state = UpstreamState(replace(make_upstream("u1"), address=address))
     attempt = Send(progress or AnswerProgress(), UpstreamListAge(0, 0.0))
     await send_with_timeout(vm, call, state, (), attempt, FIRST_EVENT_MS)
-    return Sent(attempt.outcome, caller)
+    return Sent(attempt.outcome, caller, attempt.failure)
 
 
 async def read_id(reader: asyncio.StreamReader) -> bytes:
@@ -313,6 +314,17 @@
         assert len(begun) == 1
 
 
+async def test_failure_keeps_the_seal_that_its_connection_field_names() -> None:
+    """Guards against a failure of an upstream that its caller can't recognize."""
+    fields = ID_FIELD + b"Connection: Response-Seal\r\n"
+    vm = make_vm(Clock())
+    answers = (SEALED % (b"500 Failed", fields), b"")
+    async with serving(answering_in_turn(*answers)) as (address, _):
+        sent = await send(vm, address, "a1", RouteKind.ONCE)
+    assert sent.failure is not None
+    assert (b"response-seal", b"s") in sent.failure.headers
+
+
 def after_a_break(head: bytes, body: bytes) -> Session:
     """Return a session that answers a resumed stream with something else."""
 
