--- a/standins/soak/stage_answers.py
+++ b/standins/soak/stage_answers.py
@@ -10,7 +10,8 @@
 from .observations import StageItem
 from .upstream import Answer, Exchange
 
-WORK_S = (0.002, 0.01, 0.05)
+WORK_S = (0.012, 0.02, 0.05)
+"""Longer than the time that the manifest states for a call."""
 JSON = ("Content-Type", "application/json")
 
 
@@ -104,7 +105,7 @@
     work_in_vain: 2,
     tear_results: 2,
     answer_work_twice: 12,
-    work_again: 4,
+    work_again: 10,
 }
 """How often each way to answer is drawn."""
 
