Show that repeated appends, planned leaves and older writes are taken wrongly

Cause: the client of the first platform's streams tells answers apart by their place; VMs that left as announced count as cut off; a record is compared with the last change of its key, not with the last write.

--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -1,5 +1,7 @@
 """Test cuminstile.gateway.membership."""
 
+import pytest
+
 from cuminstile.gateway.membership import (
     CUT_OFF_FACTOR,
     REMOVE_AFTER_MS,
@@ -88,6 +90,20 @@
     assert members.fleet_size() == 2
 
 
+@pytest.mark.parametrize("others", [1, 2, 3])
+def test_vms_that_ended_as_announced_count_no_longer(others: int) -> None:
+    """Guards against a VM with a part of a limit that is left alone as planned.
+
+    The other VMs said that they leave before they fell silent, so this is no cut.
+    """
+    members = Membership("10.0.0.1:7000")
+    for number in range(2, 2 + others):
+        members.record_heartbeat(heartbeat(number, 50), 0.0)
+        members.record_heartbeat(heartbeat(number, 50, leaving=True), 300.0)
+    members.remove_silent(2 * REMOVE_AFTER_MS)
+    assert members.fleet_size() == 1
+
+
 def test_vm_that_was_only_mentioned_is_not_mentioned_again() -> None:
     """Guards against VMs that remind each other of a VM that is gone."""
     members = make_members()
--- a/tests/gateway/test_topics.py
+++ b/tests/gateway/test_topics.py
@@ -163,6 +163,34 @@
     assert state.values == other.values == {"a": b"ready"}
 
 
+@pytest.mark.parametrize("change", [None, b"draining#4"])
+def test_write_before_an_unchanged_one_changes_nothing(change: bytes | None) -> None:
+    """Guards against a dropped upstream that an older write brings back.
+
+    Its last known write repeated a value, as most of an upstream's writes do.
+    """
+    log = Log()
+    log.put("a", b"ready#1")
+    log.put("a", b"ready#3")
+    log.put("a", change)
+    state = numbered()
+    read(state, log)
+    known = dict(state.values)
+    log.put("a", b"ready#2")
+    assert read(state, log) == set()
+    assert state.values == known
+
+
+def test_write_between_two_of_one_value_changes_nothing_late() -> None:
+    """Guards against a ready upstream that an older write makes a leaving one."""
+    log = Log()
+    for value in (b"ready#1", b"ready#3", b"draining#2"):
+        log.put("a", value)
+    state = numbered()
+    read(state, log)
+    assert state.values == {"a": b"ready"}
+
+
 def test_only_changes_are_sent_if_the_other_vm_knows_the_rest() -> None:
     log = Log()
     for number in range(200):
--- a/tests/records/test_client.py
+++ b/tests/records/test_client.py
@@ -1,5 +1,6 @@
-"""Test cuminstile.records.client with malformed answers from the platform."""
+"""Test cuminstile.records.client with malformed and repeated answers."""
 
+import asyncio
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,7 +11,15 @@
 from hypothesis import strategies as st
 
 from cuminstile.exceptions import PlatformUnavailableError, TrimmedError
-from cuminstile.records.client import ListedVm, PlatformClient, Record, Records
+from cuminstile.records.client import (
+    ListedVm,
+    PlatformClient,
+    Record,
+    Records,
+    make_platform_client,
+)
+
+from ..gateway.servers import serving
 
 
 @dataclass
@@ -90,3 +99,37 @@
 async def test_malformed_offset_raises_platform_unavailable(content: bytes) -> None:
     with pytest.raises(PlatformUnavailableError):
         await make_client(content).append("config", b"x")
+
+
+def response(status: bytes, body: dict[str, int]) -> bytes:
+    """Return an answer of the platform as it is sent."""
+    content = cbor2.dumps(body)
+    length = b"Content-Length: %d" % len(content)
+    return b"HTTP/1.1 " + status + b"\r\n" + length + b"\r\n\r\n" + content
+
+
+async def append_twice(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Carry out the first append, repeat its answer late, and refuse the second."""
+    appended = response(b"200 OK", {"offset": 5})
+    await reader.readuntil(b"first")
+    writer.write(appended)
+    await reader.readuntil(b"second")
+    writer.write(appended)
+    await asyncio.sleep(0.02)
+    writer.write(response(b"503 Service Unavailable", {}))
+
+
+@pytest.mark.anyio
+async def test_repeated_answer_makes_no_refused_append_a_success() -> None:
+    """Guards against a record that counts as appended though the platform refused it.
+
+    Answers to appends name no request, so a second answer looks like that to the next.
+    """
+    async with serving(append_twice) as (address, _):
+        client = make_platform_client(address, "")
+        assert await client.append("s", b"first") == 5
+        with pytest.raises(PlatformUnavailableError):
+            await client.append("s", b"second")
+        await client.pool.aclose()
