Compare a record with the last write of its key, not with the last change

Cause: the number of a record that changed nothing was not kept, so a record between the last change and it counted as newer: it brought a dropped upstream back, or made a ready one a leaving one. Change: the last record of each key is kept as it was written, also if it changed nothing.

--- a/cuminstile/gateway/topics.py
+++ b/cuminstile/gateway/topics.py
@@ -106,8 +106,8 @@
         Returns by what a value is compared with others of its writer, the older first;
         empty if that isn't known. The store may carry out an older write late.
     written : dict of str to bytes
-        The record of the last change of each key as it was written. Those of `dropped`
-        are kept too.
+        The last record of each key as it was written, also one that changed nothing.
+        Those of `dropped` are kept too.
     changed_end : int
         The offset after the last change; the records from there to `end` changed
         nothing.
@@ -174,14 +174,14 @@
             drop_key(state, record.key, record.offset)
             keys.add(record.key)
             continue
+        if is_older(state, record.key, record.value):
+            continue
+        state.written[record.key] = record.value
         value = state.canonical(record.value)
         if state.values.get(record.key) == value:
             continue
-        if is_older(state, record.key, record.value):
-            continue
         state.dropped.pop(record.key, None)
         state.values[record.key] = value
-        state.written[record.key] = record.value
         state.offsets[record.key] = record.offset
         state.changed_end = max(state.changed_end, record.offset + 1)
         keys.add(record.key)
