Show that a failure's second answer is passed on when its request is sent again

Cause: both sends have one id, and the second may get the connection of the first: an upstream that failed is tried again once lost results of stages are recomputed.

--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -295,6 +295,35 @@
     assert sent.caller.body == b""
 
 
+def failing_twice(second: bytes) -> Session:
+    """Return a session that fails each request, and answers the first once more."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        first = await read_id(reader)
+        writer.write(OWN_FAILURE.replace(b"%s", first))
+        name = await read_id(reader)
+        writer.write(second.replace(b"%s", first))
+        writer.write(OWN_FAILURE.replace(b"%s", name))
+        await reader.read()
+
+    return session
+
+
+# Guards against a success where the upstream had answered with a failure: a request
+# that is sent again after a failure has the id of before, and so has its second answer.
+async def test_second_answer_after_a_failure_is_not_that_to_the_next_send() -> None:
+    vm = make_vm(Clock())
+    again = answering_in_turn(OWN_FAILURE, b"")
+    async with serving(failing_twice(OWN), again) as (address, begun):
+        for _ in range(2):
+            sent = await send(vm, address, "a1", RouteKind.IDEMPOTENT)
+            assert sent.outcome is Outcome.FAILED
+            assert sent.caller.body == b""
+        assert len(begun) == 2
+
+
 async def test_refusal_without_id_of_a_first_request_is_believed() -> None:
     """Guards against a request that no upstream has run and that is not sent again."""
     vm = make_vm(Clock())
