Send a failed attempt again on another connection

Cause: only refused attempts were told apart from a further send of the same id. Change: a connection remembers the last 256 attempts that failed on it, and carries none of them again.

--- a/cuminstile/gateway/http_client.py
+++ b/cuminstile/gateway/http_client.py
@@ -30,6 +30,8 @@
 """An engine sends some hundred tokens of one answer in a second."""
 MAX_REFUSED_ATTEMPTS = 16
 """Refused attempts that a connection remembers; it is closed after more."""
+MAX_FAILED_ATTEMPTS = 256
+"""Failed attempts that a connection remembers; the oldest are forgotten."""
 MAX_BODY_BYTES = 2 * 1024 * 1024
 """Maximum size of a body that is buffered until it is complete."""
 HEAD_BUFFER_BYTES = 512
@@ -116,7 +118,8 @@
     once the complete answer to the last request was returned. Until then its remaining
     bytes may arrive late or never, so the connection must not carry another request.
     `refused_attempts` holds the ids of attempts that were refused on the connection,
-    `handles` the stored results that were returned on it with the items they are of.
+    `failed_attempts` those that failed, `handles` the stored results that were returned
+    on it with the items they are of.
     `ended_by_peer` is true if the peer closed or reset the connection, as its process
     does when it ends. `to_head` is true if the last request has the method HEAD: its
     answer ends with its head, whatever length that states. `on_unexpected` is called
@@ -147,6 +150,7 @@
         self.on_unexpected: Callable[[bytes], None] = lambda _: None
         self.opened_ms = 0.0
         self.refused_attempts: set[str] = set()
+        self.failed_attempts: OrderedDict[str, None] = OrderedDict()
         self.handles: OrderedDict[str, str] = OrderedDict()
         self.keep_alive = True
         self.keep_alive_ms = DEFAULT_KEEP_ALIVE_MS * KEEP_ALIVE_SHARE
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from ..events import Event
+from ..recency import remember
 from .crash_evidence import record_survivor
 from .forwarding import (
     continues_stream,
@@ -15,6 +16,7 @@
 )
 from .http_client import (
     MAX_BODY_BYTES,
+    MAX_FAILED_ATTEMPTS,
     MAX_REFUSED_ATTEMPTS,
     AnswerHead,
     AnswerTooLargeError,
@@ -74,8 +76,8 @@
     connection: HttpConnection | None = None
     try:
         connection = vm.pool.acquire(state.info.id, started_ms)
-        if connection and call.fields.attempt_id in connection.refused_attempts:
-            connection.close("the same attempt was refused on the connection")
+        if connection and has_answered(connection, call.fields.attempt_id):
+            connection.close("the same attempt was answered on the connection")
             connection = None
         if connection is None:
             connection = await open_connection(state.info.address)
@@ -100,6 +102,17 @@
                 connection.close("request cancelled")
 
 
+def has_answered(connection: HttpConnection, attempt_id: str) -> bool:
+    """Return whether an attempt was refused or failed on a connection.
+
+    A second answer to it has the id of any further send of the attempt.
+    """
+    return (
+        attempt_id in connection.refused_attempts
+        or attempt_id in connection.failed_attempts
+    )
+
+
 async def send_on_connection(
     vm: Gateway,
     call: Call,
@@ -141,6 +154,8 @@
         send.outcome = Outcome.UNKNOWN
     elif head.status >= 300:
         body = await connection.receive_rest()
+        attempts = connection.failed_attempts
+        remember(attempts, call.fields.attempt_id, None, MAX_FAILED_ATTEMPTS)
         vm.pool.release(state.info.id, connection, vm.clock.now_ms())
         if head.status not in NOT_RUN_STATUSES:
             headers = end_to_end_headers(head.headers)
