Give a request without an id a connection that has carried no other one

Cause: the first answer that came counted as that to a request without an id, also a second answer to an earlier request of the connection. Change: such a request is sent on a new connection, whose first answer is its own. Measured: the test fails before and passes after, with the other tests of sending.

--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -60,7 +60,6 @@
 
     However this function ends, the upstream's work on the request ends with it.
     """
-    started_ms = vm.clock.now_ms()
     tokens = call.fields.prompt_tokens
     state.in_flight += 1
     state.tokens_in_flight += tokens
@@ -75,10 +74,7 @@
 
     connection: HttpConnection | None = None
     try:
-        connection = vm.pool.acquire(state.info.id, started_ms)
-        if connection and has_answered(connection, call.fields.attempt_id):
-            connection.close("the same attempt was answered on the connection")
-            connection = None
+        connection = acquire_connection(vm, state, call.fields.attempt_id)
         if connection is None:
             connection = await open_connection(state.info.address)
             connection.opened_ms = vm.clock.now_ms()
@@ -102,6 +98,22 @@
                 connection.close("request cancelled")
 
 
+def acquire_connection(
+    vm: Gateway, state: UpstreamState, attempt_id: str
+) -> HttpConnection | None:
+    """Return an idle connection on which no answer of another can be taken for this.
+
+    A request without an id needs a connection that has carried no other one.
+    """
+    if not attempt_id:
+        return None
+    connection = vm.pool.acquire(state.info.id, vm.clock.now_ms())
+    if connection and has_answered(connection, attempt_id):
+        connection.close("the same attempt was answered on the connection")
+        return None
+    return connection
+
+
 def has_answered(connection: HttpConnection, attempt_id: str) -> bool:
     """Return whether an attempt was refused or failed on a connection.
 
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -105,7 +105,8 @@
     """Return the id of the next request."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = (line.partition(b": ") for line in head.split(b"\r\n"))
-    return next(value for name, _, value in lines if name.lower() == b"attempt-id")
+    ids = (value for name, _, value in lines if name.lower() == b"attempt-id")
+    return next(ids, b"")
 
 
 async def sound_but_slow(
@@ -325,6 +326,19 @@
         assert len(begun) == 2
 
 
+# Guards against an answer of another request: without an id, nothing but a connection
+# that has carried no other request tells whose the first answer is.
+async def test_request_without_id_gets_no_second_answer_of_another() -> None:
+    vm = make_vm(Clock())
+    twice = answering_in_turn(OWN, SEALED % (b"200 OK", ID_FIELD), b"")
+    own = answering_in_turn(SEALED.replace(b"ok", b"no") % (b"200 OK", b""), b"")
+    async with serving(twice, own) as (address, _):
+        await send(vm, address, "a1", RouteKind.ONCE)
+        sent = await send(vm, address, "", RouteKind.ONCE)
+    assert sent.outcome is Outcome.FORWARDED
+    assert sent.caller.body == b"no"
+
+
 async def test_refusal_without_id_of_a_first_request_is_believed() -> None:
     """Guards against a request that no upstream has run and that is not sent again."""
     vm = make_vm(Clock())
