--- a/tests/platform/test_caller_heads.py
+++ b/tests/platform/test_caller_heads.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
@@ -34,16 +32,6 @@
 }
 
 
-@pytest.fixture
-async def site(tmp_path: Path) -> AsyncIterator[Site]:
-    running = Site(tmp_path)
-    try:
-        await running.start()
-        yield running
-    finally:
-        await running.stop()
-
-
 def render_fields(sent: dict[str, str]) -> bytes:
     return "".join(f"{name}: {value}\r\n" for name, value in sent.items()).encode()
 
