--- /dev/null
+++ b/cuminstile/duties/messages.py
@@ -0,0 +1,70 @@
+"""Define what VMs tell each other about duties, sent as datagrams.
+
+Lost datagrams repair themselves: counts are totals of their window, demand is replaced
+by the next report.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class DemandEntry:
+    """Demand for the upstreams of a service in one data centre, as one VM sees it.
+
+    Parameters
+    ----------
+    requests : float
+        Requests that arrived per second.
+    queued, in_flight : int
+        Requests that wait for an upstream, and those that one has.
+    refused : float
+        Requests per second that were refused because no upstream was free.
+    work_ms : float
+        Expected time of one request at an upstream.
+    """
+
+    service: str
+    data_centre: str
+    requests: float
+    queued: int
+    in_flight: int
+    refused: float
+    work_ms: float
+
+
+@dataclass(frozen=True)
+class UsageEntry:
+    """Requests of an organisation that upstreams began in a window, at one VM so far.
+
+    Parameters
+    ----------
+    window : int
+        Number of the window since 1970 UTC.
+    """
+
+    window: int
+    organisation: str
+    count: int
+
+
+@dataclass(frozen=True)
+class DutyReport:
+    """What one VM has counted, for the VM that holds the duties and some others.
+
+    Parameters
+    ----------
+    address : str
+        `host:port` of the sender for other VMs.
+    incarnation : str
+        The process that counted; counts of a restarted one start at 0.
+    wall_ms : int
+        The sender's corrected wall-clock time in ms since 1970 UTC.
+    """
+
+    address: str
+    incarnation: str
+    wall_ms: int
+    usage: tuple[UsageEntry, ...]
+    demand: tuple[DemandEntry, ...]
