Hold the duties by a lease and report the usage

Change: a lease with a fencing token on the platform's store, counts of what upstreams began, and one report a window, kept in the store before it is sent.

--- a/cuminstile/duties/messages.py
+++ b/cuminstile/duties/messages.py
@@ -59,12 +59,42 @@
         `host:port` of the sender for other VMs.
     incarnation : str
         The process that counted; counts of a restarted one start at 0.
+    counted_ms : int
+        Up to when the counts are whole, in ms since 1970 UTC; 0 if others follow.
     wall_ms : int
-        The sender's corrected wall-clock time in ms since 1970 UTC.
+        The sender's corrected wall-clock time in ms since 1970 UTC, 0 if these are the
+        counts of another VM, told on.
     """
 
     address: str
     incarnation: str
+    counted_ms: int
     wall_ms: int
     usage: tuple[UsageEntry, ...]
     demand: tuple[DemandEntry, ...]
+
+
+@dataclass(frozen=True)
+class DutyBeat:
+    """Word of the VM that holds the duties that it lives.
+
+    Parameters
+    ----------
+    address : str
+        `host:port` of the sender for other VMs.
+    token : int
+        Its fencing token, higher than those of earlier holders.
+    wall_ms : int
+        The sender's corrected wall-clock time in ms since 1970 UTC.
+    reported : int
+        The last window whose report is in the ledger; older counts are not needed.
+    released : bool
+        Whether the sender has given the lease back.
+    """
+
+    address: str
+    name: str
+    token: int
+    wall_ms: int
+    reported: int
+    released: bool
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -101,6 +101,11 @@
     STREAM_BROKEN = 3402
     STREAM_RESUMED = 3403
     ANSWER_UNEXPECTED = 3404
+    DUTIES_TAKEN = 3601
+    DUTIES_LOST = 3602
+    DUTY_CALL_FAILED = 3603
+    DUTY_STORE_FAILED = 3604
+    USAGE_REPORTED = 3605
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/event_stream.py
+++ b/cuminstile/gateway/event_stream.py
@@ -71,6 +71,8 @@
         Bytes received since the end of the last event.
     ended_events : int
         Events received in full, comments and empty ones included.
+    counted : bool
+        Whether the request was counted as one that an upstream began.
     """
 
     begun: bool = False
@@ -81,6 +83,7 @@
     tail: bytes = b""
     unfinished_bytes: int = 0
     ended_events: int = 0
+    counted: bool = False
 
     @property
     def resumable(self) -> bool:
--- a/cuminstile/gateway/forwarding.py
+++ b/cuminstile/gateway/forwarding.py
@@ -94,6 +94,7 @@
     send: Send,
 ) -> None:
     """Forward an answer once it is complete; one to HEAD with the length it states."""
+    count_begun(vm, call, send)
     body = await connection.receive_rest()
     send.unframed = not connection.parser.framed
     vm.pool.release(state.info.id, connection, vm.clock.now_ms())
@@ -138,6 +139,7 @@
                 break
             if isinstance(item, bytes):
                 mark_running()
+                count_begun(vm, call, send)
                 send.events_since_ms = send.events_since_ms or vm.clock.now_ms()
                 if vm.crash_guard.table.by_fingerprint and send.runs_long(vm.clock):
                     record_long_run(vm, call, send.events_since_ms)
@@ -163,6 +165,14 @@
     send.outcome = Outcome.FORWARDED
 
 
+def count_begun(vm: Gateway, call: Call, send: Send) -> None:
+    """Count a request that an upstream began, once however often it is sent."""
+    if vm.duties is None or send.answer.counted or call.organisation is None:
+        return
+    send.answer.counted = True
+    vm.duties.count_begun(call.organisation.name)
+
+
 def check_stream_end(call: Call, connection: HttpConnection, send: Send) -> None:
     """Check that a stream that ended with its connection ended with a whole event.
 
--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from typing import cast
 
+from ..duties.job import on_duty_message
+from ..duties.messages import DutyBeat, DutyReport
 from ..events import Event
 from ..exceptions import CuminstileError
 from .crash_sharing import on_suspect_update, send_suspects
@@ -55,6 +57,8 @@
             on_update(self.vm, message)
         elif isinstance(message, SuspectUpdate) and is_address(message.address):
             on_suspect_update(self.vm, message)
+        elif self.vm.duties is not None and isinstance(message, DutyReport | DutyBeat):
+            on_duty_message(self.vm.duties, message)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat; answer it if the VM is new, restarted or back."""
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from ..duties.messages import DutyBeat, DutyReport
 from ..message_codec import bad_message, make_data_codec
 
 
@@ -337,6 +338,8 @@
         (21, TopicResponse),
         (22, TopicUpdate),
         (23, SuspectUpdate),
+        (30, DutyReport),
+        (31, DutyBeat),
     )
 )
 REPLIES = (ChainAdmitted, ChainDone, ChainMoved, ChainRefused, TopicResponse)
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -10,6 +10,7 @@
 from aioprometheus.renderer import render
 from anyio.abc import TaskGroup
 
+from ..duties.job import duty_jobs
 from ..events import Event, Journal
 from ..supervision import run_with_restarts
 from .connection_pool import ConnectionPool
@@ -115,6 +116,7 @@
             lambda: run_crash_check_loop(vm),
             vm.scheduler.run_dispatch_loop,
             vm.scheduler.frees.run_free_loop,
+            *duty_jobs(vm.duties),
         ]
         for job in jobs:
             tasks.start_soon(run_with_restarts, job, vm.journal, vm.clock)
@@ -144,6 +146,8 @@
         stop_requested.set()
     await stop_requested.wait()
     await drain(vm, server, callers, heartbeats)
+    if vm.duties is not None:
+        vm.duties.tell_counts()
     tasks.cancel_scope.cancel()
 
 
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -17,6 +17,7 @@
 from .crash_evidence import record_survivor
 from .forwarding import (
     continues_stream,
+    count_begun,
     end_to_end_headers,
     forward_answer,
     stream_answer,
@@ -184,6 +185,8 @@
         connection.close(send.detail)
         send.outcome = Outcome.UNKNOWN
     elif head.status >= 300:
+        if head.status not in NOT_RUN_STATUSES:
+            count_begun(vm, call, send)
         body = await connection.receive_rest()
         attempts = connection.failed_attempts
         remember(attempts, call.fields.attempt_id, None, MAX_FAILED_ATTEMPTS)
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..clock import Clock
+from ..duties.desk import DutyDesk
 from ..events import Event, Journal
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
@@ -113,6 +114,8 @@
         By topic, the address of a VM that knows changes which are missing here.
     send_datagram : callable
         Sends bytes to the `host:port` of another VM; they may be lost.
+    duties : DutyDesk or None
+        The duties of one VM at a time, None where there are none.
     """
 
     settings: GatewaySettings
@@ -133,6 +136,7 @@
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
     wanted_records: dict[str, str] = field(default_factory=dict)
     send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
+    duties: DutyDesk | None = None
     random: random.Random = field(default_factory=random.Random)
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -26,6 +26,7 @@
 from ..gateway.stage_calls import StageCaller
 from ..gateway.staging import Scheduler
 from ..gateway.state import Gateway
+from .duties import make_duties
 from .follow import Follower
 from .headers import PROTOCOL
 from .reloading import apply_settings
@@ -76,6 +77,7 @@
     """Run the VM until it is asked to stop; `early` are signals that came before."""
     clock = log.clock
     vm = make_gateway(settings, clock)
+    vm.duties = make_duties(settings, vm)
     follower = Follower(vm, StoreClient(settings.store_address, clock))
 
     def reload() -> None:
--- a/cuminstile/platform/settings.py
+++ b/cuminstile/platform/settings.py
@@ -8,10 +8,15 @@
 
 import orjson
 
+from ..duties.desk import DutySettings
+from ..duties.types import ORDERS_DUTY, USAGE_DUTY
 from ..exceptions import CuminstileError, ErrorCode, Finding
 from ..gateway.state import GatewaySettings
 from ..typed_data import InvalidDataError, check_data_class
 
+DUTY_NAMES = {"usage_report": USAGE_DUTY, "autoscaler": ORDERS_DUTY}
+"""The duties by the platform's names."""
+
 
 @dataclass(frozen=True)
 class ListenFields:
@@ -40,6 +45,21 @@
     retry_budget_ratio: float = 0.0
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
+    lease_ms: float = 3_000.0
+    usage_window_s: float = 5.0
+    usage_late_s: float = 10.0
+
+
+@dataclass(frozen=True)
+class CloudFields:
+    """`cloud`: the address of the calls that are duties, and their limit for all VMs.
+
+    `duties` names those that there are, in the platform's words.
+    """
+
+    address: str = ""
+    duties: tuple[str, ...] = ()
+    duty_per_s: float = 50.0
 
 
 @dataclass(frozen=True)
@@ -69,6 +89,7 @@
     bounds: BoundFields
     seeds: tuple[str, ...] = ()
     limits: MachineFields = MachineFields()
+    cloud: CloudFields = CloudFields()
 
 
 @dataclass(frozen=True)
@@ -79,10 +100,16 @@
     ----------
     store_address : str
         `host:port`.
+    duties_address : str
+        `host:port` of the platform's calls that are duties of one VM at a time.
+    duties : DutySettings or None
+        None where the platform has no such calls.
     """
 
     gateway: GatewaySettings
     store_address: str
+    duties_address: str = ""
+    duties: DutySettings | None = None
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -147,4 +174,21 @@
         cores=fields.limits.cpu_share * fields.limits.cores,
         link_mbps=fields.limits.link_mbps,
     )
-    return PlatformSettings(gateway, fields.platform.address)
+    address = fields.cloud.address
+    return PlatformSettings(
+        gateway, fields.platform.address, address, duties_of(fields)
+    )
+
+
+def duties_of(fields: SettingsFields) -> DutySettings | None:
+    """Return the settings of the duties, None where there are none."""
+    names = tuple(DUTY_NAMES[one] for one in fields.cloud.duties if one in DUTY_NAMES)
+    if not names or not fields.cloud.address:
+        return None
+    return DutySettings(
+        names,
+        fields.bounds.lease_ms,
+        fields.cloud.duty_per_s,
+        round(fields.bounds.usage_window_s * 1000.0),
+        fields.bounds.usage_late_s * 1000.0,
+    )
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -59,6 +59,7 @@
         wait_ms: float = 0.0,
         may_answer: Callable[[bytes], bool] = lambda _: True,
         alone: bool = False,
+        timeout_ms: float = CALL_TIMEOUT_MS,
     ) -> tuple[AnswerHead, bytes]:
         """Return the answer to one call.
 
@@ -71,6 +72,8 @@
             a connection that has carried a call, whose answer may have come twice.
         alone : bool
             Whether the call gets a new connection, which carries no other call.
+        timeout_ms : float
+            Time for the answer, besides `wait_ms`.
 
         Raises
         ------
@@ -90,7 +93,7 @@
             connection = self.pool.acquire(topic, self.clock.now_ms())
         calls_before = None if connection is None else connection.requests
         try:
-            async with asyncio.timeout((CALL_TIMEOUT_MS + wait_ms) / 1000.0):
+            async with asyncio.timeout((timeout_ms + wait_ms) / 1000.0):
                 if connection is None:
                     connection = await open_connection(self.address, CONNECT_TIMEOUT_MS)
                     calls_before = 0
