Tie the timeouts of duty calls to the lease and back off from a failing store

Cause: a VM that the store refused called it 2.5 times a second; a call could be on its way longer than the gap between holders for a short lease. Change: pauses of up to 2 s, timeouts as a share of the lease.

--- a/cuminstile/duties/desk.py
+++ b/cuminstile/duties/desk.py
@@ -32,7 +32,12 @@
 """How much longer each further VM waits."""
 MAX_RANK_STEPS = 6
 RETRY_MS = 400.0
-"""Pause after a call of the store that failed, while another attempt makes sense."""
+"""Pause after the first call of the store that failed."""
+MAX_RETRY_MS = 2_000.0
+"""Longest pause of a VM that does not hold the lease."""
+CALL_TIMEOUT_SHARE = 0.25
+"""Share of the lease after which a call is given up: less than the time between the end
+of the holder's calls and the earliest call of another holder."""
 BEAT_INTERVAL_MS = 400.0
 """Interval at which the holder says that it lives."""
 REPORT_INTERVAL_MS = 400.0
@@ -150,6 +155,7 @@
     first_window: int = -1
     started_ms: float = 0.0
     store_pause_until_ms: float = 0.0
+    retry_ms: float = RETRY_MS
     call_pause_until_ms: float = 0.0
     unanswered_ms: float = -1e12
     calls: int = 0
@@ -216,7 +222,10 @@
         self.calls += 1
         try:
             answer = await self.platform.call(
-                call, token, lambda: self.token(subject) == token
+                call,
+                token,
+                lambda: self.token(subject) == token,
+                self.settings.lease_ms * CALL_TIMEOUT_SHARE,
             )
         finally:
             self.calls -= 1
@@ -300,8 +309,11 @@
                 await self.renew()
             elif self.is_turn(now_ms):
                 await self.take()
+            self.retry_ms = RETRY_MS
         except PlatformUnavailableError as error:
-            self.store_pause_until_ms = self.clock.now_ms() + RETRY_MS
+            self.store_pause_until_ms = self.clock.now_ms() + self.retry_ms
+            holds = self.left_ms() > 0.0
+            self.retry_ms = RETRY_MS if holds else min(MAX_RETRY_MS, 2 * self.retry_ms)
             self.journal.record(Event.DUTY_STORE_FAILED, error=error.message)
 
     def is_turn(self, now_ms: float) -> bool:
--- a/cuminstile/duties/store.py
+++ b/cuminstile/duties/store.py
@@ -48,9 +48,16 @@
     """The platform's calls that are the duty of one VM at a time."""
 
     async def call(
-        self, call: DutyCall, token: int, may_send: Callable[[], bool]
+        self,
+        call: DutyCall,
+        token: int,
+        may_send: Callable[[], bool],
+        timeout_ms: float,
     ) -> DutyAnswer:
-        """Make a call; `may_send` is asked when the next step is to write the bytes."""
+        """Make a call; `may_send` is asked when the next step is to write the bytes.
+
+        What was not delivered by the end of the timeout is never sent.
+        """
 
     def usage_call(self, window: int, counts: Mapping[str, int]) -> DutyCall:
         """Return the call that reports the usage of a window."""
--- a/cuminstile/platform/duties.py
+++ b/cuminstile/platform/duties.py
@@ -31,8 +31,6 @@
 LEDGER_KEY = "usage"
 STORE_TIMEOUT_MS = 700.0
 """Timeout of a call for the lease: a second one fits into what is left of it."""
-CALL_TIMEOUT_MS = 800.0
-"""Timeout of a call that is a duty."""
 CONNECT_TIMEOUT_MS = 500.0
 USAGE_PATH = b"/usage-reports"
 ORDER_PATH = b"/scale"
@@ -175,7 +173,11 @@
     clock: Clock
 
     async def call(
-        self, call: DutyCall, token: int, may_send: Callable[[], bool]
+        self,
+        call: DutyCall,
+        token: int,
+        may_send: Callable[[], bool],
+        timeout_ms: float,
     ) -> DutyAnswer:
         """Make a call; nothing is sent unless `may_send` right before."""
         headers = (
@@ -188,9 +190,9 @@
         connection: HttpConnection | None = None
         sent = False
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_MS / 1000.0):
+            async with asyncio.timeout(timeout_ms / 1000.0):
                 connection = await open_connection(self.address, CONNECT_TIMEOUT_MS)
-                abort_on_close(connection)
+                abort_on_close(connection, timeout_ms)
                 if not may_send():
                     return DutyAnswer(None, False)
                 connection.send(request)
@@ -212,16 +214,14 @@
         return DutyCall(b"POST", USAGE_PATH, body.encode())
 
 
-def abort_on_close(connection: HttpConnection) -> None:
-    """Have the kernel drop what was not delivered when a connection is closed."""
+def abort_on_close(connection: HttpConnection, timeout_ms: float) -> None:
+    """Have the kernel drop what was not delivered by a timeout, or on the close."""
     if connection.transport is None:
         return
     sock = connection.transport.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT_ON_CLOSE)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(CALL_TIMEOUT_MS)
-        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(timeout_ms))
 
 
 @dataclass
