--- a/cuminstile/duties/desk.py
+++ b/cuminstile/duties/desk.py
@@ -59,6 +59,13 @@
 """Pause of all calls after the platform refused one because of its limit."""
 REPEAT_MS = 700.0
 """Pause before a report that got no answer is sent again."""
+PAUSED_MS = 1_000.0
+"""A step that is later by this means that the process was paused."""
+SETTLE_INTERVALS = 2.0
+"""Intervals of counts that a new holder, or one that was paused, waits for what others
+tell before it reports."""
+HASTE_MS = 2_000.0
+"""Time before a report is late from which on it waits for nothing."""
 FORWARDS = 3
 """How often the counts of other VMs are told to a new holder."""
 
@@ -163,6 +170,8 @@
     beat_at_ms: float = 0.0
     report_at_ms: float = 0.0
     token_held: int | None = None
+    stepped_ms: float = 0.0
+    settled_at_ms: float = 0.0
 
     def __post_init__(self) -> None:
         """Make the parts that follow from the settings."""
@@ -274,6 +283,9 @@
         now_ms, wall_ms = self.clock.now_ms(), self.wall_ms()
         if self.first_window < 0:
             self.first_window = self.usage.window_at(wall_ms)
+        if now_ms - self.stepped_ms > PAUSED_MS:
+            self.await_counts()
+        self.stepped_ms = now_ms
         self.usage.forget_old(wall_ms)
         if now_ms >= self.report_at_ms:
             self.report_at_ms = now_ms + self.report_interval_ms()
@@ -285,6 +297,11 @@
         if self.clock.now_ms() >= self.beat_at_ms:
             self.tell_all()
 
+    def await_counts(self) -> None:
+        """Have the next reports wait for what the others tell meanwhile."""
+        wait_ms = SETTLE_INTERVALS * self.report_interval_ms() + BEAT_INTERVAL_MS
+        self.settled_at_ms = self.clock.now_ms() + wait_ms
+
     def note_change(self) -> None:
         """Log that this VM began or ceased to hold the lease."""
         held = self.lease.held if self.left_ms() > 0.0 else None
@@ -293,6 +310,7 @@
             return
         if token is not None:
             self.beat_at_ms = 0.0
+            self.await_counts()
             self.journal.record(Event.DUTIES_TAKEN, token=token, end=self.lease.end)
         else:
             by = self.lease.record.machine if self.lease.record else ""
@@ -394,6 +412,9 @@
             self.first_window,
             self.awaited(wall_ms),
         )
+        settled = self.clock.now_ms() >= self.settled_at_ms
+        if due and not settled:
+            due = [one for one in due if self.hastes(one, wall_ms)]
         if not due:
             return None
         reports = []
@@ -406,6 +427,11 @@
         ]
         return add_reports(known, reports)
 
+    def hastes(self, window: int, wall_ms: float) -> bool:
+        """Return whether the report of a window is nearly late."""
+        late_at_ms = self.usage.end_ms(window) + self.settings.late_ms
+        return wall_ms > late_at_ms - HASTE_MS
+
     def awaited(self, wall_ms: float) -> list[str]:
         """Return the VMs whose counts are awaited."""
         told = {
