Describe the duties for operators, count them, and hold their layer apart

Cause: operators must see who holds which duty since when, and the new package needs its place among the layers.

--- a/cuminstile/duties/desk.py
+++ b/cuminstile/duties/desk.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..events import Event, Journal
 from ..exceptions import PlatformUnavailableError
-from ..gateway.token_bucket import TokenBucket
+from ..token_bucket import TokenBucket
 from .fleet_time import FleetTime
 from .lease import Attempt, Lease, LeaseRecord
 from .messages import DemandEntry, DutyBeat, DutyReport, UsageEntry
@@ -128,6 +128,11 @@
 
     Parameters
     ----------
+    leaving : callable
+        Returns whether this VM shuts down.
+    on_token, on_call : callable
+        Called with the fencing token or 0 when that changes, and with the duty and the
+        result of each call.
     local_demand : callable
         Returns the demand as this VM sees it.
     own_demand, told_demand
@@ -148,6 +153,8 @@
     store: DutyStore
     platform: DutyPlatform
     leaving: Callable[[], bool]
+    on_token: Callable[[int], None] = lambda _: None
+    on_call: Callable[[str, str], None] = lambda *_: None
     local_demand: Callable[[], tuple[DemandEntry, ...]] = tuple
     lease: Lease = field(init=False)
     usage: UsageTable = field(init=False)
@@ -238,6 +245,7 @@
             )
         finally:
             self.calls -= 1
+        self.on_call(subject.duty, "accepted" if answer.accepted else "failed")
         if answer.sent and answer.status is None:
             self.unanswered_ms = self.clock.now_ms()
         if answer.status == 429:
@@ -316,6 +324,7 @@
             by = self.lease.record.machine if self.lease.record else ""
             self.journal.record(Event.DUTIES_LOST, token=self.token_held, by=by)
         self.token_held = token
+        self.on_token(token or 0)
 
     async def keep_lease(self) -> None:
         """Renew, give back or take the lease, if that is due."""
--- a/cuminstile/gateway/answer_parser.py
+++ b/cuminstile/gateway/answer_parser.py
@@ -8,9 +8,9 @@
 import httptools
 
 from ..status_lines import find_joined_head
+from ..token_bucket import TokenBucket
 from .answer_bounds import BodyScan
 from .answers import AnswerEnd, AnswerHead, Incoming, JoinedAnswersError
-from .token_bucket import TokenBucket
 
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes that may arrive without completing a final head, a part of a body or its end:
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -25,6 +25,8 @@
     store_reader: Gauge
     crashes_total: Counter
     words_total: Counter
+    duty_token: Gauge
+    duty_calls_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -89,4 +91,14 @@
             "Upstreams that said that they leave or want no requests, by service",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_duty_token",
+            "Fencing token of the duties that this VM holds, 0 for none",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_duty_calls_total",
+            "Calls that are duties of one VM at a time by duty and result",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -8,10 +8,10 @@
 from enum import StrEnum
 
 from ..clock import Clock
+from ..token_bucket import TokenBucket
 from .event_stream import EVENTS_PER_S, MAX_EVENTS, AnswerProgress
 from .http_server import CallerConnection, Request
 from .model import Organisation, Route, Service
-from .token_bucket import TokenBucket
 from .upstream_protocol import CallFields, RawHeaders
 from .upstreams import UpstreamListAge, UpstreamState
 
--- a/cuminstile/platform/duties.py
+++ b/cuminstile/platform/duties.py
@@ -269,4 +269,8 @@
         LeaseLog(StoreClient(settings.store_address, vm.clock)),
         PlatformCalls(settings.duties_address, own.name, vm.clock),
         lambda: vm.leaving,
+        lambda token: vm.metrics.duty_token.set({}, token),
+        lambda duty, result: vm.metrics.duty_calls_total.inc(
+            {"duty": duty, "result": result}
+        ),
     )
--- a/tests/duties/test_one_holder.py
+++ b/tests/duties/test_one_holder.py
@@ -31,7 +31,7 @@
     ]
     if holders and rng.random() < 0.5:
         machine = rng.choice(holders)
-    kind = rng.randrange(11)
+    kind = rng.randrange(12)
     until_ms = world.now_ms + rng.uniform(100.0, 8_000.0)
     if kind == 0:
         machine.frozen_until_ms = until_ms
@@ -43,8 +43,7 @@
         world.at(until_ms + 5_000.0, lambda: restart(world, machine))
     elif kind in (3, 4, 5):
         name = ("off_store", "off_platform", "off_fleet")[kind - 3]
-        setattr(machine, name, True)
-        world.at(until_ms, lambda: setattr(machine, name, False))
+        cut(world, machine, name, until_ms)
     elif kind == 6:
         machine.lead_ms += rng.uniform(-20_000.0, 20_000.0)
     elif kind == 7:
@@ -53,10 +52,19 @@
         world.lost = rng.choice((0.0, 0.2, 0.6))
     elif kind == 9:
         world.refused = rng.choice((0.0, 0.3, 1.0))
+    elif kind == 10:
+        for name in ("off_store", "off_fleet"):
+            cut(world, machine, name, until_ms)
     else:
         world.platform_lost = rng.choice((0.0, 0.3))
 
 
+def cut(world: World, machine: Machine, name: str, until_ms: float) -> None:
+    """Cut a machine off from something for a while."""
+    setattr(machine, name, True)
+    world.at(until_ms, lambda: setattr(machine, name, False))
+
+
 def restart(world: World, machine: Machine) -> None:
     """Start the process of a machine unless one runs."""
     if not machine.running:
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -21,6 +21,8 @@
     "crash_limits",
     "crash_merging",
     "crash_suspects",
+    "duties",
+    "token_bucket",
 }
 """Modules outside the gateway that it shares with the product's own interface."""
 DECISIONS = (
@@ -46,6 +48,9 @@
     "upstreams",
 )
 """Modules of the gateway that make decisions without I/O."""
+DUTY_DECISIONS = ("fleet_time", "lease", "messages", "types", "usage")
+"""Modules of the duties that make decisions without I/O."""
+ALLOWED_DUTY_IMPORTS = {"clock", "events", "exceptions", "token_bucket"}
 NETWORK = {"anyio", "asyncio", "httptools", "socket", "uvloop", "websockets"}
 ALLOWED_DECISION_IMPORTS = {*DECISIONS, "messages"}
 
@@ -98,6 +103,19 @@
     assert imports(path, 1) <= ALLOWED_DECISION_IMPORTS
 
 
+@pytest.mark.parametrize("path", modules("duties"), ids=lambda path: path.stem)
+def test_duties_know_neither_gateway_nor_adapter(path: Path) -> None:
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 2) <= ALLOWED_DUTY_IMPORTS
+
+
+@pytest.mark.parametrize("name", DUTY_DECISIONS)
+def test_decisions_of_duties_use_nothing_else(name: str) -> None:
+    path = PACKAGE / "duties" / f"{name}.py"
+    assert imports(path, 1) <= set(DUTY_DECISIONS)
+    assert imports(path, 2) == set()
+
+
 def test_nothing_but_the_program_itself_uses_the_adapter() -> None:
     users = {
         path.name
