Take lists of keys that are null for empty ones, and close where keys are required

A version in which an organisation's keys are null or left out was refused as a whole, so keys that had just been taken away went on to run requests. A version without any list of organisations opened all routes, also where the platform's contract for keys is in use.

Cause: a required list, and an access rule that only the manifest states.

Change: null or missing keys, and a null list of organisations, are empty lists. Where the settings name the contract "tenants", a manifest without organisations counts as one with an empty list. Elsewhere nothing changes.

--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..clock import Clock
 from ..events import Event, Journal
@@ -52,6 +52,9 @@
         Time from SIGTERM to the forced end of the process.
     cores, link_mbps : float
         Processor and network link of the VM.
+    keys_required : bool
+        Whether callers need keys whatever a manifest says: one that lists no
+        organisations lets nobody in on closed routes.
     """
 
     name: str
@@ -68,6 +71,7 @@
     retry_window_ms: float
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    keys_required: bool = False
 
 
 @dataclass(frozen=True)
@@ -187,6 +191,8 @@
         """Apply a manifest if it is newer; return whether it was."""
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return False
+        if self.settings.keys_required and manifest.organisations is None:
+            manifest = replace(manifest, organisations={})
         self.index = make_index(manifest)
         self.scheduler.configure(manifest, self.table)
         self.journal.record(
--- a/cuminstile/platform/fields.py
+++ b/cuminstile/platform/fields.py
@@ -24,8 +24,10 @@
 
 
 def texts_at(raw: dict[str, Any], name: str) -> list[str]:
-    """Return a list of such strings, which may be empty."""
-    value = raw[name]
+    """Return a list of such strings, an empty one if it is absent or null."""
+    value = raw.get(name)
+    if value is None:
+        return []
     if not isinstance(value, list):
         raise TypeError(f"{name} must be a list of strings")
     return [printable(one, name) for one in value]
--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -100,8 +100,14 @@
 
 
 def organisations_of(raw: dict[str, Any]) -> dict[str, Organisation]:
-    """Return the organisations by their keys; one may have none."""
+    """Return the organisations by their keys; one may have none.
+
+    A list of organisations or keys that is null is an empty one, so that no key of an
+    earlier version stays in force.
+    """
     organisations: dict[str, Organisation] = {}
+    if raw["tenants"] is None:
+        return organisations
     for item in items_at(raw, "tenants"):
         priority = optional_integer_at(item, "priority")
         organisation = Organisation(text_at(item, "name"), priority)
--- a/cuminstile/platform/settings.py
+++ b/cuminstile/platform/settings.py
@@ -12,6 +12,9 @@
 from ..gateway.state import GatewaySettings
 from ..typed_data import InvalidDataError, check_data_class
 
+KEYS_CONTRACT = "tenants"
+"""Contract under which callers have keys."""
+
 
 @dataclass(frozen=True)
 class ListenFields:
@@ -57,7 +60,7 @@
 
     `port_range` holds the first and the last of the ports that are free for traffic
     between VMs, the same on all VMs. `seeds` lists other VMs; the ports in it are other
-    ones and not used.
+    ones and not used. `contracts` names the parts of the platform that are in use.
     """
 
     node: str
@@ -69,6 +72,7 @@
     bounds: BoundFields
     seeds: tuple[str, ...] = ()
     limits: MachineFields = MachineFields()
+    contracts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -146,5 +150,6 @@
         retry_window_ms=fields.bounds.retry_window_s * 1000.0,
         cores=fields.limits.cpu_share * fields.limits.cores,
         link_mbps=fields.limits.link_mbps,
+        keys_required=KEYS_CONTRACT in fields.contracts,
     )
     return PlatformSettings(gateway, fields.platform.address)
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -1,6 +1,7 @@
 """Test cuminstile.platform as a program with keys that are taken away."""
 
 import asyncio
+import signal
 from typing import Any
 
 import pytest
@@ -80,3 +81,82 @@
     assert await statuses(site, "/open/x") == [[200, 200, 200]] * (VMS + 1)
     await publish(site, 9)
     assert await statuses(site, "/book/x") == [[200, 401, 401]] * (VMS + 1)
+
+
+def held_by(*keys: object) -> list[dict[str, Any]]:
+    """Return the organisations of a manifest, one with some keys."""
+    return [{"name": "o", "api_keys": list(keys)}]
+
+
+# Guards against keys that stay in force, and routes that open, as a rule vanishes.
+@pytest.mark.parametrize(
+    ("tenants", "expected"),
+    [
+        pytest.param(None, [401, 401, 401], id="null"),
+        pytest.param([{"name": "o"}], [401, 401, 401], id="keys-absent"),
+        pytest.param(
+            [{"name": "o", "api_keys": None}], [401, 401, 401], id="keys-null"
+        ),
+        pytest.param(held_by("another"), [401, 401, 401], id="another-key"),
+        pytest.param(
+            [*held_by("another"), {"name": "p", "api_keys": [KEY]}],
+            [200, 401, 401],
+            id="key-moved",
+        ),
+        pytest.param(held_by("", KEY), [200, 401, 401], id="empty-key-refused"),
+        pytest.param("o", [200, 401, 401], id="unknown-form-refused"),
+    ],
+)
+async def test_rule_that_vanishes_closes_and_broken_record_changes_nothing(
+    site: Site, tenants: object, expected: list[int]
+) -> None:
+    await publish(site, 2)
+    assert await statuses(site, "/book/x") == [[200, 401, 401]] * VMS
+    await publish(site, 3, tenants=tenants)
+    assert await statuses(site, "/book/x") == [expected] * VMS
+    assert await statuses(site, "/open/x") == [[200, 200, 200]] * VMS
+
+
+async def test_keys_taken_away_one_by_one_come_back(site: Site) -> None:
+    names = ("o", "p", "q")
+    held = {name: [f"key-of-{name}"] for name in names}
+    held["o"].append(KEY)
+    for version in range(2, 5):
+        held[names[version - 2]] = []
+        tenants = [{"name": name, "api_keys": held[name]} for name in names]
+        await publish(site, version, tenants=tenants)
+        assert await statuses(site, "/book/x") == [[401, 401, 401]] * VMS
+    held["q"] = [KEY]
+    tenants = [{"name": name, "api_keys": held[name]} for name in names]
+    await publish(site, 5, tenants=tenants)
+    assert await statuses(site, "/book/x") == [[200, 401, 401]] * VMS
+
+
+async def test_vm_that_was_frozen_knows_no_key_that_went_meanwhile(site: Site) -> None:
+    frozen = site.vms[1]
+    frozen.process.send_signal(signal.SIGSTOP)
+    await publish(site, 2, tenants=[])
+    frozen.process.send_signal(signal.SIGCONT)
+    await asyncio.sleep(IN_FORCE_S)
+    assert await statuses(site, "/book/x") == [[401, 401, 401]] * VMS
+
+
+async def test_vm_turned_away_by_the_store_knows_no_key_that_went(site: Site) -> None:
+    site.store.affected_hosts = {site.store_host(1)}
+    site.store.status = 503
+    await publish(site, 2, tenants=[])
+    assert await statuses(site, "/book/x") == [[401, 401, 401]] * VMS
+
+
+async def test_older_version_after_a_newer_one_opens_nothing(site: Site) -> None:
+    await publish(site, 7, tenants=[])
+    await publish(site, 6)
+    assert await statuses(site, "/book/x") == [[401, 401, 401]] * VMS
+
+
+async def test_route_made_public_and_back_asks_for_a_key_again(site: Site) -> None:
+    public = [make_route("book", "unsafe", "desk", public=True)]
+    await publish(site, 2, routes=public)
+    assert await statuses(site, "/book/x") == [[200, 200, 200]] * VMS
+    await publish(site, 3)
+    assert await statuses(site, "/book/x") == [[200, 401, 401]] * VMS
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,11 +3,18 @@
 from pathlib import Path
 from typing import Any
 
+import orjson
 import pytest
 
+from cuminstile.clock import Clock
 from cuminstile.exceptions import CuminstileError, ErrorCode
+from cuminstile.gateway.routing import needs_key
+from cuminstile.platform.program import make_gateway
+from cuminstile.platform.records import decode_manifest
 from cuminstile.platform.settings import decode_settings
 
+from .site import make_manifest
+
 PATH = Path("settings.json")
 
 
@@ -41,6 +48,23 @@
     assert decode_settings(PATH, fields()).gateway.cores == 1.0
 
 
+def test_keys_are_required_where_the_contract_for_them_is_in_use() -> None:
+    settings = decode_settings(PATH, fields(contracts=["base", "tenants"]))
+    assert settings.gateway.keys_required
+    assert not decode_settings(PATH, fields()).gateway.keys_required
+
+
+# Guards against a version that lists no organisations and so opens all routes.
+def test_manifest_without_organisations_opens_nothing_where_keys_are_required() -> None:
+    settings = decode_settings(PATH, fields(contracts=["tenants"]))
+    vm = make_gateway(settings, Clock())
+    raw = make_manifest()
+    del raw["tenants"]
+    assert vm.apply_manifest(decode_manifest(orjson.dumps(raw)), "store")
+    assert vm.manifest is not None
+    assert all(needs_key(vm.manifest, route) for route in vm.manifest.routes)
+
+
 def test_own_address_is_no_seed_and_ports_are_those_between_vms() -> None:
     assert decode_settings(PATH, fields()).gateway.seeds == ("10.2.0.25:7740",)
 
