Send a request that may be repeated a second time if that is likelier to be in time

Cause: a few answers come from upstreams in a slow bout, or from behind a long request, and are late while other upstreams are idle. A request waited for its first upstream until half of its time was gone.

Progress moves to send_state.py, as both modules need it. Off by default: `hedging.share` in deploy/settings.json, read again at SIGHUP.

--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -101,6 +101,7 @@
     STREAM_BROKEN = 3402
     STREAM_RESUMED = 3403
     ANSWER_UNEXPECTED = 3404
+    REQUEST_HEDGED = 4001
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Coroutine
 
 from ..crash_limits import Suspicion
 from ..events import Event
@@ -16,9 +16,9 @@
     suspicion_of,
     wait_for_trial,
 )
-from .event_stream import AnswerProgress
+from .hedged_sends import send_hedged
 from .refusals import Refusal, correct_refusal, no_upstream, out_of_time
-from .send_state import Call, Failure, Outcome, Send, SendEnd
+from .send_state import Call, Outcome, Progress, Race, Send, SendEnd
 from .sending import record_upstream_failure, send_with_timeout
 from .staged_results import free_results
 from .staged_work import results_for
@@ -36,36 +36,6 @@
     """An answer broke off after its head was sent to the caller."""
 
 
-@dataclass
-class Progress:
-    """State of one request across its sends.
-
-    Parameters
-    ----------
-    tried : set of str
-        Upstreams that did not serve the request.
-    sends, runs : int
-        How often the request was sent, and how often it may have run.
-    failure : Failure or None
-        The last failure that an upstream returned.
-    recomputed : bool
-        Whether its stages were recomputed because a result was lost.
-    answer : AnswerProgress
-        What part of an answer was sent to the caller.
-    detail : str
-        How the last send ended.
-    """
-
-    results: tuple[Result, ...] = ()
-    tried: set[str] = field(default_factory=set)
-    sends: int = 0
-    runs: int = 0
-    failure: Failure | None = None
-    recomputed: bool = False
-    answer: AnswerProgress = field(default_factory=AnswerProgress)
-    detail: str = ""
-
-
 async def send_until_answered(vm: Gateway, call: Call, progress: Progress) -> None:
     """Send a request until it is answered, with retries where allowed.
 
@@ -98,7 +68,13 @@
         if state is None:
             await end_unanswered(vm, call, progress)
             return
-        send = await send_to(vm, call, progress, state, left_ms)
+
+        def send_to_one(
+            state: UpstreamState, race: Race | None, left_ms: float = left_ms
+        ) -> Coroutine[None, None, Send]:
+            return send_to(vm, call, progress, state, left_ms, race)
+
+        send = await send_hedged(vm, call, progress, state, send_to_one)
         if send.outcome is Outcome.FORWARDED:
             return
         if send.outcome is Outcome.INPUT_GONE and not progress.recomputed:
@@ -122,7 +98,12 @@
 
 
 async def send_to(
-    vm: Gateway, call: Call, progress: Progress, state: UpstreamState, left_ms: float
+    vm: Gateway,
+    call: Call,
+    progress: Progress,
+    state: UpstreamState,
+    left_ms: float,
+    race: Race | None = None,
 ) -> Send:
     """Send a request to an upstream and record the outcome."""
     record_resumption(vm, call, progress, state)
@@ -132,6 +113,7 @@
         progress.answer,
         vm.table.age(vm.clock.now_ms()),
         on_running=lambda: free_inputs(vm, progress),
+        race=race,
     )
     inputs = tuple(result.handle for result in progress.results)
     limit_ms = attempt_timeout_ms(vm, call, progress, left_ms)
--- a/cuminstile/gateway/forwarding.py
+++ b/cuminstile/gateway/forwarding.py
@@ -97,6 +97,8 @@
     body = await connection.receive_rest()
     send.unframed = not connection.parser.framed
     vm.pool.release(state.info.id, connection, vm.clock.now_ms())
+    if send.race is not None:
+        send.race.win()
     send.answer.begun = True
     send.outcome = Outcome.FORWARDED
     headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
@@ -120,19 +122,20 @@
     Only complete events of a resumable stream are forwarded. If the answer breaks off,
     it breaks off for the caller too, unless another upstream resumes it: an incomplete
     answer never looks complete. None resumes it behind what may be the head of another
-    answer, as that ends an event that was broken off.
+    answer, as that ends an event that was broken off. Of two sends of a request the one
+    whose first event comes first is forwarded.
     """
     answer = send.answer
-    extend_timeout(vm, call, send)
     last = HeldLastByte(None if answer.begun else head.length)
-    if not answer.begun:
-        answer.begun = True
-        answer.has_length = head.length is not None
-        headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
-        call.out.write_head(head.status, headers, head.length)
+    waits_for_event = send.race is not None
+    if not waits_for_event:
+        begin_answer(vm, call, head, send)
     try:
         while True:
             item = await connection.receive()
+            if waits_for_event:
+                waits_for_event = False
+                begin_answer(vm, call, head, send)
             if isinstance(item, AnswerEnd):
                 check_stream_end(call, connection, send)
                 break
@@ -163,6 +166,25 @@
     send.outcome = Outcome.FORWARDED
 
 
+def begin_answer(vm: Gateway, call: Call, head: AnswerHead, send: Send) -> None:
+    """Write the head of a stream to the caller, unless an earlier send has begun it.
+
+    Raises
+    ------
+    asyncio.CancelledError
+        If another send of the request answers the caller.
+    """
+    if send.race is not None:
+        send.race.win()
+    extend_timeout(vm, call, send)
+    if send.answer.begun:
+        return
+    send.answer.begun = True
+    send.answer.has_length = head.length is not None
+    headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
+    call.out.write_head(head.status, headers, head.length)
+
+
 def check_stream_end(call: Call, connection: HttpConnection, send: Send) -> None:
     """Check that a stream that ended with its connection ended with a whole event.
 
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -25,6 +25,8 @@
     store_reader: Gauge
     crashes_total: Counter
     words_total: Counter
+    hedges_total: Counter
+    hedge_wasted_ms_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -89,4 +91,14 @@
             "Upstreams that said that they leave or want no requests, by service",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_gateway_hedges_total",
+            "Requests sent a second time, by service and whether that send answered",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedge_wasted_ms_total",
+            "Time that upstreams spent on sends whose request another one answered",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from ..clock import Clock
+from .chain import Result
 from .event_stream import EVENTS_PER_S, MAX_EVENTS, AnswerProgress
 from .http_server import CallerConnection, Request
 from .model import Organisation, Route, Service
@@ -77,6 +78,38 @@
     body: bytes
 
 
+@dataclass
+class Race:
+    """Two sends of one request that are in progress, of which one answers the caller.
+
+    Parameters
+    ----------
+    tasks : list of asyncio.Task
+        The sends.
+    winner : asyncio.Task or None
+        The first one that had something for the caller.
+    """
+
+    tasks: list[asyncio.Task[Send]] = field(default_factory=list)
+    winner: asyncio.Task[Send] | None = None
+
+    def win(self) -> None:
+        """Let the send that calls this answer the caller, and cancel the other.
+
+        Raises
+        ------
+        asyncio.CancelledError
+            If the other one has won.
+        """
+        own = next(task for task in self.tasks if task is asyncio.current_task())
+        if self.winner not in (None, own):
+            raise asyncio.CancelledError
+        self.winner = own
+        for task in self.tasks:
+            if task is not own:
+                task.cancel()
+
+
 @dataclass
 class Send:
     """State of one send.
@@ -103,6 +136,8 @@
         Events of the answer that were taken from `event_tokens`.
     timeout : asyncio.Timeout or None
         When the send is cancelled; extended for a stream that has begun.
+    race : Race or None
+        What decides between this send and another one of the same request.
     """
 
     answer: AnswerProgress
@@ -124,6 +159,7 @@
     events_counted: int = 0
     timeout: asyncio.Timeout | None = None
     on_running: Callable[[], None] = field(default=lambda: None)
+    race: Race | None = None
 
     def runs_long(self, clock: Clock) -> bool:
         """Return whether the upstream has sent parts of its answer for a while."""
@@ -131,6 +167,36 @@
         return since_ms > 0.0 and clock.now_ms() - since_ms >= LONG_RUN_MS
 
 
+@dataclass
+class Progress:
+    """State of one request across its sends.
+
+    Parameters
+    ----------
+    tried : set of str
+        Upstreams that did not serve the request.
+    sends, runs : int
+        How often the request was sent, and how often it may have run.
+    failure : Failure or None
+        The last failure that an upstream returned.
+    recomputed : bool
+        Whether its stages were recomputed because a result was lost.
+    answer : AnswerProgress
+        What part of an answer was sent to the caller.
+    detail : str
+        How the last send ended.
+    """
+
+    results: tuple[Result, ...] = ()
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    runs: int = 0
+    failure: Failure | None = None
+    recomputed: bool = False
+    answer: AnswerProgress = field(default_factory=AnswerProgress)
+    detail: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class SendEnd:
     """How a send of a request to an upstream ended, for `crash_guard.end_send`.
--- a/cuminstile/gateway/serving.py
+++ b/cuminstile/gateway/serving.py
@@ -7,11 +7,11 @@
 from ..events import Event
 from ..exceptions import raised_at
 from .accepting import accept
-from .attempts import Progress, StreamBrokenError, send_until_answered
+from .attempts import StreamBrokenError, send_until_answered
 from .crash_guard import refuse_quarantined
 from .http_server import CallerConnection, Request
 from .refusals import Refusal, id_of, write_refusal
-from .send_state import Call
+from .send_state import Call, Progress
 from .staged_results import free_results
 from .staged_work import results_for
 from .state import Gateway
@@ -62,6 +62,7 @@
         If the answer breaks off.
     """
     vm.retries.record_request(call.service.name, vm.clock.now_ms())
+    vm.hedging.record_request(call.service.name, vm.clock.now_ms())
     refuse_quarantined(vm, call)
     progress = Progress()
     arrived_ms = call.request.arrived_ms
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..events import Event, Journal
+from ..hedging.limits import HedgeLimits, Hedging
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -55,6 +56,8 @@
     keys_required : bool
         Whether callers need keys whatever a manifest says: one that lists no
         organisations lets nobody in on closed routes.
+    hedge_share, hedge_busy_share : float
+        Limits for second sends; see `HedgeLimits`.
     """
 
     name: str
@@ -72,6 +75,8 @@
     cores: float = 1.0
     link_mbps: float = 1_000.0
     keys_required: bool = False
+    hedge_share: float = 0.0
+    hedge_busy_share: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -132,6 +137,7 @@
     started_ms: int
     table: UpstreamTable = field(default_factory=UpstreamTable)
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
+    hedging: Hedging = field(default_factory=Hedging)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
@@ -179,6 +185,10 @@
         live = self.membership.live(self.clock.now_ms())
         return reader_role(self.own_heartbeat(), live)
 
+    def hedge_limits(self) -> HedgeLimits:
+        """Return the limits in force for second sends."""
+        return HedgeLimits(self.settings.hedge_share, self.settings.hedge_busy_share)
+
     def vm_count(self) -> int:
         """Return how many VMs share the common limits."""
         return self.membership.fleet_size()
--- /dev/null
+++ b/cuminstile/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second sends of requests that may be repeated, to cut the slowest answers."""
--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -67,6 +67,7 @@
         started_ms=clock.wall_ms(),
         crash_guard=guard,
     )
+    vm.hedging.limits = vm.hedge_limits()
     return vm
 
 
--- a/cuminstile/platform/reloading.py
+++ b/cuminstile/platform/reloading.py
@@ -8,7 +8,15 @@
 from .settings import PlatformSettings
 
 APPLIED = frozenset(
-    ("seeds", "shutdown_ms", "manifest_ms", "retry_ratio", "retry_slack")
+    (
+        "seeds",
+        "shutdown_ms",
+        "manifest_ms",
+        "retry_ratio",
+        "retry_slack",
+        "hedge_share",
+        "hedge_busy_share",
+    )
 )
 """Settings that a running VM takes over. The others concern its listeners, its identity
 towards other VMs, or windows that are in use."""
@@ -42,6 +50,7 @@
     vm.settings = replace(vm.settings, **values)
     vm.retries.ratio = vm.settings.retry_ratio
     vm.retries.slack = vm.settings.retry_slack
+    vm.hedging.limits = vm.hedge_limits()
     return ChangedSettings(applied, restart)
 
 
--- a/cuminstile/platform/settings.py
+++ b/cuminstile/platform/settings.py
@@ -12,6 +12,8 @@
 from ..gateway.state import GatewaySettings
 from ..typed_data import InvalidDataError, check_data_class
 
+PLATFORM_FIELDS = "fields"
+"""Field of a settings file that holds the platform's own, beside the operator's."""
 KEYS_CONTRACT = "tenants"
 """Contract under which callers have keys."""
 
@@ -54,6 +56,14 @@
     link_mbps: float = 1_000.0
 
 
+@dataclass(frozen=True)
+class HedgingFields:
+    """`hedging`: limits for second sends; see `HedgeLimits`."""
+
+    share: float = 0.0
+    busy_share: float = 0.5
+
+
 @dataclass(frozen=True)
 class SettingsFields:
     """The settings file; `zone` is a data centre, `node` the VM's name.
@@ -73,6 +83,7 @@
     seeds: tuple[str, ...] = ()
     limits: MachineFields = MachineFields()
     contracts: tuple[str, ...] = ()
+    hedging: HedgingFields = HedgingFields()
 
 
 @dataclass(frozen=True)
@@ -110,6 +121,8 @@
     """Return the settings in a decoded file; raises like `load_platform_settings`."""
     if not isinstance(raw, dict):
         raise bad_file(path, [Finding(str(path), "", "invalid", "must be an object")])
+    if isinstance(raw.get(PLATFORM_FIELDS), dict):
+        raw = {**raw[PLATFORM_FIELDS], **raw}
     try:
         fields = check_data_class(SettingsFields)(raw)
     except InvalidDataError as error:
@@ -151,5 +164,7 @@
         cores=fields.limits.cpu_share * fields.limits.cores,
         link_mbps=fields.limits.link_mbps,
         keys_required=KEYS_CONTRACT in fields.contracts,
+        hedge_share=fields.hedging.share,
+        hedge_busy_share=fields.hedging.busy_share,
     )
     return PlatformSettings(gateway, fields.platform.address)
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -9,7 +9,6 @@
 from cuminstile.gateway import attempts
 from cuminstile.gateway.accepting import CLOSE_MARGIN_MS, next_event_by_ms
 from cuminstile.gateway.attempts import (
-    Progress,
     attempt_timeout_ms,
     can_send_again,
     send_until_answered,
@@ -18,7 +17,7 @@
 from cuminstile.gateway.http_server import Request
 from cuminstile.gateway.model import RouteKind, Service
 from cuminstile.gateway.refusals import Refusal, correct_refusal
-from cuminstile.gateway.send_state import Call, Outcome, Send
+from cuminstile.gateway.send_state import Call, Outcome, Progress, Send
 from cuminstile.gateway.upstream_protocol import CallFields
 from cuminstile.gateway.upstreams import UpstreamListAge
 
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -10,6 +10,7 @@
     "clock",
     "events",
     "exceptions",
+    "hedging",
     "recency",
     "rendezvous",
     "request_bounds",
