Let the send that answered count, not one that failed or was refused beside it

Cause: if both sends of a request had ended by the time their end was read, whichever came first out of the set was returned. With a loser that was full (503, not run) the request was sent a third time behind its complete answer, or counted as broken off. A second send that was refused (its trial began elsewhere) ended the first one, also in the middle of its answer, and the refusal said that the request had not run. Of two failed sends a crash was forgotten if the other one failed later.

Change: the winner is returned as soon as there is one; a refusal counts only if no send failed; a send that crashed its upstream goes before one that failed otherwise.

--- a/cuminstile/gateway/hedged_sends.py
+++ b/cuminstile/gateway/hedged_sends.py
@@ -10,6 +10,7 @@
 from .choosing import preferred_upstream
 from .crash_guard import is_suspected
 from .model import RouteKind
+from .refusals import Refusal
 from .send_state import Call, Outcome, Progress, Race, Send
 from .state import Gateway
 from .upstreams import UpstreamState, slot_usage
@@ -66,21 +67,31 @@
 
 
 async def first_answer(race: Race) -> Send:
-    """Return the send that answers the caller, or the last one if none does.
+    """Return the send that answers the caller, or one that failed if none does.
+
+    Of two that failed it is the one that crashed its upstream, else the last one. A
+    send that is refused leaves the other to answer, and says nothing of one that ran.
 
     Raises
     ------
     Refusal
         If the request may not be sent any more.
     """
+    failed: list[Send] = []
+    refusals: list[Refusal] = []
     waiting = set(race.tasks)
-    while True:
+    while waiting:
         done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        ended = [task for task in done if not task.cancelled()]
-        for task in ended:
-            send = task.result()
-            if send.outcome is Outcome.FORWARDED or task is race.winner or not waiting:
-                return send
+        if race.winner is not None:
+            return await race.winner
+        for task in done:
+            try:
+                failed.append(task.result())
+            except Refusal as refusal:
+                refusals.append(refusal)
+    if not failed:
+        raise refusals[0]
+    return next((send for send in failed if send.crashed), failed[-1])
 
 
 def hedge_after_ms(vm: Gateway, call: Call, progress: Progress) -> float | None:
--- a/tests/gateway/test_hedged_sends.py
+++ b/tests/gateway/test_hedged_sends.py
@@ -7,14 +7,17 @@
 import pytest
 
 from cuminstile.clock import VirtualClock
+from cuminstile.exceptions import ErrorCode
 from cuminstile.gateway import hedged_sends
 from cuminstile.gateway.event_stream import AnswerProgress
 from cuminstile.gateway.hedged_sends import (
+    first_answer,
     hedge_after_ms,
     hedge_upstream,
     send_hedged,
 )
 from cuminstile.gateway.model import RouteKind
+from cuminstile.gateway.refusals import Refusal
 from cuminstile.gateway.send_state import Outcome, Progress, Race, Send
 from cuminstile.gateway.state import Gateway
 from cuminstile.gateway.upstreams import UpstreamListAge, UpstreamState
@@ -24,6 +27,7 @@
 from .test_state import both, make_vm
 
 pytestmark = pytest.mark.anyio
+REFUSED = Refusal(ErrorCode.OVERLOADED, "a request like this runs on trial")
 
 
 def make_hedging_vm(requests: int = 100) -> Gateway:
@@ -46,7 +50,7 @@
 class Upstreams:
     """How each upstream ends a send: at once, after an event, or never."""
 
-    outcomes: dict[str, Outcome]
+    outcomes: dict[str, Outcome | Refusal]
     sent: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     answered: list[str] = field(default_factory=list)
@@ -67,12 +71,18 @@
         except asyncio.CancelledError:
             self.cancelled.append(name)
             raise
-        send.outcome = self.outcomes[name]
+        outcome = self.outcomes[name]
+        if isinstance(outcome, Refusal):
+            raise outcome
+        send.outcome = outcome
         return send
 
 
 async def race_of(
-    monkeypatch: pytest.MonkeyPatch, outcomes: tuple[Outcome, Outcome], ends: list[str]
+    monkeypatch: pytest.MonkeyPatch,
+    outcomes: tuple[Outcome | Refusal, Outcome | Refusal],
+    ends: list[str],
+    pause_s: float = 0.01,
 ) -> tuple[Upstreams, Send, Progress]:
     """Hedge a request at once; let the upstreams end in an order."""
     monkeypatch.setattr(hedged_sends, "hedge_after_ms", lambda *_: 0.0)
@@ -88,8 +98,8 @@
         await asyncio.sleep(0)
     for end in ends:
         upstreams.may_end[names[0] if end == "first" else names[1]].set()
-        if end != ends[-1]:
-            await asyncio.sleep(0.01)
+        if end != ends[-1] and pause_s:
+            await asyncio.sleep(pause_s)
     return upstreams, await sending, progress
 
 
@@ -123,6 +133,55 @@
     assert upstreams.cancelled == []
 
 
+# Guards against a second answer behind the first one.
+@pytest.mark.parametrize("failure", [Outcome.NOT_RUN, Outcome.FAILED, Outcome.UNKNOWN])
+@pytest.mark.parametrize("ends", [["first", "other"], ["other", "first"]])
+async def test_answer_counts_if_the_other_send_fails_at_the_same_moment(
+    monkeypatch: pytest.MonkeyPatch, failure: Outcome, ends: list[str]
+) -> None:
+    for _ in range(20):
+        outcomes = (failure, Outcome.FORWARDED)
+        _, send, _ = await race_of(monkeypatch, outcomes, ends, pause_s=0.0)
+        assert send.outcome is Outcome.FORWARDED
+
+
+async def test_refusal_of_one_send_leaves_the_other_to_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    outcomes = (Outcome.FORWARDED, REFUSED)
+    upstreams, send, _ = await race_of(monkeypatch, outcomes, ["other", "first"])
+    assert send.outcome is Outcome.FORWARDED
+    assert upstreams.cancelled == []
+
+
+async def test_request_that_may_have_run_is_not_refused_as_its_other_send_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    outcomes = (Outcome.FAILED, REFUSED)
+    for ends in (["other", "first"], ["first", "other"]):
+        _, send, _ = await race_of(monkeypatch, outcomes, ends)
+        assert send.outcome is Outcome.FAILED
+
+
+async def test_request_whose_sends_are_both_refused_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with pytest.raises(Refusal):
+        await race_of(monkeypatch, (REFUSED, REFUSED), ["first", "other"])
+
+
+async def test_request_that_crashed_one_upstream_counts_as_crashing() -> None:
+    async def end_at_once(send: Send) -> Send:
+        return send
+
+    age = UpstreamListAge(0, 0.0)
+    crashed = Send(AnswerProgress(), age, Outcome.UNKNOWN, crashed=True)
+    failed = Send(AnswerProgress(), age, Outcome.FAILED)
+    for sends in ((crashed, failed), (failed, crashed)):
+        tasks = [asyncio.create_task(end_at_once(send)) for send in sends]
+        assert await first_answer(Race(tasks)) is crashed
+
+
 async def test_request_whose_two_sends_fail_has_failed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
