Count a cancelled send where it ends, once and only if it was sent

Cause: at the end of a race one run was added for the send that had not won, though it had failed and counted before, was refused, or was never sent. A stream that won and broke off was then not resumed within its route's max_attempts. The cancelled send was missing in progress.sends (MAX_SENDS). Its time entered the times of the route also if it had failed early, and a stream that ended without an event entered with minus its start time. The second send could go to an upstream that had not served the request.

Change: send_to counts a send that is cancelled; Race knows whether the other one was in progress; the second send leaves out progress.tried.

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Coroutine
 
 from ..crash_limits import Suspicion
@@ -121,6 +122,11 @@
         await send_with_timeout(vm, call, state, inputs, send, limit_ms)
         if send.crashed and on_trial:
             send.crashed = await has_ended(vm.crash_guard, vm.table, vm.clock, state)
+    except asyncio.CancelledError:
+        # The request may have run there before another send answered it.
+        progress.sends += send.sent
+        progress.runs += send.sent
+        raise
     finally:
         send.crashed |= send.outcome is Outcome.UNKNOWN and is_gone(vm, state)
         ran = send.outcome in (Outcome.FORWARDED, Outcome.FAILED)
--- a/cuminstile/gateway/hedged_sends.py
+++ b/cuminstile/gateway/hedged_sends.py
@@ -51,7 +51,7 @@
         record_hedge(vm, call, state, other, after_ms)
         begin(race, send_to, other)
         send = await first_answer(race)
-        record_end(vm, call, progress, race, (began_ms, second_began_ms), send)
+        record_end(vm, call, race, (began_ms, second_began_ms), send)
         return send
     finally:
         for task in race.tasks:
@@ -122,7 +122,9 @@
         return None
     if is_suspected(vm, call):
         return None
-    other = preferred_upstream(vm, call, progress.results, {first.info.id})
+    other = preferred_upstream(
+        vm, call, progress.results, progress.tried | {first.info.id}
+    )
     if other is None or not is_quick(other, now_ms):
         return None
     if not vm.retries.acquire(service, vm.vm_count(), now_ms):
@@ -150,8 +152,9 @@
 def record_time(vm: Gateway, call: Call, send: Send, began_ms: float) -> None:
     """Record how long the first event, or else the whole answer, took."""
     if send.outcome is Outcome.FORWARDED or send.events_since_ms:
-        is_stream = call.route.kind is RouteKind.STREAM
-        end_ms = send.events_since_ms if is_stream else vm.clock.now_ms()
+        end_ms = vm.clock.now_ms()
+        if call.route.kind is RouteKind.STREAM and send.events_since_ms:
+            end_ms = send.events_since_ms
         vm.hedging.record_time(call.route.name, end_ms - began_ms)
 
 
@@ -173,7 +176,6 @@
 def record_end(
     vm: Gateway,
     call: Call,
-    progress: Progress,
     race: Race,
     began_ms: tuple[float, float],
     send: Send,
@@ -193,9 +195,9 @@
     won = race.tasks.index(race.winner)
     vm.metrics.hedges_total.inc({**labels, "result": "won" if won else "lost"})
     record_time(vm, call, send, began_ms[won])
-    # The other one was cancelled when this one began to answer.
+    if not race.cancelled:
+        return
     answered_ms = send.events_since_ms or now_ms
     wasted_ms = max(0.0, answered_ms - began_ms[1 - won])
     vm.hedging.record_time(call.route.name, wasted_ms)
     vm.metrics.hedge_wasted_ms_total.add(labels, wasted_ms)
-    progress.runs += 1
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -88,10 +88,13 @@
         The sends.
     winner : asyncio.Task or None
         The first one that had something for the caller.
+    cancelled : bool
+        Whether the other one was in progress then.
     """
 
     tasks: list[asyncio.Task[Send]] = field(default_factory=list)
     winner: asyncio.Task[Send] | None = None
+    cancelled: bool = False
 
     def win(self) -> None:
         """Let the send that calls this answer the caller, and cancel the other.
@@ -106,8 +109,8 @@
             raise asyncio.CancelledError
         self.winner = own
         for task in self.tasks:
-            if task is not own:
-                task.cancel()
+            if task is not own and task.cancel():
+                self.cancelled = True
 
 
 @dataclass
--- a/tests/gateway/test_hedged_sends.py
+++ b/tests/gateway/test_hedged_sends.py
@@ -14,6 +14,7 @@
     first_answer,
     hedge_after_ms,
     hedge_upstream,
+    record_time,
     send_hedged,
 )
 from cuminstile.gateway.model import RouteKind
@@ -83,16 +84,15 @@
     outcomes: tuple[Outcome | Refusal, Outcome | Refusal],
     ends: list[str],
     pause_s: float = 0.01,
-) -> tuple[Upstreams, Send, Progress]:
+) -> tuple[Upstreams, Send]:
     """Hedge a request at once; let the upstreams end in an order."""
     monkeypatch.setattr(hedged_sends, "hedge_after_ms", lambda *_: 0.0)
     vm = make_hedging_vm()
     first, other = vm.table.states.values()
     names = (first.info.id, other.info.id)
     upstreams = Upstreams(dict(zip(names, outcomes, strict=True)))
-    progress = Progress()
     sending = asyncio.create_task(
-        send_hedged(vm, call_on(**IDEMPOTENT), progress, first, upstreams.send_to)
+        send_hedged(vm, call_on(**IDEMPOTENT), Progress(), first, upstreams.send_to)
     )
     while len(upstreams.may_end) < 2:
         await asyncio.sleep(0)
@@ -100,7 +100,7 @@
         upstreams.may_end[names[0] if end == "first" else names[1]].set()
         if end != ends[-1] and pause_s:
             await asyncio.sleep(pause_s)
-    return upstreams, await sending, progress
+    return upstreams, await sending
 
 
 @pytest.mark.parametrize("quick", ["first", "other"])
@@ -108,18 +108,17 @@
     monkeypatch: pytest.MonkeyPatch, quick: str
 ) -> None:
     outcomes = (Outcome.FORWARDED, Outcome.FORWARDED)
-    upstreams, send, progress = await race_of(monkeypatch, outcomes, [quick])
+    upstreams, send = await race_of(monkeypatch, outcomes, [quick])
     assert send.outcome is Outcome.FORWARDED
     assert len(upstreams.answered) == len(upstreams.cancelled) == 1
     assert set(upstreams.answered) | set(upstreams.cancelled) == set(upstreams.sent)
-    assert progress.runs == 1
 
 
 async def test_two_answers_at_the_same_moment_are_not_both_forwarded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     outcomes = (Outcome.FORWARDED, Outcome.FORWARDED)
-    upstreams, send, _ = await race_of(monkeypatch, outcomes, ["first", "other"])
+    upstreams, send = await race_of(monkeypatch, outcomes, ["first", "other"])
     assert send.outcome is Outcome.FORWARDED
     assert len(upstreams.answered) == 1
 
@@ -128,7 +127,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     outcomes = (Outcome.FAILED, Outcome.FORWARDED)
-    upstreams, send, _ = await race_of(monkeypatch, outcomes, ["first", "other"])
+    upstreams, send = await race_of(monkeypatch, outcomes, ["first", "other"])
     assert send.outcome is Outcome.FORWARDED
     assert upstreams.cancelled == []
 
@@ -141,7 +140,7 @@
 ) -> None:
     for _ in range(20):
         outcomes = (failure, Outcome.FORWARDED)
-        _, send, _ = await race_of(monkeypatch, outcomes, ends, pause_s=0.0)
+        _, send = await race_of(monkeypatch, outcomes, ends, pause_s=0.0)
         assert send.outcome is Outcome.FORWARDED
 
 
@@ -149,7 +148,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     outcomes = (Outcome.FORWARDED, REFUSED)
-    upstreams, send, _ = await race_of(monkeypatch, outcomes, ["other", "first"])
+    upstreams, send = await race_of(monkeypatch, outcomes, ["other", "first"])
     assert send.outcome is Outcome.FORWARDED
     assert upstreams.cancelled == []
 
@@ -159,7 +158,7 @@
 ) -> None:
     outcomes = (Outcome.FAILED, REFUSED)
     for ends in (["other", "first"], ["first", "other"]):
-        _, send, _ = await race_of(monkeypatch, outcomes, ends)
+        _, send = await race_of(monkeypatch, outcomes, ends)
         assert send.outcome is Outcome.FAILED
 
 
@@ -186,7 +185,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     outcomes = (Outcome.FAILED, Outcome.UNKNOWN)
-    _, send, _ = await race_of(monkeypatch, outcomes, ["other", "first"])
+    _, send = await race_of(monkeypatch, outcomes, ["other", "first"])
     assert send.outcome is Outcome.FAILED
 
 
@@ -264,6 +263,20 @@
     assert hedge_upstream(vm, call_on(**IDEMPOTENT), Progress(), first) is None
 
 
+def test_no_second_send_to_an_upstream_that_did_not_serve_the_request() -> None:
+    vm = make_hedging_vm()
+    first, other = vm.table.states.values()
+    progress = Progress(tried={other.info.id})
+    assert hedge_upstream(vm, call_on(**IDEMPOTENT), progress, first) is None
+
+
+def test_time_of_a_stream_without_events_is_that_of_its_end() -> None:
+    vm = make_hedging_vm(0)
+    send = Send(AnswerProgress(), UpstreamListAge(0, 0.0), Outcome.FORWARDED)
+    record_time(vm, call_on(**RESUMABLE), send, ARRIVED_MS - 70.0)
+    assert vm.hedging.times["r"].ordered == [70.0]
+
+
 def test_second_send_goes_to_the_other_upstream_and_counts_as_a_retry() -> None:
     vm = make_hedging_vm()
     first, other = vm.table.states.values()
