Give a second send the time that is left, and a stream its time from its head on

Cause: the limit of a second send came from the time that was left as the first one began, so that it could end after the request's deadline (1155 ms of 800). It left out the send in progress: with max_attempts 2 both sends were given up after half of the time, though no other could follow, and an answer that came in time without a second send was lost. On hedged routes a stream was given up at that limit although its head had come, also if it was never sent a second time, as the limit was extended at the first event instead of the head.

Change: send_to takes the time left when it begins, counts the sends in progress, and a stream extends its limit at its head, as without hedging. For a request that is not hedged the time left is now read after the wait for a trial and the recomputation of its stages, not before.

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from functools import partial
 
 from ..crash_limits import Suspicion
 from ..events import Event
@@ -69,12 +69,7 @@
         if state is None:
             await end_unanswered(vm, call, progress)
             return
-
-        def send_to_one(
-            state: UpstreamState, race: Race | None, left_ms: float = left_ms
-        ) -> Coroutine[None, None, Send]:
-            return send_to(vm, call, progress, state, left_ms, race)
-
+        send_to_one = partial(send_to, vm, call, progress)
         send = await send_hedged(vm, call, progress, state, send_to_one)
         if send.outcome is Outcome.FORWARDED:
             return
@@ -103,7 +98,6 @@
     call: Call,
     progress: Progress,
     state: UpstreamState,
-    left_ms: float,
     race: Race | None = None,
 ) -> Send:
     """Send a request to an upstream and record the outcome."""
@@ -117,7 +111,9 @@
         race=race,
     )
     inputs = tuple(result.handle for result in progress.results)
-    limit_ms = attempt_timeout_ms(vm, call, progress, left_ms)
+    left_ms = max(1.0, call.expires_at_ms - began_ms)
+    others = race.others_in_progress() if race else 0
+    limit_ms = attempt_timeout_ms(vm, call, progress, left_ms, others)
     try:
         await send_with_timeout(vm, call, state, inputs, send, limit_ms)
         if send.crashed and on_trial:
@@ -198,18 +194,23 @@
 
 
 def attempt_timeout_ms(
-    vm: Gateway, call: Call, progress: Progress, left_ms: float
+    vm: Gateway, call: Call, progress: Progress, left_ms: float, others: int = 0
 ) -> float:
     """Return the timeout of the next send; a stream only has to begin by then.
 
     The timeout is shorter than the time left if another send can follow: the route
     allows it, another upstream is usable and the retry budget is not used up.
+
+    Parameters
+    ----------
+    others : int
+        Sends of the request that are in progress.
     """
     service = call.service.name
-    left_out = len(progress.tried) + 1
+    left_out = len(progress.tried) + 1 + others
     if (
         not call.route.repeatable
-        or progress.runs + 1 >= call.route.max_attempts
+        or progress.runs + others + 1 >= call.route.max_attempts
         or len(vm.table.open(service, vm.clock.now_ms())) <= left_out
         or vm.retries.remaining(service, vm.vm_count(), vm.clock.now_ms()) < 1
     ):
--- a/cuminstile/gateway/forwarding.py
+++ b/cuminstile/gateway/forwarding.py
@@ -126,6 +126,7 @@
     whose first event comes first is forwarded.
     """
     answer = send.answer
+    extend_timeout(vm, call, send)
     last = HeldLastByte(None if answer.begun else head.length)
     waits_for_event = send.race is not None
     if not waits_for_event:
@@ -176,7 +177,6 @@
     """
     if send.race is not None:
         send.race.win()
-    extend_timeout(vm, call, send)
     if send.answer.begun:
         return
     send.answer.begun = True
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -96,6 +96,11 @@
     winner: asyncio.Task[Send] | None = None
     cancelled: bool = False
 
+    def others_in_progress(self) -> int:
+        """Return how many sends are in progress beside the one that calls this."""
+        own = asyncio.current_task()
+        return sum(task is not own and not task.done() for task in self.tasks)
+
     def win(self) -> None:
         """Let the send that calls this answer the caller, and cancel the other.
 
--- a/tests/gateway/test_hedged_answers.py
+++ b/tests/gateway/test_hedged_answers.py
@@ -27,6 +27,7 @@
 DEADLINE_MS = 800.0
 FIRST_TIMEOUT_MS = DEADLINE_MS / 2
 """When a send alone would be given up for another one."""
+END_SLACK_MS = 200.0
 LATE_S = 0.15
 """After the second send has begun, and before the deadline."""
 HEAD = b"HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n"
@@ -53,7 +54,8 @@
     route: dict[str, Any],
     *sessions: Session,
     upstreams: int = 3,
-    hedge_ms: float | None = HEDGE_MS,
+    hedge_ms: float = HEDGE_MS,
+    retries: float = 50.0,
 ) -> Hedged:
     """Send a request twice; the sessions answer the sends in their order."""
     monkeypatch.setattr(
@@ -70,6 +72,7 @@
 
     vm = make_vm(Clock())
     vm.hedging = Hedging(HedgeLimits(1.0, 1.0))
+    vm.retries.slack = retries
     caller: Any = FakeCaller()
     progress = Progress()
     error: Exception | None = None
@@ -214,3 +217,51 @@
     assert hedged.progress.runs == 2
     assert hedged.begun == 2
     assert not hedged.caller.finished
+
+
+async def very_slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(FIRST_TIMEOUT_MS / 1_000.0 + LATE_S)
+    await answering(reader, writer)
+
+
+async def test_second_send_gets_all_the_time_if_no_other_can_follow(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the loss of an answer that came in time without a second send."""
+    hedged = await hedge(monkeypatch, IDEMPOTENT, silent, very_slow)
+    assert hedged.error is None
+    assert hedged.caller.body == b"a1"
+
+
+@pytest.mark.parametrize("retries", [1.8, 50.0])
+async def test_second_send_ends_at_the_deadline(
+    monkeypatch: pytest.MonkeyPatch, retries: float
+) -> None:
+    hedge_ms = FIRST_TIMEOUT_MS - 50.0
+    hedged = await hedge(
+        monkeypatch, IDEMPOTENT, silent, silent, hedge_ms=hedge_ms, retries=retries
+    )
+    assert isinstance(hedged.error, Refusal)
+    assert hedged.took_ms < DEADLINE_MS + END_SLACK_MS
+    assert hedged.progress.runs == hedged.begun == 2
+
+
+async def test_stream_that_has_begun_is_not_cut_off_before_its_first_event(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a shorter limit for streams that only might be sent again."""
+
+    async def late_event(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(HEAD % (b"200 OK", await read_id(reader)) + CHUNKED)
+        await asyncio.sleep(FIRST_TIMEOUT_MS / 1_000.0 + LATE_S)
+        writer.write(chunk(b"id: 1\ndata: x\n\n") + b"0\r\n\r\n")
+        await reader.read()
+
+    hedged = await hedge(
+        monkeypatch, RESUMABLE, late_event, silent, hedge_ms=DEADLINE_MS
+    )
+    assert hedged.error is None
+    assert hedged.caller.finished
+    assert hedged.begun == 1
