Let only a stream with an event win, and a failed one leave the answer alone

Cause: a stream that ended with its connection before its first event won, cancelled the other send and was then broken off for the caller, whom the other one could have answered. A send that failed before either had won changed the progress of the shared answer (holds_head, which forbids to resume it).

Change: the end of a stream is checked before it may win; a send that has not won leaves the answer as it is.

Measured: the new case fails before (StreamBrokenError) and passes after.

--- a/cuminstile/gateway/forwarding.py
+++ b/cuminstile/gateway/forwarding.py
@@ -134,11 +134,12 @@
     try:
         while True:
             item = await connection.receive()
+            if isinstance(item, AnswerEnd):
+                check_stream_end(call, connection, send)
             if waits_for_event:
                 waits_for_event = False
                 begin_answer(vm, call, head, send)
             if isinstance(item, AnswerEnd):
-                check_stream_end(call, connection, send)
                 break
             if isinstance(item, bytes):
                 mark_running()
@@ -155,8 +156,9 @@
         EventOrderError,
         EventRateError,
     ) as error:
-        answer.drop_partial()
-        answer.holds_head = connection.parser.scan.holds_head
+        if not waits_for_event:
+            answer.drop_partial()
+            answer.holds_head = connection.parser.scan.holds_head
         send.detail = f"stream interrupted: {error}"
         send.outcome = Outcome.UNKNOWN
         return
--- a/tests/gateway/test_hedged_answers.py
+++ b/tests/gateway/test_hedged_answers.py
@@ -265,3 +265,24 @@
     assert hedged.error is None
     assert hedged.caller.finished
     assert hedged.begun == 1
+
+
+async def without_events(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Begin a stream and end it with the connection, as if broken off."""
+    writer.write(HEAD % (b"200 OK", await read_id(reader)) + STREAM + b"\r\n")
+    await writer.drain()
+    await asyncio.sleep(LATE_S / 2)
+
+
+async def test_stream_without_an_event_does_not_win(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    hedged = await hedge(
+        monkeypatch, RESUMABLE, without_events, events(1, 2, True, LATE_S)
+    )
+    assert hedged.error is None
+    assert hedged.caller.body.count(b"data: x") == 2
+    assert hedged.caller.finished
+    assert hedged.progress.runs == 1
