Test that both sends end before the handler if the caller leaves

No fault was found: the test fails without the cancellation or without the wait for it (tried on the code), also with anyio's repeated cancellation and a stream that has begun.

--- a/tests/gateway/test_hedged_answers.py
+++ b/tests/gateway/test_hedged_answers.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, replace
 from typing import Any
 
+import anyio
 import pytest
 
 from cuminstile.clock import Clock
@@ -151,6 +152,20 @@
     await reader.read()
 
 
+def silent_until(closed: list[bytes]) -> Session:
+    """Return a session that answers nothing, and notes when its connection ends."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        name = await read_id(reader)
+        with suppress(ConnectionError):
+            await silent(reader, writer)
+        closed.append(name)
+
+    return session
+
+
 FAILING = HEAD.replace(b"%s", b"500 Error", 1)
 
 
@@ -286,3 +301,36 @@
     assert hedged.caller.body.count(b"data: x") == 2
     assert hedged.caller.finished
     assert hedged.progress.runs == 1
+
+
+@pytest.mark.parametrize("first_event_s", [0.0, 10.0])
+async def test_both_sends_end_before_the_handler_if_the_caller_leaves(
+    monkeypatch: pytest.MonkeyPatch, first_event_s: float
+) -> None:
+    """Guards against work that goes on for nobody, also behind an answer that began."""
+    closed = []
+
+    async def seen_to_end(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        name = await read_id(reader)
+        if not first_event_s:
+            writer.write(HEAD % (b"200 OK", name) + CHUNKED)
+            writer.write(chunk(b"id: 1\ndata: x\n\n"))
+        with suppress(ConnectionError):
+            await reader.read()
+        closed.append(name)
+
+    before = asyncio.all_tasks()
+    with anyio.move_on_after(FIRST_TIMEOUT_MS / 2_000.0) as scope:
+        await hedge(monkeypatch, RESUMABLE, silent_until(closed), seen_to_end)
+    assert scope.cancelled_caught
+    sends = {
+        task
+        for task in asyncio.all_tasks() - before
+        if "send_to" in str(task.get_coro())
+    }
+    assert not sends
+    async with asyncio.timeout(1.0):
+        while len(closed) < 2:
+            await asyncio.sleep(0.01)
