--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -106,6 +106,7 @@
     DUTY_CALL_FAILED = 3603
     DUTY_STORE_FAILED = 3604
     USAGE_REPORTED = 3605
+    REQUEST_HEDGED = 4001
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -27,6 +27,8 @@
     words_total: Counter
     duty_token: Gauge
     duty_calls_total: Counter
+    hedges_total: Counter
+    hedge_wasted_ms_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -101,4 +103,14 @@
             "Calls that are duties of one VM at a time by duty and result",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_gateway_hedges_total",
+            "Requests sent a second time, by service and whether that send answered",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedge_wasted_ms_total",
+            "Time that upstreams spent on sends whose request another one answered",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -4,11 +4,12 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..clock import Clock
 from ..duties.desk import DutyDesk
 from ..events import Event, Journal
+from ..hedging.limits import HedgeLimits, Hedging
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -53,6 +54,11 @@
         Time from SIGTERM to the forced end of the process.
     cores, link_mbps : float
         Processor and network link of the VM.
+    keys_required : bool
+        Whether callers need keys whatever a manifest says: one that lists no
+        organisations lets nobody in on closed routes.
+    hedge_share, hedge_busy_share : float
+        Limits for second sends; see `HedgeLimits`.
     """
 
     name: str
@@ -69,6 +75,9 @@
     retry_window_ms: float
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    keys_required: bool = False
+    hedge_share: float = 0.0
+    hedge_busy_share: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -131,6 +140,7 @@
     started_ms: int
     table: UpstreamTable = field(default_factory=UpstreamTable)
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
+    hedging: Hedging = field(default_factory=Hedging)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
@@ -179,6 +189,10 @@
         live = self.membership.live(self.clock.now_ms())
         return reader_role(self.own_heartbeat(), live)
 
+    def hedge_limits(self) -> HedgeLimits:
+        """Return the limits in force for second sends."""
+        return HedgeLimits(self.settings.hedge_share, self.settings.hedge_busy_share)
+
     def vm_count(self) -> int:
         """Return how many VMs share the common limits."""
         return self.membership.fleet_size()
@@ -191,6 +205,8 @@
         """Apply a manifest if it is newer; return whether it was."""
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return False
+        if self.settings.keys_required and manifest.organisations is None:
+            manifest = replace(manifest, organisations={})
         self.index = make_index(manifest)
         self.scheduler.configure(manifest, self.table)
         self.journal.record(
--- a/cuminstile/platform/settings.py
+++ b/cuminstile/platform/settings.py
@@ -16,6 +16,10 @@
 
 DUTY_NAMES = {"usage_report": USAGE_DUTY, "autoscaler": ORDERS_DUTY}
 """The duties by the platform's names."""
+PLATFORM_FIELDS = "fields"
+"""Field of a settings file that holds the platform's own, beside the operator's."""
+KEYS_CONTRACT = "tenants"
+"""Contract under which callers have keys."""
 
 
 @dataclass(frozen=True)
@@ -71,13 +75,21 @@
     link_mbps: float = 1_000.0
 
 
+@dataclass(frozen=True)
+class HedgingFields:
+    """`hedging`: limits for second sends; see `HedgeLimits`."""
+
+    share: float = 0.0
+    busy_share: float = 0.5
+
+
 @dataclass(frozen=True)
 class SettingsFields:
     """The settings file; `zone` is a data centre, `node` the VM's name.
 
     `port_range` holds the first and the last of the ports that are free for traffic
     between VMs, the same on all VMs. `seeds` lists other VMs; the ports in it are other
-    ones and not used.
+    ones and not used. `contracts` names the parts of the platform that are in use.
     """
 
     node: str
@@ -90,6 +102,8 @@
     seeds: tuple[str, ...] = ()
     limits: MachineFields = MachineFields()
     cloud: CloudFields = CloudFields()
+    contracts: tuple[str, ...] = ()
+    hedging: HedgingFields = HedgingFields()
 
 
 @dataclass(frozen=True)
@@ -133,6 +147,8 @@
     """Return the settings in a decoded file; raises like `load_platform_settings`."""
     if not isinstance(raw, dict):
         raise bad_file(path, [Finding(str(path), "", "invalid", "must be an object")])
+    if isinstance(raw.get(PLATFORM_FIELDS), dict):
+        raw = {**raw[PLATFORM_FIELDS], **raw}
     try:
         fields = check_data_class(SettingsFields)(raw)
     except InvalidDataError as error:
@@ -173,6 +189,9 @@
         retry_window_ms=fields.bounds.retry_window_s * 1000.0,
         cores=fields.limits.cpu_share * fields.limits.cores,
         link_mbps=fields.limits.link_mbps,
+        keys_required=KEYS_CONTRACT in fields.contracts,
+        hedge_share=fields.hedging.share,
+        hedge_busy_share=fields.hedging.busy_share,
     )
     address = fields.cloud.address
     return PlatformSettings(
