--- a/cuminstile/gateway/stage_frees.py
+++ b/cuminstile/gateway/stage_frees.py
@@ -53,20 +53,22 @@
             self.collect_released()
             results, self.pending = self.pending, []
             for upstream_id, group in by_upstream(results).items():
-                if upstream_id in self.addresses:
-                    self.start(upstream_id, group)
+                address = self.addresses.get(upstream_id)
+                if address is not None:
+                    self.start(upstream_id, address, group)
 
-    def start(self, upstream_id: str, results: list[Result]) -> None:
+    def start(self, upstream_id: str, address: str, results: list[Result]) -> None:
         """Free results at one upstream in a task."""
-        job = self.free_at(upstream_id, results)
+        job = self.free_at(upstream_id, address, results)
         task = asyncio.get_running_loop().create_task(job)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def free_at(self, upstream_id: str, results: list[Result]) -> None:
+    async def free_at(
+        self, upstream_id: str, address: str, results: list[Result]
+    ) -> None:
         """Free results at one upstream; if that fails, they expire there."""
         handles = [result.handle for result in results]
-        address = self.addresses[upstream_id]
         failure = ""
         try:
             answer = await self.caller.free(upstream_id, address, handles)
--- a/tests/gateway/test_joined_channels.py
+++ b/tests/gateway/test_joined_channels.py
@@ -161,9 +161,8 @@
     async with serving(answering(MADE[:30] + FULL)) as (address, _):
         worker = Worker("a0", "a", address, "z")
         scheduler.planner.set_workers("a", [worker])
-        scheduler.frees.addresses["a0"] = address
         await scheduler.run_call(worker, [], [], False)
-        await scheduler.frees.free_at("a0", [Result("h", "a0", 1_000)])
+        await scheduler.frees.free_at("a0", address, [Result("h", "a0", 1_000)])
     for event in (Event.STAGE_UPSTREAM_LOST, Event.STAGE_FREE_FAILED):
         (entry,) = [one for one in vm.journal.ring if one.event is event]
         assert entry.fields["upstream"] == "a0"
--- a/tests/gateway/test_staging.py
+++ b/tests/gateway/test_staging.py
@@ -162,8 +162,7 @@
     async with serving(session) as (address, _):
         scheduler.planner.set_service("a", SPEC)
         scheduler.planner.set_workers("a", [Worker("a0", "a", address, "z")])
-        scheduler.frees.addresses["a0"] = address
-        await scheduler.frees.free_at("a0", [Result("h", "a0", 1_000)])
+        await scheduler.frees.free_at("a0", address, [Result("h", "a0", 1_000)])
     worker = scheduler.planner.queues["a"].workers["a0"]
     assert worker.usable is not leaving
     assert max(0.0, worker.available_at_ms - 100_000.0) == closed_ms
