Let requests that wait for a silent scheduler fail together

Cause: requests queue for the one attempt to open a session with another VM; each began an attempt of 400 ms after the one before had failed. Change: who waited during a failed attempt fails with it.

--- a/cuminstile/gateway/peer_sessions.py
+++ b/cuminstile/gateway/peer_sessions.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from math import inf
 
 import websockets
 from websockets.asyncio.client import connect
@@ -142,6 +143,8 @@
 
     Parameters
     ----------
+    connect_failures : dict of str to tuple
+        When the last session with a VM could not be opened, and why, by address.
     answer_topic_request : callable
         Returns this VM's records of a topic for another VM.
     """
@@ -152,22 +155,30 @@
     answer_topic_request: Callable[[TopicRequest], TopicResponse]
     open_sessions: dict[str, PeerSession] = field(default_factory=dict)
     connect_locks: dict[str, asyncio.Lock] = field(default_factory=dict)
+    connect_failures: dict[str, tuple[float, str]] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     session_numbers: itertools.count[int] = field(default_factory=itertools.count)
 
     async def get_session(self, address: str) -> PeerSession:
         """Return the session with another VM, opening it if there is none.
 
+        Requests that wait for the same session fail together: one timeout after the
+        other would take all the time that they have.
+
         Raises
         ------
         SessionLostError
             If the session can't be opened in time.
         """
+        asked_ms = self.clock.now_ms()
         lock = self.connect_locks.setdefault(address, asyncio.Lock())
         async with lock:
             session = self.open_sessions.get(address)
             if session is not None and not session.lost:
                 return session
+            failed_ms, reason = self.connect_failures.get(address, (-inf, ""))
+            if failed_ms >= asked_ms:
+                raise SessionLostError(reason)
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
                     connection = await connect(
@@ -180,9 +191,9 @@
                         proxy=None,
                     )
             except (OSError, TimeoutError, websockets.WebSocketException) as error:
-                raise SessionLostError(
-                    f"cannot connect to {address}: {error!r}"
-                ) from error
+                reason = f"cannot connect to {address}: {error!r}"
+                self.connect_failures[address] = self.clock.now_ms(), reason
+                raise SessionLostError(reason) from error
             session = PeerSession(address, connection)
             self.open_sessions[address] = session
             self.journal.record(Event.PEER_CONNECTED, peer=address)
--- a/tests/gateway/test_peer_sessions.py
+++ b/tests/gateway/test_peer_sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -28,7 +29,7 @@
     TopicRequest,
     TopicResponse,
 )
-from cuminstile.gateway.peer_sessions import SessionLostError
+from cuminstile.gateway.peer_sessions import CONNECT_TIMEOUT_MS, SessionLostError
 from cuminstile.gateway.staged_results import run_on_peer
 from cuminstile.gateway.state import Gateway
 
@@ -342,3 +343,21 @@
             async with asyncio.timeout(SILENCE_NOTICED_S):
                 with pytest.raises(SessionLostError):
                     await run_chain(vm, peer)
+
+
+async def test_requests_that_wait_for_a_silent_vm_fail_together() -> None:
+    """Load: a burst reaches a VM whose scheduler was just cut off.
+
+    Guards against one timeout after the other, which takes all the requests' time.
+    """
+    vm = make_vm(Clock())
+    listener = socket.create_server(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+    began_ms = vm.clock.now_ms()
+    with listener:
+        ends = await asyncio.gather(
+            *(vm.sessions.get_session(f"{host}:{port}") for _ in range(8)),
+            return_exceptions=True,
+        )
+    assert all(isinstance(end, SessionLostError) for end in ends)
+    assert vm.clock.now_ms() - began_ms < 2 * CONNECT_TIMEOUT_MS
