Count the wait for an upstream and for the next start of a call once

Cause: the forecast of a request's stages added a whole interval between two starts to the time until an upstream is available. Change: for a first stage the time of the next start is known; the wait for an upstream runs at the same time.

--- a/cuminstile/gateway/forecast.py
+++ b/cuminstile/gateway/forecast.py
@@ -37,7 +37,8 @@
     All items of admitted chains count, including those that wait for an earlier
     stage: they will be queued by the time the new chain reaches its later stages.
     Queued work fills the batches, so it costs its share of full calls. A batch
-    that isn't full waits for the next start of a call.
+    that isn't full waits for the next start of a call; for a first stage that time is
+    known, and the wait for an upstream runs at the same time.
     """
     ends: dict[int, float] = {}
     alone: dict[int, float] = {}
@@ -58,6 +59,9 @@
         start_wait_ms = 0.0
         if shared < queue.spec.batch:
             start_wait_ms = call_ms / workers
+            if not stage.after:
+                start_ms = queue.last_start_ms + start_wait_ms - now_ms
+                start_wait_ms = max(0.0, start_ms - wait_ms)
         queued_ms += max(0.0, wait_ms - before)
         ends[stage.number] = max(before, wait_ms) + start_wait_ms + call_ms
         alone_before = max((alone.get(n, 0.0) for n in stage.after), default=0.0)
