Read the fourth figure of load reports and use it

Cause: upstreams of two deployments add to their load report how long work takes there at this moment. The parser wanted three figures, so each report of these was lost.

Change: package estimates holds one estimate of each upstream: the lasting part of its slowness from measured times, the momentary one from its reports, which fades with their age. The workers of the stages use it for the choice of a worker, the expected end and the timeout of a call, and the forecast; plain upstreams are chosen by their answer times at this moment. A bad or missing fourth figure leaves the first three, as before.

--- /dev/null
+++ b/cuminstile/estimates/estimate.py
@@ -0,0 +1,98 @@
+"""Estimate how long work takes at one upstream now, relative to the usual time.
+
+Designed for upstreams of uneven speed that share their machines with others: some are
+always faster, and each is slowed down for some hundred ms now and then. The two are
+kept apart, so that a short slow bout doesn't count against an upstream for long. Does
+no I/O.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from .report import LoadReport
+
+REPORT_DECAY_MS = 300.0
+"""Age after which a reported slowness counts for about a third: such bouts last some
+hundred ms."""
+LASTING_DECAY_MS = 30_000.0
+"""Age after which a measured speed counts for about a third, so that an upstream that
+was slow is tried again."""
+LASTING_WEIGHT = 0.2
+"""Weight of the newest measurement in the moving average of the lasting slowness."""
+MIN_SLOWNESS = 0.25
+MAX_SLOWNESS = 8.0
+"""Bounds of one measurement: beyond them it says more of that request than of the
+upstream."""
+
+
+@dataclass(slots=True)
+class Estimate:
+    """What is known of one upstream's speed and load; times are monotonic ms.
+
+    Parameters
+    ----------
+    report : LoadReport or None
+        The last report of its load, None before the first.
+    lasting : float
+        Moving average of the time that its work takes relative to the usual time,
+        without what its reports explain.
+    lasting_decay_ms, lasting_weight : float
+        How fast `lasting` is forgotten, and how much the newest measurement counts.
+    """
+
+    report: LoadReport | None = None
+    reported_ms: float = -math.inf
+    lasting: float = 1.0
+    measured_ms: float = 0.0
+    lasting_decay_ms: float = LASTING_DECAY_MS
+    lasting_weight: float = LASTING_WEIGHT
+
+    def record_report(
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        slowness: float | None,
+        now_ms: float,
+    ) -> None:
+        """Record a load that the upstream reports, see `LoadReport`."""
+        self.apply_report(LoadReport(running, waiting, slots, slowness), now_ms)
+
+    def apply_report(self, report: LoadReport, now_ms: float) -> None:
+        """Record a load that the upstream reports."""
+        self.report = report
+        self.reported_ms = now_ms
+
+    def record_time(self, expected_ms: float, took_ms: float, now_ms: float) -> None:
+        """Record how long work took there that usually takes `expected_ms`.
+
+        A slowness that the upstream reports at the same time explains its share of it.
+        """
+        ratio = took_ms / max(1.0, expected_ms) / max(1.0, self.momentary(now_ms))
+        newest = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        before = self.lasting_at(now_ms)
+        self.lasting = before + self.lasting_weight * (newest - before)
+        self.measured_ms = now_ms
+
+    def age_ms(self, now_ms: float) -> float:
+        """Return the age of the last report, infinite without one."""
+        return now_ms - self.reported_ms
+
+    def momentary(self, now_ms: float) -> float:
+        """Return the reported slowness; it goes to 1 with the age of the report."""
+        if self.report is None or self.report.slowness is None:
+            return 1.0
+        excess = self.report.slowness - 1.0
+        return 1.0 + excess * math.exp(-self.age_ms(now_ms) / REPORT_DECAY_MS)
+
+    def lasting_at(self, now_ms: float) -> float:
+        """Return the measured slowness; it goes to 1 with its age."""
+        age_ms = now_ms - self.measured_ms
+        excess = self.lasting - 1.0
+        return 1.0 + excess * math.exp(-age_ms / self.lasting_decay_ms)
+
+    def slowness(self, now_ms: float) -> float:
+        """Return how long work takes there now relative to the usual time."""
+        return self.lasting_at(now_ms) * self.momentary(now_ms)
--- a/cuminstile/gateway/handover.py
+++ b/cuminstile/gateway/handover.py
@@ -103,7 +103,7 @@
         stored.append(
             StoredResultLoad(call_handle(worker.id), worker.reserved, left_ms)
         )
-    slowness = worker.slowness_at(now_ms)
+    slowness = worker.estimate.lasting_at(now_ms)
     return WorkerLoad(worker.id, worker.service, busy_ms, slowness, tuple(stored))
 
 
@@ -130,5 +130,5 @@
             sorted(stored.items(), key=lambda item: item[1].expires_ms)
         )
         worker.available_at_ms = max(worker.available_at_ms, now_ms + load.busy_ms)
-        worker.slowness = load.slowness
-        worker.measured_ms = now_ms
+        worker.estimate.lasting = load.slowness
+        worker.estimate.measured_ms = now_ms
--- a/cuminstile/gateway/stage_calls.py
+++ b/cuminstile/gateway/stage_calls.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..clock import Clock
+from ..estimates.report import LoadReport
 from .answers import ConnectionLostError
 from .chain import Result
 from .connection_pool import ConnectionPool
@@ -44,6 +45,8 @@
         Whether the upstream states that it is shutting down.
     closed_ms : float
         For how long the upstream wants no calls, 0 if it says nothing.
+    load : LoadReport or None
+        The load that the upstream reports, None if it reports none.
     """
 
     status: int
@@ -51,6 +54,7 @@
     outcomes: tuple[StageOutcome, ...]
     leaving: bool = False
     closed_ms: float = 0.0
+    load: LoadReport | None = None
 
 
 @dataclass
@@ -168,7 +172,12 @@
         if head.status == 200:
             outcomes = self.stage_protocol.read_outcomes(body)
         return StageAnswer(
-            head.status, fields.not_run, outcomes, fields.leaving, fields.closed_ms
+            head.status,
+            fields.not_run,
+            outcomes,
+            fields.leaving,
+            fields.closed_ms,
+            fields.load,
         )
 
 
--- a/cuminstile/gateway/stage_queue.py
+++ b/cuminstile/gateway/stage_queue.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
+from ..estimates.estimate import Estimate
 from .chain import INFEASIBLE_AFTER_MS, SLACK_STEP_MS, WorkItem
 from .model import BatchSpec
 
@@ -24,6 +25,11 @@
 would be completed sooner there."""
 
 
+def worker_estimate() -> Estimate:
+    """Return a new estimate of an upstream of a stage."""
+    return Estimate(lasting_decay_ms=SLOWNESS_DECAY_MS, lasting_weight=SLOWNESS_WEIGHT)
+
+
 @dataclass(frozen=True, slots=True)
 class StoredResult:
     """Size in bytes of a stored result, and when it expires unless it is freed."""
@@ -49,10 +55,8 @@
     full_until_ms : float
         Until when it gets no item whose result is as large as `full_size`: it had
         less free memory than is known here.
-    slowness : float
-        Measured duration of its calls relative to the expected one.
-    measured_ms : float
-        When `slowness` was last measured.
+    estimate : Estimate
+        Duration of its calls relative to the expected one.
     started_ms : int
         Start of the upstream's process as it reports it; it stores nothing of before.
     """
@@ -69,8 +73,7 @@
     busy_until_ms: float = 0.0
     full_until_ms: float = 0.0
     full_size: int = 0
-    slowness: float = 1.0
-    measured_ms: float = 0.0
+    estimate: Estimate = field(default_factory=worker_estimate)
     started_ms: int = 0
 
     @property
@@ -84,8 +87,7 @@
         A measurement decays towards 1 with its age, so that an upstream that was slow
         is tried again.
         """
-        age_ms = now_ms - self.measured_ms
-        return 1.0 + (self.slowness - 1.0) * math.exp(-age_ms / SLOWNESS_DECAY_MS)
+        return self.estimate.slowness(now_ms)
 
     def record_call(
         self, expected_ms: float, took_ms: float, now_ms: float, failed: bool = False
@@ -93,10 +95,7 @@
         """Record the duration of a call; one that failed early is ignored."""
         if failed and took_ms < expected_ms:
             return
-        before = self.slowness_at(now_ms)
-        newest = took_ms / max(1.0, expected_ms)
-        self.slowness = before + SLOWNESS_WEIGHT * (newest - before)
-        self.measured_ms = now_ms
+        self.estimate.record_time(expected_ms, took_ms, now_ms)
 
     def memory_used(self, now_ms: float) -> int:
         """Remove expired results; return the memory used or reserved, in bytes."""
--- a/cuminstile/gateway/stage_reports.py
+++ b/cuminstile/gateway/stage_reports.py
@@ -72,6 +72,8 @@
         """Record what an upstream says of itself in an answer."""
         now_ms = self.clock.now_ms()
         process = process_of(worker.id, worker.started_ms)
+        if answer.load is not None:
+            worker.estimate.apply_report(answer.load, now_ms)
         words = apply_words(table, process, answer.leaving, answer.closed_ms, now_ms)
         for word in words:
             record_word(self.journal, worker.id, worker.service, word, answer.closed_ms)
--- a/cuminstile/gateway/upstream_protocol.py
+++ b/cuminstile/gateway/upstream_protocol.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ..estimates.report import LoadReport
 from .model import PromptPart
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -77,8 +78,8 @@
         Whether the answer has the upstream's seal.
     not_run : bool
         Whether the upstream states that it has not run the request.
-    load : tuple of int or None
-        Running requests, waiting requests and slots.
+    load : LoadReport or None
+        The load that the upstream reports, None if it reports none.
     leaving : bool
         Whether the upstream states that it is shutting down.
     closed_ms : float
@@ -90,7 +91,7 @@
     attempt_id: str
     sealed: bool
     not_run: bool
-    load: tuple[int, int, int] | None
+    load: LoadReport | None
     leaving: bool = False
     closed_ms: float = 0.0
     misdirected_to: str = ""
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
+from ..estimates.estimate import Estimate
+from ..estimates.report import LoadReport
 from ..recency import remember
 from ..rendezvous import weight
 from .model import PromptPart, Service, Upstream
@@ -65,8 +67,7 @@
     ejected_until_ms: float = 0.0
     busy_until_ms: float = 0.0
     latency_ms: float = 0.0
-    load: tuple[int, int, int] | None = None
-    load_at_ms: float = -LOAD_AGE_MS
+    estimate: Estimate = field(default_factory=Estimate)
     cold_tokens: float = 0.0
     cold_refilled_ms: float = 0.0
 
@@ -267,12 +268,9 @@
     state.ejections += 1
 
 
-def record_load(
-    state: UpstreamState, load: tuple[int, int, int], now_ms: float
-) -> None:
+def record_load(state: UpstreamState, load: LoadReport, now_ms: float) -> None:
     """Record the load that an upstream reports."""
-    state.load = load
-    state.load_at_ms = now_ms
+    state.estimate.apply_report(load, now_ms)
 
 
 def acquire_cold_token(
@@ -300,8 +298,9 @@
 def slot_usage(state: UpstreamState, now_ms: float) -> float:
     """Return the share of an upstream's slots that is in use, as far as known."""
     used = float(state.in_flight)
-    if state.load is not None and now_ms - state.load_at_ms < LOAD_AGE_MS:
-        used = max(used, float(state.load[0] + state.load[1]))
+    load = state.estimate.report
+    if load is not None and state.estimate.age_ms(now_ms) < LOAD_AGE_MS:
+        used = max(used, float(load.running + load.waiting))
     return used / max(1, state.info.slots)
 
 
@@ -314,7 +313,7 @@
     def cost(state: UpstreamState) -> float:
         slots = max(1, state.info.slots)
         used = slot_usage(state, now_ms) + state.in_flight / slots
-        latency = state.latency_ms / 1000.0
+        latency = state.latency_ms / 1000.0 * state.estimate.momentary(now_ms)
         remote = (
             OTHER_DATA_CENTRE_COST / slots
             if state.info.data_centre != data_centre
--- a/cuminstile/platform/headers.py
+++ b/cuminstile/platform/headers.py
@@ -4,6 +4,7 @@
 
 import math
 
+from ..estimates.report import LoadReport
 from ..gateway.connection_headers import nominated_headers
 from ..gateway.model import PromptPart
 from ..gateway.upstream_protocol import (
@@ -33,7 +34,10 @@
 MAX_RETRY_AFTER_MS = 3_600_000.0
 """Longest time for which an upstream is believed to want no requests."""
 INSTANCE_LOAD = b"instance-load"
-"""Running requests, waiting requests and slots: `R,W,S`."""
+"""Running requests, waiting requests and slots, and how long work takes in percent of
+the usual time: `R,W,S` or `R,W,S,P`."""
+MAX_LOAD_PERCENT = 100_000.0
+"""A larger figure counts as malformed: nothing waits for work that takes so long."""
 INSTANCE_ID = b"instance-id"
 EXPECT_INSTANCE = b"Expect-Instance"
 TENANT = b"Tenant"
@@ -231,12 +235,32 @@
     return min(MAX_RETRY_AFTER_MS, max(0.0, seconds * 1000.0))
 
 
-def parse_load(value: bytes) -> tuple[int, int, int] | None:
-    """Return the load that an upstream reports, None if it is absent or malformed."""
+def parse_load(value: bytes) -> LoadReport | None:
+    """Return the load that an upstream reports, None if it is absent or malformed.
+
+    A malformed fourth figure leaves the first three, and further ones are ignored.
+    """
     numbers = value.split(b",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+    if len(numbers) < 3 or not all(map(is_count, numbers[:3])):
+        return None
+    running, waiting, slots = map(int, numbers[:3])
+    slowness = parse_slowness(numbers[3]) if len(numbers) > 3 else None
+    return LoadReport(running, waiting, slots, slowness)
+
+
+def is_count(value: bytes) -> bool:
+    """Return whether a value is a whole number below 1e9."""
+    digits = value.strip()
+    return digits.isdigit() and len(digits) <= 9
+
+
+def parse_slowness(value: bytes) -> float | None:
+    """Return a positive percentage as a factor, None if it is malformed."""
+    try:
+        percent = float(value)
+    except ValueError:
         return None
-    return int(numbers[0]), int(numbers[1]), int(numbers[2])
+    return percent / 100.0 if 0.0 < percent <= MAX_LOAD_PERCENT else None
 
 
 PROTOCOL = UpstreamProtocol(read_call, forwarded_headers, read_answer, READ_IN_ANSWERS)
--- /dev/null
+++ b/tests/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""Test cuminstile.estimates."""
--- a/tests/gateway/test_batch_choice.py
+++ b/tests/gateway/test_batch_choice.py
@@ -144,7 +144,7 @@
     planner = make_planner(workers=2)
     planner.add(make_spec("r"))
     slow, closed = worker_of(planner, "a0"), worker_of(planner, "a1")
-    slow.slowness = 3.0
+    slow.estimate.lasting = 3.0
     assert planner.assign_batch(slow, 0.0) == []
     closed.available_at_ms = 3_000.0
     assert len(planner.assign_batch(slow, 0.0)) == 2
