Draw the engine of a session by how fast the engines are

Change: the usual slowness of an engine is the median of its reports that are some time apart, the momentary one its last report, which fades to the usual one. Sessions are drawn by weighted rendezvous hashing, so all VMs that know about the same agree without messages. All that an engine has to do counts by its slowness now; a session that leaves its engine goes on to the next one in its own order, so that VMs don't all fill the same one. Engines that report three figures are chosen as before. request_sent shows the slowness that was known and the time to the first bytes.

--- a/cuminstile/estimates/estimate.py
+++ b/cuminstile/estimates/estimate.py
@@ -1,15 +1,17 @@
 """Estimate how long work takes at one upstream now, relative to the usual time.
 
 Designed for upstreams of uneven speed that share their machines with others: some are
-always faster, and each is slowed down for some hundred ms now and then. The two are
-kept apart, so that a short slow bout doesn't count against an upstream for long. Does
-no I/O.
+always faster, and each is slowed down for some hundred ms now and then. A report shows
+the product of both. They are kept apart, so that a short slow bout doesn't count
+against an upstream for long. Does no I/O.
 """
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+import statistics
+from collections import deque
+from dataclasses import dataclass, field
 
 from .report import LoadReport
 
@@ -21,6 +23,12 @@
 was slow is tried again."""
 LASTING_WEIGHT = 0.2
 """Weight of the newest measurement in the moving average of the lasting slowness."""
+SAMPLES = 5
+"""Reported figures of which the median is the usual one: bouts are the exception."""
+SAMPLE_INTERVAL_MS = 500.0
+"""Time between two of these, so that one bout doesn't give most of them."""
+PRIOR_SAMPLES = 0.5
+"""Weight, in samples, of the assumption that an upstream is as fast as usual."""
 MIN_SLOWNESS = 0.25
 MAX_SLOWNESS = 8.0
 """Bounds of one measurement: beyond them it says more of that request than of the
@@ -35,6 +43,10 @@
     ----------
     report : LoadReport or None
         The last report of its load, None before the first.
+    samples : deque of float
+        The last reported figures that are some time apart.
+    usual_report : float
+        The figure that the upstream usually reports, 1 before the first.
     lasting : float
         Moving average of the time that its work takes relative to the usual time,
         without what its reports explain.
@@ -44,6 +56,9 @@
 
     report: LoadReport | None = None
     reported_ms: float = -math.inf
+    samples: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    sampled_ms: float = -math.inf
+    usual_report: float = 1.0
     lasting: float = 1.0
     measured_ms: float = 0.0
     lasting_decay_ms: float = LASTING_DECAY_MS
@@ -64,13 +79,19 @@
         """Record a load that the upstream reports."""
         self.report = report
         self.reported_ms = now_ms
+        if report.slowness is None or now_ms - self.sampled_ms < SAMPLE_INTERVAL_MS:
+            return
+        self.sampled_ms = now_ms
+        self.samples.append(min(MAX_SLOWNESS, max(MIN_SLOWNESS, report.slowness)))
+        certainty = len(self.samples) / (len(self.samples) + PRIOR_SAMPLES)
+        self.usual_report = statistics.median_low(self.samples) ** certainty
 
     def record_time(self, expected_ms: float, took_ms: float, now_ms: float) -> None:
         """Record how long work took there that usually takes `expected_ms`.
 
         A slowness that the upstream reports at the same time explains its share of it.
         """
-        ratio = took_ms / max(1.0, expected_ms) / max(1.0, self.momentary(now_ms))
+        ratio = took_ms / max(1.0, expected_ms) / self.momentary(now_ms)
         newest = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
         before = self.lasting_at(now_ms)
         self.lasting = before + self.lasting_weight * (newest - before)
@@ -80,12 +101,26 @@
         """Return the age of the last report, infinite without one."""
         return now_ms - self.reported_ms
 
+    @property
+    def tells_speed(self) -> bool:
+        """Return whether its reports say how long work takes."""
+        return bool(self.samples)
+
     def momentary(self, now_ms: float) -> float:
-        """Return the reported slowness; it goes to 1 with the age of the report."""
+        """Return the reported slowness; it goes to the usual one with its age."""
         if self.report is None or self.report.slowness is None:
-            return 1.0
-        excess = self.report.slowness - 1.0
-        return 1.0 + excess * math.exp(-self.age_ms(now_ms) / REPORT_DECAY_MS)
+            return self.usual_report
+        excess = self.report.slowness - self.usual_report
+        decay = math.exp(-self.age_ms(now_ms) / REPORT_DECAY_MS)
+        return max(MIN_SLOWNESS, self.usual_report + excess * decay)
+
+    def bout(self, now_ms: float) -> float:
+        """Return the reported slowness relative to the usual one of this upstream."""
+        return self.momentary(now_ms) / self.usual_report
+
+    def usual(self, now_ms: float) -> float:
+        """Return the slowness apart from bouts."""
+        return self.lasting_at(now_ms) * self.usual_report
 
     def lasting_at(self, now_ms: float) -> float:
         """Return the measured slowness; it goes to 1 with its age."""
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -290,6 +290,8 @@
         upstream=state.info.id,
         zone=state.info.data_centre,
         in_flight=state.in_flight,
+        slowness=round(state.estimate.slowness(vm.clock.now_ms()), 2),
+        first_ms=round(send.first_ms, 1),
         list_version=send.chosen_by.version,
         list_age_ms=send.chosen_by.age_ms,
         outcome=send.outcome.value,
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -91,6 +91,8 @@
         Which request of its connection this is, counted from 1.
     sent : bool
         Whether a byte of the request may have reached the upstream.
+    sent_ms : float
+        When the request was sent, in monotonic ms, 0 before.
     crashed : bool
         Whether the upstream ended the connection before the answer was complete.
     events_since_ms : float
@@ -112,6 +114,7 @@
     detail: str = ""
     nth_request: int = 0
     sent: bool = False
+    sent_ms: float = 0.0
     crashed: bool = False
     events_since_ms: float = 0.0
     unframed: bool = False
@@ -125,6 +128,11 @@
     timeout: asyncio.Timeout | None = None
     on_running: Callable[[], None] = field(default=lambda: None)
 
+    @property
+    def first_ms(self) -> float:
+        """Return the time from the send to the answer's first bytes, 0 before them."""
+        return max(0.0, self.events_since_ms - self.sent_ms)
+
     def runs_long(self, clock: Clock) -> bool:
         """Return whether the upstream has sent parts of its answer for a while."""
         since_ms = self.events_since_ms
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -171,6 +171,7 @@
     data = render_request(request.method, request.target, headers, request.body)
     connection.send(data, call.fields.attempt_id)
     send.sent = True
+    send.sent_ms = now_ms
     send.nth_request = connection.requests
     head, fields = await receive_matching_head(vm, call, state, connection)
     record_survivor(vm, state, connection.opened_ms, now_ms)
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
+from ..estimates.engines import SpeedView, home_order, view_speeds
 from ..estimates.estimate import Estimate
 from ..estimates.report import LoadReport
 from ..recency import remember
@@ -313,7 +314,7 @@
     def cost(state: UpstreamState) -> float:
         slots = max(1, state.info.slots)
         used = slot_usage(state, now_ms) + state.in_flight / slots
-        latency = state.latency_ms / 1000.0 * state.estimate.momentary(now_ms)
+        latency = state.latency_ms / 1000.0 * state.estimate.bout(now_ms)
         remote = (
             OTHER_DATA_CENTRE_COST / slots
             if state.info.data_centre != data_centre
@@ -335,6 +336,9 @@
 """Prompt tokens in flight that cost as much as one running request: one chunk."""
 SLOTS_PER_MB = 2.0
 """Cost in slots of each MB of inputs that has to move to another data centre."""
+SPILL_SLOTS = 0.5
+"""Cost in slots of the last engine in a session's order against its first one: VMs that
+leave its engine don't all go to the same other one."""
 SLOTS_PER_1000_TOKENS = 1.0
 """Cost in slots of 1,000 prompt tokens that another engine than the session's reads."""
 
@@ -353,7 +357,11 @@
         Size of the inputs by the data centre that stores them.
     """
     session = session_of(parts)
-    names = [state.info.id for state in candidates]
+    states = list(candidates)
+    speeds = view_speeds({s.info.id: s.estimate for s in states}, now_ms)
+    if speeds is not None:
+        return uneven_cost(parts, speeds, input_bytes, now_ms)
+    names = [state.info.id for state in states]
     session_upstream = (
         max(names, key=lambda name: weight(session, name), default="")
         if session
@@ -373,6 +381,37 @@
     return cost
 
 
+def uneven_cost(
+    parts: tuple[PromptPart, ...],
+    speeds: SpeedView,
+    input_bytes: dict[str, int],
+    now_ms: float,
+) -> Cost:
+    """Return the cost function for engines that report how fast they are.
+
+    All that the engine has to do counts by its slowness now: what runs there, the
+    tokens that others and this request let it read, with the shared ones unless it is
+    the session's engine. The session's engine is drawn by lasting speed.
+    """
+    order = home_order(session_of(parts), speeds)
+    own_tokens = parts[-1].tokens if parts else 0
+    shared_tokens = sum(part.tokens for part in parts[:-1])
+    all_bytes = sum(input_bytes.values())
+
+    def cost(state: UpstreamState) -> float:
+        place = order[state.info.id]
+        load = slot_usage(state, now_ms) * max(1, state.info.slots)
+        load += state.tokens_in_flight / READ_TOKENS_PER_SLOT
+        load += own_tokens / 1000.0 * SLOTS_PER_1000_TOKENS
+        if place:
+            load += shared_tokens / 1000.0 * SLOTS_PER_1000_TOKENS
+        load += SPILL_SLOTS * place / len(order)
+        moved = all_bytes - input_bytes.get(state.info.data_centre, 0)
+        return load * speeds.now[state.info.id] + moved / 1e6 * SLOTS_PER_MB
+
+    return cost
+
+
 def choose(
     candidates: Iterable[UpstreamState],
     cost: Cost,
--- a/tests/estimates/test_estimate.py
+++ b/tests/estimates/test_estimate.py
@@ -9,12 +9,32 @@
 
 def test_slow_bout_is_over_when_its_report_is_old() -> None:
     estimate = Estimate()
+    for at_ms in (-2_000.0, -1_000.0, 0.0):
+        estimate.record_report(3, 0, 24, 1.0, at_ms)
     estimate.record_report(3, 0, 24, 2.5, 1_000.0)
     assert estimate.slowness(1_000.0) == pytest.approx(2.5)
+    assert estimate.bout(1_000.0) == pytest.approx(2.5)
     assert 1.0 < estimate.slowness(1_000.0 + REPORT_DECAY_MS) < 1.6
     assert estimate.slowness(4_000.0) == pytest.approx(1.0, abs=0.01)
 
 
+def test_engine_that_always_reports_the_same_is_lastingly_slow() -> None:
+    estimate = Estimate()
+    for at_ms in range(0, 5_000, 1_000):
+        estimate.record_report(3, 0, 24, 1.7, at_ms)
+    assert estimate.slowness(60_000.0) == pytest.approx(1.7, rel=0.1)
+    assert estimate.bout(4_000.0) == pytest.approx(1.0, rel=0.1)
+
+
+def test_reports_of_one_bout_count_once() -> None:
+    estimate = Estimate()
+    for at_ms in (0.0, 1_000.0):
+        estimate.record_report(3, 0, 24, 0.7, at_ms)
+    for at_ms in range(2_000, 2_450, 50):
+        estimate.record_report(3, 0, 24, 1.75, at_ms)
+    assert estimate.slowness(10_000.0) < 0.8
+
+
 def test_reported_bout_does_not_count_as_lasting_slowness() -> None:
     bout, slow = Estimate(), Estimate()
     for at_ms in range(0, 2_000, 200):
