--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -106,6 +106,7 @@
     DUTY_CALL_FAILED = 3603
     DUTY_STORE_FAILED = 3604
     USAGE_REPORTED = 3605
+    UPSTREAMS_ORDERED = 3701
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -25,6 +25,9 @@
     store_reader: Gauge
     crashes_total: Counter
     words_total: Counter
+    upstreams_wanted: Gauge
+    upstreams_needed: Gauge
+    orders_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -89,4 +92,19 @@
             "Upstreams that said that they leave or want no requests, by service",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_upstreams_wanted",
+            "Upstreams that this VM ordered last, by service and data centre",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_upstreams_needed",
+            "Upstreams that callers needed at that order, by service and data centre",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_orders_total",
+            "Orders of a number of upstreams that this VM sent, by reason and result",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/model.py
+++ b/cuminstile/gateway/model.py
@@ -115,9 +115,32 @@
     kv_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ScalingSpec:
+    """Bounds of how many upstreams of a service are ordered in each data centre.
+
+    Parameters
+    ----------
+    least, most : int
+        Bounds of the number.
+    start_ms : float
+        Time from an order until a new upstream serves.
+    """
+
+    least: int
+    most: int
+    start_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
-    """One service and the capacity of each of its upstreams."""
+    """One service and the capacity of each of its upstreams.
+
+    Parameters
+    ----------
+    scaling : ScalingSpec or None
+        None if the number of its upstreams is not ordered.
+    """
 
     name: str
     max_connections: int
@@ -125,6 +148,7 @@
     cold_per_s: float = 0.0
     engine: EngineSpec | None = None
     batch: BatchSpec | None = None
+    scaling: ScalingSpec | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -7,6 +7,7 @@
 
 from ..events import Event
 from ..recency import remember
+from ..scaling.demand import Run
 from .answers import (
     AnswerHead,
     AnswerTooLargeError,
@@ -69,12 +70,14 @@
     state.in_flight += 1
     state.tokens_in_flight += tokens
     tokens_counted = True
+    vm.demand.record_waiting(call.service.name, 1)
 
     def mark_running() -> None:
         nonlocal tokens_counted
         if tokens_counted:
             tokens_counted = False
             state.tokens_in_flight -= tokens
+            vm.demand.record_waiting(call.service.name, -1)
             send.on_running()
 
     connection: HttpConnection | None = None
@@ -97,6 +100,7 @@
         state.in_flight -= 1
         if tokens_counted:
             state.tokens_in_flight -= tokens
+            vm.demand.record_waiting(call.service.name, -1)
         if connection is not None and connection.requests == send.nth_request:
             log_joined_answers(vm, call, state, connection)
             send.crashed = send.outcome is Outcome.UNKNOWN and connection.ended_by_peer
@@ -206,6 +210,19 @@
         await forward_answer(vm, call, state, connection, head, send)
     if send.outcome is Outcome.FORWARDED:
         record_success(state, vm.clock.now_ms() - now_ms)
+        if call.service.scaling is not None and dispatch.last_event is None:
+            record_run(vm, call, state, send, now_ms)
+
+
+def record_run(
+    vm: Gateway, call: Call, state: UpstreamState, send: Send, sent_ms: float
+) -> None:
+    """Record how long a request kept its upstream busy, from its send to now."""
+    now_ms = vm.clock.now_ms()
+    first_ms = (send.events_since_ms or now_ms) - sent_ms
+    reads_prompt = call.service.engine is not None
+    run = Run(first_ms, now_ms - sent_ms, state.info.slots, reads_prompt)
+    vm.demand.record_run(call.service.name, call.route.name, run, now_ms)
 
 
 async def receive_matching_head(
--- a/cuminstile/gateway/serving.py
+++ b/cuminstile/gateway/serving.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from ..events import Event
-from ..exceptions import raised_at
+from ..exceptions import ErrorCode, raised_at
 from .accepting import accept
 from .attempts import Progress, StreamBrokenError, send_until_answered
 from .crash_guard import refuse_quarantined
@@ -62,11 +62,17 @@
         If the answer breaks off.
     """
     vm.retries.record_request(call.service.name, vm.clock.now_ms())
+    if call.service.scaling is not None:
+        vm.demand.record_request(call.service.name, call.route.name, vm.clock.now_ms())
     refuse_quarantined(vm, call)
     progress = Progress()
     arrived_ms = call.request.arrived_ms
     progress.results = await results_for(vm, call, False, arrived_ms)
     try:
         await send_until_answered(vm, call, progress)
+    except Refusal as refusal:
+        if refusal.code is ErrorCode.NO_UPSTREAM and call.service.scaling is not None:
+            vm.demand.record_refused(call.service.name, vm.clock.now_ms())
+        raise
     finally:
         free_results(vm, progress.results)
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..duties.desk import DutyDesk
 from ..events import Event, Journal
+from ..scaling.demand import LocalDemand
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -132,6 +133,7 @@
     table: UpstreamTable = field(default_factory=UpstreamTable)
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
+    demand: LocalDemand = field(default_factory=LocalDemand)
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
     wanted_records: dict[str, str] = field(default_factory=dict)
--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -12,6 +12,7 @@
 import eliot
 
 from ..clock import Clock
+from ..duties.types import ORDERS_DUTY
 from ..events import Event, Journal
 from ..exceptions import CuminstileError
 from ..gateway.crash_state import CrashGuard
@@ -21,12 +22,13 @@
 from ..gateway.messages import TopicRequest, TopicResponse
 from ..gateway.peer_sessions import PeerSessions
 from ..gateway.retry_budget import RetryBudget
-from ..gateway.running import run_gateway
+from ..gateway.running import Job, run_gateway
 from ..gateway.sharing import answer_topic_request
 from ..gateway.stage_calls import StageCaller
 from ..gateway.staging import Scheduler
 from ..gateway.state import Gateway
-from .duties import make_duties
+from ..scaling.orders import own_demand, run_orders
+from .duties import make_duties, order_call
 from .follow import Follower
 from .headers import PROTOCOL
 from .reloading import apply_settings
@@ -71,6 +73,14 @@
     return vm
 
 
+def order_jobs(vm: Gateway) -> tuple[Job, ...]:
+    """Return the loop that orders upstreams; none where that is no duty."""
+    desk = vm.duties
+    if desk is None or ORDERS_DUTY not in desk.settings.duties:
+        return ()
+    return (lambda: run_orders(vm, desk, order_call),)
+
+
 async def run(
     path: Path, settings: PlatformSettings, log: LogOutput, early: set[int]
 ) -> None:
@@ -78,6 +88,8 @@
     clock = log.clock
     vm = make_gateway(settings, clock)
     vm.duties = make_duties(settings, vm)
+    if vm.duties is not None:
+        vm.duties.local_demand = lambda: own_demand(vm)
     follower = Follower(vm, StoreClient(settings.store_address, clock))
 
     def reload() -> None:
@@ -96,7 +108,7 @@
     await run_gateway(
         vm,
         log,
-        (follower.follow_operator, follower.follow_upstreams),
+        (follower.follow_operator, follower.follow_upstreams, *order_jobs(vm)),
         reload,
         early,
     )
--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -21,6 +21,7 @@
     Organisation,
     Route,
     RouteKind,
+    ScalingSpec,
     Service,
     StageSpec,
     Target,
@@ -157,6 +158,7 @@
     """Return one service."""
     engine = raw.get("engine")
     batch_fields = raw.get("pieces")
+    scaling_fields = raw.get("autoscale")
     return Service(
         name=text_at(raw, "name"),
         max_connections=int(raw.get("max_connections") or 0),
@@ -166,9 +168,19 @@
         if engine
         else None,
         batch=batch_of(batch_fields) if batch_fields else None,
+        scaling=scaling_of(scaling_fields) if scaling_fields else None,
     )
 
 
+def scaling_of(raw: dict[str, Any]) -> ScalingSpec:
+    """Return the bounds of how many upstreams are ordered."""
+    least, most = integer_at(raw, "min"), integer_at(raw, "max")
+    start_ms = number_at(raw, "boot_s") * 1000.0
+    if not 0 <= least <= most or not 0.0 <= start_ms < math.inf:
+        raise ValueError("autoscale needs 0 <= min <= max and boot_s >= 0")
+    return ScalingSpec(least, most, start_ms)
+
+
 def batch_of(raw: dict[str, Any]) -> BatchSpec:
     """Return the batch limits and costs of an upstream that runs work items."""
     return BatchSpec(
