Decide and order how many upstreams run, from what callers demand

Waits behind others are taken out of the measured time, spare upstreams of one data centre serve callers of another, fewer are ordered only after 12 s in which none was needed.

--- a/cuminstile/scaling/decisions.py
+++ b/cuminstile/scaling/decisions.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -27,11 +27,11 @@
 """Share of the slots that may be taken: the fuller a batch, the slower each answer."""
 DRAIN_MS = 2_000.0
 """Time in which requests that have begun to queue should be worked off."""
-TREND_MS = 3_000.0
+TREND_MS = 4_000.0
 """Time over which the growth of the demand is measured."""
-LEAST_RISE = 1.3
-"""Rise of the demand between the halves of that time from which it counts as growth."""
-MAX_GROWTH = 1.5
+LEAST_RISE = 1.1
+"""Rise above all of the time before from which the demand counts as growing."""
+MAX_GROWTH = 1.25
 """Largest growth that is expected: a rise seldom goes on as it began."""
 HOLD_MS = 12_000.0
 """How long an upstream must have been needed at no moment before it is given back."""
@@ -51,6 +51,11 @@
 """Pause before an order is sent again that the platform didn't accept."""
 LOST_MS = 4_000.0
 """How long no VM of a data centre may be heard before its demand counts as unknown."""
+ROUNDING = 1e-9
+"""Errors of adding parts up that don't count as a need."""
+
+Needs = deque[tuple[float, float]]
+"""Times in monotonic ms and the number of upstreams needed then, the oldest first."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,9 +139,11 @@
     sent_ms, raised_ms, lowered_ms : float
         When an order was last sent, and when more and fewer were last ordered.
     needs : deque of tuple
-        Time and number of upstreams that were needed, in the time that counts.
+        What was needed in the time that counts.
     used : bool
         Whether callers have used the service in that time.
+    is_short : bool
+        Whether fewer upstreams of the service work than its callers need.
     heard_ms : float
         When a VM of the data centre was last heard, negative for never.
     missing_since_ms : float
@@ -150,17 +157,37 @@
     sent_ms: float = -1e12
     raised_ms: float = -1e12
     lowered_ms: float = -1e12
-    needs: deque[tuple[float, float]] = field(default_factory=deque)
+    needs: Needs = field(default_factory=deque)
     used: bool = False
+    is_short: bool = False
     heard_ms: float = -1.0
     missing_since_ms: float = -1.0
 
+    def number(self, pool: Pool) -> int:
+        """Return how many upstreams there are to be as things stand."""
+        return max(self.seen, pool.least) if self.wanted is None else self.wanted
+
 
 @dataclass
 class ScalingState:
-    """The pools by name, as the VM that decides knows them."""
+    """What the VM that decides knows.
+
+    Parameters
+    ----------
+    pools : dict of str to PoolState
+        The pools by name.
+    totals : dict of str to deque of tuple
+        By service, what all its pools together needed, with the time.
+    """
 
     pools: dict[str, PoolState] = field(default_factory=dict)
+    totals: dict[str, Needs] = field(default_factory=dict)
+
+    def forget_others(self, by_service: Mapping[str, Sequence[Pool]]) -> None:
+        """Forget pools and services that there are no more."""
+        names = {pool.name for pools in by_service.values() for pool in pools}
+        self.pools = {n: one for n, one in self.pools.items() if n in names}
+        self.totals = {n: one for n, one in self.totals.items() if n in by_service}
 
     def record_answer(self, order: Order, accepted: bool, now_ms: float) -> None:
         """Record whether the platform accepted an order."""
@@ -177,33 +204,37 @@
 
     Parameters
     ----------
-    busy : float
-        Upstreams that the requests which arrive keep busy all the time.
-    queued_work_ms : float
-        Time for which the waiting requests keep one upstream busy.
-    in_flight : int
-        Requests that upstreams have.
-    work_ms : float
-        Longest mean time, of all VMs, for which a request keeps an upstream busy.
-    used : bool
-        Whether there is any request.
+    requests : float
+        Requests that arrive per second.
+    work_ms_per_s : float
+        Time for which the requests of a second have an upstream, waits there included.
+    queued, in_flight : int
+        Requests that wait at upstreams, and all that upstreams have.
     """
 
-    busy: float = 0.0
-    queued_work_ms: float = 0.0
+    requests: float = 0.0
+    work_ms_per_s: float = 0.0
+    queued: int = 0
     in_flight: int = 0
-    work_ms: float = 0.0
-    used: bool = False
+
+    @property
+    def work_ms(self) -> float:
+        """Return the mean work of a request, waits included."""
+        return self.work_ms_per_s / self.requests if self.requests else 0.0
+
+    @property
+    def used(self) -> bool:
+        """Return whether there is any request."""
+        return self.requests > 0 or self.in_flight > 0
 
 
 def add_entry(demand: Demand, entry: DemandEntry) -> Demand:
     """Return a demand with what one VM sees besides."""
     return Demand(
-        demand.busy + entry.requests * entry.work_ms / 1000.0,
-        demand.queued_work_ms + entry.queued * entry.work_ms,
+        demand.requests + entry.requests,
+        demand.work_ms_per_s + entry.requests * entry.work_ms,
+        demand.queued + entry.queued,
         demand.in_flight + entry.in_flight,
-        max(demand.work_ms, entry.work_ms),
-        demand.used or entry.requests > 0 or entry.in_flight > 0,
     )
 
 
@@ -221,28 +252,46 @@
     return found
 
 
-def spread_needs(pools: Iterable[Pool], needs: Mapping[str, float]) -> dict[str, float]:
-    """Return the needs with what a pool can't serve spread over the others.
+def spread_needs(
+    pools: Sequence[Pool],
+    needs: Mapping[str, float],
+    numbers: Mapping[str, int],
+    closed: Collection[str],
+) -> dict[str, float]:
+    """Return the needs by pool with what a pool can't serve spread over the others.
+
+    Requests go to any data centre, so that spare upstreams of one serve the callers of
+    another before more are ordered.
 
-    A pool serves nothing in a data centre that is taken out, and no more than `most`
-    upstreams do elsewhere.
+    Parameters
+    ----------
+    pools : sequence of Pool
+        All pools of one service.
+    numbers : mapping of str to int
+        How many upstreams each pool has, or will have.
+    closed : collection of str
+        Pools that serve nobody else's callers: taken out, or not heard of.
     """
-    listed = list(pools)
-    spread = dict(needs)
-    for service in {pool.service for pool in listed}:
-        own = [pool for pool in listed if pool.service == service]
-        room = [
-            pool for pool in own if not pool.taken_out and needs[pool.name] < pool.most
-        ]
-        if not room:
-            continue
-        left = 0.0
-        for pool in own:
-            borne = 0.0 if pool.taken_out else min(needs[pool.name], pool.most)
-            left += needs[pool.name] - borne
-            spread[pool.name] = borne
-        for pool in room:
-            spread[pool.name] += left / len(room)
+    has = {name: 0 if name in closed else number for name, number in numbers.items()}
+    excess = {name: max(0.0, needs[name] - number) for name, number in has.items()}
+    spare = {name: max(0.0, number - needs[name]) for name, number in has.items()}
+    all_excess, all_spare = sum(excess.values()), sum(spare.values())
+    moved = min(all_excess, all_spare)
+    if moved > 0:
+        excess = {n: part * (1.0 - moved / all_excess) for n, part in excess.items()}
+        spare = {n: part * (1.0 - moved / all_spare) for n, part in spare.items()}
+    room = [pool for pool in pools if pool.name not in closed]
+    room = [pool for pool in room if has[pool.name] < pool.most]
+    left = 0.0
+    spread: dict[str, float] = {}
+    for pool in pools:
+        name = pool.name
+        most = 0 if name in closed else pool.most
+        borne = max(0.0, min(excess[name], most - has[name]))
+        left += excess[name] - borne
+        spread[name] = has[name] - spare[name] + borne
+    for pool in room:
+        spread[pool.name] += left / len(room)
     return spread
 
 
@@ -259,27 +308,51 @@
     return min(MAX_BUSY, max(MIN_BUSY, allowed_ms / (allowed_ms + behind_ms)))
 
 
-def needed_upstreams(pool: Pool, demand: Demand) -> float:
+def true_work_share(pools: Iterable[Pool], found: Mapping[str, Demand]) -> float:
+    """Return the share of the measured work of a service that is not waiting.
+
+    What waits for an upstream is part of what was measured. With a busy share b, a mean
+    of b / (1 - b) requests are at each upstream, and work is 1 - b of their time there.
+    Requests go to any pool, so that the share is the same for all.
+    """
+    listed = list(pools)
+    present = sum(
+        found[pool.name].work_ms_per_s / 1000.0 for pool in listed if pool.name in found
+    )
+    upstreams = sum(pool.working for pool in listed)
+    return 1.0 / (1.0 + present / max(1, upstreams))
+
+
+def needed_upstreams(pool: Pool, demand: Demand, work_share: float) -> float:
     """Return how many upstreams serve a demand as its callers need it."""
-    busy = demand.busy + demand.queued_work_ms / DRAIN_MS
-    by_time = busy / sound_busy_share(pool.target_ms, demand.work_ms)
+    work_ms = demand.work_ms * work_share
+    busy = demand.requests * work_ms / 1000.0
+    # With as many waiting as running, the queue is no more than chance.
+    backlog = max(0.0, demand.queued - 2.0 * demand.work_ms_per_s / 1000.0)
+    busy += backlog * work_ms / DRAIN_MS
+    by_time = busy / sound_busy_share(pool.target_ms, work_ms)
     by_slots = demand.in_flight / (max(1, pool.slots) * MAX_SLOT_SHARE)
     return max(by_time, by_slots)
 
 
-def expected_growth(needs: Iterable[tuple[float, float]], now_ms: float) -> float:
-    """Return by which factor the need is expected to grow within `TREND_MS`.
+def expected_growth(needs: Needs, lead_ms: float, now_ms: float) -> float:
+    """Return by which factor the need is expected to grow within `lead_ms`.
 
-    A small rise is the chance of single requests, or a wave that falls again before an
-    upstream would have started.
+    Only a need above that of all the time before counts as growing: a wave comes back
+    to where it was.
     """
-    recent = [need for at_ms, need in needs if at_ms >= now_ms - TREND_MS]
+    recent = [need for at_ms, need in needs if at_ms > now_ms - TREND_MS]
+    earlier = [need for at_ms, need in needs if at_ms <= now_ms - TREND_MS]
     half = len(recent) // 2
-    before, after = sum(recent[:half]), sum(recent[len(recent) - half :])
-    if half < 2 or after < before * LEAST_RISE or before <= 0:
+    if half < 2 or not earlier:
+        return 1.0
+    before = sum(recent[:half]) / half
+    after = sum(recent[-half:]) / half
+    if after <= max(*earlier, before) * LEAST_RISE or before <= 0:
         return 1.0
     # The two halves lie half of the time apart.
-    return min(MAX_GROWTH, 1.0 + 2.0 * (after / before - 1.0))
+    rise = (after - before) * lead_ms / (TREND_MS / 2)
+    return min(MAX_GROWTH, 1.0 + rise / after)
 
 
 def decide_orders(
@@ -295,43 +368,80 @@
     demands : mapping of str to iterable of DemandEntry
         The latest entries of the VMs that are heard, by VM.
     """
-    listed = list(pools)
     found = demand_by_pool(demands)
-    needs = {
-        pool.name: needed_upstreams(pool, found.get(pool.name, Demand()))
-        for pool in listed
-    }
-    needs = spread_needs(listed, needs)
-    for name in state.pools.keys() - needs.keys():
-        del state.pools[name]
-    orders = []
-    for pool in listed:
-        known = state.pools.setdefault(pool.name, PoolState(now_ms))
-        if pool.name in found:
-            known.heard_ms = now_ms
-            known.used |= found[pool.name].used
-        order = decide_pool(known, pool, needs[pool.name], now_ms)
-        if order is not None:
-            orders.append(order)
+    by_service: dict[str, list[Pool]] = {}
+    for pool in pools:
+        by_service.setdefault(pool.service, []).append(pool)
+    state.forget_others(by_service)
+    orders: list[Order] = []
+    for service, own in by_service.items():
+        for pool in own:
+            known = state.pools.setdefault(pool.name, PoolState(now_ms))
+            update_pool(known, pool, found.get(pool.name), now_ms)
+        closed = {pool.name for pool in own if is_closed(state, pool, now_ms)}
+        share = true_work_share([p for p in own if p.name not in closed], found)
+        needs = {
+            pool.name: needed_upstreams(pool, found.get(pool.name, Demand()), share)
+            for pool in own
+        }
+        totals = state.totals.setdefault(service, deque())
+        record_need(totals, sum(needs.values()), now_ms)
+        lead_ms = max(pool.start_ms for pool in own)
+        growth = expected_growth(totals, lead_ms, now_ms)
+        numbers = {pool.name: state.pools[pool.name].number(pool) for pool in own}
+        current = spread_needs(own, needs, numbers, closed)
+        grown = {name: need * growth for name, need in needs.items()}
+        expected = spread_needs(own, grown, numbers, closed)
+        working = sum(pool.working for pool in own if pool.name not in closed)
+        for pool in own:
+            known, name = state.pools[pool.name], pool.name
+            known.is_short = name not in closed and working < totals[-1][1]
+            record_need(known.needs, current[name], now_ms)
+            order = decide_pool(known, pool, current[name], expected[name], now_ms)
+            if order is not None:
+                orders.append(order)
     return tuple(orders)
 
 
+def update_pool(
+    state: PoolState, pool: Pool, demand: Demand | None, now_ms: float
+) -> None:
+    """Take over how a pool is seen now; `demand` is None if no VM there is heard.
+
+    How many callers a silent data centre has is not known, and it may be reached again:
+    its upstreams have to be unneeded for a whole while from then on.
+    """
+    state.seen = max(state.seen, pool.listed)
+    if demand is not None:
+        state.heard_ms = now_ms
+        state.used |= demand.used
+    elif is_silent(state, now_ms):
+        state.since_ms = now_ms
+
+
+def is_silent(state: PoolState, now_ms: float) -> bool:
+    """Return whether the VMs of a data centre have fallen silent."""
+    return state.heard_ms >= 0 and now_ms - state.heard_ms > LOST_MS
+
+
+def is_closed(state: ScalingState, pool: Pool, now_ms: float) -> bool:
+    """Return whether a pool serves no callers of other data centres."""
+    return pool.taken_out or is_silent(state.pools[pool.name], now_ms)
+
+
 def decide_pool(
-    state: PoolState, pool: Pool, needed: float, now_ms: float
+    state: PoolState, pool: Pool, needed: float, expected: float, now_ms: float
 ) -> Order | None:
     """Return the order for one pool that is due now, None if there is none.
 
-    Fewer upstreams are never ordered for a data centre whose VMs have fallen silent:
-    how many callers it has is not known, and it may be reached again.
+    Parameters
+    ----------
+    needed, expected : float
+        Upstreams that are needed now, and soon.
     """
-    state.seen = max(state.seen, pool.listed)
-    if state.heard_ms >= 0 and now_ms - state.heard_ms > LOST_MS:
-        state.since_ms = now_ms
-    record_need(state, needed, now_ms)
-    before = bounded(state.seen, pool) if state.wanted is None else state.wanted
+    before = state.number(pool)
     missing = missing_upstreams(state, pool, before, needed, now_ms)
-    growth = expected_growth(state.needs, now_ms)
-    raised = bounded(ceil(needed * growth) + missing, pool)
+    raised = bounded(ceil(expected - ROUNDING) + missing, pool)
     lowered = lowered_number(state, pool, before, now_ms)
     if raised > before:
         state.raised_ms = now_ms
@@ -351,15 +461,18 @@
     )
 
 
-def record_need(state: PoolState, needed: float, now_ms: float) -> None:
+def record_need(needs: Needs, needed: float, now_ms: float) -> None:
     """Record what is needed now, and discard what is too old to count."""
-    state.needs.append((now_ms, needed))
-    while state.needs[0][0] < now_ms - HOLD_MS:
-        state.needs.popleft()
+    needs.append((now_ms, needed))
+    while needs[0][0] < now_ms - HOLD_MS:
+        needs.popleft()
 
 
 def lowered_number(state: PoolState, pool: Pool, before: int, now_ms: float) -> int:
-    """Return to how many upstreams a pool may go down now, `before` if it may not."""
+    """Return to how many upstreams a pool may go down now, `before` if it may not.
+
+    Those that are gone count among the ordered ones: fewer are given back meanwhile.
+    """
     hold_ms = HOLD_MS if state.used else UNUSED_HOLD_MS
     if (
         now_ms - state.since_ms < hold_ms
@@ -367,9 +480,10 @@
         or now_ms - state.lowered_ms < DOWN_STEP_MS
     ):
         return before
+    gone = max(0, before - pool.working)
     peak = max(need for _, need in state.needs)
     lowest = before - max(1, int(before * DOWN_SHARE))
-    return min(before, bounded(max(lowest, ceil(peak)), pool))
+    return min(before, bounded(max(lowest, ceil(peak - ROUNDING) + gone), pool))
 
 
 def missing_upstreams(
@@ -377,11 +491,12 @@
 ) -> int:
     """Return how many upstreams to order in place of those that are gone for good.
 
-    Those that were ordered a moment ago are still starting, and aren't missing.
+    Those that were ordered a moment ago are still starting, and aren't missing. Nothing
+    is ordered as long as the upstreams elsewhere serve all callers.
     """
     starting = now_ms - state.sent_ms < pool.start_ms + FOLLOW_MS
     expected = min(before, ceil(needed))
-    if pool.working >= expected or pool.taken_out or starting:
+    if pool.working >= expected or not state.is_short or starting:
         state.missing_since_ms = -1.0
         return 0
     if state.missing_since_ms < 0:
--- a/cuminstile/scaling/orders.py
+++ b/cuminstile/scaling/orders.py
@@ -14,7 +14,7 @@
 from .decisions import Order, Pool, ScalingState, decide_orders
 from .demand import local_demand
 
-DECIDE_INTERVAL_MS = 500.0
+DECIDE_INTERVAL_MS = 1_000.0
 """Interval of decisions; short against the time that an upstream takes to start."""
 DEFAULT_TARGET_MS = 1_000.0
 """Latency target of a service to which no route leads."""
--- /dev/null
+++ b/tests/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the number of upstreams."""
