--- a/tests/platform/test_manifest_fields.py
+++ b/tests/platform/test_manifest_fields.py
@@ -6,7 +6,7 @@
 import orjson
 import pytest
 
-from cuminstile.gateway.model import Manifest
+from cuminstile.gateway.model import Manifest, ScalingSpec
 from cuminstile.gateway.routing import find_organisation, needs_key
 from cuminstile.platform.records import InvalidRecordError, decode_manifest
 
@@ -76,6 +76,29 @@
     assert find_organisation(manifest, "") is None
 
 
+def test_bounds_of_the_number_of_upstreams_are_read_where_there_are_any() -> None:
+    services = decode_manifest(orjson.dumps(make_manifest())).services
+    assert services["engines"].scaling == ScalingSpec(1, 4, 8_000.0)
+    assert services["desk"].scaling is None
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        {"min": 5, "max": 4, "boot_s": 8.0},
+        {"min": -1, "max": 4, "boot_s": 8.0},
+        {"min": 1, "max": 4, "boot_s": -1.0},
+        {"min": 1, "max": 4, "boot_s": 1e308},
+        {"min": 1.5, "max": 4, "boot_s": 8.0},
+        {"min": 1, "boot_s": 8.0},
+        [1, 4],
+    ],
+    ids=str,
+)
+def test_bounds_that_no_number_can_keep_are_refused(bounds: Any) -> None:
+    assert decode(changed(("services", 1, "autoscale"), bounds)) is None
+
+
 def test_manifest_without_tenants_asks_for_no_key() -> None:
     manifest = make_manifest()
     del manifest["tenants"]
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -21,6 +21,8 @@
     "crash_limits",
     "crash_merging",
     "crash_suspects",
+    "duties",
+    "scaling",
 }
 """Modules outside the gateway that it shares with the product's own interface."""
 DECISIONS = (
@@ -46,6 +48,9 @@
     "upstreams",
 )
 """Modules of the gateway that make decisions without I/O."""
+SCALING_DECISIONS = ("decisions", "demand")
+"""Modules of the number of upstreams that make decisions without I/O; the gateway uses
+no other one of them."""
 NETWORK = {"anyio", "asyncio", "httptools", "socket", "uvloop", "websockets"}
 ALLOWED_DECISION_IMPORTS = {*DECISIONS, "messages"}
 
@@ -98,6 +103,25 @@
     assert imports(path, 1) <= ALLOWED_DECISION_IMPORTS
 
 
+@pytest.mark.parametrize("name", SCALING_DECISIONS)
+def test_number_of_upstreams_is_decided_without_network_or_gateway(name: str) -> None:
+    path = PACKAGE / "scaling" / f"{name}.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) <= set(SCALING_DECISIONS)
+    assert imports(path, 2) <= {"duties", "recency"}
+
+
+@pytest.mark.parametrize("path", modules("gateway"), ids=lambda path: path.stem)
+def test_gateway_uses_only_the_decisions_on_the_number_of_upstreams(path: Path) -> None:
+    used = {
+        node.module
+        for node in ast.walk(parsed(path))
+        if isinstance(node, ast.ImportFrom) and node.module and node.level == 2
+    }
+    found = {name for name in used if name.split(".")[0] == "scaling"}
+    assert found <= {f"scaling.{name}" for name in SCALING_DECISIONS}
+
+
 def test_nothing_but_the_program_itself_uses_the_adapter() -> None:
     users = {
         path.name
