Give no upstream back as the first callers come

Cause: the 12 s of watching could lie before the first caller. Change: they count from the first one on; the decision on one service is a function. Result: tests/scaling passes, with a test that failed before.

--- a/cuminstile/scaling/decisions.py
+++ b/cuminstile/scaling/decisions.py
@@ -129,7 +129,7 @@
     Parameters
     ----------
     since_ms : float
-        Since when it is decided on without interruption.
+        Since when its needs are known without interruption, from the first caller on.
     wanted : int or None
         The number last ordered, None before the first order.
     accepted : bool
@@ -141,7 +141,7 @@
     needs : deque of tuple
         What was needed in the time that counts.
     used : bool
-        Whether callers have used the service in that time.
+        Whether callers have used the service since the decisions began.
     is_short : bool
         Whether fewer upstreams of the service work than its callers need.
     heard_ms : float
@@ -374,35 +374,54 @@
         by_service.setdefault(pool.service, []).append(pool)
     state.forget_others(by_service)
     orders: list[Order] = []
-    for service, own in by_service.items():
-        for pool in own:
-            known = state.pools.setdefault(pool.name, PoolState(now_ms))
-            update_pool(known, pool, found.get(pool.name), now_ms)
-        closed = {pool.name for pool in own if is_closed(state, pool, now_ms)}
-        share = true_work_share([p for p in own if p.name not in closed], found)
-        needs = {
-            pool.name: needed_upstreams(pool, found.get(pool.name, Demand()), share)
-            for pool in own
-        }
-        totals = state.totals.setdefault(service, deque())
-        record_need(totals, sum(needs.values()), now_ms)
-        lead_ms = max(pool.start_ms for pool in own)
-        growth = expected_growth(totals, lead_ms, now_ms)
-        numbers = {pool.name: state.pools[pool.name].number(pool) for pool in own}
-        current = spread_needs(own, needs, numbers, closed)
-        grown = {name: need * growth for name, need in needs.items()}
-        expected = spread_needs(own, grown, numbers, closed)
-        working = sum(pool.working for pool in own if pool.name not in closed)
-        for pool in own:
-            known, name = state.pools[pool.name], pool.name
-            known.is_short = name not in closed and working < totals[-1][1]
-            record_need(known.needs, current[name], now_ms)
-            order = decide_pool(known, pool, current[name], expected[name], now_ms)
-            if order is not None:
-                orders.append(order)
+    for own in by_service.values():
+        orders += decide_service(state, own, found, now_ms)
     return tuple(orders)
 
 
+def decide_service(
+    state: ScalingState,
+    pools: Sequence[Pool],
+    found: Mapping[str, Demand],
+    now_ms: float,
+) -> list[Order]:
+    """Return the orders that are due now for the pools of one service.
+
+    Parameters
+    ----------
+    found : mapping of str to Demand
+        The demand by pool, without those of which no VM is heard.
+    """
+    for pool in pools:
+        known = state.pools.setdefault(pool.name, PoolState(now_ms))
+        update_pool(known, pool, found.get(pool.name), now_ms)
+    numbers = {pool.name: state.pools[pool.name].number(pool) for pool in pools}
+    closed = {pool.name for pool in pools if is_closed(state, pool, now_ms)}
+    open_pools = [pool for pool in pools if pool.name not in closed]
+    share = true_work_share(open_pools, found)
+    needs = {
+        pool.name: needed_upstreams(pool, found.get(pool.name, Demand()), share)
+        for pool in pools
+    }
+    total = sum(needs.values())
+    totals = state.totals.setdefault(pools[0].service, deque())
+    record_need(totals, total, now_ms)
+    growth = expected_growth(totals, max(pool.start_ms for pool in pools), now_ms)
+    grown = {name: need * growth for name, need in needs.items()}
+    needed = spread_needs(pools, needs, numbers, closed)
+    expected = spread_needs(pools, grown, numbers, closed)
+    is_short = sum(pool.working for pool in open_pools) < total
+    orders = []
+    for pool in pools:
+        known, name = state.pools[pool.name], pool.name
+        known.is_short = is_short and name not in closed
+        record_need(known.needs, needed[name], now_ms)
+        order = decide_pool(known, pool, needed[name], expected[name], now_ms)
+        if order is not None:
+            orders.append(order)
+    return orders
+
+
 def update_pool(
     state: PoolState, pool: Pool, demand: Demand | None, now_ms: float
 ) -> None:
@@ -414,7 +433,8 @@
     state.seen = max(state.seen, pool.listed)
     if demand is not None:
         state.heard_ms = now_ms
-        state.used |= demand.used
+        if demand.used and not state.used:
+            state.used, state.since_ms = True, now_ms
     elif is_silent(state, now_ms):
         state.since_ms = now_ms
 
--- a/tests/scaling/test_decisions.py
+++ b/tests/scaling/test_decisions.py
@@ -50,6 +50,13 @@
     assert fleet.running == {"a": 2, "b": 2}
 
 
+def test_nothing_is_given_back_as_the_first_callers_come() -> None:
+    fleet = make_fleet()
+    fleet.run(int(UNUSED_HOLD_MS / 1000) - 5, steady(0.0))
+    fleet.run(int(HOLD_MS / 1000), steady(rate_for(0.1)))
+    assert fleet.orders == []
+
+
 def test_wave_causes_no_flapping() -> None:
     """Pattern: the load swings by 27 % every 11 s, as long as an upstream starts."""
     fleet = make_fleet(running=8)
