--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -107,6 +107,7 @@
     DUTY_STORE_FAILED = 3604
     USAGE_REPORTED = 3605
     UPSTREAMS_ORDERED = 3701
+    REQUEST_HEDGED = 4001
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -28,6 +28,10 @@
     upstreams_wanted: Gauge
     upstreams_needed: Gauge
     orders_total: Counter
+    duty_token: Gauge
+    duty_calls_total: Counter
+    hedges_total: Counter
+    hedge_wasted_ms_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -107,4 +111,24 @@
             "Orders of a number of upstreams that this VM sent, by reason and result",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_duty_token",
+            "Fencing token of the duties that this VM holds, 0 for none",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_duty_calls_total",
+            "Calls that are duties of one VM at a time by duty and result",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedges_total",
+            "Requests sent a second time, by service and whether that send answered",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedge_wasted_ms_total",
+            "Time that upstreams spent on sends whose request another one answered",
+            registry=registry,
+        ),
     )
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -10,6 +10,7 @@
     "clock",
     "events",
     "exceptions",
+    "hedging",
     "recency",
     "rendezvous",
     "request_bounds",
@@ -23,6 +24,7 @@
     "crash_suspects",
     "duties",
     "scaling",
+    "token_bucket",
 }
 """Modules outside the gateway that it shares with the product's own interface."""
 DECISIONS = (
@@ -51,6 +53,9 @@
 SCALING_DECISIONS = ("decisions", "demand")
 """Modules of the number of upstreams that make decisions without I/O; the gateway uses
 no other one of them."""
+DUTY_DECISIONS = ("fleet_time", "lease", "messages", "types", "usage")
+"""Modules of the duties that make decisions without I/O."""
+ALLOWED_DUTY_IMPORTS = {"clock", "events", "exceptions", "token_bucket"}
 NETWORK = {"anyio", "asyncio", "httptools", "socket", "uvloop", "websockets"}
 ALLOWED_DECISION_IMPORTS = {*DECISIONS, "messages"}
 
@@ -122,6 +127,19 @@
     assert found <= {f"scaling.{name}" for name in SCALING_DECISIONS}
 
 
+@pytest.mark.parametrize("path", modules("duties"), ids=lambda path: path.stem)
+def test_duties_know_neither_gateway_nor_adapter(path: Path) -> None:
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 2) <= ALLOWED_DUTY_IMPORTS
+
+
+@pytest.mark.parametrize("name", DUTY_DECISIONS)
+def test_decisions_of_duties_use_nothing_else(name: str) -> None:
+    path = PACKAGE / "duties" / f"{name}.py"
+    assert imports(path, 1) <= set(DUTY_DECISIONS)
+    assert imports(path, 2) == set()
+
+
 def test_nothing_but_the_program_itself_uses_the_adapter() -> None:
     users = {
         path.name
