--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -10,6 +10,7 @@
 from ..duties.desk import DutyDesk
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
+from ..scaling.demand import LocalDemand
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -142,6 +143,7 @@
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
     hedging: Hedging = field(default_factory=Hedging)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
+    demand: LocalDemand = field(default_factory=LocalDemand)
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
     wanted_records: dict[str, str] = field(default_factory=dict)
