--- a/tests/duties/test_one_holder.py
+++ b/tests/duties/test_one_holder.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+from functools import partial
 
 import pytest
 
@@ -145,8 +146,10 @@
             world.lost = 0.5
             for machine in world.machines:
                 if machine.desk is not None and machine.desk.token_held is not None:
-                    world.stop(machine, 8_000.0)
                     machine.off_fleet = True
+                    at_ms = world.now_ms + 1_200.0
+                    world.at(at_ms, partial(world.stop, machine, 8_000.0))
+                    return
 
         world.at(10_000.0, leave)
         world.run(22_000.0)
