Let VMs tell each other how fast upstreams are

Cause: in a fleet each VM sends a request to one engine only now and then, so each had to meet each slow engine itself, and VMs drew sessions by different speeds, which reads shared parts again.

Change: with each heartbeat a VM sends its new reports to the hubs; a hub tells the VMs of its data centre the median when that changes, and all of it every 5 s. Without a fourth figure nothing is sent.

--- a/cuminstile/estimates/estimate.py
+++ b/cuminstile/estimates/estimate.py
@@ -35,6 +35,11 @@
 upstream."""
 
 
+def bounded(slowness: float) -> float:
+    """Return a slowness within the bounds of one measurement."""
+    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+
+
 @dataclass(slots=True)
 class Estimate:
     """What is known of one upstream's speed and load; times are monotonic ms.
@@ -45,8 +50,12 @@
         The last report of its load, None before the first.
     samples : deque of float
         The last reported figures that are some time apart.
+    own_usual, told_usual : float
+        The figure that the upstream usually reports, by these and by another VM.
+    told_samples : int
+        Of how many reports the other VM has it.
     usual_report : float
-        The figure that the upstream usually reports, 1 before the first.
+        The better of the two, nearer to 1 if it is of few reports; 1 without any.
     lasting : float
         Moving average of the time that its work takes relative to the usual time,
         without what its reports explain.
@@ -58,6 +67,9 @@
     reported_ms: float = -math.inf
     samples: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
     sampled_ms: float = -math.inf
+    own_usual: float = 1.0
+    told_usual: float = 1.0
+    told_samples: int = 0
     usual_report: float = 1.0
     lasting: float = 1.0
     measured_ms: float = 0.0
@@ -79,12 +91,35 @@
         """Record a load that the upstream reports."""
         self.report = report
         self.reported_ms = now_ms
-        if report.slowness is None or now_ms - self.sampled_ms < SAMPLE_INTERVAL_MS:
+        if report.slowness is not None:
+            self.add_sample(report.slowness, now_ms)
+
+    def add_sample(self, slowness: float, now_ms: float) -> None:
+        """Add a reported figure to those of which the median is the usual one."""
+        if now_ms - self.sampled_ms < SAMPLE_INTERVAL_MS:
             return
         self.sampled_ms = now_ms
-        self.samples.append(min(MAX_SLOWNESS, max(MIN_SLOWNESS, report.slowness)))
-        certainty = len(self.samples) / (len(self.samples) + PRIOR_SAMPLES)
-        self.usual_report = statistics.median_low(self.samples) ** certainty
+        self.samples.append(bounded(slowness))
+        self.own_usual = statistics.median_low(self.samples)
+        self.update_usual()
+
+    def record_told(self, slowness: float, samples: int) -> None:
+        """Record the usual figure that another VM has from a number of reports."""
+        self.told_usual = bounded(slowness)
+        self.told_samples = samples
+        self.update_usual()
+
+    def update_usual(self) -> None:
+        """Take the usual figure from whoever knows more reports."""
+        own = len(self.samples)
+        usual = self.told_usual if self.told_samples > own else self.own_usual
+        known = self.samples_known
+        self.usual_report = usual ** (known / (known + PRIOR_SAMPLES))
+
+    @property
+    def samples_known(self) -> int:
+        """Return of how many reports the usual figure is."""
+        return max(len(self.samples), self.told_samples)
 
     def record_time(self, expected_ms: float, took_ms: float, now_ms: float) -> None:
         """Record how long work took there that usually takes `expected_ms`.
@@ -92,7 +127,7 @@
         A slowness that the upstream reports at the same time explains its share of it.
         """
         ratio = took_ms / max(1.0, expected_ms) / self.momentary(now_ms)
-        newest = min(MAX_SLOWNESS, max(MIN_SLOWNESS, ratio))
+        newest = bounded(ratio)
         before = self.lasting_at(now_ms)
         self.lasting = before + self.lasting_weight * (newest - before)
         self.measured_ms = now_ms
@@ -104,7 +139,7 @@
     @property
     def tells_speed(self) -> bool:
         """Return whether its reports say how long work takes."""
-        return bool(self.samples)
+        return self.samples_known > 0
 
     def momentary(self, now_ms: float) -> float:
         """Return the reported slowness; it goes to the usual one with its age."""
--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -101,6 +101,7 @@
     STREAM_BROKEN = 3402
     STREAM_RESUMED = 3403
     ANSWER_UNEXPECTED = 3404
+    UPSTREAM_SPEED_CHANGED = 3801
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -25,6 +25,7 @@
     store_reader: Gauge
     crashes_total: Counter
     words_total: Counter
+    upstream_slowness: Gauge
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -89,4 +90,9 @@
             "Upstreams that said that they leave or want no requests, by service",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_upstream_slowness",
+            "Time that work takes at an upstream now relative to the usual time",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -11,7 +11,15 @@
 from .crash_sharing import on_suspect_update, send_suspects
 from .hubs import heartbeat_targets
 from .membership import is_address
-from .messages import CODEC, Heartbeat, SuspectUpdate, TopicUpdate
+from .messages import (
+    CODEC,
+    Heartbeat,
+    SpeedSamples,
+    SpeedTable,
+    SuspectUpdate,
+    TopicUpdate,
+)
+from .speeds import on_speeds, send_speeds
 from .state import Gateway
 from .updates import on_update
 
@@ -53,6 +61,8 @@
             self.on_heartbeat(message)
         elif isinstance(message, TopicUpdate):
             on_update(self.vm, message)
+        elif isinstance(message, SpeedSamples | SpeedTable):
+            on_speeds(self.vm, message)
         elif isinstance(message, SuspectUpdate) and is_address(message.address):
             on_suspect_update(self.vm, message)
 
@@ -84,6 +94,7 @@
         own = self.vm.own_heartbeat()
         live = self.vm.membership.live(self.vm.clock.now_ms())
         self.send_to(heartbeat_targets(own, live, self.vm.membership.peers), own)
+        send_speeds(self.vm, own, live)
 
     def send_to(self, addresses: Iterable[str], own: Heartbeat) -> None:
         """Send a heartbeat to some VMs."""
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -322,6 +322,43 @@
     survivors: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class SpeedEntry(Message):
+    """Slowness of an upstream's process; see `estimates.sharing.Speed`."""
+
+    process: str
+    slowness: float
+    samples: int
+
+
+@dataclass(frozen=True)
+class SpeedSamples(Message):
+    """Report to a hub how long work takes at upstreams; sent as one datagram.
+
+    Parameters
+    ----------
+    address : str
+        The sender.
+    """
+
+    address: str
+    entries: tuple[SpeedEntry, ...]
+
+
+@dataclass(frozen=True)
+class SpeedTable(Message):
+    """Tell the VMs of a data centre how fast upstreams are; sent as one datagram.
+
+    Parameters
+    ----------
+    address : str
+        The sender, a hub.
+    """
+
+    address: str
+    entries: tuple[SpeedEntry, ...]
+
+
 CODEC = make_data_codec(
     (
         (1, Heartbeat),
@@ -337,6 +374,8 @@
         (21, TopicResponse),
         (22, TopicUpdate),
         (23, SuspectUpdate),
+        (40, SpeedSamples),
+        (41, SpeedTable),
     )
 )
 REPLIES = (ChainAdmitted, ChainDone, ChainMoved, ChainRefused, TopicResponse)
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -55,6 +55,17 @@
     return handle
 
 
+def set_upstream_slowness(vm: Gateway) -> None:
+    """Set the metric of each upstream that reports its slowness."""
+    now_ms = vm.clock.now_ms()
+    gauge = vm.metrics.upstream_slowness
+    gauge.values.clear()
+    for state in vm.table.states.values():
+        if state.estimate.tells_speed:
+            labels = {"service": state.info.service, "upstream": state.info.id}
+            gauge.set(labels, round(state.estimate.slowness(now_ms), 2))
+
+
 def make_metrics_page(
     vm: Gateway,
 ) -> Callable[[Request, CallerConnection], Awaitable[None]]:
@@ -62,6 +73,7 @@
 
     async def handle(request: Request, out: CallerConnection) -> None:
         del request
+        set_upstream_slowness(vm)
         content, headers = render(vm.metrics.registry, [])
         kind = headers["Content-Type"].encode()
         await out.write_answer(200, ((b"Content-Type", kind),), content)
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -178,6 +178,7 @@
     record_alive(vm, state, now_ms)
     if fields.load is not None:
         record_load(state, fields.load, vm.clock.now_ms())
+        record_speed(vm, state)
     if fields.states_not_run(state.info.id):
         await record_not_run(vm, state, connection, head, fields, send)
     elif not fields.sealed:
@@ -206,6 +207,18 @@
         record_success(state, vm.clock.now_ms() - now_ms)
 
 
+def record_speed(vm: Gateway, state: UpstreamState) -> None:
+    """Note for other VMs how fast an upstream is, and log if that has changed."""
+    vm.speeds.note_report(state.process, state.estimate)
+    if vm.speeds.is_worth_a_line(state.process, state.estimate):
+        vm.journal.record(
+            Event.UPSTREAM_SPEED_CHANGED,
+            upstream=state.info.id,
+            service=state.info.service,
+            slowness=round(state.estimate.usual_report, 2),
+        )
+
+
 async def receive_matching_head(
     vm: Gateway, call: Call, state: UpstreamState, connection: HttpConnection
 ) -> tuple[AnswerHead, AnswerFields]:
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..clock import Clock
+from ..estimates.sharing import SpeedSharing
 from ..events import Event, Journal
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
@@ -113,6 +114,8 @@
         By topic, the address of a VM that knows changes which are missing here.
     send_datagram : callable
         Sends bytes to the `host:port` of another VM; they may be lost.
+    speeds : SpeedSharing
+        What this VM told others of the speeds of upstreams.
     """
 
     settings: GatewaySettings
@@ -134,6 +137,7 @@
     wanted_records: dict[str, str] = field(default_factory=dict)
     send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
     random: random.Random = field(default_factory=random.Random)
+    speeds: SpeedSharing = field(default_factory=SpeedSharing)
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
     requests: int = 0
