Let long answers leave a slow engine sooner

Cause: an engine holds a long answer for far longer than its prompt takes to read, and the caller's hint of its length was not used.

Change: the hint of the answer's length is read and counts, by the slowness of the engine, in the choice among engines that report theirs. Hints are often far off: a large one is bounded, a malformed one counts as none.

--- a/cuminstile/gateway/choosing.py
+++ b/cuminstile/gateway/choosing.py
@@ -43,7 +43,8 @@
     usable = vm.table.open(call.service.name, now_ms)
     if call.service.engine is not None and not is_suspected(vm, call):
         sizes = input_bytes(results)
-        cost = session_cost(call.fields.parts, usable, sizes, now_ms)
+        hint = call.fields.output_hint
+        cost = session_cost(call.fields.parts, usable, sizes, now_ms, hint)
     else:
         cost = load_cost(now_ms, vm.settings.data_centre)
     return choose(usable, cost, now_ms, tried)
--- a/cuminstile/gateway/upstream_protocol.py
+++ b/cuminstile/gateway/upstream_protocol.py
@@ -28,6 +28,8 @@
         Number of work items of each stage; a stage with 0 is skipped.
     item_key : str
         Input of the first stages.
+    output_hint : int
+        How many tokens of the answer the caller expects, 0 if it doesn't say.
     resumed : bool
         Whether the caller resumes a stream that broke off.
     repeated : str
@@ -39,6 +41,7 @@
     key: str | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    output_hint: int = 0
     parts: tuple[PromptPart, ...] = ()
     item_counts: tuple[int, ...] = ()
     item_key: str = ""
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -336,6 +336,10 @@
 """Prompt tokens in flight that cost as much as one running request: one chunk."""
 SLOTS_PER_MB = 2.0
 """Cost in slots of each MB of inputs that has to move to another data centre."""
+OUTPUT_TOKENS_PER_SLOT = 500.0
+"""Tokens of an answer that cost as much as one running request."""
+MAX_OUTPUT_HINT = 4_000
+"""A larger hint counts as this: hints are often far off."""
 SPILL_SLOTS = 0.5
 """Cost in slots of the last engine in a session's order against its first one: VMs that
 leave its engine don't all go to the same other one."""
@@ -348,6 +352,7 @@
     candidates: Iterable[UpstreamState],
     input_bytes: dict[str, int],
     now_ms: float,
+    output_hint: int = 0,
 ) -> Cost:
     """Return the cost function for engines: load, tokens to read, inputs to move.
 
@@ -355,12 +360,14 @@
     ----------
     input_bytes : dict of str to int
         Size of the inputs by the data centre that stores them.
+    output_hint : int
+        Tokens that the answer may have, 0 if unknown.
     """
     session = session_of(parts)
     states = list(candidates)
     speeds = view_speeds({s.info.id: s.estimate for s in states}, now_ms)
     if speeds is not None:
-        return uneven_cost(parts, speeds, input_bytes, now_ms)
+        return uneven_cost(parts, speeds, input_bytes, now_ms, output_hint)
     names = [state.info.id for state in states]
     session_upstream = (
         max(names, key=lambda name: weight(session, name), default="")
@@ -386,12 +393,14 @@
     speeds: SpeedView,
     input_bytes: dict[str, int],
     now_ms: float,
+    output_hint: int,
 ) -> Cost:
     """Return the cost function for engines that report how fast they are.
 
     All that the engine has to do counts by its slowness now: what runs there, the
     tokens that others and this request let it read, with the shared ones unless it is
-    the session's engine. The session's engine is drawn by lasting speed.
+    the session's engine, the tokens of the answer: a long one leaves a slow engine
+    sooner. The session's engine is drawn by lasting speed.
     """
     order = home_order(session_of(parts), speeds)
     own_tokens = parts[-1].tokens if parts else 0
@@ -403,6 +412,7 @@
         load = slot_usage(state, now_ms) * max(1, state.info.slots)
         load += state.tokens_in_flight / READ_TOKENS_PER_SLOT
         load += own_tokens / 1000.0 * SLOTS_PER_1000_TOKENS
+        load += min(output_hint, MAX_OUTPUT_HINT) / OUTPUT_TOKENS_PER_SLOT
         if place:
             load += shared_tokens / 1000.0 * SLOTS_PER_1000_TOKENS
         load += SPILL_SLOTS * place / len(order)
--- a/cuminstile/platform/headers.py
+++ b/cuminstile/platform/headers.py
@@ -22,6 +22,7 @@
 BEARER = b"bearer "
 TOKEN_COUNT = b"token-count"
 """Tokens of the prompt and maximum tokens of the answer: `IN,OUT`."""
+LENGTH_HINT = b"length-hint"
 PROMPT_PREFIX = b"prompt-prefix"
 """All parts of the prompt in order, not only its start: `ID:TOKENS,...`."""
 ITEM_COUNTS = b"pieces"
@@ -116,6 +117,7 @@
         key=parse_bearer_key(values.get(AUTHORIZATION)),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
+        output_hint=parse_count(values.get(LENGTH_HINT, b"")),
         parts=parse_prompt_parts(values.get(PROMPT_PREFIX, b"")),
         item_counts=parse_item_counts(values.get(ITEM_COUNTS, b"")),
         item_key=values.get(ITEM_KEY, b"").decode("latin-1"),
@@ -254,6 +256,11 @@
     return digits.isdigit() and len(digits) <= 9
 
 
+def parse_count(value: bytes) -> int:
+    """Return a whole number below 1e9, 0 if it is absent or malformed."""
+    return int(value) if is_count(value) else 0
+
+
 def parse_slowness(value: bytes) -> float | None:
     """Return a positive percentage as a factor, None if it is malformed."""
     try:
--- a/tests/gateway/test_upstreams.py
+++ b/tests/gateway/test_upstreams.py
@@ -89,3 +89,18 @@
     unknown = [UpstreamState(engine.info) for engine in engines]
     for n in range(50):
         assert pick(engines, f"s{n}") == pick(unknown, f"s{n}")
+
+
+def test_long_answer_leaves_a_slow_engine_sooner_than_a_short_one() -> None:
+    engines = make_engines()
+
+    def slow_share(hint: int) -> float:
+        slow = 0
+        for n in range(300):
+            own = (PromptPart(f"s{n}", 900), PromptPart("o", 100))
+            cost = session_cost(own, engines, {}, 7_000.0, hint)
+            chosen = choose(engines, cost, 7_000.0, ())
+            slow += chosen is not None and chosen.info.id in ("u3", "u4")
+        return slow / 300
+
+    assert slow_share(4_000) < slow_share(0)
