--- a/tests/gateway/test_batch_choice.py
+++ b/tests/gateway/test_batch_choice.py
@@ -180,3 +180,28 @@
     worker = worker_of(planner, "a0")
     worker.reserved = SPEC.memory_bytes
     assert planner.assign_batch(worker, 0.0) == []
+
+
+def test_upstream_in_a_slow_bout_gets_work_again_when_it_is_over() -> None:
+    """Guards against long calls at upstreams that say that they are slow now."""
+    planner = make_planner(workers=2, services=("a",))
+    slow, sound = worker_of(planner, "a0"), worker_of(planner, "a1")
+    for at_ms in (-3_000.0, -2_000.0, -1_000.0):
+        slow.estimate.record_report(0, 0, 1, 1.0, at_ms)
+        sound.estimate.record_report(0, 0, 1, 1.0, at_ms)
+    slow.estimate.record_report(0, 0, 1, 2.5, 0.0)
+    planner.add(make_spec("r", (2,)))
+    assert planner.queues["a"].idle_workers(0.0) == [sound, slow]
+    assert planner.assign_batch(slow, 0.0) == []
+    assert len(planner.assign_batch(slow, 2_000.0)) == 2
+
+
+def test_call_at_an_upstream_that_says_it_is_slow_is_expected_to_take_longer() -> None:
+    planner = make_planner(workers=1, services=("a",))
+    worker = worker_of(planner, "a0")
+    for at_ms in (-2_000.0, -1_000.0, 0.0):
+        worker.estimate.record_report(0, 0, 1, 2.5, at_ms)
+    planner.add(make_spec("r", (2,)))
+    assert len(planner.assign_batch(worker, 0.0)) == 2
+    nominal_ms = planner.queues["a"].call_time_ms(2)
+    assert worker.busy_until_ms == nominal_ms * worker.slowness_at(0.0) > 2 * nominal_ms
