--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -32,6 +32,7 @@
     duty_calls_total: Counter
     hedges_total: Counter
     hedge_wasted_ms_total: Counter
+    upstream_slowness: Gauge
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -131,4 +132,9 @@
             "Time that upstreams spent on sends whose request another one answered",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_upstream_slowness",
+            "Time that work takes at an upstream now relative to the usual time",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..duties.desk import DutyDesk
+from ..estimates.sharing import SpeedSharing
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
 from ..scaling.demand import LocalDemand
@@ -126,6 +127,8 @@
         Sends bytes to the `host:port` of another VM; they may be lost.
     duties : DutyDesk or None
         The duties of one VM at a time, None where there are none.
+    speeds : SpeedSharing
+        What this VM told others of the speeds of upstreams.
     """
 
     settings: GatewaySettings
@@ -150,6 +153,7 @@
     send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
     duties: DutyDesk | None = None
     random: random.Random = field(default_factory=random.Random)
+    speeds: SpeedSharing = field(default_factory=SpeedSharing)
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
     requests: int = 0
