Know the first start only for requests whose stages all come first

Change: they keep the margin; the known start counts for requests of one step, which have time for hardly two calls.

--- a/cuminstile/gateway/forecast.py
+++ b/cuminstile/gateway/forecast.py
@@ -37,12 +37,14 @@
     All items of admitted chains count, including those that wait for an earlier
     stage: they will be queued by the time the new chain reaches its later stages.
     Queued work fills the batches, so it costs its share of full calls. A batch
-    that isn't full waits for the next start of a call; for a first stage that time is
-    known, and the wait for an upstream runs at the same time.
+    that isn't full waits for the next start of a call. If no stage has to wait for
+    another one, that time is known, and the wait for an upstream runs at the same time.
+    With later stages it is the margin for what arrives in between.
     """
     ends: dict[int, float] = {}
     alone: dict[int, float] = {}
     queued_ms = 0.0
+    one_step = not any(stage.after for stage in spec.stages)
     for stage in spec.stages:
         queue = queues[stage.service]
         workers = queue.capacity(now_ms)
@@ -59,7 +61,7 @@
         start_wait_ms = 0.0
         if shared < queue.spec.batch:
             start_wait_ms = call_ms / workers
-            if not stage.after:
+            if one_step:
                 start_ms = queue.last_start_ms + start_wait_ms - now_ms
                 start_wait_ms = max(0.0, start_ms - wait_ms)
         queued_ms += max(0.0, wait_ms - before)
