--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -157,6 +157,7 @@
     upstreams: dict[str, GatewayUpstream] = field(default_factory=dict)
     vms: list[RunningVm] = field(default_factory=list)
     servers: list[asyncio.Server] = field(default_factory=list)
+    limits: dict[str, float] = field(default_factory=dict)
     web: uvicorn.Server | None = None
     web_task: asyncio.Task | None = None
     network: str = field(default_factory=own_network)
@@ -248,6 +249,8 @@
             },
             "something_new": {"to": "ignore"},
         }
+        if self.limits:
+            settings["limits"] = self.limits
         settings_file = self.folder / f"vm-{number}.json"
         settings_file.write_text(json.dumps(settings))
         vm = self.start_process(settings_file, self.folder / f"vm-{number}.log")
