Keep what callers send within the memory and descriptors of the VM

Cause: bodies were read whole whatever their number and whoever sent them, so 100 callers with legal bodies took 450 MB of a VM that may have 160, and one-byte chunks took its time. Change: one account of bytes with the size of the settings' memory_mb decides from the head who is read, waits unread or is refused before it ran; bodies that stop short lose their room to others; very small chunks are parsed in turn; connections stop at a share of max_fds.

--- a/cuminstile/events.py
+++ b/cuminstile/events.py
@@ -101,6 +101,8 @@
     STREAM_BROKEN = 3402
     STREAM_RESUMED = 3403
     ANSWER_UNEXPECTED = 3404
+    MEMORY_SHORT = 3501
+    CONNECTIONS_FULL = 3502
 
 
 @dataclass(frozen=True, order=True)
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -25,6 +25,11 @@
     store_reader: Gauge
     crashes_total: Counter
     words_total: Counter
+    held_bytes: Gauge
+    waiting_bodies: Gauge
+    bodies_total: Counter
+    caller_connections: Gauge
+    displaced_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -89,4 +94,29 @@
             "Upstreams that said that they leave or want no requests, by service",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_held_bytes",
+            "Bytes held for others by kind",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_waiting_bodies",
+            "Requests that wait for memory for their bodies",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_bodies_total",
+            "Requests refused or closed for want of memory by result",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_caller_connections",
+            "Open connections of callers",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_displaced_total",
+            "Connections of callers closed because there were too many",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -12,6 +13,9 @@
 import httptools
 
 from ..clock import Clock
+from ..memory.account import BYTES_PER_BODY_BYTE, Grant, Kind, MemoryAccount, Room
+from ..memory.descriptors import choose_displaced
+from ..memory.turns import MOST_PARTS, SLICE_BYTES, SlowLane
 from ..request_bounds import holds_joined_head, is_filled_up
 from .model import Limits
 from .upstream_protocol import RawHeaders
@@ -21,6 +25,12 @@
 FRAMING_PER_BODY_BYTE = 16
 """Bytes of chunk headers that are accepted for each byte of a body, on average; the
 smallest chunk needs five."""
+FIRST_CHUNKED_BYTES = 64 * 1024
+"""Room that a body of unknown length gets first; more gets room for the largest one."""
+UNREAD_BYTES = 64 * 1024
+"""What the kernel keeps, about, of a connection that has to wait for room."""
+READ_BYTES = 512 * 1024
+"""The same once the connection is read again."""
 
 
 def reason_phrase(status: int) -> bytes:
@@ -31,6 +41,14 @@
         return b"Answer"
 
 
+def stated_length(headers: RawHeaders) -> int | None:
+    """Return the length of the body that the headers state, if they state one."""
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return None
+
+
 def has_ambiguous_length(headers: RawHeaders) -> bool:
     """Return whether another reader of the headers may end the body elsewhere."""
     lengths = [value for name, value in headers if name == b"content-length"]
@@ -71,6 +89,37 @@
 Handler = Callable[[Request, "CallerConnection"], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class HeadVerdict:
+    """What the head of a request is enough to decide.
+
+    Parameters
+    ----------
+    owner : str
+        Whose room the body takes.
+    refuse : Handler or None
+        Answers a request that is refused whatever its body is.
+    """
+
+    owner: str = ""
+    refuse: Handler | None = None
+
+
+HeadCheck = Callable[[Request, "CallerConnection"], HeadVerdict]
+
+
+def accept_any(head: Request, out: CallerConnection) -> HeadVerdict:
+    """Let each request send its body."""
+    del head, out
+    return HeadVerdict()
+
+
+async def refuse_body(request: Request, out: CallerConnection) -> None:
+    """Refuse a request for whose body there is no room."""
+    del request
+    await out.write_answer(503, ((b"Retry-After", b"1"),), b"")
+
+
 @dataclass
 class Server:
     """State shared by all connections of one listening port.
@@ -84,19 +133,52 @@
         Returns the limits in force.
     closing : bool
         Whether every answer has `Connection: close` and ends its connection.
+    account : MemoryAccount
+        Where bodies and answers take their room.
+    check_head : HeadCheck
+        Decides on a request whose body has not come whole with its head.
+    refuse_body : Handler
+        Answers a request for whose body there is no room; it has not run.
+    most_connections : int or None
+        How many connections may be open, None for any number.
+    displaced : int
+        Connections closed so far because there were too many.
     """
 
     clock: Clock
     handler: Handler
     limits: Callable[[], Limits]
     closing: bool = False
+    account: MemoryAccount = field(default_factory=MemoryAccount)
+    check_head: HeadCheck = accept_any
+    refuse_body: Handler = refuse_body
+    most_connections: int | None = None
+    displaced: int = 0
     connections: set[CallerConnection] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        self.slow_lane = SlowLane(self.clock)
+
     def make_connection(self) -> CallerConnection:
         """Return the protocol of a new connection."""
         return CallerConnection(self)
 
+    def make_place(self) -> bool:
+        """Return whether one more connection may be open; another may be closed."""
+        if self.most_connections is None:
+            return True
+        if len(self.connections) < self.most_connections:
+            return True
+        if sum(not one.aborted for one in self.connections) < self.most_connections:
+            return True
+        self.displaced += 1
+        chosen = choose_displaced(self.connections, self.clock.now_ms())
+        if chosen is None:
+            return False
+        chosen.abort()
+        return True
+
     def begin_closing(self) -> None:
         """Close each connection after its current answer."""
         self.closing = True
@@ -117,6 +199,7 @@
         limits = self.limits()
         for connection in list(self.connections):
             connection.enforce_timeouts(now_ms, limits)
+        self.account.check(now_ms, limits.header_timeout_ms)
 
 
 class CallerConnection(asyncio.Protocol):
@@ -145,16 +228,39 @@
         self.answered = False
         self.lost = False
         self.write_waiter: asyncio.Future[None] | None = None
+        self.room = Room(Kind.REQUEST, self.room_decided, self.lose_room)
+        self.answer_room = Room(Kind.ANSWER, lambda given: None, self.abort)
+        self.answer_room.can_lose = True
+        self.body_bytes = 0
+        self.parts = 0
+        self.in_chunks = False
+        self.head_checked = False
+        self.waiting = False
+        self.aborted = False
+        self.in_lane = False
+        self.pending = b""
+        self.refused_early = False
+        self.early_answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
         self.transport = cast(asyncio.Transport, transport)
+        if not self.server.make_place():
+            self.rejected = True
+            self.abort()
+            return
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as its caller has disconnected."""
         self.lost = True
         self.server.connections.discard(self)
+        self.waiting = False
+        self.pending = b""
+        self.body = bytearray()
+        if self.request is None:
+            self.server.account.give_back(self.room)
+        self.server.account.give_back(self.answer_room)
         self.resume_writing()
         if self.scope is not None:
             self.scope.cancel()
@@ -178,6 +284,18 @@
         """Return whether no request is being read or answered."""
         return self.request is None and self.began_ms is None
 
+    def is_answering(self) -> bool:
+        """Return whether a request is in progress."""
+        return self.request is not None
+
+    def is_between(self) -> bool:
+        """Return whether it has answered a request and waits for the next one."""
+        return self.answered and self.began_ms is None
+
+    def quiet_since_ms(self) -> float:
+        """Return since when no complete request came."""
+        return self.last_used_ms if self.began_ms is None else self.began_ms
+
     def has_unsent(self) -> bool:
         """Return whether written bytes are still in the process, also after `close`."""
         return self.transport is not None and (
@@ -186,6 +304,7 @@
 
     def enforce_timeouts(self, now_ms: float, limits: Limits) -> None:
         """Close an idle connection, or reject a slow request, after its timeout."""
+        self.count_unsent(now_ms)
         if self.request is not None:
             return
         if self.began_ms is None:
@@ -202,15 +321,123 @@
         """Parse received bytes; during an answer, drop them and close after it."""
         if self.rejected:
             return
-        if self.request is not None:
+        if self.request is not None and not self.refused_early:
             self.keep_alive = False
             if len(self.backlog) + len(data) > MAX_BACKLOG_BYTES:
                 self.close()
             return
         if self.began_ms is None:
             self.began_ms = self.server.clock.now_ms()
+        if self.waiting or self.in_lane:
+            self.pending += data
+            return
+        self.feed(data)
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes, those of a body in chunks in slices."""
+        if not self.headers_done and len(data) > SLICE_BYTES:
+            end = data.find(b"\r\n\r\n") + 4
+            if b"transfer-encoding" in data[:end].lower():
+                self.parse(data[:end])
+                data = data[end:]
+        if not data:
+            return
+        if not (self.headers_done and self.in_chunks):
+            self.parse(data)
+            return
+        self.pending = data
+        while self.pending and self.feed_slice():
+            pass
+
+    def feed_slice(self) -> bool:
+        """Parse one slice; return whether the next one may follow at once."""
+        if self.rejected or self.lost or self.waiting:
+            return False
+        data, self.pending = self.pending[:SLICE_BYTES], self.pending[SLICE_BYTES:]
+        if self.is_complete():
+            data, self.pending = data + self.pending, b""
+        self.parts = 0
+        self.parse(data)
+        if self.parts > MOST_PARTS and not self.is_complete():
+            self.enter_lane()
+            return False
+        return bool(self.pending)
+
+    def is_complete(self) -> bool:
+        """Return whether the body of the request in progress has come."""
+        return not self.headers_done or (
+            self.request is not None and not self.refused_early
+        )
+
+    def enter_lane(self) -> None:
+        """Let the others have their turn before the next slice is parsed."""
+        if self.in_lane or self.rejected:
+            return
+        if self.refused_early:
+            self.drop_rest()
+            return
+        account = self.server.account
+        if account.is_crowded():
+            self.refuse_room()
+            self.drop_rest()
+            return
+        self.in_lane = True
+        kept = self.body_bytes + len(self.pending)
+        if kept > self.room.held:
+            account.hold(self.room, kept)
+        self.pause_reading()
+        self.server.slow_lane.add(self.take_turn)
+
+    def drop_rest(self) -> None:
+        """Read no more of a refused request; close after its answer."""
+        self.pending = b""
+        self.keep_alive = False
+        self.rejected = True
+        if self.early_answered:
+            self.close()
+
+    def take_turn(self) -> bool:
+        """Parse a slice in turn; return whether more is left for another turn."""
+        if self.rejected or self.lost or self.waiting or not self.pending:
+            self.in_lane = False
+            self.pump()
+            return False
+        self.feed_slice()
+        return True
+
+    def pump(self) -> None:
+        """Parse what was kept, then read on."""
+        if self.waiting or self.in_lane or self.rejected or self.lost:
+            return
+        data, self.pending = self.pending, b""
+        if data:
+            self.feed(data)
+        if not self.waiting and not self.in_lane:
+            self.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Leave what comes to the kernel, and the rest to the caller."""
+        if self.transport is not None and not self.lost:
+            self.transport.pause_reading()
+            self.set_unread_bytes(UNREAD_BYTES)
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.set_unread_bytes(READ_BYTES)
+            self.transport.resume_reading()
+
+    def set_unread_bytes(self, size: int) -> None:
+        """Set what the kernel keeps of what isn't read yet."""
+        assert self.transport is not None
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def parse(self, data: bytes) -> None:
+        """Parse bytes; then decide on a request whose body has not come whole."""
         self.received_bytes += len(data)
-        body_before = len(self.body) if self.headers_done else None
+        body_before = self.body_bytes if self.headers_done else None
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -218,8 +445,122 @@
         except httptools.HttpParserError:
             self.take_back_joined(data, body_before)
             self.reject(400)
-        if self.request is None and self.received_bytes > self.most_bytes():
+        if self.rejected or self.is_complete():
+            if self.request is None and self.received_bytes > self.most_bytes():
+                self.reject(431)
+            return
+        if self.received_bytes > self.most_bytes():
             self.reject(431)
+        elif not self.head_checked:
+            self.check_head()
+        else:
+            self.count_body(len(data))
+
+    def check_head(self) -> None:
+        """Refuse a request by its head, or ask for room for its body."""
+        self.head_checked = True
+        assert self.began_ms is not None
+        head = Request(
+            self.parser.get_method(), self.url, tuple(self.headers), b"", self.began_ms
+        )
+        most = self.server.limits().max_body_bytes
+        length = stated_length(self.headers)
+        if length is not None and length > most:
+            self.reject(413)
+            return
+        verdict = self.server.check_head(head, self)
+        if verdict.refuse is not None:
+            self.refuse_early(head, verdict.refuse)
+            return
+        self.room.owner = verdict.owner or self.address()
+        size = FIRST_CHUNKED_BYTES if length is None else length
+        self.ask_room(size * BYTES_PER_BODY_BYTE)
+
+    def address(self) -> str:
+        """Return the IP address of the caller."""
+        assert self.transport is not None
+        peer = self.transport.get_extra_info("peername")
+        return str(peer[0]) if peer else ""
+
+    def ask_room(self, size: int) -> None:
+        """Ask for room; wait unread if there is none now."""
+        account = self.server.account
+        now_ms = self.server.clock.now_ms()
+        kept = self.body_bytes + len(self.pending)
+        if kept > self.room.held:
+            account.hold(self.room, kept)
+        grant = account.ask(self.room, size, now_ms)
+        if grant is Grant.GIVEN:
+            self.begin_body()
+        elif grant is Grant.REFUSED:
+            self.refuse_room()
+        else:
+            self.waiting = True
+            self.pause_reading()
+
+    def room_decided(self, given: bool) -> None:
+        """Read on with room for the body, or refuse it, after a wait."""
+        self.waiting = False
+        if given:
+            self.begin_body()
+        else:
+            self.refuse_room()
+        asyncio.get_running_loop().call_soon(self.pump)
+
+    def begin_body(self) -> None:
+        """Let the caller send its body, which has room now."""
+        self.room.can_lose = True
+        if self.transport is None or self.body_bytes:
+            return
+        if any(name == b"expect" for name, _ in self.headers):
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def count_body(self, size: int) -> None:
+        """Count bytes of a body; one in chunks may need more room."""
+        if self.refused_early:
+            return
+        self.room.move(size, self.server.clock.now_ms())
+        most = self.server.limits().max_body_bytes * BYTES_PER_BODY_BYTE
+        if not self.in_chunks or self.waiting or self.room.held >= most:
+            return
+        if self.body_bytes * BYTES_PER_BODY_BYTE > self.room.held:
+            self.ask_room(most)
+
+    def refuse_room(self) -> None:
+        """Refuse a request for whose body there is no room."""
+        assert self.began_ms is not None
+        head = Request(
+            self.parser.get_method(), self.url, tuple(self.headers), b"", self.began_ms
+        )
+        self.refuse_early(head, self.server.refuse_body)
+
+    def refuse_early(self, head: Request, refuse: Handler) -> None:
+        """Answer a request before its body, which is then dropped as it comes.
+
+        A caller that waits for `100 Continue` may send its body or not, so that the end
+        of the request isn't known.
+        """
+        self.refused_early = True
+        self.body = bytearray()
+        self.server.account.give_back(self.room)
+        if any(name == b"expect" for name, _ in self.headers):
+            self.keep_alive = False
+        self.begin_answer(head, refuse)
+
+    def lose_room(self) -> None:
+        """Give up a request that sits on room without progress; it has not run."""
+        if self.request is None:
+            self.reject(408)
+
+    def count_unsent(self, now_ms: float) -> None:
+        """Count the bytes of answers that the caller has not read."""
+        if self.transport is None or not self.answer_room.held:
+            return
+        unsent = self.transport.get_write_buffer_size()
+        gone = self.answer_room.held - unsent
+        if gone > 0:
+            self.answer_room.move(gone, now_ms)
+            self.server.account.shrink(self.answer_room, unsent)
 
     def take_back_joined(self, data: bytes, body_before: int | None) -> None:
         """Take back a request whose body was filled up with the head of the next one.
@@ -251,12 +592,12 @@
         limit = self.server.limits().max_header_bytes
         if not self.headers_done:
             return limit
-        framing_limit = limit + FRAMING_PER_BODY_BYTE * len(self.body)
-        return limit + framing_limit + len(self.body)
+        framing_limit = limit + FRAMING_PER_BODY_BYTE * self.body_bytes
+        return limit + framing_limit + self.body_bytes
 
     def on_message_begin(self) -> None:
         """Start a new request; a pipelined one ends the connection after the answer."""
-        if self.request is not None:
+        if self.request is not None or self.refused_early:
             self.keep_alive = False
             return
         self.url = b""
@@ -273,7 +614,7 @@
 
         A trailer is dropped, as only the head is checked.
         """
-        if self.request is not None:
+        if self.request is not None and not self.refused_early:
             return
         if not self.headers_done:
             self.headers.append((name.lower(), value.strip(b" \t")))
@@ -287,31 +628,37 @@
         if self.request is not None:
             return
         self.headers_done = True
-        names = [name for name, _ in self.headers]
         limits = self.server.limits()
+        self.in_chunks = any(name == b"transfer-encoding" for name, _ in self.headers)
         if sum(len(n) + len(v) + 4 for n, v in self.headers) > limits.max_header_bytes:
             self.reject(431)
         elif has_ambiguous_length(self.headers) or holds_joined_head(self.headers):
             self.reject(400)
-        elif b"expect" in names and self.transport is not None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; reject a body above the limit."""
-        if self.request is not None or self.rejected:
+        if self.rejected or (self.request is not None and not self.refused_early):
             return
-        self.body += body
-        if len(self.body) > self.server.limits().max_body_bytes:
+        self.parts += 1
+        self.body_bytes += len(body)
+        if not self.refused_early:
+            self.body += body
+        if self.body_bytes > self.server.limits().max_body_bytes:
             self.reject(413)
 
     def on_message_complete(self) -> None:
         """Start to answer the request, which is now complete."""
-        if self.request is not None or self.rejected:
+        if self.rejected:
+            return
+        if self.refused_early:
+            self.end_refused()
+            return
+        if self.request is not None:
             return
         if not self.parser.should_keep_alive():
             self.keep_alive = False
         assert self.began_ms is not None
-        self.request = Request(
+        request = Request(
             self.parser.get_method(),
             self.url,
             tuple(self.headers),
@@ -319,28 +666,71 @@
             self.began_ms,
         )
         self.body = bytearray()
-        self.task = asyncio.get_running_loop().create_task(self.answer(self.request))
+        self.room.can_lose = False
+        handler = self.server.handler
+        if not self.take_room(len(request.body) * BYTES_PER_BODY_BYTE):
+            handler = self.server.refuse_body
+        self.begin_answer(request, handler)
+
+    def take_room(self, size: int) -> bool:
+        """Return whether there is room for the request, which is complete."""
+        account = self.server.account
+        if self.head_checked:
+            account.shrink(self.room, size)
+            return True
+        if not size:
+            return True
+        self.room.owner = self.address()
+        return account.ask_at_once(self.room, size, self.server.clock.now_ms())
+
+    def end_refused(self) -> None:
+        """End a refused request, whose body has come; the next one may follow."""
+        if self.request is not None:
+            self.refused_early = False
+            return
+        self.reset()
+
+    def begin_answer(self, request: Request, handler: Handler) -> None:
+        """Start to answer a request."""
+        self.request = request
+        loop = asyncio.get_running_loop()
+        self.task = loop.create_task(self.answer(request, handler))
         self.server.tasks.add(self.task)
         self.task.add_done_callback(self.server.tasks.discard)
 
-    async def answer(self, request: Request) -> None:
+    async def answer(self, request: Request, handler: Handler) -> None:
         """Run the handler for one request, then wait for the next one or close."""
         self.answered = False
         with anyio.CancelScope() as scope:
             self.scope = scope
             try:
-                await self.server.handler(request, self)
+                await handler(request, self)
             finally:
                 self.scope = None
                 self.finish_request()
 
     def finish_request(self) -> None:
-        """Reset the state for the next request, or close the connection."""
+        """Go on to the next request, or to the rest of a refused one, or close."""
         self.request = None
+        self.server.account.give_back(self.room)
+        if not self.answered or self.server.closing or self.lost:
+            self.reset()
+        elif self.refused_early and not self.rejected:
+            self.early_answered = True
+        else:
+            self.reset()
+
+    def reset(self) -> None:
+        """Reset the state for the next request, or close the connection."""
         self.began_ms = None
         self.headers_done = False
+        self.head_checked = False
+        self.refused_early = False
+        self.early_answered = False
+        self.in_chunks = False
         self.received_bytes = 0
         self.trailer_bytes = 0
+        self.body_bytes = 0
         self.last_used_ms = self.server.clock.now_ms()
         if not self.answered or not self.keep_alive or self.server.closing:
             self.close()
@@ -372,8 +762,19 @@
         if self.chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self.transport.write(data)
+        if self.write_waiter is not None:
+            await self.wait_until_read(self.transport)
+
+    async def wait_until_read(self, transport: asyncio.Transport) -> None:
+        """Wait while the caller reads too slowly; what it has not read is counted."""
+        unsent = transport.get_write_buffer_size()
+        self.answer_room.since_ms = self.server.clock.now_ms()
+        self.answer_room.moved_ms = self.answer_room.since_ms
+        self.answer_room.moved_bytes = 0
+        self.server.account.hold(self.answer_room, unsent)
         while self.write_waiter is not None:
             await self.write_waiter
+        self.server.account.give_back(self.answer_room)
 
     def finish(self) -> None:
         """End the body: the answer is complete."""
@@ -394,7 +795,12 @@
             return
         self.rejected = True
         self.keep_alive = False
-        self.write_head(status, (), 0)
+        self.pending = b""
+        self.body = bytearray()
+        self.waiting = False
+        self.server.account.give_back(self.room)
+        if not self.early_answered:
+            self.write_head(status, (), 0)
         self.close()
 
     def close(self) -> None:
@@ -402,6 +808,12 @@
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        """Close the connection at once, without what is not sent yet."""
+        self.aborted = True
+        if self.transport is not None:
+            self.transport.abort()
+
 
 async def listen(server: Server, address: str) -> asyncio.Server:
     """Listen on `host:port` for connections of a server.
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -11,7 +11,11 @@
 from anyio.abc import TaskGroup
 
 from ..events import Event, Journal
+from ..memory.account import MemoryAccount, account_size
+from ..memory.descriptors import most_connections
+from ..memory.process import resident_bytes
 from ..supervision import run_with_restarts
+from .body_refusals import make_body_refusal, make_head_check, record_shortage
 from .connection_pool import ConnectionPool
 from .crash_checks import run_crash_check_loop
 from .crash_sharing import run_crash_sharing_loop
@@ -69,6 +73,20 @@
     return handle
 
 
+def make_caller_server(vm: Gateway) -> Server:
+    """Return the server of callers' requests, within the memory of the VM."""
+    size = account_size(vm.settings.memory_mb, resident_bytes())
+    return Server(
+        vm.clock,
+        make_handler(vm),
+        lambda: vm.limits,
+        account=MemoryAccount(size),
+        check_head=make_head_check(vm),
+        refuse_body=make_body_refusal(vm),
+        most_connections=most_connections(vm.settings.max_sockets),
+    )
+
+
 async def run_gateway(
     vm: Gateway,
     log: LogOutput,
@@ -90,7 +108,7 @@
     vm.crash_guard.lives = liveness_check(vm.clock)
     caller = vm.scheduler.caller
     log_unexpected_answers(vm.journal, vm.pool, caller.pool, caller.spares)
-    server = Server(vm.clock, make_handler(vm), lambda: vm.limits)
+    server = make_caller_server(vm)
     readiness = Server(vm.clock, make_readiness(vm), lambda: vm.limits)
     heartbeats = await open_heartbeats(vm)
     vm.send_datagram = heartbeats.send
@@ -168,6 +186,7 @@
         await vm.clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
         now_ms = vm.clock.now_ms()
         server.enforce_timeouts()
+        record_shortage(vm, server)
         vm.pool.close_expired(now_ms)
         vm.scheduler.caller.spares.close_expired()
         live = {heartbeat.address for heartbeat in vm.membership.live(now_ms)}
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -52,6 +52,10 @@
         Time from SIGTERM to the forced end of the process.
     cores, link_mbps : float
         Processor and network link of the VM.
+    memory_mb : float
+        Memory of the VM.
+    max_sockets : int
+        Sockets that the process may have open.
     """
 
     name: str
@@ -68,6 +72,8 @@
     retry_window_ms: float
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 1_000.0
+    max_sockets: int = 65_536
 
 
 @dataclass(frozen=True)
--- a/cuminstile/platform/settings.py
+++ b/cuminstile/platform/settings.py
@@ -12,6 +12,9 @@
 from ..gateway.state import GatewaySettings
 from ..typed_data import InvalidDataError, check_data_class
 
+RESERVED_FDS = 200
+"""Descriptors of `max_fds` that are no sockets."""
+
 
 @dataclass(frozen=True)
 class ListenFields:
@@ -44,11 +47,17 @@
 
 @dataclass(frozen=True)
 class MachineFields:
-    """`limits`: the processor as `cpu_share` of a core `cores` times as fast; link."""
+    """`limits`: the processor as `cpu_share` of a core `cores` times as fast; link.
+
+    `memory_mb` is the memory of the process, `max_fds` its descriptors, of which
+    `RESERVED_FDS` are for files.
+    """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 1_000.0
+    max_fds: int = 65_536
 
 
 @dataclass(frozen=True)
@@ -146,5 +155,7 @@
         retry_window_ms=fields.bounds.retry_window_s * 1000.0,
         cores=fields.limits.cpu_share * fields.limits.cores,
         link_mbps=fields.limits.link_mbps,
+        memory_mb=fields.limits.memory_mb,
+        max_sockets=max(0, fields.limits.max_fds - RESERVED_FDS),
     )
     return PlatformSettings(gateway, fields.platform.address)
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -10,6 +10,7 @@
     "clock",
     "events",
     "exceptions",
+    "memory",
     "recency",
     "rendezvous",
     "request_bounds",
@@ -91,6 +92,13 @@
     assert imports(path, 2) <= ALLOWED_GATEWAY_IMPORTS
 
 
+@pytest.mark.parametrize("name", ["account", "descriptors"])
+def test_decisions_on_memory_use_no_network_and_no_gateway(name: str) -> None:
+    path = PACKAGE / "memory" / f"{name}.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) | imports(path, 2) == set()
+
+
 @pytest.mark.parametrize("name", DECISIONS)
 def test_decisions_use_no_network_and_no_state_of_a_vm(name: str) -> None:
     path = PACKAGE / "gateway" / f"{name}.py"
