--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -239,6 +239,7 @@
         self.aborted = False
         self.in_lane = False
         self.pending = b""
+        self.parsed_bytes = 0
         self.refused_early = False
         self.early_answered = False
 
@@ -345,7 +346,7 @@
         if not (self.headers_done and self.in_chunks):
             self.parse(data)
             return
-        self.pending = data
+        self.pending, self.parsed_bytes = data, 0
         while self.pending and self.feed_slice():
             pass
 
@@ -353,16 +354,24 @@
         """Parse one slice; return whether the next one may follow at once."""
         if self.rejected or self.lost or self.waiting:
             return False
-        data, self.pending = self.pending[:SLICE_BYTES], self.pending[SLICE_BYTES:]
-        if self.is_complete():
-            data, self.pending = data + self.pending, b""
         self.parts = 0
-        self.parse(data)
+        self.parse(self.next_slice())
         if self.parts > MOST_PARTS and not self.is_complete():
             self.enter_lane()
             return False
         return bool(self.pending)
 
+    def next_slice(self) -> memoryview:
+        """Return the next bytes to parse: all that is left behind a whole body."""
+        begin, end = self.parsed_bytes, self.parsed_bytes + SLICE_BYTES
+        if self.is_complete():
+            end = len(self.pending)
+        data = memoryview(self.pending)[begin:end]
+        self.parsed_bytes = end
+        if end >= len(self.pending):
+            self.pending, self.parsed_bytes = b"", 0
+        return data
+
     def is_complete(self) -> bool:
         """Return whether the body of the request in progress has come."""
         return not self.headers_done or (
@@ -382,7 +391,7 @@
             self.drop_rest()
             return
         self.in_lane = True
-        kept = self.body_bytes + len(self.pending)
+        kept = self.body_bytes + len(self.pending) - self.parsed_bytes
         if kept > self.room.held:
             account.hold(self.room, kept)
         self.pause_reading()
@@ -409,7 +418,8 @@
         """Parse what was kept, then read on."""
         if self.waiting or self.in_lane or self.rejected or self.lost:
             return
-        data, self.pending = self.pending, b""
+        data = self.pending[self.parsed_bytes :]
+        self.pending, self.parsed_bytes = b"", 0
         if data:
             self.feed(data)
         if not self.waiting and not self.in_lane:
@@ -434,7 +444,7 @@
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
-    def parse(self, data: bytes) -> None:
+    def parse(self, data: bytes | memoryview) -> None:
         """Parse bytes; then decide on a request whose body has not come whole."""
         self.received_bytes += len(data)
         body_before = self.body_bytes if self.headers_done else None
@@ -443,7 +453,7 @@
         except httptools.HttpParserUpgrade:
             self.reject(400)
         except httptools.HttpParserError:
-            self.take_back_joined(data, body_before)
+            self.take_back_joined(bytes(data), body_before)
             self.reject(400)
         if self.rejected or self.is_complete():
             if self.request is None and self.received_bytes > self.most_bytes():
@@ -486,7 +496,7 @@
         """Ask for room; wait unread if there is none now."""
         account = self.server.account
         now_ms = self.server.clock.now_ms()
-        kept = self.body_bytes + len(self.pending)
+        kept = self.body_bytes + len(self.pending) - self.parsed_bytes
         if kept > self.room.held:
             account.hold(self.room, kept)
         grant = account.ask(self.room, size, now_ms)
