Read the rest of refused bodies in turn

Cause: with 400 callers that go on sending large chunks after their refusal, one turn of the loop took up to 3 s, and half of the sound requests had no answer. Change: they share the lane of very small chunks; bodies in large chunks are parsed 64 KiB at a time.

--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -15,7 +15,13 @@
 from ..clock import Clock
 from ..memory.account import BYTES_PER_BODY_BYTE, Grant, Kind, MemoryAccount, Room
 from ..memory.descriptors import choose_displaced
-from ..memory.turns import MOST_PARTS, SLICE_BYTES, SlowLane
+from ..memory.turns import (
+    FEW_PARTS,
+    LONG_SLICE_BYTES,
+    MOST_PARTS,
+    SLICE_BYTES,
+    SlowLane,
+)
 from ..request_bounds import holds_joined_head, is_filled_up
 from .model import Limits
 from .upstream_protocol import RawHeaders
@@ -232,7 +238,7 @@
         self.answer_room = Room(Kind.ANSWER, lambda given: None, self.abort)
         self.answer_room.can_lose = True
         self.body_bytes = 0
-        self.parts = 0
+        self.parts = FEW_PARTS + 1
         self.in_chunks = False
         self.head_checked = False
         self.waiting = False
@@ -333,6 +339,10 @@
             self.pending += data
             return
         self.feed(data)
+        if self.refused_early and not (self.waiting or self.in_lane or self.rejected):
+            self.in_lane = True
+            self.pause_reading()
+            self.server.slow_lane.add(self.take_turn)
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes, those of a body in chunks in slices."""
@@ -354,16 +364,17 @@
         """Parse one slice; return whether the next one may follow at once."""
         if self.rejected or self.lost or self.waiting:
             return False
+        size = SLICE_BYTES if self.parts > FEW_PARTS else LONG_SLICE_BYTES
         self.parts = 0
-        self.parse(self.next_slice())
-        if self.parts > MOST_PARTS and not self.is_complete():
+        self.parse(self.next_slice(size))
+        if self.parts > MOST_PARTS * size // SLICE_BYTES and not self.is_complete():
             self.enter_lane()
             return False
         return bool(self.pending)
 
-    def next_slice(self) -> memoryview:
+    def next_slice(self, size: int) -> memoryview:
         """Return the next bytes to parse: all that is left behind a whole body."""
-        begin, end = self.parsed_bytes, self.parsed_bytes + SLICE_BYTES
+        begin, end = self.parsed_bytes, self.parsed_bytes + size
         if self.is_complete():
             end = len(self.pending)
         data = memoryview(self.pending)[begin:end]
