--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -30,6 +30,13 @@
     bodies_total: Counter
     caller_connections: Gauge
     displaced_total: Counter
+    upstreams_wanted: Gauge
+    upstreams_needed: Gauge
+    orders_total: Counter
+    duty_token: Gauge
+    duty_calls_total: Counter
+    hedges_total: Counter
+    hedge_wasted_ms_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -119,4 +126,39 @@
             "Connections of callers closed because there were too many",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_upstreams_wanted",
+            "Upstreams that this VM ordered last, by service and data centre",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_upstreams_needed",
+            "Upstreams that callers needed at that order, by service and data centre",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_orders_total",
+            "Orders of a number of upstreams that this VM sent, by reason and result",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_duty_token",
+            "Fencing token of the duties that this VM holds, 0 for none",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_duty_calls_total",
+            "Calls that are duties of one VM at a time by duty and result",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedges_total",
+            "Requests sent a second time, by service and whether that send answered",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedge_wasted_ms_total",
+            "Time that upstreams spent on sends whose request another one answered",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -4,10 +4,13 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..clock import Clock
+from ..duties.desk import DutyDesk
 from ..events import Event, Journal
+from ..hedging.limits import HedgeLimits, Hedging
+from ..scaling.demand import LocalDemand
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -56,6 +59,11 @@
         Memory of the VM.
     max_sockets : int
         Sockets that the process may have open.
+    keys_required : bool
+        Whether callers need keys whatever a manifest says: one that lists no
+        organisations lets nobody in on closed routes.
+    hedge_share, hedge_busy_share : float
+        Limits for second sends; see `HedgeLimits`.
     """
 
     name: str
@@ -74,6 +82,9 @@
     link_mbps: float = 1_000.0
     memory_mb: float = 1_000.0
     max_sockets: int = 65_536
+    keys_required: bool = False
+    hedge_share: float = 0.0
+    hedge_busy_share: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -119,6 +130,8 @@
         By topic, the address of a VM that knows changes which are missing here.
     send_datagram : callable
         Sends bytes to the `host:port` of another VM; they may be lost.
+    duties : DutyDesk or None
+        The duties of one VM at a time, None where there are none.
     """
 
     settings: GatewaySettings
@@ -134,11 +147,14 @@
     started_ms: int
     table: UpstreamTable = field(default_factory=UpstreamTable)
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
+    hedging: Hedging = field(default_factory=Hedging)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
+    demand: LocalDemand = field(default_factory=LocalDemand)
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
     wanted_records: dict[str, str] = field(default_factory=dict)
     send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
+    duties: DutyDesk | None = None
     random: random.Random = field(default_factory=random.Random)
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
@@ -181,6 +197,10 @@
         live = self.membership.live(self.clock.now_ms())
         return reader_role(self.own_heartbeat(), live)
 
+    def hedge_limits(self) -> HedgeLimits:
+        """Return the limits in force for second sends."""
+        return HedgeLimits(self.settings.hedge_share, self.settings.hedge_busy_share)
+
     def vm_count(self) -> int:
         """Return how many VMs share the common limits."""
         return self.membership.fleet_size()
@@ -193,6 +213,8 @@
         """Apply a manifest if it is newer; return whether it was."""
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return False
+        if self.settings.keys_required and manifest.organisations is None:
+            manifest = replace(manifest, organisations={})
         self.index = make_index(manifest)
         self.scheduler.configure(manifest, self.table)
         self.journal.record(
--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -21,6 +21,7 @@
     Organisation,
     Route,
     RouteKind,
+    ScalingSpec,
     Service,
     StageSpec,
     Target,
@@ -100,8 +101,14 @@
 
 
 def organisations_of(raw: dict[str, Any]) -> dict[str, Organisation]:
-    """Return the organisations by their keys; one may have none."""
+    """Return the organisations by their keys; one may have none.
+
+    A list of organisations or keys that is null is an empty one, so that no key of an
+    earlier version stays in force.
+    """
     organisations: dict[str, Organisation] = {}
+    if raw["tenants"] is None:
+        return organisations
     for item in items_at(raw, "tenants"):
         priority = optional_integer_at(item, "priority")
         organisation = Organisation(text_at(item, "name"), priority)
@@ -157,6 +164,7 @@
     """Return one service."""
     engine = raw.get("engine")
     batch_fields = raw.get("pieces")
+    scaling_fields = raw.get("autoscale")
     return Service(
         name=text_at(raw, "name"),
         max_connections=int(raw.get("max_connections") or 0),
@@ -166,9 +174,19 @@
         if engine
         else None,
         batch=batch_of(batch_fields) if batch_fields else None,
+        scaling=scaling_of(scaling_fields) if scaling_fields else None,
     )
 
 
+def scaling_of(raw: dict[str, Any]) -> ScalingSpec:
+    """Return the bounds of how many upstreams are ordered."""
+    least, most = integer_at(raw, "min"), integer_at(raw, "max")
+    start_ms = number_at(raw, "boot_s") * 1000.0
+    if not 0 <= least <= most or not 0.0 <= start_ms < math.inf:
+        raise ValueError("autoscale needs 0 <= min <= max and boot_s >= 0")
+    return ScalingSpec(least, most, start_ms)
+
+
 def batch_of(raw: dict[str, Any]) -> BatchSpec:
     """Return the batch limits and costs of an upstream that runs work items."""
     return BatchSpec(
--- a/cuminstile/platform/settings.py
+++ b/cuminstile/platform/settings.py
@@ -8,12 +8,20 @@
 
 import orjson
 
+from ..duties.desk import DutySettings
+from ..duties.types import ORDERS_DUTY, USAGE_DUTY
 from ..exceptions import CuminstileError, ErrorCode, Finding
 from ..gateway.state import GatewaySettings
 from ..typed_data import InvalidDataError, check_data_class
 
 RESERVED_FDS = 200
 """Descriptors of `max_fds` that are no sockets."""
+DUTY_NAMES = {"usage_report": USAGE_DUTY, "autoscaler": ORDERS_DUTY}
+"""The duties by the platform's names."""
+PLATFORM_FIELDS = "fields"
+"""Field of a settings file that holds the platform's own, beside the operator's."""
+KEYS_CONTRACT = "tenants"
+"""Contract under which callers have keys."""
 
 
 @dataclass(frozen=True)
@@ -43,6 +51,21 @@
     retry_budget_ratio: float = 0.0
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
+    lease_ms: float = 3_000.0
+    usage_window_s: float = 5.0
+    usage_late_s: float = 10.0
+
+
+@dataclass(frozen=True)
+class CloudFields:
+    """`cloud`: the address of the calls that are duties, and their limit for all VMs.
+
+    `duties` names those that there are, in the platform's words.
+    """
+
+    address: str = ""
+    duties: tuple[str, ...] = ()
+    duty_per_s: float = 50.0
 
 
 @dataclass(frozen=True)
@@ -60,13 +83,21 @@
     max_fds: int = 65_536
 
 
+@dataclass(frozen=True)
+class HedgingFields:
+    """`hedging`: limits for second sends; see `HedgeLimits`."""
+
+    share: float = 0.0
+    busy_share: float = 0.5
+
+
 @dataclass(frozen=True)
 class SettingsFields:
     """The settings file; `zone` is a data centre, `node` the VM's name.
 
     `port_range` holds the first and the last of the ports that are free for traffic
     between VMs, the same on all VMs. `seeds` lists other VMs; the ports in it are other
-    ones and not used.
+    ones and not used. `contracts` names the parts of the platform that are in use.
     """
 
     node: str
@@ -78,6 +109,9 @@
     bounds: BoundFields
     seeds: tuple[str, ...] = ()
     limits: MachineFields = MachineFields()
+    cloud: CloudFields = CloudFields()
+    contracts: tuple[str, ...] = ()
+    hedging: HedgingFields = HedgingFields()
 
 
 @dataclass(frozen=True)
@@ -88,10 +122,16 @@
     ----------
     store_address : str
         `host:port`.
+    duties_address : str
+        `host:port` of the platform's calls that are duties of one VM at a time.
+    duties : DutySettings or None
+        None where the platform has no such calls.
     """
 
     gateway: GatewaySettings
     store_address: str
+    duties_address: str = ""
+    duties: DutySettings | None = None
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -115,6 +155,8 @@
     """Return the settings in a decoded file; raises like `load_platform_settings`."""
     if not isinstance(raw, dict):
         raise bad_file(path, [Finding(str(path), "", "invalid", "must be an object")])
+    if isinstance(raw.get(PLATFORM_FIELDS), dict):
+        raw = {**raw[PLATFORM_FIELDS], **raw}
     try:
         fields = check_data_class(SettingsFields)(raw)
     except InvalidDataError as error:
@@ -157,5 +199,25 @@
         link_mbps=fields.limits.link_mbps,
         memory_mb=fields.limits.memory_mb,
         max_sockets=max(0, fields.limits.max_fds - RESERVED_FDS),
+        keys_required=KEYS_CONTRACT in fields.contracts,
+        hedge_share=fields.hedging.share,
+        hedge_busy_share=fields.hedging.busy_share,
+    )
+    address = fields.cloud.address
+    return PlatformSettings(
+        gateway, fields.platform.address, address, duties_of(fields)
+    )
+
+
+def duties_of(fields: SettingsFields) -> DutySettings | None:
+    """Return the settings of the duties, None where there are none."""
+    names = tuple(DUTY_NAMES[one] for one in fields.cloud.duties if one in DUTY_NAMES)
+    if not names or not fields.cloud.address:
+        return None
+    return DutySettings(
+        names,
+        fields.bounds.lease_ms,
+        fields.cloud.duty_per_s,
+        round(fields.bounds.usage_window_s * 1000.0),
+        fields.bounds.usage_late_s * 1000.0,
     )
-    return PlatformSettings(gateway, fields.platform.address)
