--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -56,6 +56,10 @@
         Time from SIGTERM to the forced end of the process.
     cores, link_mbps : float
         Processor and network link of the VM.
+    memory_mb : float
+        Memory of the VM.
+    max_sockets : int
+        Sockets that the process may have open.
     keys_required : bool
         Whether callers need keys whatever a manifest says: one that lists no
         organisations lets nobody in on closed routes.
@@ -77,6 +81,8 @@
     retry_window_ms: float
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 1_000.0
+    max_sockets: int = 65_536
     keys_required: bool = False
     hedge_share: float = 0.0
     hedge_busy_share: float = 0.5
