--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -8,6 +8,7 @@
 PACKAGE = Path(__file__).parent.parent / "cuminstile"
 ALLOWED_GATEWAY_IMPORTS = {
     "clock",
+    "estimates",
     "events",
     "exceptions",
     "memory",
