--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -25,10 +25,19 @@
     store_reader: Gauge
     crashes_total: Counter
     words_total: Counter
+    held_bytes: Gauge
+    waiting_bodies: Gauge
+    bodies_total: Counter
+    caller_connections: Gauge
+    displaced_total: Counter
+    upstreams_wanted: Gauge
+    upstreams_needed: Gauge
+    orders_total: Counter
     duty_token: Gauge
     duty_calls_total: Counter
     hedges_total: Counter
     hedge_wasted_ms_total: Counter
+    upstream_slowness: Gauge
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -93,6 +102,46 @@
             "Upstreams that said that they leave or want no requests, by service",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_held_bytes",
+            "Bytes held for others by kind",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_waiting_bodies",
+            "Requests that wait for memory for their bodies",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_bodies_total",
+            "Requests refused or closed for want of memory by result",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_caller_connections",
+            "Open connections of callers",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_displaced_total",
+            "Connections of callers closed because there were too many",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_upstreams_wanted",
+            "Upstreams that this VM ordered last, by service and data centre",
+            registry=registry,
+        ),
+        Gauge(
+            "cuminstile_gateway_upstreams_needed",
+            "Upstreams that callers needed at that order, by service and data centre",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_orders_total",
+            "Orders of a number of upstreams that this VM sent, by reason and result",
+            registry=registry,
+        ),
         Gauge(
             "cuminstile_gateway_duty_token",
             "Fencing token of the duties that this VM holds, 0 for none",
@@ -113,4 +162,9 @@
             "Time that upstreams spent on sends whose request another one answered",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_upstream_slowness",
+            "Time that work takes at an upstream now relative to the usual time",
+            registry=registry,
+        ),
     )
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -7,6 +7,7 @@
 
 from ..events import Event
 from ..recency import remember
+from ..scaling.demand import Run
 from .answers import (
     AnswerHead,
     AnswerTooLargeError,
@@ -69,12 +70,14 @@
     state.in_flight += 1
     state.tokens_in_flight += tokens
     tokens_counted = True
+    vm.demand.record_waiting(call.service.name, 1)
 
     def mark_running() -> None:
         nonlocal tokens_counted
         if tokens_counted:
             tokens_counted = False
             state.tokens_in_flight -= tokens
+            vm.demand.record_waiting(call.service.name, -1)
             send.on_running()
 
     connection: HttpConnection | None = None
@@ -97,6 +100,7 @@
         state.in_flight -= 1
         if tokens_counted:
             state.tokens_in_flight -= tokens
+            vm.demand.record_waiting(call.service.name, -1)
         if connection is not None and connection.requests == send.nth_request:
             log_joined_answers(vm, call, state, connection)
             send.crashed = send.outcome is Outcome.UNKNOWN and connection.ended_by_peer
@@ -172,12 +176,14 @@
     data = render_request(request.method, request.target, headers, request.body)
     connection.send(data, call.fields.attempt_id)
     send.sent = True
+    send.sent_ms = now_ms
     send.nth_request = connection.requests
     head, fields = await receive_matching_head(vm, call, state, connection)
     record_survivor(vm, state, connection.opened_ms, now_ms)
     record_alive(vm, state, now_ms)
     if fields.load is not None:
         record_load(state, fields.load, vm.clock.now_ms())
+        record_speed(vm, state)
     if fields.states_not_run(state.info.id):
         await record_not_run(vm, state, connection, head, fields, send)
     elif not fields.sealed:
@@ -206,6 +212,31 @@
         await forward_answer(vm, call, state, connection, head, send)
     if send.outcome is Outcome.FORWARDED:
         record_success(state, vm.clock.now_ms() - now_ms)
+        if call.service.scaling is not None and dispatch.last_event is None:
+            record_run(vm, call, state, send, now_ms)
+
+
+def record_run(
+    vm: Gateway, call: Call, state: UpstreamState, send: Send, sent_ms: float
+) -> None:
+    """Record how long a request kept its upstream busy, from its send to now."""
+    now_ms = vm.clock.now_ms()
+    first_ms = (send.events_since_ms or now_ms) - sent_ms
+    reads_prompt = call.service.engine is not None
+    run = Run(first_ms, now_ms - sent_ms, state.info.slots, reads_prompt)
+    vm.demand.record_run(call.service.name, call.route.name, run, now_ms)
+
+
+def record_speed(vm: Gateway, state: UpstreamState) -> None:
+    """Note for other VMs how fast an upstream is, and log if that has changed."""
+    vm.speeds.note_report(state.process, state.estimate)
+    if vm.speeds.is_worth_a_line(state.process, state.estimate):
+        vm.journal.record(
+            Event.UPSTREAM_SPEED_CHANGED,
+            upstream=state.info.id,
+            service=state.info.service,
+            slowness=round(state.estimate.usual_report, 2),
+        )
 
 
 async def receive_matching_head(
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -8,8 +8,10 @@
 
 from ..clock import Clock
 from ..duties.desk import DutyDesk
+from ..estimates.sharing import SpeedSharing
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
+from ..scaling.demand import LocalDemand
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -54,6 +56,10 @@
         Time from SIGTERM to the forced end of the process.
     cores, link_mbps : float
         Processor and network link of the VM.
+    memory_mb : float
+        Memory of the VM.
+    max_sockets : int
+        Sockets that the process may have open.
     keys_required : bool
         Whether callers need keys whatever a manifest says: one that lists no
         organisations lets nobody in on closed routes.
@@ -75,6 +81,8 @@
     retry_window_ms: float
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 1_000.0
+    max_sockets: int = 65_536
     keys_required: bool = False
     hedge_share: float = 0.0
     hedge_busy_share: float = 0.5
@@ -125,6 +133,8 @@
         Sends bytes to the `host:port` of another VM; they may be lost.
     duties : DutyDesk or None
         The duties of one VM at a time, None where there are none.
+    speeds : SpeedSharing
+        What this VM told others of the speeds of upstreams.
     """
 
     settings: GatewaySettings
@@ -142,12 +152,14 @@
     crash_guard: CrashGuard = field(default_factory=CrashGuard)
     hedging: Hedging = field(default_factory=Hedging)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
+    demand: LocalDemand = field(default_factory=LocalDemand)
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
     wanted_records: dict[str, str] = field(default_factory=dict)
     send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
     duties: DutyDesk | None = None
     random: random.Random = field(default_factory=random.Random)
+    speeds: SpeedSharing = field(default_factory=SpeedSharing)
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
     requests: int = 0
--- a/cuminstile/gateway/upstream_protocol.py
+++ b/cuminstile/gateway/upstream_protocol.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ..estimates.report import LoadReport
 from .model import PromptPart
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -27,6 +28,8 @@
         Number of work items of each stage; a stage with 0 is skipped.
     item_key : str
         Input of the first stages.
+    output_hint : int
+        How many tokens of the answer the caller expects, 0 if it doesn't say.
     resumed : bool
         Whether the caller resumes a stream that broke off.
     repeated : str
@@ -38,6 +41,7 @@
     key: str | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
+    output_hint: int = 0
     parts: tuple[PromptPart, ...] = ()
     item_counts: tuple[int, ...] = ()
     item_key: str = ""
@@ -77,8 +81,8 @@
         Whether the answer has the upstream's seal.
     not_run : bool
         Whether the upstream states that it has not run the request.
-    load : tuple of int or None
-        Running requests, waiting requests and slots.
+    load : LoadReport or None
+        The load that the upstream reports, None if it reports none.
     leaving : bool
         Whether the upstream states that it is shutting down.
     closed_ms : float
@@ -90,7 +94,7 @@
     attempt_id: str
     sealed: bool
     not_run: bool
-    load: tuple[int, int, int] | None
+    load: LoadReport | None
     leaving: bool = False
     closed_ms: float = 0.0
     misdirected_to: str = ""
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -106,7 +106,11 @@
         ],
         "services": [
             make_service("desk"),
-            make_service("engines", engine={"slots": 8, "kv_capacity": 10000}),
+            make_service(
+                "engines",
+                engine={"slots": 8, "kv_capacity": 10000},
+                autoscale={"min": 1, "max": 4, "boot_s": 8.0},
+            ),
             make_service("encode", pieces=make_batch_spec()),
             make_service("rank", pieces=make_batch_spec()),
         ],
@@ -157,6 +161,7 @@
     upstreams: dict[str, GatewayUpstream] = field(default_factory=dict)
     vms: list[RunningVm] = field(default_factory=list)
     servers: list[asyncio.Server] = field(default_factory=list)
+    limits: dict[str, float] = field(default_factory=dict)
     web: uvicorn.Server | None = None
     web_task: asyncio.Task | None = None
     network: str = field(default_factory=own_network)
@@ -248,6 +253,8 @@
             },
             "something_new": {"to": "ignore"},
         }
+        if self.limits:
+            settings["limits"] = self.limits
         settings_file = self.folder / f"vm-{number}.json"
         settings_file.write_text(json.dumps(settings))
         vm = self.start_process(settings_file, self.folder / f"vm-{number}.log")
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -10,6 +10,7 @@
     "clock",
     "events",
     "exceptions",
+    "memory",
     "hedging",
     "recency",
     "rendezvous",
@@ -23,6 +24,7 @@
     "crash_merging",
     "crash_suspects",
     "duties",
+    "scaling",
     "token_bucket",
 }
 """Modules outside the gateway that it shares with the product's own interface."""
@@ -49,6 +51,9 @@
     "upstreams",
 )
 """Modules of the gateway that make decisions without I/O."""
+SCALING_DECISIONS = ("decisions", "demand")
+"""Modules of the number of upstreams that make decisions without I/O; the gateway uses
+no other one of them."""
 DUTY_DECISIONS = ("fleet_time", "lease", "messages", "types", "usage")
 """Modules of the duties that make decisions without I/O."""
 ALLOWED_DUTY_IMPORTS = {"clock", "events", "exceptions", "token_bucket"}
@@ -97,6 +102,13 @@
     assert imports(path, 2) <= ALLOWED_GATEWAY_IMPORTS
 
 
+@pytest.mark.parametrize("name", ["account", "descriptors"])
+def test_decisions_on_memory_use_no_network_and_no_gateway(name: str) -> None:
+    path = PACKAGE / "memory" / f"{name}.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) | imports(path, 2) == set()
+
+
 @pytest.mark.parametrize("name", DECISIONS)
 def test_decisions_use_no_network_and_no_state_of_a_vm(name: str) -> None:
     path = PACKAGE / "gateway" / f"{name}.py"
@@ -104,6 +116,25 @@
     assert imports(path, 1) <= ALLOWED_DECISION_IMPORTS
 
 
+@pytest.mark.parametrize("name", SCALING_DECISIONS)
+def test_number_of_upstreams_is_decided_without_network_or_gateway(name: str) -> None:
+    path = PACKAGE / "scaling" / f"{name}.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) <= set(SCALING_DECISIONS)
+    assert imports(path, 2) <= {"duties", "recency"}
+
+
+@pytest.mark.parametrize("path", modules("gateway"), ids=lambda path: path.stem)
+def test_gateway_uses_only_the_decisions_on_the_number_of_upstreams(path: Path) -> None:
+    used = {
+        node.module
+        for node in ast.walk(parsed(path))
+        if isinstance(node, ast.ImportFrom) and node.module and node.level == 2
+    }
+    found = {name for name in used if name.split(".")[0] == "scaling"}
+    assert found <= {f"scaling.{name}" for name in SCALING_DECISIONS}
+
+
 @pytest.mark.parametrize("path", modules("duties"), ids=lambda path: path.stem)
 def test_duties_know_neither_gateway_nor_adapter(path: Path) -> None:
     assert imports(path, 0) & NETWORK == set()
