--- a/cuminstile/gateway/forwarding.py
+++ b/cuminstile/gateway/forwarding.py
@@ -94,9 +94,12 @@
     send: Send,
 ) -> None:
     """Forward an answer once it is complete; one to HEAD with the length it states."""
+    count_begun(vm, call, send)
     body = await connection.receive_rest()
     send.unframed = not connection.parser.framed
     vm.pool.release(state.info.id, connection, vm.clock.now_ms())
+    if send.race is not None:
+        send.race.win()
     send.answer.begun = True
     send.outcome = Outcome.FORWARDED
     headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
@@ -120,24 +123,28 @@
     Only complete events of a resumable stream are forwarded. If the answer breaks off,
     it breaks off for the caller too, unless another upstream resumes it: an incomplete
     answer never looks complete. None resumes it behind what may be the head of another
-    answer, as that ends an event that was broken off.
+    answer, as that ends an event that was broken off. Of two sends of a request the one
+    whose first event comes first is forwarded.
     """
     answer = send.answer
     extend_timeout(vm, call, send)
     last = HeldLastByte(None if answer.begun else head.length)
-    if not answer.begun:
-        answer.begun = True
-        answer.has_length = head.length is not None
-        headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
-        call.out.write_head(head.status, headers, head.length)
+    waits_for_event = send.race is not None
+    if not waits_for_event:
+        begin_answer(vm, call, head, send)
     try:
         while True:
             item = await connection.receive()
             if isinstance(item, AnswerEnd):
                 check_stream_end(call, connection, send)
+            if waits_for_event:
+                waits_for_event = False
+                begin_answer(vm, call, head, send)
+            if isinstance(item, AnswerEnd):
                 break
             if isinstance(item, bytes):
                 mark_running()
+                count_begun(vm, call, send)
                 send.events_since_ms = send.events_since_ms or vm.clock.now_ms()
                 if vm.crash_guard.table.by_fingerprint and send.runs_long(vm.clock):
                     record_long_run(vm, call, send.events_since_ms)
@@ -151,8 +158,9 @@
         EventOrderError,
         EventRateError,
     ) as error:
-        answer.drop_partial()
-        answer.holds_head = connection.parser.scan.holds_head
+        if not waits_for_event:
+            answer.drop_partial()
+            answer.holds_head = connection.parser.scan.holds_head
         send.detail = f"stream interrupted: {error}"
         send.outcome = Outcome.UNKNOWN
         return
@@ -163,6 +171,32 @@
     send.outcome = Outcome.FORWARDED
 
 
+def count_begun(vm: Gateway, call: Call, send: Send) -> None:
+    """Count a request that an upstream began, once however often it is sent."""
+    if vm.duties is None or send.answer.counted or call.organisation is None:
+        return
+    send.answer.counted = True
+    vm.duties.count_begun(call.organisation.name)
+
+
+def begin_answer(vm: Gateway, call: Call, head: AnswerHead, send: Send) -> None:
+    """Write the head of a stream to the caller, unless an earlier send has begun it.
+
+    Raises
+    ------
+    asyncio.CancelledError
+        If another send of the request answers the caller.
+    """
+    if send.race is not None:
+        send.race.win()
+    if send.answer.begun:
+        return
+    send.answer.begun = True
+    send.answer.has_length = head.length is not None
+    headers = end_to_end_headers(head.headers, vm.protocol.read_in_answers)
+    call.out.write_head(head.status, headers, head.length)
+
+
 def check_stream_end(call: Call, connection: HttpConnection, send: Send) -> None:
     """Check that a stream that ended with its connection ended with a whole event.
 
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -25,6 +25,10 @@
     store_reader: Gauge
     crashes_total: Counter
     words_total: Counter
+    duty_token: Gauge
+    duty_calls_total: Counter
+    hedges_total: Counter
+    hedge_wasted_ms_total: Counter
 
 
 def make_gateway_metrics() -> GatewayMetrics:
@@ -89,4 +93,24 @@
             "Upstreams that said that they leave or want no requests, by service",
             registry=registry,
         ),
+        Gauge(
+            "cuminstile_gateway_duty_token",
+            "Fencing token of the duties that this VM holds, 0 for none",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_duty_calls_total",
+            "Calls that are duties of one VM at a time by duty and result",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedges_total",
+            "Requests sent a second time, by service and whether that send answered",
+            registry=registry,
+        ),
+        Counter(
+            "cuminstile_gateway_hedge_wasted_ms_total",
+            "Time that upstreams spent on sends whose request another one answered",
+            registry=registry,
+        ),
     )
--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -26,6 +26,7 @@
 from ..gateway.stage_calls import StageCaller
 from ..gateway.staging import Scheduler
 from ..gateway.state import Gateway
+from .duties import make_duties
 from .follow import Follower
 from .headers import PROTOCOL
 from .reloading import apply_settings
@@ -67,6 +68,7 @@
         started_ms=clock.wall_ms(),
         crash_guard=guard,
     )
+    vm.hedging.limits = vm.hedge_limits()
     return vm
 
 
@@ -76,6 +78,7 @@
     """Run the VM until it is asked to stop; `early` are signals that came before."""
     clock = log.clock
     vm = make_gateway(settings, clock)
+    vm.duties = make_duties(settings, vm)
     follower = Follower(vm, StoreClient(settings.store_address, clock))
 
     def reload() -> None:
