Find contradictions that the check of manifests missed, and tell changes rightly

Cause: a review. Odd stages ended the check with a traceback (records.stage_of took any type).

Change: stages are decoded by type, also on VMs, where such a manifest is now refused; an invalid entry is named; the file is read up to its limit (endless files); errors come first in all output; names that are numbers and text that the output can't encode are taken. `version ... does not replace` was a line among the changes, it is an error (status 2) now.

--- a/cuminstile/platform/check_config.py
+++ b/cuminstile/platform/check_config.py
@@ -4,15 +4,35 @@
 
 import json as jsonlib
 import sys
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import asdict
+from functools import partial
 from pathlib import Path
+from typing import Any
 
 import fire
 
 from ..config_check.differences import describe_changes
-from ..config_check.problems import Problem, Severity, error, find_problems, warning
+from ..config_check.problems import (
+    Problem,
+    Severity,
+    check_version,
+    error,
+    errors_first,
+    find_problems,
+    warning,
+)
 from ..gateway.model import Manifest
-from .records import InvalidRecordError, decode_manifest, load_object
+from .records import (
+    ROUTE_KINDS,
+    InvalidRecordError,
+    decode_manifest,
+    load_object,
+    refuse_on_type_errors,
+    route_of,
+    service_of,
+)
 
 MAX_FILE_BYTES = 64 * 1024 * 1024
 """Far more than a manifest of any size that the store takes."""
@@ -53,18 +73,74 @@
 def read_manifest(path: Path) -> tuple[Manifest | None, list[Problem]]:
     """Return the manifest in a file, None if it can't be used, and what is wrong."""
     try:
-        if path.stat().st_size > MAX_FILE_BYTES:
-            text = f"the file is larger than {MAX_FILE_BYTES} bytes"
-            return None, [error(str(path), "too_large", text)]
-        payload = path.read_bytes()
+        with path.open("rb") as file:
+            payload = file.read(MAX_FILE_BYTES + 1)
     except OSError as problem:
         return None, [error(str(path), "unreadable", str(problem))]
+    if len(payload) > MAX_FILE_BYTES:
+        text = f"the file is larger than {MAX_FILE_BYTES} bytes"
+        return None, [error(str(path), "too_large", text)]
+    raw: dict[str, Any] = {}
     try:
         raw = load_object(payload)
         manifest = decode_manifest(payload)
     except InvalidRecordError as problem:
-        return None, [error(str(path), "invalid", str(problem))]
-    return manifest, unknown_fields(raw) + shared_keys(raw)
+        place = f"{path}{invalid_entry(raw)}"
+        return None, [error(place, "invalid", str(problem))]
+    checks = (unknown_fields, unknown_values, repeated_names, shared_keys)
+    return manifest, [problem for check in checks for problem in check(raw)]
+
+
+def invalid_entry(raw: dict[str, Any]) -> str:
+    """Return the first entry that can't be decoded, for example ` routes[3]`.
+
+    Services are decoded before routes. Empty if the fault is in no entry.
+    """
+    decoders: dict[str, Callable[[Any], object]] = {
+        "services": service_of,
+        "routes": route_of,
+    }
+    for name, decode in decoders.items():
+        items = raw.get(name)
+        for number, item in enumerate(items if isinstance(items, list) else []):
+            try:
+                refuse_on_type_errors(partial(decode, item))
+            except InvalidRecordError:
+                return f" {name}[{number}]"
+    return ""
+
+
+def unknown_values(raw: dict[str, Any]) -> list[Problem]:
+    """Return a warning for each route with a kind or services that are not used."""
+    found: list[Problem] = []
+    for item in raw["routes"]:
+        place, kind = f"route {item['name']}", item["kind"]
+        if kind not in ROUTE_KINDS:
+            text = f"kind {kind} is not known, its requests run once"
+            found.append(warning(place, "unknown_kind", text))
+        if item.get("service") is not None and item.get("backends"):
+            text = "it has a service, so its backends are not used"
+            found.append(warning(place, "unused_target", text))
+    return found
+
+
+def repeated_names(raw: dict[str, Any]) -> list[Problem]:
+    """Return a problem for each name of several services or organisations."""
+    services = Counter(item["name"] for item in raw["services"])
+    tenants = Counter(item["name"] for item in raw.get("tenants") or [])
+    code, text = "repeated_name", "{} entries have this name"
+    return [
+        *(
+            error(f"service {name}", code, text.format(count))
+            for name, count in services.items()
+            if count > 1
+        ),
+        *(
+            warning(f"organisation {name}", code, text.format(count))
+            for name, count in tenants.items()
+            if count > 1
+        ),
+    ]
 
 
 def unknown_fields(raw: dict[str, object]) -> list[Problem]:
@@ -78,7 +154,7 @@
                 where = f"{place}[{number}]" if isinstance(value, list) else place
                 found += [(name, where) for name in item if name not in known]
     return [
-        warning(place, "unknown_field", f"field {name} is not known and not used")
+        warning(place, "unknown_field", f"field {name!r} is not known and not used")
         for name, place in found
     ]
 
@@ -118,16 +194,17 @@
     json : bool
         Print one JSON object.
     """
-    manifest, problems = read_manifest(Path(file))
+    manifest, problems = read_manifest(Path(str(file)))
     if manifest is not None:
         problems += find_problems(manifest)
     changes: tuple[str, ...] = ()
     if against:
-        in_force, other_problems = read_manifest(Path(against))
+        in_force, other_problems = read_manifest(Path(str(against)))
         problems += [one for one in other_problems if in_force is None]
         if manifest is not None and in_force is not None:
             changes = describe_changes(in_force, manifest)
-    print_outcome(problems, changes, json)
+            problems += check_version(in_force, manifest)
+    print_outcome(errors_first(problems), changes, json)
     sys.exit(exit_status(problems, strict))
 
 
@@ -147,9 +224,15 @@
         print(jsonlib.dumps({"problems": found, "changes": changes}))
         return
     for line in (*problems, *changes):
-        print(line)
+        print(in_encoding(str(line), sys.stdout.encoding))
     print(f"{len(problems)} problems, {len(changes)} changes", file=sys.stderr)
 
 
+def in_encoding(text: str, encoding: str | None) -> str:
+    """Return a text with escapes for what a stream's encoding doesn't have."""
+    name = encoding or "utf-8"
+    return text.encode(name, "backslashreplace").decode(name)
+
+
 if __name__ == "__main__":
     fire.Fire(check_config)
--- a/cuminstile/platform/fields.py
+++ b/cuminstile/platform/fields.py
@@ -75,6 +75,14 @@
     return value
 
 
+def integers_at(raw: dict[str, Any], name: str) -> list[int]:
+    """Return a list of integers."""
+    value = raw[name]
+    if not isinstance(value, list) or not all(type(one) is int for one in value):
+        raise TypeError(f"{name} must be a list of integers")
+    return value
+
+
 def optional_integer_at(raw: dict[str, Any], name: str) -> int | None:
     """Return an integer, None if it is absent or null."""
     return None if raw.get(name) is None else integer_at(raw, name)
--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -29,6 +29,7 @@
 from .fields import (
     flag_at,
     integer_at,
+    integers_at,
     items_at,
     number_at,
     optional_integer_at,
@@ -70,7 +71,9 @@
     """Call `decode`; a missing or mistyped field raises `InvalidRecordError`."""
     try:
         return decode()
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+    except KeyError as error:
+        raise InvalidRecordError(f"field {error} is missing or unknown") from error
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise InvalidRecordError(f"{type(error).__name__}: {error}") from error
 
 
@@ -156,7 +159,11 @@
 
 def stage_of(raw: dict[str, Any]) -> StageSpec:
     """Return one stage of a route."""
-    return StageSpec(raw["service"], tuple(raw["after"]), int(raw.get("bytes") or 0))
+    return StageSpec(
+        text_at(raw, "service"),
+        tuple(integers_at(raw, "after")),
+        int(raw.get("bytes") or 0),
+    )
 
 
 def service_of(raw: dict[str, Any]) -> Service:
