--- /dev/null
+++ b/tests/competition/__init__.py
@@ -0,0 +1,1 @@
+"""Test cuminstile.gateway."""
