--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -23,7 +23,6 @@
 from .heartbeats import HeartbeatSocket, open_heartbeats, run_heartbeat_loop
 from .http_server import CallerConnection, Request, Server, listen
 from .leaving import drain
-from .load_reports import run_load_report_loop
 from .log_output import LogOutput
 from .serving import serve
 from .sharing import run_topic_sync_loop
@@ -146,7 +145,6 @@
             lambda: run_crash_sharing_loop(vm),
             lambda: run_crash_check_loop(vm),
             vm.scheduler.run_dispatch_loop,
-            lambda: run_load_report_loop(vm),
             vm.scheduler.frees.run_free_loop,
             *duty_jobs(vm.duties),
         ]
--- a/tests/competition/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Test cuminstile.gateway."""
