--- a/trials/planted_faults/faults.py
+++ b/trials/planted_faults/faults.py
@@ -72,8 +72,8 @@
     PlantedFault(
         "a status that promises no run is passed on after a run",
         UPSTREAM_ANSWERS,
-        "if head.status not in NOT_RUN_STATUSES:",
-        "if True:",
+        "if head.status not in NOT_RUN_STATUSES:\n            headers =",
+        "if True:\n            headers =",
     ),
     PlantedFault(
         "fields behind a body count as head fields",
