Send the speeds of upstreams as the type that decides on them

Cause: SpeedEntry had the fields of estimates.sharing.Speed, and each message was converted both ways. Change: messages hold Speed itself, as those of the duties hold their own types; the bytes on the wire stay the same. Result: script/check and the tests of speeds, estimates, heartbeats and import order pass; the test names the other type, its assertions are the same.

--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..duties.messages import DutyBeat, DutyReport
+from ..estimates.sharing import Speed
 from ..message_codec import bad_message, make_data_codec
 
 
@@ -323,15 +324,6 @@
     survivors: tuple[str, ...]
 
 
-@dataclass(frozen=True)
-class SpeedEntry(Message):
-    """Slowness of an upstream's process; see `estimates.sharing.Speed`."""
-
-    process: str
-    slowness: float
-    samples: int
-
-
 @dataclass(frozen=True)
 class SpeedSamples(Message):
     """Report to a hub how long work takes at upstreams; sent as one datagram.
@@ -343,7 +335,7 @@
     """
 
     address: str
-    entries: tuple[SpeedEntry, ...]
+    entries: tuple[Speed, ...]
 
 
 @dataclass(frozen=True)
@@ -357,7 +349,7 @@
     """
 
     address: str
-    entries: tuple[SpeedEntry, ...]
+    entries: tuple[Speed, ...]
 
 
 CODEC = make_data_codec(
--- a/cuminstile/gateway/speeds.py
+++ b/cuminstile/gateway/speeds.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Sequence
+from dataclasses import replace
 
 from ..estimates.estimate import Estimate
 from ..estimates.sharing import MAX_TOLD, Speed, apply_samples, apply_told
 from .hubs import hub_addresses
-from .messages import CODEC, Heartbeat, SpeedEntry, SpeedSamples, SpeedTable
+from .messages import CODEC, Heartbeat, SpeedSamples, SpeedTable
 from .state import Gateway
 
 
@@ -42,25 +43,21 @@
 ) -> None:
     """Send speeds to some VMs, in messages of at most `MAX_TOLD`."""
     for start in range(0, len(speeds), MAX_TOLD):
-        entries = entries_of(speeds[start : start + MAX_TOLD])
+        entries = rounded(speeds[start : start + MAX_TOLD])
         data = CODEC.encode(kind(vm.settings.peer_address, entries))
         for address in addresses:
             vm.send_datagram(address, data)
 
 
-def entries_of(speeds: Iterable[Speed]) -> tuple[SpeedEntry, ...]:
-    """Return speeds as entries of a message."""
-    return tuple(
-        SpeedEntry(speed.process, round(speed.slowness, 2), speed.samples)
-        for speed in speeds
-    )
+def rounded(speeds: Iterable[Speed]) -> tuple[Speed, ...]:
+    """Return speeds with as many digits as other VMs need."""
+    return tuple(replace(one, slowness=round(one.slowness, 2)) for one in speeds)
 
 
 def on_speeds(vm: Gateway, message: SpeedSamples | SpeedTable) -> None:
     """Apply what another VM says of the speeds of upstreams."""
     estimates = estimates_by_process(vm)
-    speeds = [Speed(e.process, e.slowness, e.samples) for e in message.entries]
     if isinstance(message, SpeedSamples):
-        apply_samples(estimates, speeds, vm.clock.now_ms())
+        apply_samples(estimates, message.entries, vm.clock.now_ms())
     else:
-        apply_told(estimates, speeds)
+        apply_told(estimates, message.entries)
--- a/tests/gateway/test_speeds.py
+++ b/tests/gateway/test_speeds.py
@@ -2,7 +2,8 @@
 
 from cuminstile.clock import Clock
 from cuminstile.estimates.report import LoadReport
-from cuminstile.gateway.messages import CODEC, SpeedEntry, SpeedSamples, SpeedTable
+from cuminstile.estimates.sharing import Speed
+from cuminstile.gateway.messages import CODEC, SpeedSamples, SpeedTable
 from cuminstile.gateway.running import set_upstream_slowness
 from cuminstile.gateway.speeds import on_speeds, send_speeds
 from cuminstile.gateway.state import Gateway
@@ -39,7 +40,7 @@
     vm, _ = make_vm_with_upstreams()
     process = hub.table.states["u1"].process
     for kind, receiver in ((SpeedSamples, hub), (SpeedTable, vm)):
-        message = kind("10.0.0.1:1", (SpeedEntry(process, 1.7, 5),))
+        message = kind("10.0.0.1:1", (Speed(process, 1.7, 5),))
         on_speeds(receiver, CODEC.decode(CODEC.encode(message)))
     assert hub.table.states["u1"].estimate.samples_known == 1
     assert vm.table.states["u1"].estimate.samples_known == 5
