Count requests and extra sends in a window in one place

Cause: the limits of second sends had the retry budget's window once more, with its own pruning. Change: RequestWindow at the shared root serves both.

--- a/cuminstile/gateway/retry_budget.py
+++ b/cuminstile/gateway/retry_budget.py
@@ -7,21 +7,14 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 
+from ..request_window import RequestWindow
+
 SAFETY_FACTOR = 0.8
 """Share of the limit that is used, as the windows of the VMs are not aligned."""
 
 
-@dataclass
-class ServiceWindow:
-    """Times of the requests and retries in the window, in monotonic ms."""
-
-    requests: deque[float] = field(default_factory=deque)
-    retries: deque[float] = field(default_factory=deque)
-
-
 @dataclass
 class RetryBudget:
     """Retry budgets of all services.
@@ -39,14 +32,12 @@
     ratio: float
     slack: float
     window_ms: float
-    windows: dict[str, ServiceWindow] = field(default_factory=dict)
+    windows: dict[str, RequestWindow] = field(default_factory=dict)
 
-    def window(self, service: str, now_ms: float) -> ServiceWindow:
+    def window(self, service: str, now_ms: float) -> RequestWindow:
         """Remove entries older than the window; return the window of a service."""
-        window = self.windows.setdefault(service, ServiceWindow())
-        for times in (window.requests, window.retries):
-            while times and times[0] < now_ms - self.window_ms:
-                times.popleft()
+        window = self.windows.setdefault(service, RequestWindow())
+        window.discard_before(now_ms - self.window_ms)
         return window
 
     def record_request(self, service: str, now_ms: float) -> None:
@@ -59,7 +50,7 @@
         allowed = SAFETY_FACTOR * (
             self.ratio * len(window.requests) + self.slack / max(1, vm_count)
         )
-        return allowed - len(window.retries)
+        return allowed - len(window.extra)
 
     def acquire(
         self, service: str, vm_count: int, now_ms: float, count: int = 1
@@ -67,5 +58,5 @@
         """Acquire retries from the budget; return whether there were enough."""
         if self.remaining(service, vm_count, now_ms) < count:
             return False
-        self.window(service, now_ms).retries.extend([now_ms] * count)
+        self.window(service, now_ms).extra.extend([now_ms] * count)
         return True
--- a/cuminstile/hedging/limits.py
+++ b/cuminstile/hedging/limits.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 
+from ..request_window import RequestWindow
 from .timing import AnswerTimes
 
 WINDOW_MS = 10_000.0
@@ -34,34 +34,20 @@
     busy_share: float = 0.5
 
 
-@dataclass
-class ServiceUse:
-    """Monotonic times of the requests and second sends of a service in the window."""
-
-    requests: deque[float] = field(default_factory=deque)
-    hedges: deque[float] = field(default_factory=deque)
-
-    def forget_before(self, at_ms: float) -> None:
-        """Remove what is older than the window."""
-        for times in (self.requests, self.hedges):
-            while times and times[0] < at_ms:
-                times.popleft()
-
-
 @dataclass
 class Hedging:
     """Second sends of one VM: the limits in force and what was seen.
 
     Parameters
     ----------
-    uses : dict of str to ServiceUse
+    uses : dict of str to RequestWindow
         By service.
     times : dict of str to AnswerTimes
         By route.
     """
 
     limits: HedgeLimits = field(default_factory=HedgeLimits)
-    uses: dict[str, ServiceUse] = field(default_factory=dict)
+    uses: dict[str, RequestWindow] = field(default_factory=dict)
     times: dict[str, AnswerTimes] = field(default_factory=dict)
 
     @property
@@ -69,10 +55,10 @@
         """Return whether the operator allows second sends."""
         return self.limits.share > 0
 
-    def use_of(self, service: str, now_ms: float) -> ServiceUse:
+    def use_of(self, service: str, now_ms: float) -> RequestWindow:
         """Return what a service has got in the window."""
-        use = self.uses.setdefault(service, ServiceUse())
-        use.forget_before(now_ms - WINDOW_MS)
+        use = self.uses.setdefault(service, RequestWindow())
+        use.discard_before(now_ms - WINDOW_MS)
         return use
 
     def record_request(self, service: str, now_ms: float) -> None:
@@ -99,8 +85,8 @@
         if used_share >= self.limits.busy_share:
             return False
         use = self.use_of(service, now_ms)
-        return len(use.hedges) + 1 <= self.limits.share * len(use.requests)
+        return len(use.extra) + 1 <= self.limits.share * len(use.requests)
 
     def record_hedge(self, service: str, now_ms: float) -> None:
         """Count a second send."""
-        self.use_of(service, now_ms).hedges.append(now_ms)
+        self.use_of(service, now_ms).extra.append(now_ms)
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -16,6 +16,7 @@
     "recency",
     "rendezvous",
     "request_bounds",
+    "request_window",
     "status_lines",
     "supervision",
     "message_codec",
