Name each request in progress when a process ends

Cause: a request that waits when its process ends left no line; that of its cancellation came after the last flush of the log, if at all. The hypotheses on unanswered requests could not be told apart. Change: each call notes what it waits for (stages, another's trial, an upstream), where, since when and how often its work moved; leaving.drain logs one line for each (request_unfinished, request_unread, 200 at most), vm_stopped counts them, and the last flush waits up to 100 ms for a slow reader.

--- a/cuminstile/gateway/accepting.py
+++ b/cuminstile/gateway/accepting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..exceptions import ErrorCode
+from ..shutdown.in_progress import RequestInProgress
 from .crash_state import digest_of, part_names_of
 from .http_server import CallerConnection, Request
 from .refusals import DEFAULT_RETRY_MS, Refusal
@@ -52,6 +53,9 @@
     caller_timeout_ms = (
         fields.deadline_ms if fields.deadline_ms is not None else route.timeout_ms
     )
+    target_at_ms = request.arrived_ms + route.target_ms
+    timeout_ms = min(caller_timeout_ms, route.timeout_ms)
+    expires_at_ms = request.arrived_ms + timeout_ms - CLOSE_MARGIN_MS
     return Call(
         request,
         out,
@@ -60,10 +64,13 @@
         service,
         organisation,
         priority_of(route, organisation),
-        request.arrived_ms + route.target_ms,
-        request.arrived_ms + min(caller_timeout_ms, route.timeout_ms) - CLOSE_MARGIN_MS,
+        target_at_ms,
+        expires_at_ms,
         digest_of(request.method, host, request.target, request.body, organisation),
         part_names_of(fields.parts),
+        RequestInProgress(
+            fields.attempt_id, route.name, request.arrived_ms, expires_at_ms
+        ),
     )
 
 
--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from ..crash_limits import Suspicion
 from ..events import Event
+from ..shutdown.in_progress import Phase
 from .chain import Result
 from .choosing import acquire_upstream
 from .crash_evidence import is_gone
@@ -104,6 +105,7 @@
     record_resumption(vm, call, progress, state)
     on_trial = begin_send(vm, call)
     began_ms = vm.clock.now_ms()
+    call.progress.enter(Phase.UPSTREAM, state.info.id, began_ms)
     send = Send(
         progress.answer,
         vm.table.age(vm.clock.now_ms()),
--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -16,6 +16,7 @@
 from ..events import Event
 from ..exceptions import ErrorCode
 from ..rendezvous import weight
+from ..shutdown.in_progress import Phase
 from .crash_evidence import (
     end_trial,
     is_gone,
@@ -114,7 +115,9 @@
 
 async def wait_for_trial(vm: Gateway, call: Call) -> None:
     """Wait while another request with a suspected part of this one runs on trial."""
-    until_ms = min(call.expires_at_ms, vm.clock.now_ms() + MAX_WAIT_MS)
+    now_ms = vm.clock.now_ms()
+    until_ms = min(call.expires_at_ms, now_ms + MAX_WAIT_MS)
+    call.progress.enter(Phase.TRIAL, "", now_ms)
     while is_part_on_trial(vm, call) and vm.clock.now_ms() < until_ms:
         await vm.clock.sleep_ms(WAIT_STEP_MS)
 
--- a/cuminstile/gateway/http_server.py
+++ b/cuminstile/gateway/http_server.py
@@ -205,6 +205,10 @@
             if connection.idle():
                 connection.close()
 
+    def unread(self) -> list[CallerConnection]:
+        """Return the connections on which a request comes that isn't complete."""
+        return [one for one in self.connections if one.is_reading()]
+
     def has_unsent(self) -> bool:
         """Return whether written bytes of any connection are still in the process."""
         return any(connection.has_unsent() for connection in self.connections)
@@ -305,6 +309,10 @@
         """Return whether a request is in progress."""
         return self.request is not None
 
+    def is_reading(self) -> bool:
+        """Return whether a part of a request has come."""
+        return self.request is None and self.began_ms is not None
+
     def is_between(self) -> bool:
         """Return whether it has answered a request and waits for the next one."""
         return self.answered and self.began_ms is None
--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -13,6 +13,7 @@
 from .messages import WorkerLoads
 from .peer_sessions import PeerSession, SessionLostError
 from .state import Gateway
+from .unfinished import record_unfinished
 
 BALANCER_REMOVAL_MS = 2_800.0
 """How long new connections are accepted after SIGTERM. The load balancer removes a VM
@@ -42,7 +43,8 @@
         callers.close()
         server.close_idle()
         if is_finished(vm, server):
-            return
+            break
+    record_unfinished(vm, server)
 
 
 def is_finished(vm: Gateway, server: Server) -> bool:
--- a/cuminstile/gateway/log_output.py
+++ b/cuminstile/gateway/log_output.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,6 +18,9 @@
 """Lines per second; about five for each request at a VM's capacity."""
 FLUSH_INTERVAL_MS = 200.0
 """How long lines are collected to be written together."""
+LAST_FLUSHES = 20
+"""How often a slow reader gets the last lines offered before the process ends."""
+LAST_FLUSH_PAUSE_MS = 5.0
 
 
 @dataclass
@@ -77,6 +81,14 @@
         if left:
             self.buffer.append(left)
 
+    def flush_all(self) -> None:
+        """Write all buffered lines at the end of the process, with a limit on time."""
+        for _ in range(LAST_FLUSHES):
+            self.flush()
+            if not self.buffer:
+                return
+            time.sleep(LAST_FLUSH_PAUSE_MS / 1_000.0)
+
 
 def make_log_output(clock: Clock, descriptor: int) -> LogOutput:
     """Return an output to a descriptor, which is set to non-blocking mode."""
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -151,8 +151,13 @@
         for job in jobs:
             tasks.start_soon(run_with_restarts, job, vm.journal, vm.clock)
         await wait_for_end(vm, server, callers, heartbeats, reload, early, tasks)
-    vm.journal.record(Event.VM_STOPPED, name=vm.settings.name)
-    log.flush()
+    vm.journal.record(
+        Event.VM_STOPPED,
+        name=vm.settings.name,
+        requests=len(vm.in_progress),
+        chains=len(vm.scheduler.planner.chains),
+    )
+    log.flush_all()
 
 
 async def wait_for_end(
--- a/cuminstile/gateway/send_state.py
+++ b/cuminstile/gateway/send_state.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from ..clock import Clock
+from ..shutdown.in_progress import RequestInProgress
 from ..token_bucket import TokenBucket
 from .chain import Result
 from .event_stream import EVENTS_PER_S, MAX_EVENTS, AnswerProgress
@@ -54,6 +55,8 @@
         See `crash_state.digest_of`; empty for a request that is not guarded.
     part_names : tuple of bytes
         See `crash_state.part_names_of`.
+    progress : RequestInProgress
+        What the request waits for.
     """
 
     request: Request
@@ -67,6 +70,7 @@
     expires_at_ms: float
     digest: bytes = b""
     part_names: tuple[bytes, ...] = ()
+    progress: RequestInProgress = field(default_factory=RequestInProgress)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminstile/gateway/serving.py
+++ b/cuminstile/gateway/serving.py
@@ -24,7 +24,11 @@
     try:
         call = accept(vm, request, out)
         route_name = call.route.name
-        await serve_call(vm, call)
+        vm.in_progress.begin(call.progress)
+        try:
+            await serve_call(vm, call)
+        finally:
+            vm.in_progress.end(call.progress)
     except Refusal as refusal:
         await write_refusal(vm, request, out, refusal, route_name)
     except StreamBrokenError as error:
--- a/cuminstile/gateway/staged_results.py
+++ b/cuminstile/gateway/staged_results.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from ..events import Event
+from ..shutdown.in_progress import Phase, RequestInProgress
 from .chain import ChainSpec, CompletedItem, Result
 from .conversions import (
     completed_from_entry,
@@ -46,7 +47,10 @@
 
 
 async def staged_results(
-    vm: Gateway, spec: ChainSpec, again: bool
+    vm: Gateway,
+    spec: ChainSpec,
+    again: bool,
+    progress: RequestInProgress | None = None,
 ) -> tuple[Result, ...]:
     """Return the results that a request needs.
 
@@ -58,15 +62,19 @@
     ----------
     again : bool
         Whether the work was admitted before, and its results were lost.
+    progress : RequestInProgress or None
+        Where to note which scheduler has the work, and how often it moved.
 
     Raises
     ------
     ChainRefusedError
         If the work is refused or fails.
     """
+    progress = progress or RequestInProgress()
     for _ in range(MAX_SCHEDULERS):
         scheduler = vm.membership.scheduler(vm.own_heartbeat(), vm.clock.now_ms())
         address = scheduler.address
+        progress.enter(Phase.STAGES, address, vm.clock.now_ms())
         try:
             if address == vm.settings.peer_address:
                 return await run_locally(vm, spec, again)
@@ -76,6 +84,8 @@
         except SessionLostError as error:
             spec = record_scheduler_lost(vm, spec, address, error)
         again = True
+        progress.moves += 1
+    progress.enter(Phase.STAGES, vm.settings.peer_address, vm.clock.now_ms())
     return await run_locally(vm, spec, again)
 
 
--- a/cuminstile/gateway/staged_work.py
+++ b/cuminstile/gateway/staged_work.py
@@ -48,7 +48,7 @@
     left_ms = max(1.0, spec.expires_at_ms - started_ms)
     try:
         async with asyncio.timeout(left_ms / 1000.0):
-            results = await staged_results(vm, spec, recomputed)
+            results = await staged_results(vm, spec, recomputed, call.progress)
     except ChainRefusedError as error:
         if error.reason == QUARANTINED:
             raise quarantined(stages[0].service) from error
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -12,6 +12,7 @@
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
 from ..scaling.demand import LocalDemand
+from ..shutdown.in_progress import RequestsInProgress
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -135,6 +136,8 @@
         The duties of one VM at a time, None where there are none.
     speeds : SpeedSharing
         What this VM told others of the speeds of upstreams.
+    in_progress : RequestsInProgress
+        What each accepted request waits for.
     """
 
     settings: GatewaySettings
@@ -163,6 +166,7 @@
     upstreams_known: bool = False
     missing_since_ms: dict[str, float] = field(default_factory=dict)
     requests: int = 0
+    in_progress: RequestsInProgress = field(default_factory=RequestsInProgress)
     leaving: bool = False
 
     @property
--- /dev/null
+++ b/tests/shutdown/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cuminstile.hedging."""
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -27,6 +27,7 @@
     "crash_suspects",
     "duties",
     "scaling",
+    "shutdown",
     "token_bucket",
 }
 """Modules outside the gateway that it shares with the product's own interface."""
