--- a/cuminstile/gateway/choosing.py
+++ b/cuminstile/gateway/choosing.py
@@ -8,13 +8,8 @@
 from .crash_guard import is_suspected
 from .send_state import Call
 from .state import Gateway
-from .upstreams import (
-    UpstreamState,
-    acquire_cold_token,
-    choose,
-    load_cost,
-    session_cost,
-)
+from .upstream_costs import choose, load_cost, session_cost
+from .upstreams import UpstreamState, acquire_cold_token
 
 
 def input_bytes(results: tuple[Result, ...]) -> dict[str, int]:
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -17,13 +17,11 @@
     pick_target,
     priority_of,
 )
+from cuminstile.gateway.upstream_costs import choose, load_cost, session_cost
 from cuminstile.gateway.upstreams import (
     EJECT_AFTER_FAILURES,
     UpstreamState,
-    choose,
-    load_cost,
     record_failure,
-    session_cost,
 )
 
 from .test_state import make_upstream
--- a/tests/gateway/test_upstreams.py
+++ b/tests/gateway/test_upstream_costs.py
@@ -1,9 +1,10 @@
-"""Test cuminstile.gateway.upstreams: engines of uneven speed, and none at all."""
+"""Test cuminstile.gateway.upstream_costs: engines of uneven speed, and none at all."""
 
 from collections import Counter
 
 from cuminstile.gateway.model import PromptPart
-from cuminstile.gateway.upstreams import UpstreamState, choose, session_cost
+from cuminstile.gateway.upstream_costs import choose, session_cost
+from cuminstile.gateway.upstreams import UpstreamState
 
 from .test_state import make_upstream
 
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -51,6 +51,7 @@
     "routing",
     "stage_queue",
     "topics",
+    "upstream_costs",
     "upstreams",
 )
 """Modules of the gateway that make decisions without I/O."""
