Send the last answer whole to a caller that goes on sending

Callers saw: a connection that was reset in the middle of its last answer at a planned stop. Cause: close() of a connection with unread bytes sends a reset, and what the kernel still held of the answer is lost (class: the end of one direction ends the other). A closing server now ends its sending direction only, and reads and drops what comes until the caller closes, 1 s at most.

Test: an answer of 60 kB with small kernel buffers, a caller that sends more requests meanwhile: ConnectionResetError on both event loops before, whole now.

--- a/cuminstile/gateway/http_server/connection.py
+++ b/cuminstile/gateway/http_server/connection.py
@@ -31,6 +31,9 @@
 """What the kernel keeps, about, of a connection that has to wait for room."""
 READ_BYTES = 512 * 1024
 """The same once the connection is read again."""
+LINGER_MS = 1_000.0
+"""How long a connection that has ended its sending direction reads on: a caller reads
+its answer and closes in that time."""
 
 
 class CallerConnection(AnswerWriter):
@@ -53,6 +56,8 @@
         self.refused_early = False
         self.early_answered = False
         self.aborted = False
+        self.ended_ms: float | None = None
+        self.sends_on = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the server."""
@@ -87,15 +92,28 @@
 
     def idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self.request is None and self.incoming.began_ms is None
+        return (
+            self.request is None
+            and self.incoming.began_ms is None
+            and self.ended_ms is None
+        )
 
     def is_answering(self) -> bool:
         """Return whether a request is in progress."""
         return self.request is not None
 
     def is_reading(self) -> bool:
-        """Return whether a part of a request has come."""
-        return self.request is None and self.incoming.began_ms is not None
+        """Return whether a part of a request has come that isn't answered."""
+        return (
+            self.request is None
+            and self.incoming.began_ms is not None
+            and not self.rejected
+            and not self.early_answered
+        )
+
+    def is_lingering(self) -> bool:
+        """Return whether its caller goes on sending and may not have its answer yet."""
+        return self.ended_ms is not None and self.sends_on and not self.lost
 
     def is_between(self) -> bool:
         """Return whether it has answered a request and waits for the next one."""
@@ -112,6 +130,10 @@
     def enforce_timeouts(self, now_ms: float, limits: Limits) -> None:
         """Close an idle connection, or reject a slow request, after its timeout."""
         self.count_unsent(now_ms)
+        if self.ended_ms is not None:
+            if now_ms - self.ended_ms > LINGER_MS:
+                self.close_at_once()
+            return
         if self.request is not None:
             return
         if self.incoming.began_ms is None:
@@ -126,6 +148,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; during an answer, drop them and close after it."""
+        if self.ended_ms is not None:
+            self.sends_on = True
         if self.rejected:
             return
         if self.request is not None and not self.refused_early:
@@ -514,6 +538,7 @@
         """Go on to the next request, or to the rest of a refused one, or close."""
         self.request = None
         self.to_head = False
+        self.sends_on = self.refused_early
         self.server.account.give_back(self.room)
         if not self.answered or self.server.closing or self.lost:
             self.reset()
@@ -548,6 +573,33 @@
 
     def close(self) -> None:
         """Close the connection after the written bytes are sent."""
+        if self.server.closing:
+            self.end_sending()
+        else:
+            self.close_at_once()
+
+    def end_sending(self) -> None:
+        """End the sending direction, then drop what comes until the caller closes.
+
+        A close with unread bytes would reset the connection, and its caller could lose
+        the answer.
+        """
+        if self.transport is None or self.lost or self.ended_ms is not None:
+            return
+        if self.transport.is_closing():
+            return
+        if self.request is not None or not self.transport.can_write_eof():
+            self.close_at_once()
+            return
+        self.ended_ms = self.clock.now_ms()
+        self.sends_on |= self.rejected
+        self.rejected = True
+        self.unparsed.clear()
+        self.transport.write_eof()
+        self.transport.resume_reading()
+
+    def close_at_once(self) -> None:
+        """Close the connection after the written bytes are sent, and read no more."""
         if self.transport is not None:
             self.transport.close()
 
--- /dev/null
+++ b/tests/gateway/http_server/test_closing.py
@@ -0,0 +1,118 @@
+"""Test cuminstile.gateway.http_server: connections of a server that closes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+
+from cuminstile.clock import Clock
+from cuminstile.gateway.http_server import CallerConnection, Request, Server, listen
+from cuminstile.gateway.model import Limits
+
+pytestmark = pytest.mark.anyio
+WHOLE = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+BODY = b"x" * 60_000
+KERNEL_BUFFER_BYTES = 4_096
+WAIT_S = 3.0
+
+
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request: pytest.FixtureRequest) -> tuple[str, dict[str, bool]]:
+    """Run on both event loops: each has transports of its own."""
+    return "asyncio", {"use_uvloop": request.param}
+
+
+@dataclass
+class Site:
+    """A server, the requests that it ran, and its callers' sockets."""
+
+    server: Server
+    listener: asyncio.Server
+    ran: list[Request] = field(default_factory=list)
+    callers: list[socket.socket] = field(default_factory=list)
+
+    def connect(self, buffer_bytes: int | None = None) -> socket.socket:
+        """Connect, also while the server accepts nothing, as the kernel does it."""
+        caller = socket.socket()
+        if buffer_bytes is not None:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        caller.connect(self.listener.sockets[0].getsockname())
+        caller.setblocking(False)
+        self.callers.append(caller)
+        return caller
+
+
+@asynccontextmanager
+async def serving_site(answer: bytes = b"") -> AsyncIterator[Site]:
+    """Run a server whose kernel buffer is small."""
+    ran: list[Request] = []
+
+    async def handle(request: Request, out: CallerConnection) -> None:
+        assert out.transport is not None
+        own: socket.socket = out.transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+        ran.append(request)
+        await out.write_answer(200, (), answer)
+
+    server = Server(Clock(), handle, Limits)
+    listener = await listen(server, "127.0.0.1:0")
+    site = Site(server, listener, ran)
+    try:
+        yield site
+    finally:
+        for caller in site.callers:
+            caller.close()
+        listener.close()
+        for connection in list(server.connections):
+            connection.abort()
+
+
+async def receive(caller: socket.socket, size: int = 65_536) -> bytes:
+    """Return what comes next, nothing at the end of the connection."""
+    loop = asyncio.get_running_loop()
+    return await asyncio.wait_for(loop.sock_recv(caller, size), WAIT_S)
+
+
+async def receive_all(caller: socket.socket) -> bytes:
+    """Return all that comes until the end of the connection."""
+    received = b""
+    while data := await receive(caller):
+        received += data
+    return received
+
+
+# Guards against an answer whose end is lost, as the close of a connection with unread
+# bytes resets it.
+async def test_caller_that_goes_on_sending_gets_its_last_answer_whole() -> None:
+    async with serving_site(BODY) as site:
+        caller = site.connect(KERNEL_BUFFER_BYTES)
+        site.server.begin_closing()
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(caller, WHOLE)
+        received = b""
+        while data := await receive(caller, 1_024):
+            received += data
+            if len(received) % 4_096 == 0:
+                await loop.sock_sendall(caller, WHOLE)
+            await asyncio.sleep(0)
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.endswith(BODY)
+        assert len(site.ran) == 1
+
+
+async def test_connection_that_its_caller_never_closes_ends_by_itself() -> None:
+    """Guards against ended connections that stay open for as long as a caller likes."""
+    async with serving_site() as site:
+        caller = site.connect()
+        site.server.begin_closing()
+        caller.send(WHOLE)
+        assert b"Connection: close" in await receive_all(caller)
+        async with asyncio.timeout(WAIT_S):
+            while site.server.connections:
+                site.server.enforce_timeouts()
+                await asyncio.sleep(0.05)
