Answer requests whose bodies still come at a planned stop

Callers saw: a connection that ended without an answer while they sent the body of a request (or its head) to a VM that leaves. Cause: is_finished counted the requests in progress only, and a request that has come in part isn't one yet; the process ended with the first check after 2.8 s, up to 5 s before it had to (class: what nobody counts is cut). The process now waits for them. What comes whole is handled as any request; what isn't whole when the last answers are due is refused with 503 shutting_down, Retry-After and Connection: close, and the rest of it is dropped until its caller closes. Connections that have sent nothing hold no process.

--- a/cuminstile/gateway/body_refusals.py
+++ b/cuminstile/gateway/body_refusals.py
@@ -48,6 +48,12 @@
     return make_refusing(vm, refusal)
 
 
+def make_stop_refusal(vm: Gateway) -> Handler:
+    """Return the handler that refuses requests that aren't whole before the VM ends."""
+    refusal = Refusal(ErrorCode.SHUTTING_DOWN, "not read in time", DEFAULT_RETRY_MS)
+    return make_refusing(vm, refusal)
+
+
 def record_shortage(vm: Gateway, server: CallerServer) -> None:
     """Set the metrics of the account, and log what was refused or closed since."""
     account = server.account
--- a/cuminstile/gateway/http_server/connection.py
+++ b/cuminstile/gateway/http_server/connection.py
@@ -115,6 +115,15 @@
         """Return whether its caller goes on sending and may not have its answer yet."""
         return self.ended_ms is not None and self.sends_on and not self.lost
 
+    def is_needed(self) -> bool:
+        """Return whether its caller would lose a request or an answer by its end."""
+        return (
+            self.is_answering()
+            or self.is_reading()
+            or self.is_lingering()
+            or self.has_unsent()
+        )
+
     def is_between(self) -> bool:
         """Return whether it has answered a request and waits for the next one."""
         return self.answered and self.incoming.began_ms is None
@@ -323,7 +332,7 @@
         """Return the request whose head has come."""
         came = self.incoming
         assert came.began_ms is not None
-        method = self.parser.get_method()
+        method = self.parser.get_method() if came.url else b""
         return Request(method, came.url, tuple(came.headers), body, came.began_ms)
 
     def address(self) -> str:
@@ -394,6 +403,14 @@
             self.keep_alive = False
         self.begin_answer(head, refuse)
 
+    def refuse_unread(self, refuse: Handler) -> None:
+        """Refuse a request of which a part has come, and drop the rest."""
+        if not self.is_reading():
+            return
+        self.waiting = False
+        self.refuse_early(self.request_with(b""), refuse)
+        self.drop_rest()
+
     def lose_room(self) -> None:
         """Give up a request that sits on room without progress; it has not run."""
         if self.request is None:
--- a/cuminstile/gateway/http_server/server.py
+++ b/cuminstile/gateway/http_server/server.py
@@ -84,10 +84,26 @@
             if connection.idle():
                 connection.close()
 
+    def refuse_unread(self, refuse: Handler) -> None:
+        """Refuse what has come in part, and from now on each further request.
+
+        Parameters
+        ----------
+        refuse : Handler
+            Answers a request that has not run and won't.
+        """
+        self.handler = refuse
+        for connection in self.unread():
+            connection.refuse_unread(refuse)
+
     def unread(self) -> list[CallerConnection]:
         """Return the connections on which a request comes that isn't complete."""
         return [one for one in self.connections if one.is_reading()]
 
+    def is_done(self) -> bool:
+        """Return whether no caller loses a request or an answer if the process ends."""
+        return not any(connection.is_needed() for connection in self.connections)
+
     def has_unsent(self) -> bool:
         """Return whether written bytes of any connection are still in the process."""
         return any(connection.has_unsent() for connection in self.connections)
--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -6,6 +6,8 @@
 from functools import partial
 
 from ..events import Event
+from ..shutdown.schedule import shutdown_times
+from .body_refusals import make_stop_refusal
 from .conversions import load_to_entry
 from .handover import worker_loads
 from .heartbeats import HeartbeatSocket
@@ -35,6 +37,7 @@
     heartbeats.send_to_all()
     vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
     await hand_over_work(vm)
+    answer_by_ms = shutdown_times(began_ms, vm.settings.shutdown_ms).answer_by_ms
     end_ms = began_ms + vm.settings.shutdown_ms - EXIT_MARGIN_MS
     while vm.clock.now_ms() < end_ms:
         await vm.clock.sleep_ms(POLL_INTERVAL_MS)
@@ -42,6 +45,8 @@
             continue
         callers.close()
         server.close_idle()
+        if vm.clock.now_ms() >= answer_by_ms:
+            server.refuse_unread(make_stop_refusal(vm))
         if is_finished(vm, server):
             break
     record_unfinished(vm, server)
@@ -49,9 +54,7 @@
 
 def is_finished(vm: Gateway, server: Server) -> bool:
     """Return whether the process may end: nothing of it is lost then."""
-    return (
-        not vm.requests and not vm.scheduler.planner.chains and not server.has_unsent()
-    )
+    return not vm.requests and not vm.scheduler.planner.chains and server.is_done()
 
 
 async def hand_over_work(vm: Gateway) -> None:
