Answer a request that came just before its idle connection is closed

Callers saw: a reset where an answer was due, for a request on a kept connection that a VM closed as idle, or on a connection opened a moment before. Cause: the check knew what the process had read, not what the kernel held for it (class: what nobody counts is cut). A request that leaves its caller after the end of the connection was sent still gets none: nothing can be sent there any more.

Tests: both cases fail before on both event loops (the server counts as done, and the connection ends without an answer).

--- a/cuminstile/gateway/http_server/connection.py
+++ b/cuminstile/gateway/http_server/connection.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from typing import TYPE_CHECKING, cast
 
 import anyio
 import httptools
 
 from ...memory.account import BYTES_PER_BODY_BYTE, SMALL_BYTES, Grant, Kind, Room
+from ...memory.descriptors import LEAST_AGE_MS
 from ...memory.turns import MOST_PARTS, SLICE_BYTES
 from ...request_bounds import holds_joined_head, is_filled_up
 from ..model import Limits
@@ -36,6 +40,15 @@
 its answer and closes in that time."""
 
 
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes of a connection the kernel holds for the process."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    size = fcntl.ioctl(sock.fileno(), termios.FIONREAD, struct.pack("i", 0))
+    return int(struct.unpack("i", size)[0])
+
+
 class CallerConnection(AnswerWriter):
     """One connection of a caller; answers one request at a time."""
 
@@ -98,6 +111,14 @@
             and self.ended_ms is None
         )
 
+    def expects_request(self) -> bool:
+        """Return whether a request may be on the way, though no part of it was read."""
+        if self.transport is None or self.transport.is_closing() or not self.idle():
+            return False
+        age_ms = self.clock.now_ms() - self.last_used_ms
+        is_new = not self.answered and age_ms <= LEAST_AGE_MS
+        return is_new or unread_bytes(self.transport) > 0
+
     def is_answering(self) -> bool:
         """Return whether a request is in progress."""
         return self.request is not None
@@ -120,6 +141,7 @@
         return (
             self.is_answering()
             or self.is_reading()
+            or self.expects_request()
             or self.is_lingering()
             or self.has_unsent()
         )
--- a/cuminstile/gateway/http_server/server.py
+++ b/cuminstile/gateway/http_server/server.py
@@ -79,9 +79,13 @@
         self.closing = True
 
     def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+        """Close the connections that have no request in progress.
+
+        One whose bytes wait to be read, or that was opened a moment ago, is closed with
+        its answer: a close would reset it.
+        """
         for connection in list(self.connections):
-            if connection.idle():
+            if connection.idle() and not connection.expects_request():
                 connection.close()
 
     def refuse_unread(self, refuse: Handler) -> None:
--- a/tests/gateway/http_server/test_closing.py
+++ b/tests/gateway/http_server/test_closing.py
@@ -13,6 +13,7 @@
 from cuminstile.clock import Clock
 from cuminstile.gateway.http_server import CallerConnection, Request, Server, listen
 from cuminstile.gateway.model import Limits
+from cuminstile.memory.descriptors import LEAST_AGE_MS
 
 pytestmark = pytest.mark.anyio
 WHOLE = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
@@ -36,12 +37,15 @@
     ran: list[Request] = field(default_factory=list)
     callers: list[socket.socket] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self.address = self.listener.sockets[0].getsockname()
+
     def connect(self, buffer_bytes: int | None = None) -> socket.socket:
         """Connect, also while the server accepts nothing, as the kernel does it."""
         caller = socket.socket()
         if buffer_bytes is not None:
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-        caller.connect(self.listener.sockets[0].getsockname())
+        caller.connect(self.address)
         caller.setblocking(False)
         self.callers.append(caller)
         return caller
@@ -116,3 +120,68 @@
             while site.server.connections:
                 site.server.enforce_timeouts()
                 await asyncio.sleep(0.05)
+
+
+async def kept_connection(site: Site) -> socket.socket:
+    """Return a connection on which one request was answered."""
+    caller = site.connect()
+    caller.send(WHOLE)
+    assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+    return caller
+
+
+async def test_request_that_came_before_its_connection_is_closed_is_answered() -> None:
+    """Guards against a close of an idle connection on which bytes wait to be read."""
+    async with serving_site() as site:
+        caller = await kept_connection(site)
+        site.server.begin_closing()
+        caller.send(WHOLE)
+        site.server.close_idle()
+        assert not site.server.is_done()
+        assert (await receive_all(caller)).startswith(b"HTTP/1.1 200")
+        assert len(site.ran) == 2
+
+
+async def test_idle_connection_is_closed() -> None:
+    async with serving_site() as site:
+        caller = await kept_connection(site)
+        site.server.begin_closing()
+        site.server.close_idle()
+        assert site.server.is_done()
+        assert await receive_all(caller) == b""
+
+
+async def test_new_connection_may_send_its_first_request() -> None:
+    """Guards against a connection that is closed while its request is on the way."""
+    async with serving_site() as site:
+        caller = site.connect()
+        await asyncio.sleep(0.05)
+        site.server.begin_closing()
+        site.server.close_idle()
+        assert not site.server.is_done()
+        await asyncio.sleep(0.05)
+        caller.send(WHOLE)
+        assert (await receive_all(caller)).startswith(b"HTTP/1.1 200")
+
+
+async def test_connection_that_sends_nothing_is_closed_soon() -> None:
+    async with serving_site() as site:
+        caller = site.connect()
+        await asyncio.sleep(0.05)
+        site.server.begin_closing()
+        await asyncio.sleep(LEAST_AGE_MS / 1_000.0)
+        site.server.close_idle()
+        assert site.server.is_done()
+        assert await receive_all(caller) == b""
+
+
+async def test_request_after_the_last_answer_is_not_run() -> None:
+    """Guards against a reset that takes the last answer along, and against a run."""
+    async with serving_site() as site:
+        caller = site.connect()
+        site.server.begin_closing()
+        caller.send(WHOLE)
+        assert b"Connection: close" in await receive(caller)
+        caller.send(WHOLE)
+        assert await receive_all(caller) == b""
+        assert len(site.ran) == 1
