Accept the connections that wait when a VM stops listening

Callers saw: a reset of a connection that the kernel had accepted, with a request sent on it. Cause: close() of the listening socket resets what the process hasn't accepted yet (class: what nobody counts is cut). They are accepted first, and their requests are answered with Connection: close.

Test: 20 connections with a request each that wait at the close: ConnectionResetError on both event loops before, all answered now.

--- a/cuminstile/gateway/http_server/__init__.py
+++ b/cuminstile/gateway/http_server/__init__.py
@@ -2,7 +2,7 @@
 
 from .connection import CallerConnection
 from .request import Handler, HeadCheck, HeadVerdict, Request
-from .server import Server, listen
+from .server import Server, listen, stop_listening
 
 __all__ = [
     "CallerConnection",
@@ -12,4 +12,5 @@
     "Request",
     "Server",
     "listen",
+    "stop_listening",
 ]
--- a/cuminstile/gateway/http_server/server.py
+++ b/cuminstile/gateway/http_server/server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -14,6 +16,9 @@
 from .connection import CallerConnection
 from .request import Handler, HeadCheck, accept_any, refuse_body
 
+BACKLOG = 1_024
+"""Connections that the kernel holds until they are accepted."""
+
 
 @dataclass
 class Server:
@@ -132,5 +137,32 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        server.make_connection, host, int(port), backlog=1024
+        server.make_connection, host, int(port), backlog=BACKLOG
     )
+
+
+async def stop_listening(server: Server, listener: asyncio.Server) -> None:
+    """Accept the connections that the kernel holds, then no more.
+
+    A close of the listening socket resets those that aren't accepted.
+    """
+    accepted = [sock for one in listener.sockets for sock in accept_waiting(one)]
+    listener.close()
+    loop = asyncio.get_running_loop()
+    for sock in accepted:
+        await loop.connect_accepted_socket(server.make_connection, sock)
+
+
+def accept_waiting(listening: socket.socket) -> list[socket.socket]:
+    """Return the connections that wait to be accepted."""
+    accepted = []
+    with socket.socket(fileno=os.dup(listening.fileno())) as own:
+        own.setblocking(False)
+        for _ in range(BACKLOG):
+            try:
+                accepted.append(own.accept()[0])
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                break
+    return accepted
--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -11,7 +11,7 @@
 from .conversions import load_to_entry
 from .handover import worker_loads
 from .heartbeats import HeartbeatSocket
-from .http_server import Server
+from .http_server import Server, stop_listening
 from .messages import WorkerLoads
 from .peer_sessions import PeerSession, SessionLostError
 from .state import Gateway
@@ -43,7 +43,7 @@
         await vm.clock.sleep_ms(POLL_INTERVAL_MS)
         if vm.clock.now_ms() - began_ms < BALANCER_REMOVAL_MS:
             continue
-        callers.close()
+        await stop_listening(server, callers)
         server.close_idle()
         if vm.clock.now_ms() >= answer_by_ms:
             server.refuse_unread(make_stop_refusal(vm))
--- a/tests/gateway/http_server/test_closing.py
+++ b/tests/gateway/http_server/test_closing.py
@@ -11,7 +11,13 @@
 import pytest
 
 from cuminstile.clock import Clock
-from cuminstile.gateway.http_server import CallerConnection, Request, Server, listen
+from cuminstile.gateway.http_server import (
+    CallerConnection,
+    Request,
+    Server,
+    listen,
+    stop_listening,
+)
 from cuminstile.gateway.model import Limits
 from cuminstile.memory.descriptors import LEAST_AGE_MS
 
@@ -185,3 +191,18 @@
         caller.send(WHOLE)
         assert await receive_all(caller) == b""
         assert len(site.ran) == 1
+
+
+# Guards against connections that the kernel has accepted, and that are reset with the
+# socket on which the server listens.
+async def test_connections_that_wait_to_be_accepted_are_served() -> None:
+    async with serving_site() as site:
+        site.server.begin_closing()
+        waiting = [site.connect() for _ in range(20)]
+        for caller in waiting:
+            caller.send(WHOLE)
+        await stop_listening(site.server, site.listener)
+        answers = await asyncio.gather(*map(receive_all, waiting))
+        assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+        with pytest.raises(ConnectionRefusedError):
+            site.connect()
