--- a/tests/gateway/http_server/test_closing.py
+++ b/tests/gateway/http_server/test_closing.py
@@ -206,3 +206,64 @@
         assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
         with pytest.raises(ConnectionRefusedError):
             site.connect()
+
+
+LARGE = 1_000_000
+HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\n"
+PARTS = {
+    "part of a head": HEAD,
+    "part of a body": HEAD + b"Content-Length: 100\r\n\r\nbody",
+    "in turn": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 20_000,
+    "waits for room": HEAD + b"Content-Length: %d\r\n\r\n" % LARGE + BODY,
+    "expects 100": HEAD + b"Expect: 100-continue\r\nContent-Length: 100\r\n\r\n",
+}
+
+
+async def refuse(request: Request, out: CallerConnection) -> None:
+    """Refuse a request that has not run."""
+    del request
+    await out.write_answer(503, ((b"Retry-After", b"0.3"),), b"leaving")
+
+
+# Guards against a request that gets no refusal for what it waits for, or two answers.
+@pytest.mark.parametrize("part", PARTS)
+async def test_part_of_a_request_is_refused_once_whatever_it_waits_for(
+    part: str,
+) -> None:
+    async with serving_site() as site:
+        site.server.account.size = 4.0 * LARGE
+        if part == "waits for room":
+            site.connect().send(PARTS[part])
+            await asyncio.sleep(0.05)
+        caller = site.connect()
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(caller, PARTS[part])
+        await asyncio.sleep(0.05)
+        assert bool(site.server.account.waiting) == (part == "waits for room")
+        site.server.begin_closing()
+        site.server.refuse_unread(refuse)
+        site.server.refuse_unread(refuse)
+        received = await receive_all(caller)
+        answer = received.removeprefix(b"HTTP/1.1 100 Continue\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert answer.endswith(b"leaving")
+        caller.close()
+        for one in site.callers:
+            one.close()
+        async with asyncio.timeout(WAIT_S):
+            while not site.server.is_done():
+                await asyncio.sleep(0.01)
+        assert site.server.account.held == 0
+        assert not site.ran
+
+
+async def test_request_that_comes_after_the_last_refusal_is_refused_too() -> None:
+    """Guards against a request that runs when its answer can't be awaited any more."""
+    async with serving_site() as site:
+        caller = site.connect()
+        site.server.begin_closing()
+        site.server.refuse_unread(refuse)
+        caller.send(WHOLE)
+        assert (await receive_all(caller)).startswith(b"HTTP/1.1 503")
+        assert not site.ran
