Ask the kernel about sockets in a module of its own

What the kernel holds for the process (unread bytes, connections to accept, its buffers) stood in two modules of the HTTP server; sockets.py has it now. The state of a connection is described. No change of behaviour.

--- a/cuminstile/gateway/http_server/connection.py
+++ b/cuminstile/gateway/http_server/connection.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import socket
-import struct
-import termios
 from typing import TYPE_CHECKING, cast
 
 import anyio
@@ -20,6 +16,7 @@
 from .answer import AnswerWriter
 from .incoming import IncomingRequest, Unparsed
 from .request import Handler, Request, has_ambiguous_length, stated_length
+from .sockets import limit_unread, unread_bytes
 
 if TYPE_CHECKING:
     from .server import Server
@@ -40,17 +37,36 @@
 its answer and closes in that time."""
 
 
-def unread_bytes(transport: asyncio.Transport) -> int:
-    """Return how many bytes of a connection the kernel holds for the process."""
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return 0
-    size = fcntl.ioctl(sock.fileno(), termios.FIONREAD, struct.pack("i", 0))
-    return int(struct.unpack("i", size)[0])
-
-
 class CallerConnection(AnswerWriter):
-    """One connection of a caller; answers one request at a time."""
+    """One connection of a caller; answers one request at a time.
+
+    Parameters
+    ----------
+    incoming : IncomingRequest
+        What has come of the request that is read.
+    unparsed : Unparsed
+        Bytes that wait for room or for their turn.
+    room : Room
+        Of the request that is read or answered.
+    request : Request or None
+        The request in progress.
+    task, scope : asyncio.Task, anyio.CancelScope or None
+        Run its handler.
+    last_used_ms : float
+        Monotonic time of the end of the last answer, or of the start.
+    waiting, in_lane : bool
+        Whether it isn't read until it has room, or until its turn.
+    rejected : bool
+        Whether what comes is dropped.
+    refused_early, early_answered : bool
+        Whether the request is refused before its body has come, and has its answer.
+    aborted : bool
+        Whether it was closed for another connection.
+    ended_ms : float or None
+        When the sending direction was ended, None if it wasn't.
+    sends_on : bool
+        Whether its caller sent more behind the last answer, or has more to send.
+    """
 
     def __init__(self, server: Server) -> None:
         super().__init__(server.clock, server.account)
@@ -152,11 +168,8 @@
 
     def quiet_since_ms(self) -> float:
         """Return since when no complete request came."""
-        return (
-            self.last_used_ms
-            if self.incoming.began_ms is None
-            else self.incoming.began_ms
-        )
+        began_ms = self.incoming.began_ms
+        return self.last_used_ms if began_ms is None else began_ms
 
     def enforce_timeouts(self, now_ms: float, limits: Limits) -> None:
         """Close an idle connection, or reject a slow request, after its timeout."""
@@ -222,10 +235,8 @@
         size = self.unparsed.slice_bytes()
         self.unparsed.parts = 0
         self.parse(self.next_slice(size))
-        if (
-            self.unparsed.parts > MOST_PARTS * size // SLICE_BYTES
-            and not self.is_complete()
-        ):
+        most_parts = MOST_PARTS * size // SLICE_BYTES
+        if self.unparsed.parts > most_parts and not self.is_complete():
             self.enter_lane()
             return False
         return bool(self.unparsed)
@@ -290,21 +301,14 @@
         """Leave what comes to the kernel, and the rest to the caller."""
         if self.transport is not None and not self.lost:
             self.transport.pause_reading()
-            self.set_unread_bytes(UNREAD_BYTES)
+            limit_unread(self.transport, UNREAD_BYTES)
 
     def resume_reading(self) -> None:
         """Read on."""
         if self.transport is not None and not self.transport.is_closing():
-            self.set_unread_bytes(READ_BYTES)
+            limit_unread(self.transport, READ_BYTES)
             self.transport.resume_reading()
 
-    def set_unread_bytes(self, size: int) -> None:
-        """Set what the kernel keeps of what isn't read yet."""
-        assert self.transport is not None
-        sock = self.transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-
     def parse(self, data: bytes | memoryview) -> None:
         """Parse bytes; then decide on a request whose body has not come whole."""
         self.incoming.received_bytes += len(data)
--- a/cuminstile/gateway/http_server/server.py
+++ b/cuminstile/gateway/http_server/server.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -15,6 +13,7 @@
 from ..model import Limits
 from .connection import CallerConnection
 from .request import Handler, HeadCheck, accept_any, refuse_body
+from .sockets import accept_waiting
 
 BACKLOG = 1_024
 """Connections that the kernel holds until they are accepted."""
@@ -146,23 +145,12 @@
 
     A close of the listening socket resets those that aren't accepted.
     """
-    accepted = [sock for one in listener.sockets for sock in accept_waiting(one)]
+    accepted = [
+        connection
+        for listening in listener.sockets
+        for connection in accept_waiting(listening, BACKLOG)
+    ]
     listener.close()
     loop = asyncio.get_running_loop()
-    for sock in accepted:
-        await loop.connect_accepted_socket(server.make_connection, sock)
-
-
-def accept_waiting(listening: socket.socket) -> list[socket.socket]:
-    """Return the connections that wait to be accepted."""
-    accepted = []
-    with socket.socket(fileno=os.dup(listening.fileno())) as own:
-        own.setblocking(False)
-        for _ in range(BACKLOG):
-            try:
-                accepted.append(own.accept()[0])
-            except ConnectionAbortedError:
-                continue
-            except OSError:
-                break
-    return accepted
+    for connection in accepted:
+        await loop.connect_accepted_socket(server.make_connection, connection)
