--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -6,10 +6,12 @@
 from functools import partial
 
 from ..events import Event
+from ..shutdown.schedule import shutdown_times
+from .body_refusals import make_stop_refusal
 from .conversions import load_to_entry
 from .handover import worker_loads
 from .heartbeats import HeartbeatSocket
-from .http_server import Server
+from .http_server import Server, stop_listening
 from .messages import WorkerLoads
 from .peer_sessions import PeerSession, SessionLostError
 from .state import Gateway
@@ -35,13 +37,16 @@
     heartbeats.send_to_all()
     vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
     await hand_over_work(vm)
+    answer_by_ms = shutdown_times(began_ms, vm.settings.shutdown_ms).answer_by_ms
     end_ms = began_ms + vm.settings.shutdown_ms - EXIT_MARGIN_MS
     while vm.clock.now_ms() < end_ms:
         await vm.clock.sleep_ms(POLL_INTERVAL_MS)
         if vm.clock.now_ms() - began_ms < BALANCER_REMOVAL_MS:
             continue
-        callers.close()
+        await stop_listening(server, callers)
         server.close_idle()
+        if vm.clock.now_ms() >= answer_by_ms:
+            server.refuse_unread(make_stop_refusal(vm))
         if is_finished(vm, server):
             break
     record_unfinished(vm, server)
@@ -49,9 +54,7 @@
 
 def is_finished(vm: Gateway, server: Server) -> bool:
     """Return whether the process may end: nothing of it is lost then."""
-    return (
-        not vm.requests and not vm.scheduler.planner.chains and not server.has_unsent()
-    )
+    return not vm.requests and not vm.scheduler.planner.chains and server.is_done()
 
 
 async def hand_over_work(vm: Gateway) -> None:
