Refuse what waits inside a VM before its process ends

Class of the fault: a wait inside a VM knew its caller's deadline, but not the end of its own process.

Change: the times of a planned stop stand in `Gateway.shutdown` from SIGTERM on. One limit lies around all that a request waits for (stages, trial, connection, answer): at `answer_by_ms` it is refused, with 503 `shutting_down` and Retry-After if nothing has run, with 504 if it may have. An answer that has begun goes on until the process ends, as before. The sends in progress are counted before the status is chosen, as each of them counts itself when it is cancelled.

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -251,6 +251,7 @@
     if failure is None:
         opens_in_ms = vm.table.opens_in_ms(call.service.name, vm.clock.now_ms())
         raise no_upstream(progress.runs > 0, opens_in_ms)
+    progress.answer.begun = True
     await call.out.write_answer(failure.status, failure.headers, failure.body)
     vm.metrics.requests_total.inc({"route": call.route.name, "result": "failed"})
 
--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from ..events import Event
+from ..shutdown.schedule import shutdown_times
 from .conversions import load_to_entry
 from .handover import worker_loads
 from .heartbeats import HeartbeatSocket
@@ -19,8 +20,6 @@
 """How long new connections are accepted after SIGTERM. The load balancer removes a VM
 after two failed readiness checks, one per second. Later requests could not be completed
 in time."""
-EXIT_MARGIN_MS = 600.0
-"""How long before its forced end the process exits by itself."""
 POLL_INTERVAL_MS = 100.0
 """Interval of checks whether all requests are finished."""
 
@@ -29,16 +28,17 @@
     vm: Gateway, server: Server, callers: asyncio.Server, heartbeats: HeartbeatSocket
 ) -> None:
     """Stop accepting connections after a delay, and finish the requests in progress."""
-    began_ms = vm.clock.now_ms()
+    times = shutdown_times(vm.clock.now_ms(), vm.settings.shutdown_ms)
     vm.leaving = True
+    vm.shutdown = times
+    vm.in_progress.begin_shutdown(times)
     server.begin_closing()
     heartbeats.send_to_all()
     vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
     await hand_over_work(vm)
-    end_ms = began_ms + vm.settings.shutdown_ms - EXIT_MARGIN_MS
-    while vm.clock.now_ms() < end_ms:
-        await vm.clock.sleep_ms(POLL_INTERVAL_MS)
-        if vm.clock.now_ms() - began_ms < BALANCER_REMOVAL_MS:
+    while (left_ms := times.exit_at_ms - vm.clock.now_ms()) > 0:
+        await vm.clock.sleep_ms(min(POLL_INTERVAL_MS, left_ms))
+        if vm.clock.now_ms() - times.began_ms < BALANCER_REMOVAL_MS:
             continue
         callers.close()
         server.close_idle()
--- a/cuminstile/gateway/refusals.py
+++ b/cuminstile/gateway/refusals.py
@@ -43,6 +43,14 @@
     return Refusal(ErrorCode.DEADLINE_TOO_SHORT, "not run in time", DEFAULT_RETRY_MS)
 
 
+def shut_down(maybe_ran: bool) -> Refusal:
+    """Return the refusal of a request that has no answer as its VM shuts down."""
+    if maybe_ran:
+        text = "the VM shuts down before the request is answered"
+        return Refusal(ErrorCode.DEADLINE_PASSED, text)
+    return Refusal(ErrorCode.SHUTTING_DOWN, "the VM shuts down", DEFAULT_RETRY_MS)
+
+
 def no_upstream(maybe_ran: bool, opens_in_ms: float | None = None) -> Refusal:
     """Return the refusal of a request for which no upstream is available.
 
--- a/cuminstile/gateway/serving.py
+++ b/cuminstile/gateway/serving.py
@@ -6,11 +6,12 @@
 
 from ..events import Event
 from ..exceptions import ErrorCode, raised_at
+from ..shutdown.waits import ShutdownReachedError, limited_wait
 from .accepting import accept
 from .attempts import StreamBrokenError, send_until_answered
 from .crash_guard import refuse_quarantined
 from .http_server import CallerConnection, Request
-from .refusals import Refusal, id_of, write_refusal
+from .refusals import Refusal, id_of, shut_down, write_refusal
 from .send_state import Call, Progress
 from .staged_results import free_results
 from .staged_work import results_for
@@ -56,7 +57,7 @@
 
 
 async def serve_call(vm: Gateway, call: Call) -> None:
-    """Run the stages of a request, then send it until it is answered.
+    """Serve a request; one without an answer is refused before its VM shuts down.
 
     Raises
     ------
@@ -71,6 +72,22 @@
     vm.hedging.record_request(call.service.name, vm.clock.now_ms())
     refuse_quarantined(vm, call)
     progress = Progress()
+    try:
+        async with limited_wait(
+            vm.clock,
+            vm.in_progress,
+            vm.shutdown,
+            may_end=lambda: not progress.answer.begun,
+        ):
+            await run_and_send(vm, call, progress)
+    except ShutdownReachedError:
+        if progress.answer.begun:
+            raise StreamBrokenError("the VM shuts down") from None
+        raise shut_down(progress.runs > 0) from None
+
+
+async def run_and_send(vm: Gateway, call: Call, progress: Progress) -> None:
+    """Run the stages of a request, then send it; errors as in `serve_call`."""
     arrived_ms = call.request.arrived_ms
     progress.results = await results_for(vm, call, False, arrived_ms)
     try:
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -13,6 +13,7 @@
 from ..hedging.limits import HedgeLimits, Hedging
 from ..scaling.demand import LocalDemand
 from ..shutdown.in_progress import RequestsInProgress
+from ..shutdown.schedule import ShutdownTimes
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -138,6 +139,8 @@
         What this VM told others of the speeds of upstreams.
     in_progress : RequestsInProgress
         What each accepted request waits for.
+    shutdown : ShutdownTimes or None
+        Times of the planned stop, None before SIGTERM.
     """
 
     settings: GatewaySettings
@@ -168,6 +171,7 @@
     requests: int = 0
     in_progress: RequestsInProgress = field(default_factory=RequestsInProgress)
     leaving: bool = False
+    shutdown: ShutdownTimes | None = None
 
     @property
     def manifest(self) -> Manifest | None:
--- a/cuminstile/shutdown/in_progress.py
+++ b/cuminstile/shutdown/in_progress.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .schedule import ShutdownTimes
+
 
 class Phase(StrEnum):
     """What a request waits for.
@@ -55,9 +57,16 @@
 
 @dataclass
 class RequestsInProgress:
-    """The requests of a process that have no complete answer yet."""
+    """The requests of a process that have no complete answer yet.
+
+    Parameters
+    ----------
+    watchers : set of callable
+        Called with the times of a shutdown when it begins.
+    """
 
     requests: set[RequestInProgress] = field(default_factory=set)
+    watchers: set[Callable[[ShutdownTimes], None]] = field(default_factory=set)
 
     def __len__(self) -> int:
         return len(self.requests)
@@ -72,3 +81,8 @@
     def end(self, request: RequestInProgress) -> None:
         """Remove a request that has ended, if it was added."""
         self.requests.discard(request)
+
+    def begin_shutdown(self, times: ShutdownTimes) -> None:
+        """Tell each one that waits when the last answers are written."""
+        for watch in tuple(self.watchers):
+            watch(times)
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -14,11 +14,11 @@
 from cuminstile.gateway.http_server import CallerConnection, Request, Server, listen
 from cuminstile.gateway.leaving import (
     BALANCER_REMOVAL_MS,
-    EXIT_MARGIN_MS,
     POLL_INTERVAL_MS,
     drain,
 )
 from cuminstile.gateway.model import Limits
+from cuminstile.shutdown.schedule import EXIT_MARGIN_MS
 
 from .test_state import make_vm
 
