Answer a request that meets a fault in the program

Callers saw: a connection that closes without an answer, with only `internal_error` in the log of its VM. Class of the fault: one way out of `serve` wrote nothing.

Change: before its answer has begun such a request gets 500 `internal`, which says nothing of whether it ran and bids no caller to send it again. An answer that has begun breaks off, as before.

Tests: `test_serving`; its three cases before an answer failed on the code before (no byte was received), the one of an answer that has begun passed and still does.

--- a/cuminstile/gateway/refusals.py
+++ b/cuminstile/gateway/refusals.py
@@ -51,6 +51,11 @@
     return Refusal(ErrorCode.SHUTTING_DOWN, "the VM shuts down", DEFAULT_RETRY_MS)
 
 
+def internal_error() -> Refusal:
+    """Return the refusal of a request that met a fault in the program."""
+    return Refusal(ErrorCode.INTERNAL, "a fault in the program")
+
+
 def no_upstream(maybe_ran: bool, opens_in_ms: float | None = None) -> Refusal:
     """Return the refusal of a request for which no upstream is available.
 
--- a/cuminstile/gateway/serving.py
+++ b/cuminstile/gateway/serving.py
@@ -11,7 +11,7 @@
 from .attempts import StreamBrokenError, send_until_answered
 from .crash_guard import refuse_quarantined
 from .http_server import CallerConnection, Request
-from .refusals import Refusal, id_of, shut_down, write_refusal
+from .refusals import Refusal, id_of, internal_error, shut_down, write_refusal
 from .send_state import Call, Progress
 from .staged_results import free_results
 from .staged_work import results_for
@@ -19,15 +19,20 @@
 
 
 async def serve(vm: Gateway, request: Request, out: CallerConnection) -> None:
-    """Answer one request; the connection is closed if the answer is incomplete."""
+    """Answer one request; the connection is closed if the answer is incomplete.
+
+    A fault in the program is answered with a status that doesn't say whether the
+    request ran.
+    """
     vm.requests += 1
     route_name = ""
+    progress = Progress()
     try:
         call = accept(vm, request, out)
         route_name = call.route.name
         vm.in_progress.begin(call.progress)
         try:
-            await serve_call(vm, call)
+            await serve_call(vm, call, progress)
         finally:
             vm.in_progress.end(call.progress)
     except Refusal as refusal:
@@ -51,12 +56,16 @@
             error=type(error).__name__,
             place=raised_at(error),
         )
-        vm.metrics.requests_total.inc({"route": route_name, "result": "internal"})
+        if progress.answer.begun:
+            labels = {"route": route_name, "result": "internal"}
+            vm.metrics.requests_total.inc(labels)
+            return
+        await write_refusal(vm, request, out, internal_error(), route_name)
     finally:
         vm.requests -= 1
 
 
-async def serve_call(vm: Gateway, call: Call) -> None:
+async def serve_call(vm: Gateway, call: Call, progress: Progress) -> None:
     """Serve a request; one without an answer is refused before its VM shuts down.
 
     Raises
@@ -71,7 +80,6 @@
         vm.demand.record_request(call.service.name, call.route.name, vm.clock.now_ms())
     vm.hedging.record_request(call.service.name, vm.clock.now_ms())
     refuse_quarantined(vm, call)
-    progress = Progress()
     try:
         async with limited_wait(
             vm.clock,
