--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -21,8 +21,6 @@
 """How long new connections are accepted after SIGTERM. The load balancer removes a VM
 after two failed readiness checks, one per second. Later requests could not be completed
 in time."""
-EXIT_MARGIN_MS = 600.0
-"""How long before its forced end the process exits by itself."""
 POLL_INTERVAL_MS = 100.0
 """Interval of checks whether all requests are finished."""
 
@@ -31,21 +29,21 @@
     vm: Gateway, server: Server, callers: asyncio.Server, heartbeats: HeartbeatSocket
 ) -> None:
     """Stop accepting connections after a delay, and finish the requests in progress."""
-    began_ms = vm.clock.now_ms()
+    times = shutdown_times(vm.clock.now_ms(), vm.settings.shutdown_ms)
     vm.leaving = True
+    vm.shutdown = times
+    vm.in_progress.begin_shutdown(times)
     server.begin_closing()
     heartbeats.send_to_all()
     vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
     await hand_over_work(vm)
-    answer_by_ms = shutdown_times(began_ms, vm.settings.shutdown_ms).answer_by_ms
-    end_ms = began_ms + vm.settings.shutdown_ms - EXIT_MARGIN_MS
-    while vm.clock.now_ms() < end_ms:
-        await vm.clock.sleep_ms(POLL_INTERVAL_MS)
-        if vm.clock.now_ms() - began_ms < BALANCER_REMOVAL_MS:
+    while (left_ms := times.exit_at_ms - vm.clock.now_ms()) > 0:
+        await vm.clock.sleep_ms(min(POLL_INTERVAL_MS, left_ms))
+        if vm.clock.now_ms() - times.began_ms < BALANCER_REMOVAL_MS:
             continue
         await stop_listening(server, callers)
         server.close_idle()
-        if vm.clock.now_ms() >= answer_by_ms:
+        if vm.clock.now_ms() >= times.answer_by_ms:
             server.refuse_unread(make_stop_refusal(vm))
         if is_finished(vm, server):
             break
