Refuse what the product's VM can't finish before its shutdown ends

Callers saw: a request that its upstream answers later than 30 s after the linger of a planned stop got a bare `500 Internal Server Error` of the HTTP library, without code or run status, when the process ended (measured on the real program before the change: 30.5 s after SIGTERM with a linger of 0.3 s), and the log said `request_cancelled` after `vm_stopped`. Read from the code, not measured: a stream got no last event; a call of another VM was cut with its session, so that its caller could not tell whether it had run; a claim that had not run stayed in the log.

Cause (a wait inside a process that doesn't know when the process ends): `drain` returned at SHUTDOWN_LIMIT_MS whatever was in progress, and `serve` cancelled the tasks. The limit was a constant, not bound to the time after which a supervisor kills.

The times of the stop come from `shutdown.schedule`, as in the gateway. 1 s before the forced end what is in progress is named (`request_unfinished`, one function for both paths) and cancelled in its `EndScopes` scope: requests and bodies still coming get 503 `shutting_down`, streams their `error` event, calls of other VMs `StageRefused`, each with the run status that the trace tells; a claim that has not run is voided, one that runs is recorded as unknown. A request that comes after SIGTERM has no longer deadline than the VM's last answer, and is refused at once with `shutting_down` if it would not be ready by then.

--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -21,10 +21,12 @@
 from ..events import Event
 from ..exceptions import HTTP_STATUS, CuminstileError, ErrorCode, RunStatus
 from ..gauges import update_gauges
-from ..http_body import read_body
+from ..http_body import BODY_TIMEOUT_MS, read_body
 from ..objects.model import Organisation, Pipeline
 from ..pipeline import Request, internal_error
 from ..readiness import unready_reason
+from ..shutdown.in_progress import Phase, RequestInProgress
+from ..vm.ending import answer_by_ms, shutting_down
 from .bodies import RunBody, error_body, parse_run_body
 from .serving import TokenStream, answer_with_json, count_refusal
 
@@ -39,7 +41,7 @@
 
     async def run(http: HttpRequest) -> Response | TokenStream:
         try:
-            request = await accept_request(vm, http)
+            request = await accept_before_end(vm, http)
         except CuminstileError as error:
             count_refusal(vm, error)
             vm.journal.record(Event.REQUEST_REFUSED, code=error.code.value)
@@ -114,6 +116,31 @@
     return JSONResponse(error_body(error), HTTP_STATUS[error.code])
 
 
+async def accept_before_end(vm: Vm, http: HttpRequest) -> Request:
+    """Return the caller's request, or refuse it if this VM ends before all of it came.
+
+    Raises
+    ------
+    CuminstileError
+        With `SHUTTING_DOWN`, or as `accept_request` does. What has not come may be a
+        resend, so that the run status of the request is unknown.
+    """
+    now_ms = vm.clock.now_ms()
+    waiting = RequestInProgress(route=http.path_params["name"], arrived_ms=now_ms)
+    waiting.expires_at_ms = now_ms + BODY_TIMEOUT_MS
+    waiting.enter(Phase.BODY, "", now_ms)
+    request: Request | None = None
+    vm.in_progress.begin(waiting)
+    try:
+        with vm.end_scopes.scope():
+            request = await accept_request(vm, http)
+    finally:
+        vm.in_progress.end(waiting)
+    if request is None:
+        raise shutting_down(vm, RunStatus.UNKNOWN)
+    return request
+
+
 async def accept_request(vm: Vm, http: HttpRequest) -> Request:
     """Check an HTTP request, record its start and return the caller's request.
 
@@ -136,16 +163,18 @@
             known_run_status(body),
         )
     require_idempotency_key(vm, pipeline, body)
+    deadline_ms = arrived_ms + (body.deadline_ms or pipeline.deadline_ms)
     request = Request(
         name=secrets.token_hex(8),
         organisation=organisation.name,
         pipeline=pipeline,
         input=body.input,
         stream=body.stream,
-        deadline_ms=arrived_ms + (body.deadline_ms or pipeline.deadline_ms),
+        deadline_ms=min(deadline_ms, answer_by_ms(vm)),
         idempotency_key=body.idempotency_key,
         issued_at_ms=body.issued_at_ms,
         is_resend=body.resend,
+        ends_with_vm=answer_by_ms(vm) < deadline_ms,
     )
     vm.journal.record(
         Event.REQUEST_STARTED,
--- a/cuminstile/caller/serving.py
+++ b/cuminstile/caller/serving.py
@@ -15,11 +15,14 @@
 from ..events import Event
 from ..exceptions import CuminstileError, ErrorCode, RunStatus
 from ..pipeline import Progress, Request, run_pipeline
+from ..shutdown.in_progress import RequestInProgress
+from ..vm.ending import shutting_down
 from .bodies import answer_body, error_body
 
 if TYPE_CHECKING:
     from ..runtime import Vm
 
+TOO_LATE_CODES = (ErrorCode.DEADLINE_PASSED, ErrorCode.DEADLINE_TOO_SHORT)
 STREAM_HEADERS = [
     (b"content-type", b"text/event-stream"),
     (b"cache-control", b"no-store"),
@@ -34,16 +37,21 @@
     Raises
     ------
     CuminstileError
-        If the request failed or its deadline passed; with the run status over all
-        of its steps.
+        If the request failed, its deadline passed or this VM ends before its answer;
+        with the run status over all of its steps.
     """
     started_ms = vm.clock.now_ms()
+    progress.waiting = RequestInProgress(
+        request.name,
+        request.pipeline.name,
+        started_ms,
+        request.deadline_ms,
+        since_ms=started_ms,
+    )
     vm.activity.requests += 1
+    vm.in_progress.begin(progress.waiting)
     try:
-        with anyio.move_on_after((request.deadline_ms - started_ms) / 1000.0) as scope:
-            await run_pipeline(vm, request, progress, on_tokens)
-        if scope.cancelled_caught:
-            raise CuminstileError(ErrorCode.DEADLINE_PASSED, "the deadline has passed")
+        await run_until_deadline(vm, request, progress, on_tokens)
     except CuminstileError as error:
         error = with_run_status(error, request, progress)
         record_end(vm, request, error.code.value, started_ms)
@@ -54,9 +62,38 @@
         raise
     finally:
         vm.activity.requests -= 1
+        vm.in_progress.end(progress.waiting)
     record_end(vm, request, "answered", started_ms)
 
 
+async def run_until_deadline(
+    vm: Vm, request: Request, progress: Progress, on_tokens: TokenSink
+) -> None:
+    """Run a request, at the latest until its deadline or the end of this VM.
+
+    Raises
+    ------
+    CuminstileError
+        If the request failed; with `SHUTTING_DOWN` if only the end of this VM left it
+        too little time.
+    """
+    left_ms = request.deadline_ms - vm.clock.now_ms()
+    with vm.end_scopes.scope() as until_end:
+        with anyio.move_on_after(left_ms / 1000.0) as until_deadline:
+            try:
+                await run_pipeline(vm, request, progress, on_tokens)
+            except CuminstileError as error:
+                if request.ends_with_vm and error.code in TOO_LATE_CODES:
+                    raise shutting_down(vm, error.ran) from error
+                raise
+    if until_end.cancelled_caught:
+        raise shutting_down(vm)
+    if until_deadline.cancelled_caught:
+        if request.ends_with_vm:
+            raise shutting_down(vm)
+        raise CuminstileError(ErrorCode.DEADLINE_PASSED, "the deadline has passed")
+
+
 def with_run_status(
     error: CuminstileError, request: Request, progress: Progress
 ) -> CuminstileError:
--- a/cuminstile/claims.py
+++ b/cuminstile/claims.py
@@ -34,6 +34,7 @@
     partition_of,
 )
 from .vm.claim_exchange import request_claim_outcome
+from .vm.ending import shutting_down
 
 if TYPE_CHECKING:
     from .runtime import Vm
@@ -245,7 +246,10 @@
         except Exception as error:
             held.error = internal_error(vm, error)
 
-    await run_until(vm.clock, limit_ms, run)
+    with vm.end_scopes.scope() as until_end:
+        await run_until(vm.clock, limit_ms, run)
+    if until_end.cancelled_caught and not trace.maybe_ran:
+        held.error = shutting_down(vm)
     if held.outcome is not None:
         held.recorded = encode_outcome(held.outcome)
     elif trace.maybe_ran:
--- a/cuminstile/pipeline.py
+++ b/cuminstile/pipeline.py
@@ -21,6 +21,7 @@
 from .events import Event
 from .exceptions import CuminstileError, ErrorCode, RunStatus, raised_at
 from .objects.model import Pipeline, Step
+from .shutdown.in_progress import Phase, RequestInProgress
 
 if TYPE_CHECKING:
     from .runtime import Vm
@@ -40,6 +41,8 @@
         When the caller issued its key, in ms since 1970 UTC.
     is_resend : bool
         Whether the caller has sent this key before.
+    ends_with_vm : bool
+        Whether the deadline is that of a VM that shuts down, before the caller's own.
     """
 
     name: str
@@ -51,6 +54,7 @@
     idempotency_key: str
     issued_at_ms: int
     is_resend: bool = False
+    ends_with_vm: bool = False
 
 
 @dataclass
@@ -63,6 +67,8 @@
         For each step, whether a non-repeatable call may have run.
     is_probe : bool
         Whether the request is tried although it is estimated to be late.
+    waiting : RequestInProgress
+        What the request waits for now.
     """
 
     outcomes: dict[str, StageOutcome] = field(default_factory=dict)
@@ -70,6 +76,7 @@
     traces: dict[str, RunTrace] = field(default_factory=dict)
     is_probe: bool = False
     error: CuminstileError | None = None
+    waiting: RequestInProgress = field(default_factory=RequestInProgress)
 
     def maybe_ran(self) -> bool:
         """Return whether a call of a non-repeatable stage may have run."""
@@ -147,6 +154,7 @@
         reserve_ms=budget.reserve_ms,
         is_probe=budget.is_probe,
     )
+    progress.waiting.enter(Phase.STAGES, call.stage, vm.clock.now_ms())
     outcome = await run_within_budget(vm, request, call, progress, on_tokens)
     progress.outcomes[step.name] = outcome
     progress.finished[step.name].set()
--- a/cuminstile/runtime.py
+++ b/cuminstile/runtime.py
@@ -20,6 +20,9 @@
 from .records.client import PlatformClient
 from .records.configuration import ConfigurationState, InForce
 from .settings import Settings
+from .shutdown.end_scopes import EndScopes
+from .shutdown.in_progress import RequestsInProgress
+from .shutdown.schedule import ShutdownTimes
 from .spilling import SpillState
 from .stage_times import StageTimes
 from .traffic_state import Traffic
@@ -71,8 +74,14 @@
         The handler for each type of message from another VM.
     incarnation : str
         Random id of this start, so that others can detect a restart or a replacement.
+    in_progress : RequestsInProgress
+        The callers' requests that have no complete answer yet.
+    end_scopes : EndScopes
+        The work that is cut short, and answered, before this VM ends.
     leaving : bool
         Whether a graceful shutdown has begun.
+    shutdown : ShutdownTimes or None
+        The times of the graceful shutdown; None before it.
     closing : bool
         Whether new work is rejected, also from other VMs.
     platform_unavailable_since_ms : float or None
@@ -104,11 +113,14 @@
     stage_times: StageTimes = field(default_factory=StageTimes)
     traffic: Traffic = field(default_factory=Traffic)
     activity: Activity = field(default_factory=Activity)
+    in_progress: RequestsInProgress = field(default_factory=RequestsInProgress)
+    end_scopes: EndScopes = field(default_factory=EndScopes)
     metrics: Metrics = field(default_factory=make_metrics)
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
     leaving: bool = False
     closing: bool = False
+    shutdown: ShutdownTimes | None = None
     platform_unavailable_since_ms: float | None = None
 
     @property
--- a/cuminstile/settings.py
+++ b/cuminstile/settings.py
@@ -8,12 +8,15 @@
 
 from pydantic import ConfigDict, Field, TypeAdapter, with_config
 
+from .const import SHUTDOWN_LIMIT_MS
 from .exceptions import CuminstileError, ErrorCode, Finding
 from .objects.model import Name
 from .strict_json import loads
 from .validation import validate
 
 STRICT = ConfigDict(extra="forbid")
+MIN_DRAIN_MS = 1_500
+"""Least time after the linger in which requests in progress are finished or refused."""
 
 
 class ChoicePolicy(StrEnum):
@@ -109,6 +112,9 @@
         Path of the log file; `-` is standard error.
     shutdown_linger_ms : int
         How long a VM that shuts down still accepts requests from the load balancer.
+    shutdown_ms : int or None
+        Time from SIGTERM to the forced end of the process; None: long enough for
+        requests of `SHUTDOWN_LIMIT_MS` after that.
     """
 
     name: Name
@@ -125,8 +131,16 @@
     tls: TlsSettings | None = None
     log_file: str = "-"
     shutdown_linger_ms: Annotated[int, Field(ge=0, le=60_000)] = 3_000
+    shutdown_ms: Annotated[int, Field(ge=2_000, le=900_000)] | None = None
     limits: LimitSettings = field(default_factory=LimitSettings)
 
+    @property
+    def stop_ms(self) -> int:
+        """Return the time from SIGTERM to the forced end of the process."""
+        if self.shutdown_ms is not None:
+            return self.shutdown_ms
+        return self.shutdown_linger_ms + SHUTDOWN_LIMIT_MS
+
 
 SETTINGS: TypeAdapter[Settings] = TypeAdapter(Settings)
 
@@ -147,9 +161,20 @@
     checked = validate(SETTINGS, data, str(path))
     if checked.value is None:
         raise bad_settings(checked.findings)
+    if findings := shutdown_findings(checked.value, str(path)):
+        raise bad_settings(findings)
     return checked.value
 
 
+def shutdown_findings(settings: Settings, file: str) -> tuple[Finding, ...]:
+    """Return a finding if a shutdown leaves no time for the requests in progress."""
+    least_ms = settings.shutdown_linger_ms + MIN_DRAIN_MS
+    if settings.stop_ms >= least_ms:
+        return ()
+    text = f"shutdown_linger_ms leaves less than {MIN_DRAIN_MS} ms of it"
+    return (Finding(file, "shutdown_ms", "too_short", text),)
+
+
 def port_findings(settings: Settings) -> tuple[Finding, ...]:
     """Return a finding for each port on which the VM cannot listen."""
     names = ("caller_port", "operator_port", "vm_port")
--- a/cuminstile/shutdown/in_progress.py
+++ b/cuminstile/shutdown/in_progress.py
@@ -13,11 +13,12 @@
 class Phase(StrEnum):
     """What a request waits for.
 
-    `STAGES`: the results of its stages. `TRIAL`: another request that runs on trial.
-    `UPSTREAM`: the answer of an upstream.
+    `BODY`: the rest of its body. `STAGES`: the results of its stages. `TRIAL`: another
+    request that runs on trial. `UPSTREAM`: the answer of an upstream.
     """
 
     ACCEPTED = "accepted"
+    BODY = "body"
     STAGES = "stages"
     TRIAL = "trial"
     UPSTREAM = "upstream"
--- /dev/null
+++ b/cuminstile/shutdown/unfinished.py
@@ -0,0 +1,29 @@
+"""Name in the log the requests that have no complete answer when a process ends."""
+
+from __future__ import annotations
+
+from itertools import islice
+
+from ..events import Event, Journal
+from .in_progress import RequestsInProgress
+
+MAX_NAMED = 200
+"""Requests that are named at most; more hardly wait in a VM at its capacity."""
+
+
+def record_requests(
+    journal: Journal, requests: RequestsInProgress, now_ms: float
+) -> None:
+    """Log what each request waits for, the oldest ones if there are many."""
+    for request in islice(requests, MAX_NAMED):
+        journal.record(
+            Event.REQUEST_UNFINISHED,
+            request=request.id,
+            route=request.route,
+            waits_for=request.phase.value,
+            where=request.where,
+            since_ms=round(now_ms - request.since_ms),
+            moves=request.moves,
+            at_ms=round(now_ms - request.arrived_ms),
+            left_ms=round(request.expires_at_ms - now_ms),
+        )
--- a/cuminstile/vm/forwarding.py
+++ b/cuminstile/vm/forwarding.py
@@ -12,6 +12,7 @@
 from ..exceptions import CuminstileError, ErrorCode, RunStatus
 from ..pipeline import internal_error
 from ..wire import Message
+from .ending import shutting_down
 from .messages import (
     ClaimOutcomeResponse,
     RunStage,
@@ -200,17 +201,27 @@
             session.serving.pop(message.call, None)
 
 
+async def run_before_end(
+    vm: Vm, call: StageCall, trace: RunTrace, on_tokens: TokenSink
+) -> StageOutcome:
+    """Run a stage for another VM; raise `SHUTTING_DOWN` if this VM ends before."""
+    outcome: StageOutcome | None = None
+    if not vm.closing:
+        with vm.end_scopes.scope():
+            # A call from another data centre may be passed on to a VM of this one.
+            outcome = await vm.run_stage(vm, call, trace, on_tokens, call.handed_over)
+    if outcome is None:
+        raise shutting_down(vm)
+    return outcome
+
+
 async def answer_stage(
     vm: Vm, call: StageCall, number: int, on_tokens: TokenSink
 ) -> StageDone | StageRefused:
     """Run a stage here and return the answer or the refusal."""
     trace = RunTrace()
-    if vm.closing:
-        text = f"{vm.settings.name} is shutting down"
-        return StageRefused(number, ErrorCode.SHUTTING_DOWN, text, RunStatus.NOT_RUN)
     try:
-        # A call from another data centre may be passed on to a VM of this one.
-        outcome = await vm.run_stage(vm, call, trace, on_tokens, call.handed_over)
+        outcome = await run_before_end(vm, call, trace, on_tokens)
     except CuminstileError as error:
         ran = RunStatus.UNKNOWN if trace.maybe_ran else error.ran
         return StageRefused(
--- a/tests/caller/test_serving.py
+++ b/tests/caller/test_serving.py
@@ -18,6 +18,7 @@
 from cuminstile.objects.model import Organisation, Pipeline, Step
 from cuminstile.pipeline import Progress, Request
 from cuminstile.runtime import Vm
+from cuminstile.shutdown.schedule import shutdown_times
 
 from ..fakes.asgi import send_request, serving
 from ..fakes.objects import single_stage_objects
@@ -122,3 +123,20 @@
         body = {"input": "good", "resend": is_resend}
         reply = await send_request(make_app(vm), "POST", path, KEY, body)
         assert reply.body["error"]["ran"] == ("unknown" if is_resend else "not_run")
+
+
+# Guards against a request that waits for its own deadline, past the end of its VM.
+async def test_request_of_a_leaving_vm_waits_no_longer_than_the_vm() -> None:
+    vm = make_one()
+    vm.shutdown = shutdown_times(vm.clock.now_ms(), 1_050.0)
+    reply = await send_request(make_app(vm), "POST", PATH, KEY, {"input": "slow"})
+    error = reply.body["error"]
+    assert (reply.status, error["code"]) == (503, "shutting_down")
+    assert error["ran"] == "not_run"
+    assert not vm.in_progress
+
+
+async def test_request_of_a_leaving_vm_is_told_its_own_deadline() -> None:
+    vm = make_one()
+    vm.shutdown = shutdown_times(vm.clock.now_ms(), 60_000.0)
+    assert await send(vm, input="slow", deadline_ms=20) == 504
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -21,6 +21,9 @@
 from .fakes.objects import single_stage_objects
 from .fakes.vms import set_configuration
 
+END_MS = 500.0
+"""Time from the last answers of a VM that ends to the exit of its process."""
+
 
 @asynccontextmanager
 async def running_cluster(*names: str, seed: int = 0) -> AsyncIterator[Cluster]:
@@ -404,3 +407,46 @@
         (again,) = await finish(cluster, ("a1", cluster.resend(first, 1)))
     assert again.outcome is not None
     assert len(cluster.runs) == 1
+
+
+async def end_while_booking(cluster: Cluster) -> tuple[Reply, Reply]:
+    """End `a1` in a booking; return its reply and that of a resend to `a2`."""
+    cluster.tasks.start_soon(cluster.send, "a1", cluster.call("k"))
+    await cluster.clock.advance_ms(1_000.0)
+    ending = cluster.nodes["a1"].vm
+    ending.end_scopes.cancel_all()
+    await cluster.clock.advance_ms(END_MS)
+    assert ending.activity.claims == 0
+    cluster.kill("a1")
+    first = cluster.replies[0]
+    (again,) = await finish(cluster, ("a2", cluster.resend(first, 1)), after_ms=500.0)
+    return first, again
+
+
+# Guards against a claim that a VM keeps when it ends: its key could never run again.
+async def test_claim_that_has_not_run_is_voided_when_its_vm_ends() -> None:
+    async with running_cluster() as cluster:
+        cluster.connect_ms = 3_000.0
+        cluster.tasks.start_soon(set_connect, cluster, 1_500.0, 2.0)
+        first, again = await end_while_booking(cluster)
+    assert first.ran is RunStatus.NOT_RUN
+    assert again.outcome is not None
+    assert [run.request for run in cluster.runs] == [again.call.request]
+
+
+async def set_connect(cluster: Cluster, after_ms: float, connect_ms: float) -> None:
+    """Let connections to the upstream take another time from some time on."""
+    await cluster.clock.sleep_ms(after_ms)
+    cluster.connect_ms = connect_ms
+
+
+# Guards against a run whose outcome nobody records: a resend waits until its deadline.
+async def test_claim_that_runs_when_its_vm_ends_is_recorded_as_unknown() -> None:
+    async with running_cluster() as cluster:
+        cluster.work_ms = 60_000.0
+        first, again = await end_while_booking(cluster)
+    assert first.ran is RunStatus.UNKNOWN
+    assert again.error is not None
+    assert again.error.code is ErrorCode.UPSTREAM_FAILED
+    assert again.ran is RunStatus.UNKNOWN
+    assert len(cluster.runs) == 1
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -39,6 +39,17 @@
     assert len(caught.value.findings) == 1
 
 
+def test_shutdown_that_leaves_no_time_for_requests_is_a_finding(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "vm.json"
+    settings = make_settings("vm-a1", "a", shutdown_linger_ms=2_000, shutdown_ms=3_000)
+    path.write_bytes(SETTINGS.dump_json(settings))
+    with pytest.raises(CuminstileError) as caught:
+        load_settings(path)
+    assert [item.path for item in caught.value.findings] == ["shutdown_ms"]
+
+
 def test_ports_in_use_are_reported_together() -> None:
     with socket.create_server(("127.0.0.1", 0)) as busy:
         port = busy.getsockname()[1]
--- a/tests/vm/test_shutdown.py
+++ b/tests/vm/test_shutdown.py
@@ -12,9 +12,13 @@
 import pytest
 from anyio.abc import SocketStream
 
+from cuminstile.calls import RunTrace, StageCall, StageOutcome, drop_tokens
 from cuminstile.daemon import NoSignalServer, start
+from cuminstile.exceptions import ErrorCode, RunStatus
 from cuminstile.objects.model import AnyObject, Organisation
 from cuminstile.runtime import Vm
+from cuminstile.vm.forwarding import answer_stage
+from cuminstile.vm.messages import StageRefused
 from cuminstile.vm.shutdown import drain
 
 from ..fakes.objects import single_stage_objects
@@ -144,3 +148,29 @@
         with anyio.fail_after(0.5):
             while not near.members.by_name["vm-b1"].leaving:
                 await anyio.sleep(0.01)
+
+
+# Guards against a call of another VM that is cut when this one ends: the caller of a
+# call that may run only once would not learn whether it ran.
+@pytest.mark.parametrize("maybe_ran", [False, True])
+async def test_call_of_another_vm_is_refused_before_this_one_ends(
+    maybe_ran: bool,
+) -> None:
+    vm = make_test_vm("vm-a1", "a")
+
+    async def never(*arguments: Any) -> StageOutcome:
+        trace: RunTrace = arguments[2]
+        trace.maybe_ran = maybe_ran
+        vm.end_scopes.cancel_all()
+        await anyio.sleep_forever()
+        raise AssertionError
+
+    vm.run_stage = never
+    call = StageCall(
+        "r", "org", "chat", "s", "chat", "v", {}, False, 0, vm.clock.now_ms() + 9_000.0
+    )
+    with anyio.fail_after(1.0):
+        refused = await answer_stage(vm, call, 1, drop_tokens)
+    assert isinstance(refused, StageRefused)
+    assert refused.code is ErrorCode.SHUTTING_DOWN
+    assert refused.ran is (RunStatus.UNKNOWN if maybe_ran else RunStatus.NOT_RUN)
