Keep the product's signal handlers until its process ends

Callers saw: a second SIGTERM or SIGINT during a planned stop, or a SIGHUP at any time, ended the program `cuminstiled` at once; each request in progress was cut.

Cause (a process that ends without its duties): `wait_for_signal` installed the handlers for the wait only, so that the signals' defaults held during the drain; SIGHUP had no handler.

Change: the handlers stay until the tasks have ended. A further signal changes nothing, and SIGHUP neither (settings hold from the next start).

--- a/cuminstile/daemon.py
+++ b/cuminstile/daemon.py
@@ -5,7 +5,7 @@
 import contextlib
 import signal
 import sys
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 
 import anyio
@@ -73,6 +73,7 @@
 from .vm.shutdown import drain
 
 EXIT_BAD_INPUT = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 BACKGROUND_TASKS: tuple[BackgroundTask, ...] = (
     listen,
     run_connect_loop,
@@ -164,12 +165,14 @@
         incarnation=vm.incarnation,
         data_centre=vm.settings.data_centre,
     )
-    async with anyio.create_task_group() as tasks:
-        servers = start(vm, tasks)
-        await wait_for_signal()
-        await drain(vm, servers)
-        tasks.cancel_scope.cancel()
-    vm.journal.record(Event.VM_STOPPED)
+    # The handlers stay until the end: without one, a second signal ends the process.
+    with anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
+        async with anyio.create_task_group() as tasks:
+            servers = start(vm, tasks)
+            await wait_for_stop(signals)
+            await drain(vm, servers)
+            tasks.cancel_scope.cancel()
+        vm.journal.record(Event.VM_STOPPED)
 
 
 def start(vm: Vm, tasks: TaskGroup) -> list[NoSignalServer]:
@@ -187,10 +190,10 @@
     return servers
 
 
-async def wait_for_signal() -> None:
-    """Wait for SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
+async def wait_for_stop(signals: AsyncIterator[signal.Signals]) -> None:
+    """Wait for SIGTERM or SIGINT; SIGHUP changes nothing."""
+    async for number in signals:
+        if number in STOP_SIGNALS:
             return
 
 
--- a/tests/vm/test_stopping_program.py
+++ b/tests/vm/test_stopping_program.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import signal
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -186,3 +187,34 @@
         f"Content-Length: {body_bytes}",
     )
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+# Guards against a second signal, or a hang-up, that ends the process at once and cuts
+# what a planned stop would have answered.
+@pytest.mark.parametrize("again", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+async def test_signal_during_a_planned_stop_cuts_no_request(
+    fleet: Fleet, again: signal.Signals
+) -> None:
+    program, replies = fleet.programs.by_name[VM], []
+
+    async def ask_for() -> None:
+        replies.append(await ask(fleet, "soon", "last"))
+
+    started = len(events(fleet, "request_started"))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask_for)
+        await wait_for_runs(fleet, started + 1)
+        program.terminate()
+        for _ in range(3):
+            await anyio.sleep(0.1)
+            program.send_signal(again)
+    assert [reply.result for reply in replies] == [Result.ANSWERED]
+    assert await end_of(fleet) == 0
+
+
+# Guards against a hang-up that ends a VM which nobody has asked to stop.
+async def test_hang_up_does_not_end_a_vm(fleet: Fleet) -> None:
+    program = fleet.programs.by_name[VM]
+    program.send_signal(signal.SIGHUP)
+    assert (await ask(fleet, "soon", "after")).result is Result.ANSWERED
+    assert program.is_running()
