Keep usage counts and the lease in a roll over all VMs

Cause (a duty that stays with a process that leaves), four faults of one kind: - counts were told only to VMs that stay; where all leave, to nobody; - a VM that ended told its own counts, not those that ended VMs had told it; - the counts of the earlier process at the holder's address were not told to the holder, and a holder reported no window from before its own start; - a VM that leaves gave the lease back though no other could take it.

Change: VMs that leave are told too where fewer than two stay; a VM that ends tells all it knows; counts of each process but the teller's are told to a new holder, which reports the windows that others tell counts of; a leaving holder keeps the lease until another VM stays.

--- a/cuminstile/duties/desk.py
+++ b/cuminstile/duties/desk.py
@@ -393,10 +393,13 @@
             self.ledger = ledger
 
     async def renew(self) -> None:
-        """Renew the lease, with the reports that are due; give it back on leaving."""
+        """Renew the lease, with the reports that are due; give it back on leaving.
+
+        While no other VM stays, this one goes on: nobody could take the lease.
+        """
         now_ms = self.clock.now_ms()
         nonce = secrets.token_hex(6)
-        if self.leaving():
+        if self.leaving() and any(one != self.address for one in self.fleet.order()):
             quiet_ms = now_ms - self.unanswered_ms
             if self.calls == 0 and quiet_ms > self.settings.lease_ms:
                 await self.append(self.lease.renewing(nonce, now_ms, True), None)
@@ -412,13 +415,14 @@
     def ledger_with_due(self) -> tuple[Report, ...] | None:
         """Return the ledger with the windows that are due now, None if none is."""
         wall_ms, late_ms = self.wall_ms(), self.settings.late_ms
+        first_window = min({self.first_window, *self.usage.windows_of_others()})
         due = due_windows(
             self.usage,
             self.ledger,
             wall_ms,
             late_ms,
             late_ms * PATIENCE_SHARE,
-            self.first_window,
+            first_window,
             self.awaited(wall_ms),
         )
         settled = self.clock.now_ms() >= self.settled_at_ms
@@ -495,8 +499,13 @@
         self.fleet.send(self.fleet.everyone(), beat)
 
     def targets(self) -> list[str]:
-        """Return the VMs that this one tells its counts, the holder first."""
-        others = [one for one in self.fleet.order() if one != self.address]
+        """Return the VMs that this one tells its counts, the holder first.
+
+        If too few stay, VMs that leave are told too: one of them ends later than this.
+        """
+        staying = [one for one in self.fleet.order() if one != self.address]
+        leaving = [one for one in self.fleet.live() if one not in staying]
+        others = [*staying, *leaving]
         backups = [one for one in others if one != self.known.address][:BACKUPS]
         holder = self.known.address
         return backups if holder in ("", self.address) else [holder, *backups]
@@ -511,9 +520,22 @@
         known = self.known
         if known.forwards and known.address != self.address:
             known.forwards -= 1
-            for process in list(self.usage.counts):
-                if process != self.usage.own and process[0] != known.address:
-                    self.tell(process, (), [known.address])
+            self.tell_counts_of_others([known.address])
+
+    def tell_all_counts(self) -> None:
+        """Tell what this VM counted and what others told it, before it ends."""
+        self.tell_counts()
+        self.tell_counts_of_others(self.targets())
+
+    def tell_counts_of_others(self, targets: Sequence[str]) -> None:
+        """Tell some VMs the counts of all processes but this one.
+
+        Those of an earlier process at an address of theirs are among them: only others
+        know what it counted.
+        """
+        for process in list(self.usage.counts):
+            if process != self.usage.own:
+                self.tell(process, (), targets)
 
     def tell(
         self,
--- a/cuminstile/duties/usage.py
+++ b/cuminstile/duties/usage.py
@@ -85,6 +85,13 @@
                 sums[organisation] = sums.get(organisation, 0) + count
         return dict(sorted(sums.items()))
 
+    def windows_of_others(self) -> set[int]:
+        """Return the windows in which other processes counted something."""
+        others = (
+            windows for process, windows in self.counts.items() if process != self.own
+        )
+        return {window for windows in others for window in windows}
+
     def entries(self, process: Process, first: int) -> list[UsageEntry]:
         """Return the counts of a process from a window on, the newest window first."""
         windows = self.counts.get(process, {})
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -182,7 +182,7 @@
     await stop_requested.wait()
     await drain(vm, server, callers, heartbeats)
     if vm.duties is not None:
-        vm.duties.tell_counts()
+        vm.duties.tell_all_counts()
     tasks.cancel_scope.cancel()
 
 
--- a/tests/duties/test_usage_counts.py
+++ b/tests/duties/test_usage_counts.py
@@ -86,6 +86,19 @@
     world.at(world.now_ms + 6_000.0, lambda: world.start(machine))
 
 
+def roll(world: World, ends_ms: float) -> None:
+    """Stop all machines, one second apart, and start each again half a second later."""
+    for number, machine in enumerate(world.machines):
+        began_ms = world.now_ms + 1_000.0 * number
+
+        def stop_one(machine: Machine = machine) -> None:
+            world.stop(machine, ends_ms)
+            back_ms = world.now_ms + ends_ms + 500.0
+            world.at(back_ms, lambda: world.start(machine))
+
+        world.at(began_ms, stop_one)
+
+
 def lose_answers(world: World) -> None:
     """Let the store lose answers and the platform too."""
     world.lost = world.platform_lost = 0.2
@@ -100,6 +113,8 @@
     "clocks_jump": jump,
     "holder_leaves": stop,
     "lost_answers": lose_answers,
+    "all_leave_quickly": lambda world: roll(world, 3_000.0),
+    "all_leave_slowly": lambda world: roll(world, 7_400.0),
 }
 
 
--- a/tests/duties/world.py
+++ b/tests/duties/world.py
@@ -189,7 +189,7 @@
         def end() -> None:
             if machine.life == life:
                 assert machine.desk is not None
-                machine.desk.tell_counts()
+                machine.desk.tell_all_counts()
                 self.kill(machine)
 
         self.at(self.now_ms + after_ms, end)
