--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -134,4 +134,8 @@
         log.flush()
         sys.exit(EXIT_BAD_INPUT)
     gc.freeze()
-    anyio.run(run, path, settings, log, early, backend_options={"use_uvloop": True})
+    try:
+        anyio.run(run, path, settings, log, early, backend_options={"use_uvloop": True})
+    finally:
+        # Requests that are cut with the event loop write lines after `vm_stopped`.
+        log.flush_all()
