Tell other VMs at the end what this one hasn't told yet

What is lost without it: suspicions of crashes are collected for 20 ms and reports of speeds until the next heartbeat; what came since then ended with the process, so that a request may crash one more upstream before others know it. Only usage counts were told at the end.

Cause: the loops that tell others are cancelled with their last batch unsent.

Change: `send_last_messages` sends suspicions, speeds and counts before the tasks are cancelled.

Tests: on the messages that leave. They can't run on the code before, which had no such step; that the loss has hit a caller was not measured.

--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -22,6 +22,7 @@
 from .crash_sharing import run_crash_sharing_loop
 from .heartbeats import HeartbeatSocket, open_heartbeats, run_heartbeat_loop
 from .http_server import CallerConnection, Request, Server, listen
+from .last_messages import send_last_messages
 from .leaving import drain
 from .log_output import LogOutput
 from .serving import serve
@@ -181,8 +182,7 @@
         stop_requested.set()
     await stop_requested.wait()
     await drain(vm, server, callers, heartbeats)
-    if vm.duties is not None:
-        vm.duties.tell_all_counts()
+    send_last_messages(vm)
     tasks.cancel_scope.cancel()
 
 
