--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -52,7 +52,12 @@
 
 def is_finished(vm: Gateway, server: Server) -> bool:
     """Return whether the process may end: nothing of it is lost then."""
-    return not vm.requests and not vm.scheduler.planner.chains and server.is_done()
+    return (
+        not vm.requests
+        and not vm.scheduler.planner.chains
+        and vm.scheduler.frees.is_idle()
+        and server.is_done()
+    )
 
 
 async def hand_over_work(vm: Gateway) -> None:
