--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -164,6 +164,7 @@
     limits: dict[str, float] = field(default_factory=dict)
     web: uvicorn.Server | None = None
     web_task: asyncio.Task | None = None
+    grace_s: float = 8.0
     network: str = field(default_factory=own_network)
     first_port: int = field(
         default_factory=lambda: FIRST_PORT + PORTS_PER_SITE * next(numbers)
@@ -245,7 +246,7 @@
             },
             "bounds": {
                 "drain_ms": 2000,
-                "grace_s": 8,
+                "grace_s": self.grace_s,
                 "config_ms": 2000,
                 "retry_budget_ratio": 0.2,
                 "retry_window_s": 10,
@@ -305,9 +306,11 @@
 
 
 @asynccontextmanager
-async def running_site(folder: Path, vms: int = 1) -> AsyncIterator[Site]:
+async def running_site(
+    folder: Path, vms: int = 1, grace_s: float = 8.0
+) -> AsyncIterator[Site]:
     """Run a site with some VMs, and stop all that was started there."""
-    site = Site(folder)
+    site = Site(folder, grace_s=grace_s)
     try:
         await site.start(vms)
         yield site
