Let the soak stop VMs in series, and judge what ends without an answer

The soak had never shown that requests are cut at the end of their VM: its requests had deadlines of 3 s, far shorter than a stop, no stage was slow, and other faults came beside each stop.

Every fifth seed (4, 9, ...), and with `--stops` each, now has 3 VMs that get SIGTERM in series: gaps of 0.3 to 3 s, one or two at once, with SIGHUP, a new manifest or a burst meanwhile, beside planned work alone. Callers with slow bodies and a slow stage use their connections to the end. `stops_answer_requests` finds a request that a VM has read whole and that is cut around its SIGTERM; excused are deadlines, upstreams that break off or are at work, and faults nobody planned. The series are drawn from a generator of their own: all other seeds stay as they were.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -94,6 +94,9 @@
     parser.add_argument("--large", action="store_true", help="4 VMs instead of 2")
     parser.add_argument("--out", type=Path, default=Path("soak-out"), metavar="DIR")
     parser.add_argument("--program", type=parse_program, default=ROOT, metavar="DIR")
+    parser.add_argument(
+        "--stops", action="store_true", help="stop VMs in series with each seed"
+    )
     parser.add_argument(
         "--without", type=parse_name, action="append", default=[], metavar="NAME"
     )
@@ -157,7 +160,13 @@
 
     async def run_without(left_out: frozenset[str], out: Path) -> Outcome:
         return await soak(
-            seed, options.seconds, out, options.large, options.program, left_out
+            seed,
+            options.seconds,
+            out,
+            options.large,
+            options.program,
+            left_out,
+            options.stops or None,
         )
 
     outcome = await run_without(without, folder)
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -10,7 +10,17 @@
 
 from .manifest import DEADLINE_MS, KEY, PIECES, ROUTES, STREAMS
 from .messages import read_answer_body, read_head, render_chunks, render_head
-from .observations import Fields, Received, Record, Sent, Unasked, as_text, get_field
+from .observations import (
+    CutOff,
+    Fields,
+    Received,
+    Record,
+    Sent,
+    Unasked,
+    Written,
+    as_text,
+    get_field,
+)
 
 ANSWER_TIMEOUT_S = 6.0
 """Twice the deadline of each request."""
@@ -80,7 +90,9 @@
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 await self.send_next()
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, ValueError) as error:
+            if not isinstance(error, TimeoutError):
+                self.note_cut_off()
             self.hang_up()
             await asyncio.sleep(0.1)
 
@@ -182,9 +194,24 @@
         known = self.rng.random() > UNKNOWN_KEY_SHARE or "unknown_keys" in self.without
         return KEY if known else KEY[::-1]
 
+    def note_cut_off(self) -> None:
+        """Write down that the connection ended, if a request waits on it."""
+        if self.waiting:
+            self.record.add(CutOff(self.record.now_s(), self.waiting[0].attempt))
+
     async def send(self, prepared: Prepared) -> None:
         """Write one request to the connection."""
         assert self.writer is not None
+        self.begin(prepared)
+        for part in prepared.parts:
+            self.writer.write(part)
+            await self.writer.drain()
+            if self.rng.random() < 0.1:
+                await asyncio.sleep(0.01)
+        self.record.add(Written(self.record.now_s(), prepared.attempt))
+
+    def begin(self, prepared: Prepared) -> None:
+        """Write down a request whose answer is waited for from now on."""
         self.record.add(
             Sent(
                 self.record.now_s(),
@@ -198,11 +225,6 @@
             )
         )
         self.waiting.append(prepared)
-        for part in prepared.parts:
-            self.writer.write(part)
-            await self.writer.drain()
-            if self.rng.random() < 0.1:
-                await asyncio.sleep(0.01)
 
     async def give_up_after_first_byte(self) -> None:
         """Close the connection after the first byte of an answer."""
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -35,6 +35,7 @@
     runs_are_single,
     services_are_right,
 )
+from .stop_checks import stops_answer_requests
 
 Check = Callable[[Record], Wrong]
 
@@ -72,6 +73,7 @@
     sound_kinds_are_served,
     memory_is_bounded,
     vms_live_on,
+    stops_answer_requests,
 )
 
 
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -14,7 +14,7 @@
 from .callers import Caller
 from .fleet import Fleet, SoakVm
 from .manifest import DATA_CENTRES, DRAIN_MS, POISON, make_manifest
-from .observations import Drained, KeysChanged
+from .observations import Drained, KeysChanged, Signalled
 
 STOP_S = 8.0
 """The time that the program has to stop, as in its settings."""
@@ -44,6 +44,7 @@
     if vm.is_stopping or vm.process is None:
         return
     vm.is_stopping = True
+    fleet.record.add(Signalled(fleet.record.now_s(), vm.name, number.name))
     vm.send_signal(number)
     for _ in range(int(STOP_S * 20)):
         if vm.process.poll() is not None:
@@ -238,6 +239,7 @@
         "delay_store",
         "refuse_store_calls",
         "silence_store",
+        "stop_series",
     }
 )
 """Faults in which VMs are late; the others are planned work."""
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -120,6 +120,8 @@
         Time of the record at which callers end.
     poisoned : bool
         Whether requests come that end upstreams.
+    stops : bool
+        Whether VMs are stopped in series, and requests wait for a slow stage.
     """
 
     folder: Path
@@ -128,6 +130,7 @@
     program: Path = ROOT
     large: bool = False
     without: frozenset[str] = frozenset()
+    stops: bool = False
     network: str = field(default_factory=own_network)
     port: int = field(
         default_factory=lambda: FIRST_PORT + PORTS_PER_FLEET * (next(numbers) % 20)
@@ -150,6 +153,13 @@
         links = list(self.upstream_links.values())
         return links + [link for vm in self.vms for link in (vm.callers, vm.store)]
 
+    @property
+    def vm_count(self) -> int:
+        """Return how many VMs run."""
+        if self.large:
+            return 4
+        return 3 if self.stops else 2
+
     async def start(self) -> None:
         """Start store, upstreams and VMs, and wait until all VMs are ready."""
         store_host = f"{self.network}.200"
@@ -159,9 +169,12 @@
         )
         self.web_task = asyncio.create_task(self.web.serve(sockets))
         await self.store.put_json(OPERATOR_TOPIC, "config", make_manifest())
-        for name, service in (LARGE_UPSTREAMS if self.large else UPSTREAMS).items():
+        upstreams = LARGE_UPSTREAMS if self.large else UPSTREAMS
+        if self.stops:
+            upstreams = {**upstreams, "scan-1": "scan"}
+        for name, service in upstreams.items():
             await self.add_upstream(name, service)
-        for number in range(4 if self.large else 2):
+        for number in range(self.vm_count):
             await self.add_vm(number, f"{store_host}:{self.port}")
         for vm in self.vms:
             await wait_ready(vm)
--- a/standins/soak/manifest.py
+++ b/standins/soak/manifest.py
@@ -7,8 +7,12 @@
 KEY = "9dnn2ctnfzs989anu6ws"
 ORGANISATION = "bozi300"
 DEADLINE_MS = 3_000
+SCAN_MS = 1_500.0
+"""Work of the slow stage for one call."""
 DRAIN_MS = 2_000
 CONFIG_MS = 2_000
+LONG_DEADLINE_MS = 20_000
+"""Deadline of requests that wait for slow stages, far longer than a stop."""
 RETRY_RATIO = 0.02
 RETRY_SLACK = 20
 RETRY_WINDOW_S = 10.0
@@ -16,10 +20,12 @@
 POISON = "poison"
 """Beginning of the names of parts of prompts that end the upstreams that run them."""
 DATA_CENTRES = ("a", "b")
-PIECES = {"draft": "2,1", "note": "2"}
+PIECES = {"draft": "2,1", "note": "2", "album": "2,1"}
 """Number of pieces of each stage that callers ask for, by route."""
 ROUTES = ("look", "book", "draft", "note", "chat")
-STREAMS = frozenset({"draft", "note", "chat"})
+SLOW_ROUTES = ("album", "album", "draft", "look", "book")
+"""Routes of the callers whose bodies come slowly; `album` has a slow stage."""
+STREAMS = frozenset({"draft", "note", "chat", "album"})
 REPEATABLE = frozenset({"look", "note"})
 """Routes whose requests may run more than once."""
 SERVICES = {
@@ -28,6 +34,7 @@
     "draft": "engines",
     "note": "engines",
     "chat": "engines",
+    "album": "engines",
 }
 
 
@@ -77,7 +84,10 @@
         "handle_s": 4.0,
         "link_mbps": 10_000,
     }
+    slow_batch = {**batch, "slots": 1, "batch": 4, "call_ms": SCAN_MS}
     encode, rank = make_stage("encode", []), make_stage("rank", [0])
+    scan = make_stage("scan", [])
+    slow = {"timeout_ms": LONG_DEADLINE_MS, "target_latency_ms": LONG_DEADLINE_MS}
     stream = {"gap_aim_ms": 300}
     return {
         "version": 1,
@@ -87,12 +97,14 @@
             make_route("draft", "streaming", stages=[encode, rank], **stream),
             make_route("note", "streaming", stages=[encode], resumable=True, **stream),
             make_route("chat", "streaming", **stream),
+            make_route("album", "streaming", stages=[scan, rank], **stream, **slow),
         ],
         "services": [
             make_service("desk"),
             make_service("engines", engine={"slots": 16, "kv_capacity": 100_000}),
             make_service("encode", pieces=batch),
             make_service("rank", pieces=batch),
+            make_service("scan", pieces=slow_batch),
         ],
         "limits": {"max_header_bytes": 4_096, "max_body_bytes": 131_072},
         "tenants": [{"name": ORGANISATION, "api_keys": [KEY], "priority": 1}],
--- a/standins/soak/observations.py
+++ b/standins/soak/observations.py
@@ -28,6 +28,31 @@
     body: str
 
 
+@dataclass(frozen=True)
+class Written:
+    """A caller has written a request to its last byte."""
+
+    at_s: float
+    attempt: str
+
+
+@dataclass(frozen=True)
+class CutOff:
+    """A connection ended before a caller, who waited, received an answer's head."""
+
+    at_s: float
+    attempt: str
+
+
+@dataclass(frozen=True)
+class Signalled:
+    """The soak sent a signal, by its name, to the process of a VM."""
+
+    at_s: float
+    vm: str
+    signal: str
+
+
 @dataclass(frozen=True)
 class Received:
     """A caller received an answer at the place of the answer to `attempt`."""
@@ -164,6 +189,9 @@
 
 Observation = (
     Sent
+    | Written
+    | CutOff
+    | Signalled
     | Received
     | Run
     | Reused
@@ -193,6 +221,9 @@
     observations: list[Observation] = field(default_factory=list)
     began_s: float = field(default_factory=time.monotonic)
     sent: dict[str, Sent] = field(default_factory=dict)
+    written: dict[str, Written] = field(default_factory=dict)
+    cut_off: list[CutOff] = field(default_factory=list)
+    signalled: list[Signalled] = field(default_factory=list)
     received: list[Received] = field(default_factory=list)
     runs: dict[int, Run] = field(default_factory=dict)
     runs_of: dict[str, list[Run]] = field(default_factory=dict)
@@ -224,6 +255,12 @@
         match observation:
             case Sent():
                 self.sent[observation.attempt] = observation
+            case Written():
+                self.written[observation.attempt] = observation
+            case CutOff():
+                self.cut_off.append(observation)
+            case Signalled():
+                self.signalled.append(observation)
             case Received():
                 self.received.append(observation)
             case Run():
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -12,11 +12,14 @@
 
 from .callers import Caller
 from .checks import Finding, find
-from .faults import FAULTS, Planned, make_schedule
+from .faults import FAULTS, Planned, faulty_seconds, make_schedule
 from .fleet import ROOT, Fleet
 from .observations import Disturbed, Record
+from .slow_callers import call_slowly
+from .stops import STOPS, add_series, has_stops
 
 CALLERS_PER_VM = 8
+SLOW_CALLERS_PER_VM = 6
 SETTLE_S = 4.0
 """Longer than the deadline of each request; then nothing may run any more."""
 
@@ -50,6 +53,7 @@
     large: bool = False,
     program: Path = ROOT,
     without: frozenset[str] = frozenset(),
+    stops: bool | None = None,
 ) -> Outcome:
     """Run the program under the faults of a seed, and judge what was seen.
 
@@ -63,15 +67,21 @@
         Folder of the code that the VMs run.
     without : frozenset of str
         Names of faults, ways to answer and habits of callers that are left out.
+    stops : bool or None
+        Whether VMs are stopped in series, beside planned work alone; None: as is the
+        seed's.
     """
     folder.mkdir(parents=True, exist_ok=True)
     rng = Random(seed)
+    stops = has_stops(seed) if stops is None else stops
     schedule = make_schedule(rng, seconds, without)
+    if stops:
+        schedule = add_series(schedule, seed, faulty_seconds(seconds))
     plan = [asdict(planned) for planned in schedule]
     (folder / "schedule.json").write_text(json.dumps(plan, indent=1))
     with (folder / "observations.jsonl").open("w") as file:
         record = Record(file)
-        fleet = Fleet(folder, record, rng, program, large, without)
+        fleet = Fleet(folder, record, rng, program, large, without, stops)
         try:
             await fleet.start()
             record.began_s = time.monotonic()
@@ -93,6 +103,8 @@
                 tasks.create_task(apply(fleet, planned))
             for number, caller in enumerate(make_callers(fleet, seed)):
                 tasks.create_task(caller.run(seconds), name=f"caller {number}")
+            for caller in make_slow_callers(fleet, seed):
+                tasks.create_task(call_slowly(caller, seconds))
         await asyncio.sleep(SETTLE_S)
     finally:
         watching.cancel()
@@ -100,9 +112,22 @@
 
 def make_callers(fleet: Fleet, seed: int) -> list[Caller]:
     """Return the callers of all VMs."""
+    return make_numbered(fleet, seed, range(CALLERS_PER_VM))
+
+
+def make_slow_callers(fleet: Fleet, seed: int) -> list[Caller]:
+    """Return the callers whose bodies come slowly, if VMs are stopped in series."""
+    if not fleet.stops:
+        return []
+    first = CALLERS_PER_VM
+    return make_numbered(fleet, seed, range(first, first + SLOW_CALLERS_PER_VM))
+
+
+def make_numbered(fleet: Fleet, seed: int, numbers: range) -> list[Caller]:
+    """Return callers of each VM with some numbers."""
     callers = []
     for vm in fleet.vms:
-        for number in range(CALLERS_PER_VM):
+        for number in numbers:
             name = f"{seed:04x}{vm.name[3:]:0>2}{number:02x}"
             rng = Random(f"{seed} {name}")
             callers.append(
@@ -118,7 +143,7 @@
     await asyncio.sleep(planned.at_s)
     record = fleet.record
     record.add(Disturbed(record.now_s(), planned.fault, str(planned.seed)))
-    await FAULTS[planned.fault](fleet, Random(planned.seed))
+    await {**FAULTS, **STOPS}[planned.fault](fleet, Random(planned.seed))
 
 
 async def watch(fleet: Fleet) -> None:
--- a/standins/soak/stage_answers.py
+++ b/standins/soak/stage_answers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+from .manifest import SCAN_MS
 from .observations import StageItem
 from .upstream import Exchange
 
@@ -47,7 +48,10 @@
 
 async def work(exchange: Exchange) -> None:
     """Work and answer."""
-    await asyncio.sleep(exchange.upstream.rng.choice(WORK_S))
+    work_s = exchange.upstream.rng.choice(WORK_S)
+    if exchange.upstream.service == "scan":
+        work_s += SCAN_MS / 1000.0
+    await asyncio.sleep(work_s)
     exchange.writer.write(make_results(exchange))
 
 
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -20,6 +20,7 @@
 from standins.soak.observations import (
     Answered,
     Crashed,
+    CutOff,
     Disturbed,
     Drained,
     KeysChanged,
@@ -30,12 +31,15 @@
     Reused,
     Run,
     Sent,
+    Signalled,
     StageItem,
     Unasked,
     VmEnded,
+    Written,
 )
 from standins.soak.shrink import shrink_names, shrink_soak
 from standins.soak.soak import Outcome, soak
+from standins.soak.stops import STOPS_EVERY, add_series
 from trials.planted_faults.faults import FAULTS
 
 SECONDS = 12.0
@@ -161,6 +165,27 @@
     return observations
 
 
+def cut_observations(
+    cut_s: float = 9.4, deadline_ms: int = 20_000, written_s: float | None = 3.1
+) -> list[Observation]:
+    """Return a request that is cut while it waits at a VM with SIGTERM at 2.0 s."""
+    head = (*DRAFT, KEY_FIELD, ("deadline-ms", str(deadline_ms)))
+    written = [] if written_s is None else [Written(written_s, "d1")]
+    return [
+        Signalled(2.0, "vm-0", "SIGTERM"),
+        Sent(3.0, "d1", "vm-0", "draft", "POST", "/draft/1", head, ""),
+        *written,
+        CutOff(cut_s, "d1"),
+    ]
+
+
+def run_of_cut(way: str, answered_s: float) -> list[Observation]:
+    """Return a run of the request that is cut, and how it was answered."""
+    run = Run(3.2, 2, "engine-1", "engines", "d1", "POST", "/draft/1", DRAFT, "")
+    handles = replace(run, fields=(*DRAFT, INPUTS))
+    return [handles, Answered(answered_s, 2, 200, EVENTS, way)]
+
+
 PLANTED = {
     "answers_are_own": [
         changed(Received, fields=(("attempt-id", "b2"), SEAL_1)),
@@ -230,6 +255,11 @@
     "sound_kinds_are_served": [late_requests(served=False)],
     "memory_is_bounded": [[MemoryUsed(3.0, "vm-0", 1, 200.0)]],
     "vms_live_on": [[VmEnded(3.0, "vm-0", 1)]],
+    "stops_answer_requests": [
+        cut_observations(),
+        [*cut_observations(), Disturbed(2.0, "stop_series", "1")],
+        [*cut_observations(written_s=None), *run_of_cut("succeed", 3.3)],
+    ],
 }
 
 
@@ -318,6 +348,31 @@
     assert check in judge(observations)
 
 
+@pytest.mark.parametrize(
+    "observations",
+    [
+        cut_observations(cut_s=11.5),
+        cut_observations(deadline_ms=6_000),
+        cut_observations(written_s=None),
+        cut_observations(written_s=9.0),
+        [*cut_observations(), *run_of_cut("tear", 3.3)],
+        [*cut_observations(), *run_of_cut("succeed", 9.0)],
+        [*cut_observations(), Disturbed(2.0, "kill_vm", "1")],
+        cut_observations()[1:],
+    ],
+)
+def test_cut_that_no_stop_has_to_answer_has_no_finding(observations):
+    assert "stops_answer_requests" not in judge(observations)
+
+
+def test_series_of_stops_leave_other_draws_as_they_are():
+    schedule = make_schedule(Random(7), 40.0)
+    series = add_series(schedule, 7, 20.0)
+    kept = [planned for planned in series if planned.fault != "stop_series"]
+    assert kept == [planned for planned in schedule if planned in kept]
+    assert len(series) > len(kept)
+
+
 def test_same_seed_gives_the_same_schedule():
     schedules = [make_schedule(Random(7), 20.0) for _ in range(2)]
     assert schedules[0] == schedules[1]
@@ -385,6 +440,30 @@
     assert run_soak(tmp_path, 1, frozenset({"trailers"})) == []
 
 
+STOPS_SEED = STOPS_EVERY - 1
+STOPS_SECONDS = 8.0
+
+
+@pytest.mark.process
+def test_soak_with_series_of_stops_finds_nothing(tmp_path):
+    """Guards against requests that VMs cut as they are stopped one after the other."""
+    outcome = asyncio.run(soak(STOPS_SEED, STOPS_SECONDS, tmp_path))
+    assert outcome.findings == []
+
+
+@pytest.mark.process
+def test_soak_finds_requests_that_are_cut_at_a_stop(tmp_path):
+    """Guards against a soak that passes a program which cuts what waits at its end."""
+    name = "requests at the end of a process get no answer"
+    (fault,) = [fault for fault in FAULTS if fault.name == name]
+    fault.plant(tmp_path)
+    outcome = asyncio.run(
+        soak(STOPS_SEED, STOPS_SECONDS, tmp_path / "soak", program=tmp_path)
+    )
+    found = {finding.check for finding in outcome.findings}
+    assert "stops_answer_requests" in found
+
+
 @pytest.mark.parametrize(
     "options",
     [
--- a/trials/planted_faults/faults.py
+++ b/trials/planted_faults/faults.py
@@ -150,6 +150,12 @@
         "self.slack / max(1, vm_count)",
         "self.slack",
     ),
+    PlantedFault(
+        "requests at the end of a process get no answer",
+        "cuminstile/shutdown/schedule.py",
+        "max(began_ms, forced_at_ms - ANSWER_MARGIN_MS)",
+        "forced_at_ms + ANSWER_MARGIN_MS",
+    ),
     PlantedFault(
         "a torn stream ends as complete",
         ANSWER_PARSER,
