Keep scheduling after SIGTERM, and hand the staged work over once

Callers saw requests with stages wait for 4 to 6 s around a roll of all VMs, and some end without an answer. Cause: the scheduler handed its chains on at each SIGTERM, to a VM that mostly left next; where all VMs were leaving each one chose itself, and restarted VMs scheduled beside them, so that several schedulers filled the memory of the same upstreams (no_room, input_gone). Class of fault: state moved to a successor that is about to go, and a choice that differs between VMs.

A scheduler that leaves keeps the role until 3 s before its forced end, says so in its heartbeats, and hands all over once: to a VM that stays, else later to the one that ends last. It names the successor in the messages, so that chains find it before the heartbeats tell. A VM that has just started follows the scheduler that the others name until it has heard of that one. New fields of messages have defaults: older builds go on as before.

--- a/cuminstile/gateway/conversions.py
+++ b/cuminstile/gateway/conversions.py
@@ -101,7 +101,7 @@
 
 
 def message_from_spec(
-    spec: ChainSpec, call: int, again: bool, now_ms: float
+    spec: ChainSpec, call: int, again: bool, now_ms: float, named: bool = False
 ) -> RunChain:
     """Return the message that requests a chain from another VM."""
     return RunChain(
@@ -120,4 +120,5 @@
         again,
         tuple(completed_to_entry(item, now_ms) for item in spec.completed),
         spec.digest,
+        named,
     )
--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -80,7 +80,7 @@
                 address=heartbeat.address,
                 incarnation=heartbeat.incarnation,
             )
-            self.send(heartbeat.address, CODEC.encode(self.vm.own_heartbeat()))
+            self.send(heartbeat.address, CODEC.encode(self.vm.heartbeat_message()))
             send_suspects(self.vm, heartbeat.address)
 
     def send(self, address: str, data: bytes) -> None:
@@ -91,11 +91,11 @@
 
     def send_to_all(self) -> None:
         """Send a heartbeat to every known VM."""
-        self.send_to(list(self.vm.membership.peers), self.vm.own_heartbeat())
+        self.send_to(list(self.vm.membership.peers), self.vm.heartbeat_message())
 
     def send_round(self) -> None:
         """Send a heartbeat to the VMs that need one from this VM."""
-        own = self.vm.own_heartbeat()
+        own = self.vm.heartbeat_message()
         live = self.vm.membership.live(self.vm.clock.now_ms())
         self.send_to(heartbeat_targets(own, live, self.vm.membership.peers), own)
         send_speeds(self.vm, own, live)
--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 
 from ..events import Event
-from .conversions import load_to_entry
-from .handover import worker_loads
+from ..shutdown.schedule import shutdown_times
+from .handing_over import (
+    begin_leaving,
+    end_role,
+    give_up_role,
+    keep_or_hand_over,
+)
 from .heartbeats import HeartbeatSocket
 from .http_server import Server
-from .messages import WorkerLoads
-from .peer_sessions import PeerSession, SessionLostError
 from .state import Gateway
 from .unfinished import record_unfinished
 
@@ -30,20 +32,22 @@
 ) -> None:
     """Stop accepting connections after a delay, and finish the requests in progress."""
     began_ms = vm.clock.now_ms()
-    vm.leaving = True
+    vm.shutdown = shutdown_times(began_ms, vm.settings.shutdown_ms)
+    begin_leaving(vm)
     server.begin_closing()
     heartbeats.send_to_all()
     vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
-    await hand_over_work(vm)
     end_ms = began_ms + vm.settings.shutdown_ms - EXIT_MARGIN_MS
     while vm.clock.now_ms() < end_ms:
+        await keep_or_hand_over(vm)
         await vm.clock.sleep_ms(POLL_INTERVAL_MS)
         if vm.clock.now_ms() - began_ms < BALANCER_REMOVAL_MS:
             continue
         callers.close()
         server.close_idle()
-        if is_finished(vm, server):
+        if is_finished(vm, server) and end_role(vm):
             break
+    give_up_role(vm)
     record_unfinished(vm, server)
 
 
@@ -52,35 +56,3 @@
     return (
         not vm.requests and not vm.scheduler.planner.chains and not server.has_unsent()
     )
-
-
-async def hand_over_work(vm: Gateway) -> None:
-    """Hand the staged work over to the next scheduler, if another VM takes it."""
-    scheduler = vm.scheduler
-    successor = vm.membership.scheduler(vm.own_heartbeat(), vm.clock.now_ms())
-    if successor.address == vm.settings.peer_address or not scheduler.has_work():
-        return
-    error = ""
-    try:
-        session = await vm.sessions.get_session(successor.address)
-        send_worker_loads(vm, session)
-        scheduler.after_call = partial(send_worker_loads, vm, session)
-    except SessionLostError as lost:
-        error = str(lost)
-    vm.journal.record(
-        Event.WORK_HANDED_OVER,
-        peer=successor.name,
-        chains=len(scheduler.planner.chains),
-        error=error,
-    )
-    scheduler.hand_over()
-
-
-def send_worker_loads(vm: Gateway, session: PeerSession) -> None:
-    """Send the next scheduler the load and stored results of the stages' upstreams."""
-    if session.lost:
-        return
-    scheduler = vm.scheduler
-    scheduler.frees.collect_released()
-    loads = worker_loads(scheduler.planner, scheduler.frees.pending, vm.clock.now_ms())
-    session.send(WorkerLoads(vm.settings.name, tuple(map(load_to_entry, loads))))
--- a/cuminstile/gateway/membership.py
+++ b/cuminstile/gateway/membership.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from ipaddress import ip_address
 
+from ..shutdown.scheduler_role import choose_scheduler
 from .messages import Heartbeat
 
 SILENCE_LIMIT_MS = 1_500.0
@@ -208,24 +209,43 @@
             and now_ms - peer.last_heartbeat_ms <= SILENCE_LIMIT_MS
         ]
 
-    def scheduler(self, own: Heartbeat, now_ms: float) -> Heartbeat:
-        """Return the heartbeat of the scheduler: the first VM in the order for duties.
-
-        Leaving and suspected VMs are excluded. A VM that started later never replaces
-        an older one of the same strength, so that added and restarted VMs change
-        nothing.
-        """
-        candidates = [
+    def able_to_schedule(self, now_ms: float) -> list[Heartbeat]:
+        """Return the heartbeats of the other VMs that are alive and not suspected."""
+        return [
             heartbeat
             for heartbeat in self.live(now_ms)
-            if not heartbeat.leaving
-            and self.peers[heartbeat.address].suspect_until_ms <= now_ms
+            if self.peers[heartbeat.address].suspect_until_ms <= now_ms
         ]
-        if not own.leaving or not candidates:
-            candidates.append(own)
-        return min(
-            candidates, key=lambda heartbeat: (heartbeat.duty_order, heartbeat.address)
-        )
+
+    def can_be_reached(self, address: str, now_ms: float) -> bool:
+        """Return whether a VM named by another one may be tried.
+
+        It need not have been heard of: it may have started a moment ago.
+        """
+        self.add_peers((address,), now_ms)
+        peer = self.peers.get(address)
+        return peer is not None and peer.suspect_until_ms <= now_ms
+
+    def scheduler_address(self, own: Heartbeat, now_ms: float) -> str:
+        """Return the address of the scheduler, though it wasn't heard of yet.
+
+        A VM that has just started hears the others one after the other. Whom the one
+        that it would choose names is right if it hasn't heard of that one.
+        """
+        chosen = self.scheduler(own, now_ms)
+        named = self.peers.get(chosen.scheduler)
+        if named is None or named.heartbeat or named.suspect_until_ms > now_ms:
+            return chosen.address
+        return named.address
+
+    def scheduler(self, own: Heartbeat, now_ms: float) -> Heartbeat:
+        """Return the heartbeat of the scheduler; see `choose_scheduler`.
+
+        Suspected VMs are excluded. A VM that started later never replaces an older one
+        of the same strength, so that added and restarted VMs change nothing. This VM
+        is left if there is no other.
+        """
+        return choose_scheduler((own, *self.able_to_schedule(now_ms))) or own
 
     def fleet_size(self) -> int:
         """Return how many VMs share a common limit, including silent ones.
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -36,6 +36,11 @@
         How far the sender has read each topic of the store.
     known : tuple of str
         Addresses of other VMs that the sender has received heartbeats from.
+    schedules, ends_at_ms : bool, int
+        See `scheduler_role.Member`; False and 0 from a build that has neither.
+    scheduler : str
+        Address of the VM that the sender has chosen as the scheduler, empty from a
+        build that doesn't tell.
     """
 
     name: str
@@ -46,6 +51,9 @@
     leaving: bool
     topics: tuple[TopicEnd, ...]
     known: tuple[str, ...]
+    schedules: bool = False
+    ends_at_ms: int = 0
+    scheduler: str = ""
 
 
 @dataclass(frozen=True)
@@ -97,6 +105,8 @@
         over.
     digest : bytes
         See `crash_state.digest_of`; empty from a build that has none.
+    named : bool
+        Whether the previous scheduler named the receiver as the next one.
     """
 
     call: int
@@ -111,6 +121,7 @@
     again: bool
     completed: tuple[CompletedItemEntry, ...]
     digest: bytes = b""
+    named: bool = False
 
 
 @dataclass(frozen=True)
@@ -123,10 +134,17 @@
 
 @dataclass(frozen=True)
 class ChainMoved(Message):
-    """Report that another scheduler has to continue the work of a call."""
+    """Report that another scheduler has to continue the work of a call.
+
+    Parameters
+    ----------
+    successor : str
+        Its address, empty if the sender knows none.
+    """
 
     call: int
     completed: tuple[CompletedItemEntry, ...]
+    successor: str = ""
 
 
 @dataclass(frozen=True)
@@ -182,10 +200,17 @@
 
 @dataclass(frozen=True)
 class WorkerLoads(Message):
-    """Send the next scheduler the load and stored results of the stages' upstreams."""
+    """Send the next scheduler the load and stored results of the stages' upstreams.
+
+    Parameters
+    ----------
+    hands_over : bool
+        Whether the receiver schedules from now on; False if it was told before.
+    """
 
     name: str
     workers: tuple[WorkerLoadEntry, ...]
+    hands_over: bool = False
 
 
 @dataclass(frozen=True)
--- a/cuminstile/gateway/peer_sessions.py
+++ b/cuminstile/gateway/peer_sessions.py
@@ -147,6 +147,9 @@
         When the last session with a VM could not be opened, and why, by address.
     answer_topic_request : callable
         Returns this VM's records of a topic for another VM.
+    before_chain, after_hand_over : callable
+        Called before the scheduler gets a chain of another VM, and when another VM
+        has named this one as the next scheduler.
     """
 
     clock: Clock
@@ -158,6 +161,8 @@
     connect_failures: dict[str, tuple[float, str]] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     session_numbers: itertools.count[int] = field(default_factory=itertools.count)
+    before_chain: Callable[[], object] = field(default=lambda: None)
+    after_hand_over: Callable[[], None] = field(default=lambda: None)
 
     async def get_session(self, address: str) -> PeerSession:
         """Return the session with another VM, opening it if there is none.
@@ -310,6 +315,8 @@
             upstreams=len(loads),
             results=sum(len(load.stored) for load in loads),
         )
+        if message.hands_over:
+            self.after_hand_over()
 
     def run_chain(
         self,
@@ -328,7 +335,7 @@
                 completed = tuple(
                     completed_to_entry(item, now_ms) for item in answer.moved
                 )
-                send(ChainMoved(message.call, completed))
+                send(ChainMoved(message.call, completed, self.scheduler.successor))
             elif answer.refusal:
                 send(ChainRefused(message.call, answer.refusal, answer.retry_after_ms))
             else:
@@ -336,8 +343,12 @@
                     ChainDone(message.call, tuple(map(result_to_entry, answer.results)))
                 )
 
+        if message.named:
+            self.after_hand_over()
+        self.before_chain()
         if self.scheduler.handing_over:
-            send(ChainMoved(message.call, message.completed))
+            successor = self.scheduler.successor
+            send(ChainMoved(message.call, message.completed, successor))
             return
         spec = spec_from_message(message, chain_id, self.clock.now_ms())
         chains.add(chain_id)
--- a/cuminstile/gateway/staged_results.py
+++ b/cuminstile/gateway/staged_results.py
@@ -14,6 +14,7 @@
     result_from_entry,
     result_to_entry,
 )
+from .handing_over import prepare_to_schedule
 from .messages import (
     ChainAdmitted,
     ChainCancel,
@@ -41,9 +42,18 @@
 
 @dataclass
 class ChainMovedError(Exception):
-    """Another scheduler has to continue the work; holds the completed items."""
+    """Another scheduler has to continue the work.
+
+    Parameters
+    ----------
+    completed : tuple of CompletedItem
+        The work items that need not be recomputed.
+    successor : str
+        Address of that scheduler, empty if it isn't known.
+    """
 
     completed: tuple[CompletedItem, ...]
+    successor: str = ""
 
 
 async def staged_results(
@@ -71,29 +81,56 @@
         If the work is refused or fails.
     """
     progress = progress or RequestInProgress()
+    named = ""
     for _ in range(MAX_SCHEDULERS):
-        scheduler = vm.membership.scheduler(vm.own_heartbeat(), vm.clock.now_ms())
-        address = scheduler.address
+        address = scheduler_address(vm, named)
         progress.enter(Phase.STAGES, address, vm.clock.now_ms())
         try:
             if address == vm.settings.peer_address:
-                return await run_locally(vm, spec, again)
-            return await run_on_peer(vm, address, spec, again)
+                return await run_locally(vm, spec, again, address == named)
+            return await run_on_peer(vm, address, spec, again, address == named)
         except ChainMovedError as moved:
             spec = record_moved(vm, spec, address, moved)
+            named = moved.successor
         except SessionLostError as error:
             spec = record_scheduler_lost(vm, spec, address, error)
+            named = ""
         again = True
         progress.moves += 1
     progress.enter(Phase.STAGES, vm.settings.peer_address, vm.clock.now_ms())
     return await run_locally(vm, spec, again)
 
 
+def scheduler_address(vm: Gateway, named: str = "") -> str:
+    """Return the address of the VM that schedules.
+
+    Parameters
+    ----------
+    named : str
+        Whom the scheduler before it named: it knows that earlier than the heartbeats
+        tell.
+    """
+    if is_usable(vm, named):
+        return named
+    return vm.membership.scheduler_address(vm.own_heartbeat(), vm.clock.now_ms())
+
+
+def is_usable(vm: Gateway, address: str) -> bool:
+    """Return whether a VM that was named, or this one, can schedule."""
+    if address == vm.settings.peer_address:
+        return not vm.leaving or vm.role.is_open
+    return vm.membership.can_be_reached(address, vm.clock.now_ms())
+
+
 def record_moved(
     vm: Gateway, spec: ChainSpec, address: str, moved: ChainMovedError
 ) -> ChainSpec:
-    """Log and suspect a scheduler that leaves; return the work with completed items."""
-    vm.membership.suspect(address, vm.clock.now_ms())
+    """Log that a scheduler leaves; return the work with completed items.
+
+    The scheduler is suspected if it named no other one that is known here.
+    """
+    if not is_usable(vm, moved.successor):
+        vm.membership.suspect(address, vm.clock.now_ms())
     vm.journal.record(
         Event.CHAIN_MOVED,
         request=spec.request_id,
@@ -118,9 +155,16 @@
     return replace(spec, completed=())
 
 
-async def run_locally(vm: Gateway, spec: ChainSpec, again: bool) -> tuple[Result, ...]:
+async def run_locally(
+    vm: Gateway, spec: ChainSpec, again: bool, named: bool = False
+) -> tuple[Result, ...]:
     """Run the work with this VM's own scheduler.
 
+    Parameters
+    ----------
+    named : bool
+        Whether the previous scheduler named this VM as the next one.
+
     Raises
     ------
     ChainMovedError
@@ -134,7 +178,7 @@
         if not future.done():
             future.set_result(answer)
 
-    vm.scheduler.resume()
+    prepare_to_schedule(vm, named)
     verdict = vm.scheduler.submit(spec, again, reply)
     record_verdict(vm, spec, verdict.reason, verdict.ready_ms, "here")
     if not verdict.admitted:
@@ -145,17 +189,22 @@
         vm.scheduler.cancel(spec.id)
         raise
     if answer.moved is not None:
-        raise ChainMovedError(answer.moved)
+        raise ChainMovedError(answer.moved, vm.scheduler.successor)
     if answer.refusal:
         raise ChainRefusedError(answer.refusal, answer.retry_after_ms)
     return answer.results
 
 
 async def run_on_peer(
-    vm: Gateway, address: str, spec: ChainSpec, again: bool
+    vm: Gateway, address: str, spec: ChainSpec, again: bool, named: bool = False
 ) -> tuple[Result, ...]:
     """Run the work with another VM's scheduler.
 
+    Parameters
+    ----------
+    named : bool
+        Whether the previous scheduler named the other VM as the next one.
+
     Raises
     ------
     ChainMovedError
@@ -168,7 +217,8 @@
     session = await vm.sessions.get_session(address)
     call = session.begin_call()
     try:
-        session.send(message_from_spec(spec, call, again, vm.clock.now_ms()))
+        now_ms = vm.clock.now_ms()
+        session.send(message_from_spec(spec, call, again, now_ms, named))
         message = await first_reply(session, call)
         if isinstance(message, ChainAdmitted):
             record_verdict(vm, spec, "admitted", message.forecast_ms, session.address)
@@ -181,9 +231,10 @@
         session.end_call(call)
     if isinstance(message, ChainMoved):
         now_ms = vm.clock.now_ms()
-        raise ChainMovedError(
-            tuple(completed_from_entry(item, now_ms) for item in message.completed)
+        completed = tuple(
+            completed_from_entry(item, now_ms) for item in message.completed
         )
+        raise ChainMovedError(completed, message.successor)
     if isinstance(message, ChainRefused):
         record_verdict(vm, spec, message.reason, 0.0, session.address)
         raise ChainRefusedError(message.reason, message.retry_after_ms)
@@ -229,8 +280,7 @@
     """Free results that have been used, through the current scheduler."""
     if not results:
         return
-    scheduler = vm.membership.scheduler(vm.own_heartbeat(), vm.clock.now_ms())
-    session = vm.sessions.open_sessions.get(scheduler.address)
+    session = vm.sessions.open_sessions.get(scheduler_address(vm))
     if session is None or session.lost:
         vm.scheduler.free(results)
         return
--- a/cuminstile/gateway/staging.py
+++ b/cuminstile/gateway/staging.py
@@ -72,6 +72,8 @@
         Frees the results that nothing needs any more.
     handing_over : bool
         Whether another scheduler takes over the work: no more calls are started.
+    successor : str
+        Address of that scheduler, empty if none is known.
     after_call : callable
         Called after each call that ends.
     """
@@ -85,6 +87,7 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     table: UpstreamTable = field(default_factory=UpstreamTable)
     handing_over: bool = False
+    successor: str = ""
     after_call: Callable[[], None] = field(default=lambda: None)
     next_dispatch_ms: float = 0.0
     returning_callers: ReturningCallers = field(default_factory=ReturningCallers)
@@ -281,12 +284,13 @@
                 self.hand_over_if_idle(chain)
         self.dispatch()
 
-    def hand_over(self) -> None:
+    def hand_over(self, successor: str = "") -> None:
         """Start no more calls and hand all work over to another scheduler.
 
         Chains with an item in a call are handed over when that call has ended.
         """
         self.handing_over = True
+        self.successor = successor
         for chain in list(self.planner.chains.values()):
             self.hand_over_if_idle(chain)
 
@@ -300,8 +304,9 @@
         return bool(self.planner.chains) or any(in_use)
 
     def resume(self) -> None:
-        """Cancel the hand-over: there is no other scheduler."""
+        """Schedule the remaining work again, as no other VM does."""
         self.handing_over = False
+        self.successor = ""
 
     def hand_over_if_idle(self, chain: Chain) -> None:
         """Hand a chain over to another scheduler if none of its items is in a call."""
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -13,6 +13,8 @@
 from ..hedging.limits import HedgeLimits, Hedging
 from ..scaling.demand import LocalDemand
 from ..shutdown.in_progress import RequestsInProgress
+from ..shutdown.schedule import ShutdownTimes
+from ..shutdown.scheduler_role import SchedulerRole
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -138,6 +140,10 @@
         What this VM told others of the speeds of upstreams.
     in_progress : RequestsInProgress
         What each accepted request waits for.
+    shutdown : ShutdownTimes or None
+        Times of the planned stop, None before SIGTERM.
+    role : SchedulerRole
+        Whether this VM keeps scheduling while it shuts down.
     """
 
     settings: GatewaySettings
@@ -168,6 +174,8 @@
     requests: int = 0
     in_progress: RequestsInProgress = field(default_factory=RequestsInProgress)
     leaving: bool = False
+    shutdown: ShutdownTimes | None = None
+    role: SchedulerRole = field(default_factory=SchedulerRole)
 
     @property
     def manifest(self) -> Manifest | None:
@@ -198,8 +206,16 @@
             self.leaving,
             tuple(TopicEnd(topic.name, topic.end) for topic in topics),
             tuple(some),
+            self.role.keeps,
+            self.role.ends_at_ms,
         )
 
+    def heartbeat_message(self) -> Heartbeat:
+        """Return this VM's heartbeat with the scheduler that it has chosen."""
+        own = self.own_heartbeat()
+        chosen = self.membership.scheduler(own, self.clock.now_ms())
+        return replace(own, scheduler=chosen.address)
+
     def reader_role(self) -> ReaderRole:
         """Return this VM's role in following the store."""
         live = self.membership.live(self.clock.now_ms())
--- /dev/null
+++ b/tests/gateway/test_handing_over.py
@@ -0,0 +1,72 @@
+"""Test that the staged work of VMs that shut down has one scheduler at a time."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from cuminstile.gateway.membership import SILENCE_LIMIT_MS
+
+from .leaving_fleet import GRACE_MS, Chain, LeavingFleet
+
+VMS = 6
+FIRST_STOP_MS = 4_000.0
+AFTER_MS = GRACE_MS + 2_000.0
+"""Time after the last SIGTERM in which all VMs are back."""
+SETTLE_MS = SILENCE_LIMIT_MS
+"""Time in which VMs agree again, though some datagrams are lost."""
+MESSAGES_MS = 60.0
+"""Time that the messages about a chain take at most if it is never handed over."""
+DELAY_LIMIT_MS = 700.0
+"""How much longer a chain may take for each time that it is handed over."""
+MARGIN_MS = 1_500.0
+"""Time before the end of a play in which chains need not have ended."""
+SEEDS = range(30)
+
+
+def rolled(seed: int, gap_ms: float, together: int = 1) -> LeavingFleet:
+    """Return a fleet whose VMs get SIGTERM in an order drawn by the seed."""
+    order = list(range(VMS))
+    random.Random(seed).shuffle(order)
+    stops = {
+        number: [FIRST_STOP_MS + n // together * gap_ms]
+        for n, number in enumerate(order)
+    }
+    fleet = LeavingFleet(seed, VMS, stops)
+    fleet.play(FIRST_STOP_MS + (VMS - 1) // together * gap_ms + AFTER_MS)
+    return fleet
+
+
+def check(fleet: LeavingFleet, most_moves: int) -> None:
+    """Check that VMs agree, and that chains end without a detour."""
+    assert fleet.split_ms <= SETTLE_MS
+    end_ms = fleet.clock.at_ms
+    begun = [c for c in fleet.chains if c.began_ms <= end_ms - c.work_ms - MARGIN_MS]
+    assert max(chain.moves for chain in begun) <= most_moves
+    assert sum(map(is_stranded, begun)) == 0
+
+
+def is_stranded(chain: Chain) -> bool:
+    """Return whether a chain has not ended, or much too late."""
+    late_ms = chain.took_ms - chain.work_ms
+    return chain.took_ms < 0 or late_ms > MESSAGES_MS + DELAY_LIMIT_MS * chain.moves
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_roll_with_a_second_between_hands_each_chain_over_once(seed: int) -> None:
+    """Guards against work that moves at each SIGTERM, and schedulers beside it."""
+    check(rolled(seed, 1_000.0), most_moves=1)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_other_rolls_keep_one_scheduler_and_strand_no_chain(seed: int) -> None:
+    """Guards against chains that starve where all VMs shut down, or two at once."""
+    gap_ms = random.Random(seed).uniform(300.0, 3_000.0)
+    check(rolled(seed, gap_ms, together=1 + seed % 3), most_moves=2)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_vms_that_stop_at_once_keep_one_scheduler(seed: int) -> None:
+    """Guards against VMs that each schedule for themselves when all shut down."""
+    check(rolled(seed, 0.0, together=VMS), most_moves=2)
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -1,5 +1,8 @@
 """Test cuminstile.gateway.membership."""
 
+from dataclasses import replace
+
+import cbor2
 import pytest
 
 from cuminstile.gateway.membership import (
@@ -9,7 +12,7 @@
     SUSPECT_MS,
     Membership,
 )
-from cuminstile.gateway.messages import Heartbeat
+from cuminstile.gateway.messages import CODEC, Heartbeat
 
 
 def heartbeat(
@@ -145,3 +148,26 @@
     for at_ms in (410.0, 710.0, 1_010.0, 1_310.0, 1_610.0, 1_910.0):
         members.record_heartbeat(heartbeat(4, 60, run=1), at_ms)
     assert heartbeat(4, 60, run=1) in members.live(1_920.0)
+
+
+def test_started_vm_trusts_whom_the_others_name_until_it_hears_of_that_one() -> None:
+    """Guards against a second scheduler beside the first when a VM comes back."""
+    members = Membership("10.0.0.1:7000")
+    members.add_peers(("10.0.0.3:7000",), 0.0)
+    named = replace(heartbeat(2, 100), scheduler="10.0.0.3:7000")
+    members.record_heartbeat(named, 0.0)
+    assert members.scheduler_address(OWN, 10.0) == "10.0.0.3:7000"
+    members.suspect("10.0.0.3:7000", 10.0)
+    assert members.scheduler_address(OWN, 10.0) == "10.0.0.2:7000"
+    members.record_heartbeat(named, 20.0 + SUSPECT_MS)
+    assert members.scheduler_address(OWN, 20.0 + SUSPECT_MS) == "10.0.0.3:7000"
+    members.record_heartbeat(heartbeat(3, 300), 20.0 + SUSPECT_MS)
+    assert members.scheduler_address(OWN, 20.0 + SUSPECT_MS) == "10.0.0.2:7000"
+
+
+def test_heartbeat_of_an_older_build_is_read() -> None:
+    """Guards against VMs of two builds that lose each other during an update."""
+    old = [1, "vm-2", "10.0.0.2:7000", "a", "i0", 100, True, [], []]
+    message = CODEC.decode(cbor2.dumps(old))
+    assert message == heartbeat(2, 100, leaving=True)
+    assert (message.schedules, message.ends_at_ms, message.scheduler) == (False, 0, "")
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -59,6 +59,8 @@
 no other one of them."""
 DUTY_DECISIONS = ("fleet_time", "lease", "messages", "types", "usage")
 """Modules of the duties that make decisions without I/O."""
+SHUTDOWN_DECISIONS = ("in_progress", "schedule", "scheduler_role")
+"""Modules of the end of a process that make decisions without I/O."""
 ALLOWED_DUTY_IMPORTS = {"clock", "events", "exceptions", "token_bucket"}
 NETWORK = {"anyio", "asyncio", "httptools", "socket", "uvloop", "websockets"}
 ALLOWED_DECISION_IMPORTS = {*DECISIONS, "messages"}
@@ -151,6 +153,14 @@
     assert imports(path, 2) == set()
 
 
+@pytest.mark.parametrize("name", SHUTDOWN_DECISIONS)
+def test_decisions_of_a_stop_use_nothing_else(name: str) -> None:
+    path = PACKAGE / "shutdown" / f"{name}.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) <= set(SHUTDOWN_DECISIONS)
+    assert imports(path, 2) == set()
+
+
 def test_nothing_but_the_program_itself_uses_the_adapter() -> None:
     users = {
         path.name
