Refuse staged work that every scheduler hands on

After MAX_SCHEDULERS a VM runs the chain itself. If it leaves as well, the chain moved again and nobody caught that: the request ended as internal_error and its connection closed without an answer. Class of fault: an error that is expected in the loop, raised behind it. The request is refused as schedulers_left with a time to retry.

The new test failed before with ChainMovedError.

--- a/cuminstile/gateway/staged_results.py
+++ b/cuminstile/gateway/staged_results.py
@@ -25,6 +25,7 @@
     Message,
 )
 from .peer_sessions import RUN_CHAIN_ANSWER_MS, PeerSession, SessionLostError
+from .refusals import DEFAULT_RETRY_MS
 from .staging import ChainAnswer
 from .state import Gateway
 
@@ -98,7 +99,10 @@
         again = True
         progress.moves += 1
     progress.enter(Phase.STAGES, vm.settings.peer_address, vm.clock.now_ms())
-    return await run_locally(vm, spec, again)
+    try:
+        return await run_locally(vm, spec, again)
+    except ChainMovedError as moved:
+        raise ChainRefusedError("schedulers_left", DEFAULT_RETRY_MS) from moved
 
 
 def scheduler_address(vm: Gateway, named: str = "") -> str:
