Give a scheduler that was only named time to be heard of

Class of fault: absence of news taken for news of absence. A session is closed for silence only when it has been open for SILENCE_LIMIT_MS.

close_session_to is gone, as nothing but a test used it; the test closes the session itself. The new test can't run on the code before, which has no close_silent; there the session was closed at the first call of housekeeping.

--- a/cuminstile/gateway/peer_sessions.py
+++ b/cuminstile/gateway/peer_sessions.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import dataclass, field
 from math import inf
 
@@ -25,6 +25,7 @@
     spec_from_message,
 )
 from .handover import apply_worker_loads
+from .membership import SILENCE_LIMIT_MS
 from .messages import (
     CODEC,
     ChainAdmitted,
@@ -64,12 +65,15 @@
 
     Parameters
     ----------
+    opened_ms : float
+        When it was opened, in monotonic ms.
     replies : dict of int to queue
         Unread messages about each call, by number; None marks that the session is lost.
     """
 
     address: str
     connection: Connection
+    opened_ms: float = 0.0
     call_numbers: itertools.count[int] = field(default_factory=itertools.count)
     replies: dict[int, asyncio.Queue[Message | None]] = field(default_factory=dict)
     lost: bool = False
@@ -199,7 +203,7 @@
                 reason = f"cannot connect to {address}: {error!r}"
                 self.connect_failures[address] = self.clock.now_ms(), reason
                 raise SessionLostError(reason) from error
-            session = PeerSession(address, connection)
+            session = PeerSession(address, connection, self.clock.now_ms())
             self.open_sessions[address] = session
             self.journal.record(Event.PEER_CONNECTED, peer=address)
             self.start_task(self.read_messages(session))
@@ -242,11 +246,20 @@
             )
         session.mark_lost()
 
-    def close_session_to(self, address: str) -> None:
-        """Close the session with a VM that is considered lost."""
-        session = self.open_sessions.get(address)
-        if session is not None:
-            self.close_session(session)
+    def close_silent(self, live: Collection[str]) -> None:
+        """Close the sessions with VMs that are considered lost.
+
+        A VM that another one named may not have been heard of yet.
+
+        Parameters
+        ----------
+        live : collection of str
+            The addresses of the VMs that are heard of.
+        """
+        opened_by_ms = self.clock.now_ms() - SILENCE_LIMIT_MS
+        for session in list(self.open_sessions.values()):
+            if session.address not in live and session.opened_ms <= opened_by_ms:
+                self.close_session(session)
 
     async def serve_peers(self, address: str) -> Server:
         """Accept sessions of other VMs on `host:port`."""
--- a/cuminstile/gateway/running.py
+++ b/cuminstile/gateway/running.py
@@ -211,9 +211,7 @@
         vm.pool.close_expired(now_ms)
         vm.scheduler.caller.spares.close_expired()
         live = {heartbeat.address for heartbeat in vm.membership.live(now_ms)}
-        for address in list(vm.sessions.open_sessions):
-            if address not in live:
-                vm.sessions.close_session_to(address)
+        vm.sessions.close_silent(live)
         version = vm.manifest.version if vm.manifest else -1
         vm.metrics.manifest_version.set({}, version)
         vm.metrics.live_vms.set({}, vm.live_vms())
--- a/tests/gateway/test_peer_sessions.py
+++ b/tests/gateway/test_peer_sessions.py
@@ -14,10 +14,11 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.frames import Frame, Opcode
 
-from cuminstile.clock import Clock
+from cuminstile.clock import Clock, VirtualClock
 from cuminstile.events import Event
 from cuminstile.gateway import sharing
 from cuminstile.gateway.chain import ChainSpec, ChainStage
+from cuminstile.gateway.membership import SILENCE_LIMIT_MS
 from cuminstile.gateway.messages import (
     CODEC,
     ChainAdmitted,
@@ -257,7 +258,7 @@
     async with running_peer(admit_alone, answer_on_both) as peer:
         first = asyncio.create_task(run_chain(vm, peer))
         await asyncio.sleep(0.1)
-        vm.sessions.close_session_to(peer.address)
+        vm.sessions.close_session(vm.sessions.open_sessions[peer.address])
         with pytest.raises(SessionLostError):
             await first
         assert await run_chain(vm, peer) == ("handle",)
@@ -361,3 +362,19 @@
         )
     assert all(isinstance(end, SessionLostError) for end in ends)
     assert vm.clock.now_ms() - began_ms < 2 * CONNECT_TIMEOUT_MS
+
+
+async def test_session_with_a_vm_that_was_only_named_is_not_closed_at_once() -> None:
+    """Guards against a VM that suspects the scheduler which others have named to it."""
+    clock = VirtualClock()
+    vm = make_vm(clock)
+    async with running_peer(stop_reading) as peer:
+        session = await vm.sessions.get_session(peer.address)
+        clock.at_ms += SILENCE_LIMIT_MS - 1.0
+        vm.sessions.close_silent(())
+        assert not session.lost
+        clock.at_ms += 1.0
+        vm.sessions.close_silent((peer.address,))
+        assert not session.lost
+        vm.sessions.close_silent(())
+        assert session.lost
