--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 
 from ..events import Event
 from ..shutdown.schedule import shutdown_times
 from .body_refusals import make_stop_refusal
-from .conversions import load_to_entry
-from .handover import worker_loads
+from .handing_over import (
+    begin_leaving,
+    end_role,
+    give_up_role,
+    keep_or_hand_over,
+)
 from .heartbeats import HeartbeatSocket
 from .http_server import Server, stop_listening
-from .messages import WorkerLoads
-from .peer_sessions import PeerSession, SessionLostError
 from .state import Gateway
 from .unfinished import record_unfinished
 
@@ -30,14 +31,14 @@
 ) -> None:
     """Stop accepting connections after a delay, and finish the requests in progress."""
     times = shutdown_times(vm.clock.now_ms(), vm.settings.shutdown_ms)
-    vm.leaving = True
     vm.shutdown = times
     vm.in_progress.begin_shutdown(times)
+    begin_leaving(vm)
     server.begin_closing()
     heartbeats.send_to_all()
     vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
-    await hand_over_work(vm)
     while (left_ms := times.exit_at_ms - vm.clock.now_ms()) > 0:
+        await keep_or_hand_over(vm)
         await vm.clock.sleep_ms(min(POLL_INTERVAL_MS, left_ms))
         if vm.clock.now_ms() - times.began_ms < BALANCER_REMOVAL_MS:
             continue
@@ -45,8 +46,9 @@
         server.close_idle()
         if vm.clock.now_ms() >= times.answer_by_ms:
             server.refuse_unread(make_stop_refusal(vm))
-        if is_finished(vm, server):
+        if is_finished(vm, server) and end_role(vm):
             break
+    give_up_role(vm)
     record_unfinished(vm, server)
 
 
@@ -58,35 +60,3 @@
         and vm.scheduler.frees.is_idle()
         and server.is_done()
     )
-
-
-async def hand_over_work(vm: Gateway) -> None:
-    """Hand the staged work over to the next scheduler, if another VM takes it."""
-    scheduler = vm.scheduler
-    successor = vm.membership.scheduler(vm.own_heartbeat(), vm.clock.now_ms())
-    if successor.address == vm.settings.peer_address or not scheduler.has_work():
-        return
-    error = ""
-    try:
-        session = await vm.sessions.get_session(successor.address)
-        send_worker_loads(vm, session)
-        scheduler.after_call = partial(send_worker_loads, vm, session)
-    except SessionLostError as lost:
-        error = str(lost)
-    vm.journal.record(
-        Event.WORK_HANDED_OVER,
-        peer=successor.name,
-        chains=len(scheduler.planner.chains),
-        error=error,
-    )
-    scheduler.hand_over()
-
-
-def send_worker_loads(vm: Gateway, session: PeerSession) -> None:
-    """Send the next scheduler the load and stored results of the stages' upstreams."""
-    if session.lost:
-        return
-    scheduler = vm.scheduler
-    scheduler.frees.collect_released()
-    loads = worker_loads(scheduler.planner, scheduler.frees.pending, vm.clock.now_ms())
-    session.send(WorkerLoads(vm.settings.name, tuple(map(load_to_entry, loads))))
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -14,6 +14,7 @@
 from ..scaling.demand import LocalDemand
 from ..shutdown.in_progress import RequestsInProgress
 from ..shutdown.schedule import ShutdownTimes
+from ..shutdown.scheduler_role import SchedulerRole
 from .connection_pool import ConnectionPool
 from .crash_state import CrashGuard
 from .duties import duty_order
@@ -141,6 +142,8 @@
         What each accepted request waits for.
     shutdown : ShutdownTimes or None
         Times of the planned stop, None before SIGTERM.
+    role : SchedulerRole
+        Whether this VM keeps scheduling while it shuts down.
     """
 
     settings: GatewaySettings
@@ -172,6 +175,7 @@
     in_progress: RequestsInProgress = field(default_factory=RequestsInProgress)
     leaving: bool = False
     shutdown: ShutdownTimes | None = None
+    role: SchedulerRole = field(default_factory=SchedulerRole)
 
     @property
     def manifest(self) -> Manifest | None:
@@ -202,8 +206,16 @@
             self.leaving,
             tuple(TopicEnd(topic.name, topic.end) for topic in topics),
             tuple(some),
+            self.role.keeps,
+            self.role.ends_at_ms,
         )
 
+    def heartbeat_message(self) -> Heartbeat:
+        """Return this VM's heartbeat with the scheduler that it has chosen."""
+        own = self.own_heartbeat()
+        chosen = self.membership.scheduler(own, self.clock.now_ms())
+        return replace(own, scheduler=chosen.address)
+
     def reader_role(self) -> ReaderRole:
         """Return this VM's role in following the store."""
         live = self.membership.live(self.clock.now_ms())
