Read nothing more of an idle connection once it is closed

A request that crosses the close of an idle connection was read and dropped for up to a second, as that connection ended its sending direction only: to its caller it seems read, and no answer can follow. There is no last answer to protect on an idle connection, so it is closed whole, and the request is never read.

Test: fails before on both event loops (the connection lives on).

--- a/cuminstile/gateway/http_server/connection.py
+++ b/cuminstile/gateway/http_server/connection.py
@@ -182,7 +182,7 @@
             return
         if self.incoming.began_ms is None:
             if now_ms - self.last_used_ms > limits.idle_timeout_ms:
-                self.close()
+                self.close_at_once()
             return
         limit_ms = limits.header_timeout_ms
         if self.incoming.headers_done:
--- a/cuminstile/gateway/http_server/server.py
+++ b/cuminstile/gateway/http_server/server.py
@@ -90,7 +90,7 @@
         """
         for connection in list(self.connections):
             if connection.idle() and not connection.expects_request():
-                connection.close()
+                connection.close_at_once()
 
     def refuse_unread(self, refuse: Handler) -> None:
         """Refuse what has come in part, and from now on each further request.
--- a/tests/gateway/http_server/test_closing.py
+++ b/tests/gateway/http_server/test_closing.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import pytest
@@ -57,7 +57,7 @@
         return caller
 
 
-@asynccontextmanager
+@contextlib.asynccontextmanager
 async def serving_site(answer: bytes = b"") -> AsyncIterator[Site]:
     """Run a server whose kernel buffer is small."""
     ran: list[Request] = []
@@ -157,6 +157,21 @@
         assert await receive_all(caller) == b""
 
 
+async def test_request_that_crosses_the_close_of_its_connection_is_not_read() -> None:
+    """Guards against a request that is read and dropped without an answer."""
+    async with serving_site() as site:
+        caller = await kept_connection(site)
+        (connection,) = site.server.connections
+        site.server.begin_closing()
+        site.server.close_idle()
+        caller.send(WHOLE)
+        with contextlib.suppress(ConnectionResetError):
+            assert await receive_all(caller) == b""
+        assert connection.lost
+        assert connection.incoming.received_bytes == 0
+        assert not connection.sends_on
+
+
 async def test_new_connection_may_send_its_first_request() -> None:
     """Guards against a connection that is closed while its request is on the way."""
     async with serving_site() as site:
