End a trial with the VM that runs it

A request that is suspected of crashing upstreams runs on trial; other VMs wait up to 3 s for its end. A VM that shuts down ends its requests before that, and the news of the end can be lost with the process: callers elsewhere would be refused for a trial that no longer runs. Now no trial is announced beyond the last answers of the shutdown.

Test: `test_trial_ends_with_the_vm_that_runs_it`, which failed before.

--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -157,8 +157,11 @@
             "a request like this runs on trial after crashes of upstreams",
             min(MAX_RETRY_MS, left_ms),
         )
+    until_ms = min(call.expires_at_ms, now_ms + TRIAL_MS)
+    if vm.shutdown is not None:
+        until_ms = min(until_ms, vm.shutdown.answer_by_ms)
     for name in suspected:
-        table.begin_trial(name, min(call.expires_at_ms, now_ms + TRIAL_MS))
+        table.begin_trial(name, until_ms)
         vm.crash_guard.unsent[name] = None
         record_suspicion(vm, Event.REQUEST_ON_TRIAL, call, name, "")
     return True
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -10,10 +10,14 @@
 from cuminstile.gateway.refusals import Refusal
 from cuminstile.gateway.send_state import SendEnd
 from cuminstile.gateway.state import Gateway
+from cuminstile.shutdown.schedule import ANSWER_MARGIN_MS, shutdown_times
 
 from .fleet import CountedStore, Fleet
 from .test_unframed_answers import PART, listed, prompt_call
 
+LEFT_MS = 500.0
+"""Time until the last answers of a shutdown."""
+
 
 def quarantine(vm: Gateway) -> None:
     """Let three upstreams crash under requests with the part, one at a time."""
@@ -33,6 +37,16 @@
     return vms
 
 
+def test_trial_ends_with_the_vm_that_runs_it() -> None:
+    """Guards against other VMs that wait for a trial of a process that has ended."""
+    first, _ = two_vms()
+    end_send(first, SendEnd(prompt_call(0), listed(first, 0), crashed=True))
+    now_ms = first.clock.now_ms()
+    first.shutdown = shutdown_times(now_ms, ANSWER_MARGIN_MS + LEFT_MS)
+    assert begin_send(first, prompt_call(1))
+    assert first.crash_guard.table.trial_left_ms(PART, now_ms) == LEFT_MS
+
+
 def refusal_of(vm: Gateway) -> Refusal:
     with pytest.raises(Refusal) as refused:
         refuse_quarantined(vm, prompt_call(50))
