Refuse early what can't be whole before its VM shuts down

Callers saw: after SIGTERM, waits of up to 7 s for stages whose results came too late to be used, and streams that were begun seconds before the end and cut there. Class of the fault: what a VM admits, sends or waits for after SIGTERM was judged by the caller's deadline alone.

Change: a VM remembers for each route how long its last 32 answers took from the send (`shutdown/answer_times.py`, no I/O); the median is the usual time, unknown below five answers: then nothing is refused early. While it shuts down - staged work expires so early that the answer can still be whole in its usual time, so that admission and the dropping of hopeless chains at the scheduler know of it; - a request whose stages were submitted before SIGTERM gives them up at that moment (the scheduler gets a cancellation) and is refused with 503 `shutting_down`; - before a send, a request whose answer usually takes longer than is left is refused as not run; one that may have run keeps its 502 or the failure that an upstream returned. An answer that has begun goes on as long as the process.

The median refuses also a part of what would just have been whole: answers of one route differ in length, and a stream cut midway is worth nothing to its caller.

Tests: six cases of `test_requests_at_the_end` failed before (three sent at once, two refused at the end only, one expiry); the hedged and the cancelled work of the scheduler passed already and are kept as guards.

--- a/cuminstile/gateway/attempts.py
+++ b/cuminstile/gateway/attempts.py
@@ -19,7 +19,7 @@
     wait_for_trial,
 )
 from .hedged_sends import send_hedged
-from .refusals import Refusal, correct_refusal, no_upstream, out_of_time
+from .refusals import Refusal, correct_refusal, no_upstream, out_of_time, shut_down
 from .send_state import Call, Outcome, Progress, Race, Send, SendEnd
 from .sending import record_upstream_failure, send_with_timeout
 from .staged_results import free_results
@@ -64,6 +64,11 @@
             raise out_of_time(progress.runs > 0)
         await wait_for_trial(vm, call)
         refuse_quarantined(vm, call)
+        if not can_be_whole(vm, call, progress):
+            if not progress.runs:
+                raise shut_down(maybe_ran=False)
+            await end_unanswered(vm, call, progress)
+            return
         if progress.runs and not progress.results:
             progress.results = await recompute_results(vm, call, progress)
         state = next_upstream(vm, call, progress)
@@ -83,6 +88,17 @@
             return
 
 
+def can_be_whole(vm: Gateway, call: Call, progress: Progress) -> bool:
+    """Return whether an answer to a send can be whole before the VM shuts down.
+
+    What callers have got of a stream is worth most if it goes on as long as it can.
+    """
+    if vm.shutdown is None or progress.answer.begun:
+        return True
+    usual_ms = vm.answer_times.usual_ms(call.route.name)
+    return vm.clock.now_ms() + usual_ms < vm.shutdown.answer_by_ms
+
+
 def next_upstream(vm: Gateway, call: Call, progress: Progress) -> UpstreamState | None:
     """Return the upstream for the next send, None if no send is possible or allowed."""
     state = acquire_upstream(vm, call, progress.results, progress.tried)
--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -211,7 +211,10 @@
     else:
         await forward_answer(vm, call, state, connection, head, send)
     if send.outcome is Outcome.FORWARDED:
-        record_success(state, vm.clock.now_ms() - now_ms)
+        took_ms = vm.clock.now_ms() - now_ms
+        record_success(state, took_ms)
+        if dispatch.last_event is None:
+            vm.answer_times.record(call.route.name, took_ms)
         if call.service.scaling is not None and dispatch.last_event is None:
             record_run(vm, call, state, send, now_ms)
 
--- a/cuminstile/gateway/staged_work.py
+++ b/cuminstile/gateway/staged_work.py
@@ -5,11 +5,12 @@
 import asyncio
 
 from ..exceptions import ErrorCode
+from ..shutdown.waits import ShutdownReachedError, limited_wait
 from .accepting import next_event_by_ms
 from .chain import ChainSpec, ChainStage, Result
 from .choosing import preferred_upstream
 from .crash_guard import quarantined
-from .refusals import DEFAULT_RETRY_MS, Refusal
+from .refusals import DEFAULT_RETRY_MS, Refusal, shut_down
 from .send_state import Call
 from .staged_results import ChainRefusedError, staged_results
 from .staging import QUARANTINED
@@ -44,16 +45,22 @@
         return ()
     started_ms = vm.clock.now_ms()
     expires_ms = next_event_by_ms(call, since_ms)
-    spec = make_chain_spec(vm, call, stages, recomputed, expires_ms)
-    left_ms = max(1.0, spec.expires_at_ms - started_ms)
+    usual_ms = 0.0 if recomputed else vm.answer_times.usual_ms(call.route.name)
+    spec = make_chain_spec(vm, call, stages, recomputed, expires_ms, usual_ms)
+    left_ms = max(1.0, expires_ms - started_ms)
     try:
-        async with asyncio.timeout(left_ms / 1000.0):
+        async with (
+            limited_wait(vm.clock, vm.in_progress, vm.shutdown, ahead_ms=usual_ms),
+            asyncio.timeout(left_ms / 1000.0),
+        ):
             results = await staged_results(vm, spec, recomputed, call.progress)
     except ChainRefusedError as error:
         if error.reason == QUARANTINED:
             raise quarantined(stages[0].service) from error
         retry_ms = error.retry_after_ms or DEFAULT_RETRY_MS
         raise Refusal(ErrorCode.OVERLOADED, error.reason, retry_ms) from error
+    except ShutdownReachedError:
+        raise shut_down(maybe_ran=False) from None
     except TimeoutError as error:
         raise Refusal(
             ErrorCode.DEADLINE_TOO_SHORT, "stages timed out", DEFAULT_RETRY_MS
@@ -80,10 +87,23 @@
     stages: tuple[ChainStage, ...],
     recomputed: bool,
     expires_ms: float,
+    usual_ms: float,
 ) -> ChainSpec:
-    """Return the specification of a request's staged work."""
+    """Return the specification of a request's staged work.
+
+    While the VM shuts down it has to be ready so early that the answer can be whole
+    before the end.
+
+    Parameters
+    ----------
+    usual_ms : float
+        How long the answer usually takes from the send of the request.
+    """
     preferred = preferred_upstream(vm, call, (), ())
     engine_ms = ENGINE_BASE_MS + call.fields.prompt_tokens * ENGINE_READ_MS_PER_TOKEN
+    if vm.shutdown is not None:
+        rest_ms = max(0.0, usual_ms - engine_ms)
+        expires_ms = min(expires_ms, vm.shutdown.answer_by_ms - rest_ms)
     return ChainSpec(
         id=f"own:{id(call)}:{recomputed}:{vm.random.random()}",
         request_id=call.fields.attempt_id,
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -12,6 +12,7 @@
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
 from ..scaling.demand import LocalDemand
+from ..shutdown.answer_times import AnswerTimes
 from ..shutdown.in_progress import RequestsInProgress
 from ..shutdown.schedule import ShutdownTimes
 from .connection_pool import ConnectionPool
@@ -141,6 +142,8 @@
         What each accepted request waits for.
     shutdown : ShutdownTimes or None
         Times of the planned stop, None before SIGTERM.
+    answer_times : AnswerTimes
+        How long the answers of each route usually take.
     """
 
     settings: GatewaySettings
@@ -172,6 +175,7 @@
     in_progress: RequestsInProgress = field(default_factory=RequestsInProgress)
     leaving: bool = False
     shutdown: ShutdownTimes | None = None
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
 
     @property
     def manifest(self) -> Manifest | None:
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -59,6 +59,8 @@
 no other one of them."""
 DUTY_DECISIONS = ("fleet_time", "lease", "messages", "types", "usage")
 """Modules of the duties that make decisions without I/O."""
+SHUTDOWN_DECISIONS = ("answer_times", "in_progress", "schedule")
+"""Modules of a planned stop that make decisions without I/O."""
 ALLOWED_DUTY_IMPORTS = {"clock", "events", "exceptions", "token_bucket"}
 NETWORK = {"anyio", "asyncio", "httptools", "socket", "uvloop", "websockets"}
 ALLOWED_DECISION_IMPORTS = {*DECISIONS, "messages"}
@@ -112,6 +114,14 @@
     assert imports(path, 1) | imports(path, 2) == set()
 
 
+@pytest.mark.parametrize("name", SHUTDOWN_DECISIONS)
+def test_decisions_on_a_planned_stop_use_no_network_and_no_gateway(name: str) -> None:
+    path = PACKAGE / "shutdown" / f"{name}.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) <= set(SHUTDOWN_DECISIONS)
+    assert imports(path, 2) <= {"recency"}
+
+
 @pytest.mark.parametrize("name", DECISIONS)
 def test_decisions_use_no_network_and_no_state_of_a_vm(name: str) -> None:
     path = PACKAGE / "gateway" / f"{name}.py"
