--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -10,6 +10,7 @@
 from cuminstile.gateway.accepting import CLOSE_MARGIN_MS, next_event_by_ms
 from cuminstile.gateway.attempts import (
     attempt_timeout_ms,
+    can_be_whole,
     can_send_again,
     send_until_answered,
 )
@@ -20,6 +21,8 @@
 from cuminstile.gateway.send_state import Call, Outcome, Progress, Send
 from cuminstile.gateway.upstream_protocol import CallFields
 from cuminstile.gateway.upstreams import UpstreamListAge
+from cuminstile.shutdown.answer_times import MIN_TIMES
+from cuminstile.shutdown.schedule import ANSWER_MARGIN_MS, shutdown_times
 
 from .test_decisions import make_route
 from .test_state import both, make_vm, one
@@ -133,6 +136,27 @@
     assert raised.value.code is ErrorCode.UPSTREAM_FAILED
 
 
+@pytest.mark.parametrize(
+    ("usual_ms", "answer", "sent"),
+    [
+        (0.0, AnswerProgress(), True),
+        (LEFT_MS - 1.0, AnswerProgress(), True),
+        (LEFT_MS + 1.0, AnswerProgress(), False),
+        (LEFT_MS + 1.0, AnswerProgress(begun=True, last_event="3"), True),
+    ],
+)
+def test_request_is_sent_at_a_shutdown_only_if_its_answer_can_be_whole(
+    usual_ms: float, answer: AnswerProgress, sent: bool
+) -> None:
+    vm = make_vm(VirtualClock(at_ms=ARRIVED_MS))
+    call, progress = make_call(**RESUMABLE), Progress(answer=answer)
+    for _ in range(MIN_TIMES if usual_ms else 0):
+        vm.answer_times.record(call.route.name, usual_ms)
+    assert can_be_whole(vm, call, progress)
+    vm.shutdown = shutdown_times(ARRIVED_MS, LEFT_MS + ANSWER_MARGIN_MS)
+    assert can_be_whole(vm, call, progress) is sent
+
+
 def test_a_resumable_stream_runs_no_more_often_than_its_route_allows() -> None:
     answer = AnswerProgress(begun=True, last_event="3")
     progress = Progress(answer=answer, sends=2, runs=2)
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -424,6 +424,16 @@
     async with serving(session) as (address, _):
         sent = await send(vm, address, "a1", progress=progress)
     assert (sent.caller.body, sent.caller.finished) == (rest, True)
+    assert not vm.answer_times.by_route
+
+
+async def test_time_of_each_whole_answer_is_known() -> None:
+    """Guards against a shutdown at which nobody knows how long answers take."""
+    vm = make_vm(Clock())
+    async with serving(sound_but_slow) as (address, _):
+        await send(vm, address, "a1")
+    (took_ms,) = vm.answer_times.by_route["/x/"]
+    assert took_ms >= EVENTS * FIRST_EVENT_MS / 2.0
 
 
 # Guards against a request that was assigned to an upstream before it said that it
