--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -12,6 +12,7 @@
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
 from ..scaling.demand import LocalDemand
+from ..shutdown.answer_times import AnswerTimes
 from ..shutdown.in_progress import RequestsInProgress
 from ..shutdown.schedule import ShutdownTimes
 from ..shutdown.scheduler_role import SchedulerRole
@@ -144,6 +145,8 @@
         Times of the planned stop, None before SIGTERM.
     role : SchedulerRole
         Whether this VM keeps scheduling while it shuts down.
+    answer_times : AnswerTimes
+        How long the answers of each route usually take.
     """
 
     settings: GatewaySettings
@@ -176,6 +179,7 @@
     leaving: bool = False
     shutdown: ShutdownTimes | None = None
     role: SchedulerRole = field(default_factory=SchedulerRole)
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
 
     @property
     def manifest(self) -> Manifest | None:
