Log no times for work items that another scheduler completed

chain_ended gave items that were handed over a call of the whole time since the machine started (0:tide10c:0+), as they have no start here. They are left out.

--- a/cuminstile/gateway/chain.py
+++ b/cuminstile/gateway/chain.py
@@ -273,11 +273,15 @@
     """Return the waiting time and call time of each stage as text, in ms.
 
     The form is `number:service:wait+call`, for the item of each stage that was
-    completed last.
+    completed last. Items that another scheduler completed have no times here.
     """
     parts = []
     for stage in chain.spec.stages:
-        completed = [item for item in chain.items[stage.number] if item.result]
+        completed = [
+            item
+            for item in chain.items[stage.number]
+            if item.result and item.started_ms
+        ]
         if completed:
             last = max(completed, key=lambda item: item.completed_ms)
             wait, call = (
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -9,7 +9,13 @@
 
 from cuminstile.gateway.admission import decide_admission
 from cuminstile.gateway.batch_planner import BatchPlanner
-from cuminstile.gateway.chain import Chain, CompletedItem, Result, WorkItem
+from cuminstile.gateway.chain import (
+    Chain,
+    CompletedItem,
+    Result,
+    WorkItem,
+    stage_times,
+)
 from cuminstile.gateway.handover import (
     apply_worker_loads,
     completed_items,
@@ -255,3 +261,14 @@
     alone, handed = rolling(seed, hand_over=False), rolling(seed, hand_over=True)
     assert alone.lacked_memory > 0
     assert handed.lacked_memory == 0
+
+
+def test_items_of_the_previous_scheduler_have_no_times_in_the_log() -> None:
+    """Guards against a logged call of the whole time since the machine started."""
+    planner = make_planner()
+    chain = planner.add(make_spec("r1", counts=(2, 1)), NOW_MS)
+    worker = worker_of(planner, "a0")
+    complete_all(planner, worker, planner.assign_batch(worker, NOW_MS))
+    moved = handed_over(planner, chain)
+    assert missing(moved) == [(1, 0)]
+    assert stage_times(moved) == ""
