Tell the next scheduler of each stored result once

A scheduler that hands over reports the loads of the upstreams at once and after each of its calls that still ends. Each report named all results that it knew, so that those which the next scheduler had freed meanwhile counted there again until they expired, up to 4 s: chains waited for memory that was free. Class of fault: a full state sent again over a newer one. Later reports name new results and calls in progress only; the message is the same, older builds read it as before.

The new test failed without it: {'first', 'second'} in place of {'second'}. The model load of rolling schedulers passes as before.

--- a/cuminstile/gateway/handing_over.py
+++ b/cuminstile/gateway/handing_over.py
@@ -7,7 +7,7 @@
 from ..events import Event
 from ..shutdown.scheduler_role import HandOverTime, StepKind, hand_over_time, next_step
 from .conversions import load_to_entry
-from .handover import worker_loads
+from .handover import LoadReports
 from .messages import CODEC, Heartbeat, WorkerLoads
 from .peer_sessions import PeerSession, SessionLostError
 from .state import Gateway
@@ -103,8 +103,9 @@
     try:
         if had_work:
             session = await vm.sessions.get_session(successor.address)
-            send_worker_loads(vm, session, hands_over=True)
-            scheduler.after_call = partial(send_worker_loads, vm, session)
+            reports = LoadReports()
+            send_worker_loads(vm, session, reports, hands_over=True)
+            scheduler.after_call = partial(send_worker_loads, vm, session, reports)
     except SessionLostError as lost:
         error = str(lost)
         vm.membership.suspect(successor.address, vm.clock.now_ms())
@@ -139,13 +140,15 @@
 
 
 def send_worker_loads(
-    vm: Gateway, session: PeerSession, hands_over: bool = False
+    vm: Gateway, session: PeerSession, reports: LoadReports, hands_over: bool = False
 ) -> None:
     """Send the next scheduler the load and stored results of the stages' upstreams."""
     if session.lost:
         return
     scheduler = vm.scheduler
     scheduler.frees.collect_released()
-    loads = worker_loads(scheduler.planner, scheduler.frees.pending, vm.clock.now_ms())
+    loads = reports.next_loads(
+        scheduler.planner, scheduler.frees.pending, vm.clock.now_ms()
+    )
     entries = tuple(map(load_to_entry, loads))
     session.send(WorkerLoads(vm.settings.name, entries, hands_over))
--- a/cuminstile/gateway/handover.py
+++ b/cuminstile/gateway/handover.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .batch_planner import BatchPlanner
 from .chain import Chain, CompletedItem, Result
@@ -73,16 +73,9 @@
 
 
 def worker_loads(
-    planner: BatchPlanner, to_be_freed: Iterable[Result], now_ms: float
+    planner: BatchPlanner, excluded: set[str], now_ms: float
 ) -> tuple[WorkerLoad, ...]:
-    """Return the load of each upstream of a stage.
-
-    Parameters
-    ----------
-    to_be_freed : iterable of Result
-        Results that are about to be freed; their memory counts as free.
-    """
-    excluded = {result.handle for result in to_be_freed}
+    """Return the load of each upstream of a stage, without some results by handle."""
     return tuple(
         worker_load(worker, excluded, now_ms)
         for queue in planner.queues.values()
@@ -90,6 +83,32 @@
     )
 
 
+@dataclass
+class LoadReports:
+    """The loads that a scheduler sends its successor after one another.
+
+    Each result is told once: the successor may have freed it before the next report,
+    and would count its memory again until it expires.
+    """
+
+    told: set[str] = field(default_factory=set)
+
+    def next_loads(
+        self, planner: BatchPlanner, to_be_freed: Iterable[Result], now_ms: float
+    ) -> tuple[WorkerLoad, ...]:
+        """Return the loads with the results that were not told before.
+
+        Parameters
+        ----------
+        to_be_freed : iterable of Result
+            Results that are about to be freed; their memory counts as free.
+        """
+        excluded = {result.handle for result in to_be_freed}
+        loads = worker_loads(planner, excluded | self.told, now_ms)
+        self.told |= {result.handle for load in loads for result in load.stored}
+        return loads
+
+
 def worker_load(worker: Worker, excluded: set[str], now_ms: float) -> WorkerLoad:
     """Return the load of one upstream, without the results of excluded handles."""
     busy_ms = max(0.0, worker.busy_until_ms - now_ms) if worker.calls else 0.0
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -17,9 +17,9 @@
     stage_times,
 )
 from cuminstile.gateway.handover import (
+    LoadReports,
     apply_worker_loads,
     completed_items,
-    worker_loads,
 )
 from cuminstile.gateway.stage_queue import StoredResult, Worker
 
@@ -106,7 +106,8 @@
     planner.assign_batch(busy, 0.0)
     successor = make_planner()
     to_be_freed = [Result("released", "a1", 500)]
-    apply_worker_loads(successor, worker_loads(planner, to_be_freed, NOW_MS), NOW_MS)
+    loads = LoadReports().next_loads(planner, to_be_freed, NOW_MS)
+    apply_worker_loads(successor, loads, NOW_MS)
     assert worker_of(successor, "a1").memory_used(NOW_MS) == 500
     assert worker_of(successor, "a0").memory_used(NOW_MS) == busy.reserved > 0
     successor.add(make_spec("r2", counts=(1, 1)), NOW_MS)
@@ -135,6 +136,7 @@
     changes_ms: tuple[float, ...] = ()
     hand_over: bool = False
     before: list[BatchPlanner] = field(default_factory=list)
+    reports: dict[int, LoadReports] = field(default_factory=dict)
     stored: dict[str, dict[str, StoredResult]] = field(default_factory=dict)
     lacked_memory: int = 0
 
@@ -160,7 +162,8 @@
 
     def send_worker_loads(self, old: BatchPlanner) -> None:
         """Send the loads that a previous scheduler knows to the current one."""
-        loads = worker_loads(old, old.released, self.now_ms)
+        reports = self.reports.setdefault(id(old), LoadReports())
+        loads = reports.next_loads(old, old.released, self.now_ms)
         apply_worker_loads(self.planner, loads, self.now_ms)
 
     def move(self, old: BatchPlanner, chain: Chain) -> None:
@@ -272,3 +275,26 @@
     moved = handed_over(planner, chain)
     assert missing(moved) == [(1, 0)]
     assert stage_times(moved) == ""
+
+
+def test_results_that_the_next_scheduler_has_freed_stay_freed() -> None:
+    """Guards against chains that wait for memory which only seems to be in use."""
+    planner, successor, reports = make_planner(), make_planner(), LoadReports()
+    worker = worker_of(planner, "a0")
+    worker.stored["first"] = StoredResult(500, 4_000.0)
+    apply_worker_loads(successor, reports.next_loads(planner, (), NOW_MS), NOW_MS)
+    assert worker_of(successor, "a0").memory_used(NOW_MS) == 500
+    successor.record_freed([Result("first", "a0", 500)])
+    worker.stored["second"] = StoredResult(300, 4_000.0)
+    apply_worker_loads(successor, reports.next_loads(planner, (), NOW_MS), NOW_MS)
+    assert set(worker_of(successor, "a0").stored) == {"second"}
+
+
+def test_each_report_tells_of_the_calls_in_progress() -> None:
+    planner, reports = make_planner(), LoadReports()
+    planner.add(make_spec("r1", counts=(3, 1)), 0.0)
+    planner.assign_batch(worker_of(planner, "a0"), 0.0)
+    for _ in range(2):
+        reported = reports.next_loads(planner, (), NOW_MS)
+        loads = {load.upstream_id: load for load in reported}
+        assert sum(result.size for result in loads["a0"].stored) == 3_000
