Choose a scheduler that knows the routes and upstreams

A VM that has just started is alive for 50 ms and more before it has read the routes and upstreams. Chains that it got in that time were refused as no_upstream, and the results that were handed over with them dropped. Class of fault: alive taken for ready. Heartbeats say whether their sender is ready; one that isn't schedules only where no other VM can. Older builds count as ready, as before.

--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -41,6 +41,8 @@
     scheduler : str
         Address of the VM that the sender has chosen as the scheduler, empty from a
         build that doesn't tell.
+    ready : bool
+        Whether the sender knows the routes and upstreams.
     """
 
     name: str
@@ -54,6 +56,7 @@
     schedules: bool = False
     ends_at_ms: int = 0
     scheduler: str = ""
+    ready: bool = True
 
 
 @dataclass(frozen=True)
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -208,6 +208,7 @@
             tuple(some),
             self.role.keeps,
             self.role.ends_at_ms,
+            ready=self.index is not None and self.upstreams_known,
         )
 
     def heartbeat_message(self) -> Heartbeat:
--- a/cuminstile/shutdown/scheduler_role.py
+++ b/cuminstile/shutdown/scheduler_role.py
@@ -55,6 +55,10 @@
         0 if it doesn't shut down, or takes over no work any more.
         """
 
+    @property
+    def ready(self) -> bool:
+        """Return whether it knows what it needs to schedule."""
+
 
 M = TypeVar("M", bound=Member)
 
@@ -63,19 +67,27 @@
     """Return the VM that schedules, None if all have handed over.
 
     It is the one that keeps the role while it shuts down; without one the first of
-    those that don't shut down; and if all do, the one that ends last. Only values
-    that a VM sends unchanged are compared, never times of arrival, so that all VMs
-    choose the same.
+    those that don't shut down and are ready; then the one that ends last; and only
+    then one that has just started. Only values that a VM sends unchanged are compared,
+    never times of arrival, so that all VMs choose the same.
     """
     known = list(members)
     keeping = [member for member in known if member.leaving and member.schedules]
     if keeping:
         return max(keeping, key=last_to_end)
     staying = [member for member in known if not member.leaving]
-    if staying:
-        return min(staying, key=lambda member: (member.duty_order, member.address))
+    ready = [member for member in staying if member.ready]
+    if ready:
+        return min(ready, key=first_for_duties)
     able = [member for member in known if member.ends_at_ms]
-    return max(able, key=last_to_end, default=None)
+    if able:
+        return max(able, key=last_to_end)
+    return min(staying, key=first_for_duties, default=None)
+
+
+def first_for_duties(member: Member) -> tuple[int, str]:
+    """Return the key by which VMs that don't shut down are compared."""
+    return member.duty_order, member.address
 
 
 def last_to_end(member: Member) -> tuple[int, int, str]:
@@ -171,8 +183,10 @@
     the work for `KEEP_MS` itself if it can.
     """
     chosen = choose_scheduler(others)
-    if chosen is None or not chosen.leaving:
-        return chosen
+    if chosen is None:
+        return None
+    if not chosen.leaving:
+        return chosen if chosen.ready or time.is_overdue else None
     gain_ms = chosen.ends_at_ms - own.ends_at_ms
     early_ms = KEEP_MS - gain_ms
     if not 0.0 <= early_ms <= MOST_EARLY_MS:
--- a/tests/gateway/leaving_fleet.py
+++ b/tests/gateway/leaving_fleet.py
@@ -45,6 +45,8 @@
 CHAIN_INTERVAL_MS = 200.0
 WATCH_INTERVAL_MS = 100.0
 START_INTERVAL_MS = 200.0
+READY_MS = (50.0, 400.0)
+"""Time from the start of a process until it knows the routes and upstreams."""
 DELAY_MS = (1.0, 30.0)
 LOSS = 0.05
 """Share of the datagrams that are lost; sessions lose none."""
@@ -150,6 +152,7 @@
 
     def run(self, chain: Chain, requester: Process, named: bool) -> None:
         """Run the chain of another VM, or send it on."""
+        self.fleet.unready += not self.vm.upstreams_known
         if named:
             self.vm.sessions.after_hand_over()
         self.vm.sessions.before_chain()
@@ -256,6 +259,8 @@
         When each VM gets SIGTERM, by its number.
     split_ms : float
         Longest time for which two VMs chose different schedulers.
+    unready : int
+        Chains that came to a VM which could not run them yet.
     """
 
     seed: int
@@ -268,6 +273,7 @@
     order: Iterator[int] = field(default_factory=itertools.count)
     agreed_ms: float = 0.0
     split_ms: float = 0.0
+    unready: int = 0
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
@@ -329,6 +335,13 @@
         vm.send_datagram = process.send
         self.processes.append(process)
         process.beat()
+        self.later(partial(self.get_ready, process), self.random.uniform(*READY_MS))
+
+    def get_ready(self, process: Process) -> None:
+        """Let a process know the routes and upstreams, and begin to serve."""
+        vm: Any = process.vm
+        vm.index = object()
+        vm.upstreams_known = True
         self.serve(process)
 
     def serve(self, process: Process) -> None:
--- a/tests/gateway/test_handing_over.py
+++ b/tests/gateway/test_handing_over.py
@@ -41,6 +41,7 @@
 def check(fleet: LeavingFleet, most_moves: int) -> None:
     """Check that VMs agree, and that chains end without a detour."""
     assert fleet.split_ms <= SETTLE_MS
+    assert fleet.unready == 0
     end_ms = fleet.clock.at_ms
     begun = [c for c in fleet.chains if c.began_ms <= end_ms - c.work_ms - MARGIN_MS]
     assert max(chain.moves for chain in begun) <= most_moves
