--- a/tests/platform/test_requests_at_the_end.py
+++ b/tests/platform/test_requests_at_the_end.py
@@ -102,13 +102,12 @@
 async def find_scheduler(site: Site) -> RunningVm:
     """Return the VM that schedules the stages of all; a request to each VM shows it."""
     for vm in site.vms:
-        reader, writer = await open_connection(vm)
+        _, writer = await open_connection(vm)
         writer.write(render("POST", "/draft/x", headers_of("/draft/x", "first"), b"b"))
         async with asyncio.timeout(2.0):
             while not vm.events("chain_judged"):
                 await asyncio.sleep(0.1)
         writer.close()
-        del reader
     (scheduler,) = [
         vm for vm in site.vms if vm.events("chain_judged")[0]["scheduler"] == "here"
     ]
@@ -182,7 +181,6 @@
 
 
 async def stop_while_requests_wait(
-    site: Site,
     stops: list[RunningVm],
     vm: RunningVm,
     target: str,
@@ -229,9 +227,7 @@
     own, other = [vm for vm in slow_site.vms if vm is not scheduler]
     named = {"own": own, "scheduler": scheduler, "other": other}
     stops = [named[name] for name in order.split()]
-    ends = await stop_while_requests_wait(
-        slow_site, stops, own, "/draft/x", ((), PIECES_S)
-    )
+    ends = await stop_while_requests_wait(stops, own, "/draft/x", ((), PIECES_S))
     check_ends(slow_site, ends, stops)
 
 
@@ -244,9 +240,7 @@
     own = slow_site.vms[1]
     for name in ("encode-1", "rank-1"):
         slow_site.upstreams[name].work_s = 0.005
-    ends = await stop_while_requests_wait(
-        slow_site, [own], own, target, (LATE_PIECES_S,)
-    )
+    ends = await stop_while_requests_wait([own], own, target, (LATE_PIECES_S,))
     check_ends(slow_site, ends, [own])
 
 
@@ -260,5 +254,5 @@
     for name in ("desk-1", "desk-2"):
         remove = slow_site.store.put(SERVER_TOPIC, name, None)
         loop.call_later(0.3, asyncio.ensure_future, remove)
-    ends = await stop_while_requests_wait(slow_site, [own], own, target, ((), PIECES_S))
+    ends = await stop_while_requests_wait([own], own, target, ((), PIECES_S))
     check_ends(slow_site, ends, [own])
