End a wait in the turn that decides on it

Callers could see a stream that begins 1 s before its VM ends and is cut 0.5 s later. The task is cancelled in the same turn now: it ends at its next step, before the answer begins. test_answer_does_not_begin_once_its_wait_is_ended failed before.

--- a/cuminstile/shutdown/waits.py
+++ b/cuminstile/shutdown/waits.py
@@ -42,14 +42,21 @@
         If the time has come, also before anything is awaited.
     """
     loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    assert task is not None
+    cancelling = task.cancelling()
     timer: asyncio.TimerHandle | None = None
+    ended = False
 
     def left_ms(times: ShutdownTimes) -> float:
         return times.answer_by_ms - ahead_ms - clock.now_ms()
 
     def end() -> None:
+        nonlocal ended
         if may_end():
-            timeout.reschedule(loop.time())
+            # Nothing of the task runs any more between the question and its end.
+            ended = True
+            task.cancel()
 
     def start_timer(times: ShutdownTimes) -> None:
         nonlocal timer
@@ -57,18 +64,16 @@
 
     if shutdown is not None and left_ms(shutdown) <= 0.0:
         raise ShutdownReachedError
+    requests.watchers.add(start_timer)
+    if shutdown is not None:
+        start_timer(shutdown)
     try:
-        async with asyncio.timeout(None) as timeout:
-            requests.watchers.add(start_timer)
-            if shutdown is not None:
-                start_timer(shutdown)
-            try:
-                yield
-            finally:
-                requests.watchers.discard(start_timer)
-                if timer is not None:
-                    timer.cancel()
-    except TimeoutError:
-        if not timeout.expired():
-            raise
-        raise ShutdownReachedError from None
+        yield
+    except asyncio.CancelledError:
+        if ended and task.uncancel() <= cancelling:
+            raise ShutdownReachedError from None
+        raise
+    finally:
+        requests.watchers.discard(start_timer)
+        if timer is not None:
+            timer.cancel()
--- a/tests/shutdown/test_waits.py
+++ b/tests/shutdown/test_waits.py
@@ -61,6 +61,41 @@
         await asyncio.sleep(2 * LEFT_MS / 1_000.0)
 
 
+async def test_answer_does_not_begin_once_its_wait_is_ended() -> None:
+    """Guards against an answer that begins as its wait ends, and is cut at once."""
+    clock = Clock()
+    ready = asyncio.get_running_loop().create_future()
+    begun = False
+
+    def may_end() -> bool:
+        ready.set_result(None)
+        return not begun
+
+    with pytest.raises(ShutdownReachedError):
+        async with limited_wait(
+            clock, RequestsInProgress(), make_times(clock), may_end=may_end
+        ):
+            await ready
+            begun = True
+            await wait_long()
+    assert not begun
+
+
+async def test_cancellation_from_outside_keeps_its_kind() -> None:
+    """Guards against a caller that left and is taken for a shutdown."""
+    clock = Clock()
+
+    async def wait() -> None:
+        async with limited_wait(clock, RequestsInProgress(), make_times(clock)):
+            await wait_long()
+
+    task = asyncio.create_task(wait())
+    await asyncio.sleep(0)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+
+
 async def test_timeout_from_inside_keeps_its_kind() -> None:
     """Guards against a request that is refused for a shutdown that has not begun."""
     clock, requests = Clock(), RequestsInProgress()
