Keep the planned stop in order whatever the hand-over meets

Cause (an end that depends on work for others): each step of the drain ran in one loop. A fault in the hand-over ended the process at once, with each request cut; a connection to the successor that takes 400 ms delayed the last refusals; and a grace of 3.3 s or less ended while the VM still listened, without any refusal. Change: the hand-over has a loop of its own, restarted if it fails; the VM listens no longer than until its last answers are due. One function words the refusal of a VM that shuts down. Result: the two new tests of test_leaving failed before on both event loops and pass; tests of the stop, the hand-over and the HTTP server pass.

--- a/cuminstile/gateway/body_refusals.py
+++ b/cuminstile/gateway/body_refusals.py
@@ -8,7 +8,7 @@
 from .accepting import accept
 from .http_server import CallerConnection, Handler, HeadCheck, HeadVerdict, Request
 from .http_server import Server as CallerServer
-from .refusals import DEFAULT_RETRY_MS, Refusal, write_refusal
+from .refusals import DEFAULT_RETRY_MS, Refusal, shut_down, write_refusal
 from .state import Gateway
 
 
@@ -50,8 +50,7 @@
 
 def make_stop_refusal(vm: Gateway) -> Handler:
     """Return the handler that refuses requests that aren't whole before the VM ends."""
-    refusal = Refusal(ErrorCode.SHUTTING_DOWN, "not read in time", DEFAULT_RETRY_MS)
-    return make_refusing(vm, refusal)
+    return make_refusing(vm, shut_down(maybe_ran=False))
 
 
 def record_shortage(vm: Gateway, server: CallerServer) -> None:
--- a/cuminstile/gateway/handing_over.py
+++ b/cuminstile/gateway/handing_over.py
@@ -12,6 +12,9 @@
 from .peer_sessions import PeerSession, SessionLostError
 from .state import Gateway
 
+ROLE_INTERVAL_MS = 100.0
+"""Interval at which a VM that shuts down decides on the role of the scheduler."""
+
 
 def begin_leaving(vm: Gateway) -> None:
     """Say that this VM shuts down, and that it keeps scheduling if it does so now."""
@@ -88,6 +91,13 @@
     vm.scheduler.resume()
 
 
+async def run_role_loop(vm: Gateway) -> None:
+    """Do what is next about the role of the scheduler, without end."""
+    while True:
+        await keep_or_hand_over(vm)
+        await vm.clock.sleep_ms(ROLE_INTERVAL_MS)
+
+
 async def keep_or_hand_over(vm: Gateway) -> None:
     """Do what is next about the role of the scheduler; called in short intervals."""
     successor = reconsider(vm)
--- a/cuminstile/gateway/leaving.py
+++ b/cuminstile/gateway/leaving.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 from ..events import Event
-from ..shutdown.schedule import shutdown_times
+from ..shutdown.schedule import ShutdownTimes, shutdown_times
+from ..supervision import run_with_restarts
 from .body_refusals import make_stop_refusal
-from .handing_over import (
-    begin_leaving,
-    end_role,
-    give_up_role,
-    keep_or_hand_over,
-)
+from .handing_over import begin_leaving, end_role, give_up_role, run_role_loop
 from .heartbeats import HeartbeatSocket
 from .http_server import Server, stop_listening
 from .state import Gateway
@@ -37,19 +34,32 @@
     server.begin_closing()
     heartbeats.send_to_all()
     vm.journal.record(Event.VM_LEAVING, requests=vm.requests)
+    role = asyncio.create_task(
+        run_with_restarts(partial(run_role_loop, vm), vm.journal, vm.clock)
+    )
+    try:
+        await finish_requests(vm, server, callers, times)
+    finally:
+        role.cancel()
+    give_up_role(vm)
+    record_unfinished(vm, server)
+
+
+async def finish_requests(
+    vm: Gateway, server: Server, callers: asyncio.Server, times: ShutdownTimes
+) -> None:
+    """Wait until all requests are answered, at the latest until the exit."""
+    listen_until_ms = min(times.began_ms + BALANCER_REMOVAL_MS, times.answer_by_ms)
     while (left_ms := times.exit_at_ms - vm.clock.now_ms()) > 0:
-        await keep_or_hand_over(vm)
         await vm.clock.sleep_ms(min(POLL_INTERVAL_MS, left_ms))
-        if vm.clock.now_ms() - times.began_ms < BALANCER_REMOVAL_MS:
+        if vm.clock.now_ms() < listen_until_ms:
             continue
         await stop_listening(server, callers)
         server.close_idle()
         if vm.clock.now_ms() >= times.answer_by_ms:
             server.refuse_unread(make_stop_refusal(vm))
         if is_finished(vm, server) and end_role(vm):
-            break
-    give_up_role(vm)
-    record_unfinished(vm, server)
+            return
 
 
 def is_finished(vm: Gateway, server: Server) -> bool:
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -12,6 +12,8 @@
 import pytest
 
 from cuminstile.clock import Clock
+from cuminstile.events import Event
+from cuminstile.gateway import handing_over
 from cuminstile.gateway.http_server import CallerConnection, Request, Server, listen
 from cuminstile.gateway.leaving import (
     BALANCER_REMOVAL_MS,
@@ -216,6 +218,36 @@
                 assert caller.recv(65_536).startswith(b"HTTP/1.1 503")
 
 
+async def test_planned_stop_with_a_short_grace_refuses_what_still_comes() -> None:
+    """Guards against a grace that ends while the VM still listens."""
+    heartbeats: Any = SilentHeartbeats()
+    async with caller_server() as (vm, server, callers):
+        vm.settings = replace(vm.settings, shutdown_ms=BALANCER_REMOVAL_MS)
+        with await connected(callers, HEAD + CHUNK) as caller:
+            await asyncio.sleep(0.05)
+            await drain(vm, server, callers, heartbeats)
+            assert caller.recv(65_536).startswith(b"HTTP/1.1 503")
+
+
+async def test_fault_in_the_hand_over_leaves_the_planned_stop_in_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that ends at once, with all requests in progress."""
+
+    async def fail(vm: Gateway) -> None:
+        raise ValueError
+
+    monkeypatch.setattr(handing_over, "keep_or_hand_over", fail)
+    heartbeats: Any = SilentHeartbeats()
+    async with caller_server() as (vm, server, callers):
+        late = await connected(callers, HEAD)
+        await asyncio.sleep(0.05)
+        answer_received = asyncio.create_task(finish_late(late))
+        await drain(vm, server, callers, heartbeats)
+        assert (await answer_received).startswith(b"HTTP/1.1 200")
+        assert Event.INTERNAL_ERROR in {line.event for line in vm.journal.ring}
+
+
 async def test_planned_stop_does_not_wait_for_connections_without_a_request() -> None:
     heartbeats: Any = SilentHeartbeats()
     async with caller_server() as (vm, server, callers):
