Hand staged work over at once while an older build is in the fleet

A heartbeat that names no scheduler is of an older build; with one alive a VM hands over at SIGTERM, as before. test_role_is_kept_only_if_all_vms_understand_it: the case of an old build failed before.

--- a/cuminstile/gateway/handing_over.py
+++ b/cuminstile/gateway/handing_over.py
@@ -22,7 +22,7 @@
     chosen = vm.membership.scheduler(own, vm.clock.now_ms())
     vm.leaving = True
     vm.role.ends_at_ms = vm.clock.wall_ms() + int(vm.settings.shutdown_ms)
-    vm.role.keeps = chosen is own and has_stages(vm)
+    vm.role.keeps = chosen is own and has_stages(vm) and not has_older_builds(vm)
     vm.sessions.before_chain = partial(reconsider, vm)
     vm.sessions.after_hand_over = partial(take_over, vm)
 
@@ -32,6 +32,15 @@
     return bool(vm.scheduler.planner.queues)
 
 
+def has_older_builds(vm: Gateway) -> bool:
+    """Return whether a VM doesn't understand that a leaving one keeps the role.
+
+    It would use another scheduler beside this one.
+    """
+    others = vm.membership.live(vm.clock.now_ms())
+    return any(not heartbeat.scheduler for heartbeat in others)
+
+
 def own_time(vm: Gateway) -> HandOverTime:
     """Return whether this VM hands its work over now."""
     return hand_over_time(vm.shutdown, vm.role.since_ms, vm.clock.now_ms())
--- a/tests/gateway/test_handing_over.py
+++ b/tests/gateway/test_handing_over.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 
+from cuminstile.clock import VirtualClock
+from cuminstile.gateway.handing_over import begin_leaving
 from cuminstile.gateway.membership import SILENCE_LIMIT_MS
+from cuminstile.gateway.model import BatchSpec
 
 from .leaving_fleet import GRACE_MS, Chain, LeavingFleet
+from .test_state import make_vm
 
 VMS = 6
 FIRST_STOP_MS = 4_000.0
@@ -71,3 +76,19 @@
 def test_all_vms_that_stop_at_once_keep_one_scheduler(seed: int) -> None:
     """Guards against VMs that each schedule for themselves when all shut down."""
     check(rolled(seed, 0.0, together=VMS), most_moves=2)
+
+
+@pytest.mark.parametrize("old", [False, True])
+def test_role_is_kept_only_if_all_vms_understand_it(old: bool) -> None:
+    """Guards against two schedulers while an older build is in the fleet."""
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    vm.scheduler.planner.set_service("s", BatchSpec(1, 1, 1, 1.0, 1.0, 1, 1.0))
+    other = replace(
+        vm.own_heartbeat(),
+        address="127.0.0.1:9",
+        duty_order=vm.own_heartbeat().duty_order + 1,
+        scheduler="" if old else vm.settings.peer_address,
+    )
+    vm.membership.record_heartbeat(other, vm.clock.now_ms())
+    begin_leaving(vm)
+    assert vm.role.keeps is not old
