Name in heartbeats what a VM needs to schedule

Heartbeat.ready told whether a VM knows routes and upstreams, Gateway.ready whether it takes callers: two meanings of one word. The former is can_schedule now; the field keeps its place in the message.

--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -41,7 +41,7 @@
     scheduler : str
         Address of the VM that the sender has chosen as the scheduler, empty from a
         build that doesn't tell.
-    ready : bool
+    can_schedule : bool
         Whether the sender knows the routes and upstreams.
     """
 
@@ -56,7 +56,7 @@
     schedules: bool = False
     ends_at_ms: int = 0
     scheduler: str = ""
-    ready: bool = True
+    can_schedule: bool = True
 
 
 @dataclass(frozen=True)
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -212,7 +212,7 @@
             tuple(some),
             self.role.keeps,
             self.role.ends_at_ms,
-            ready=self.index is not None and self.upstreams_known,
+            can_schedule=self.index is not None and self.upstreams_known,
         )
 
     def heartbeat_message(self) -> Heartbeat:
--- a/cuminstile/shutdown/scheduler_role.py
+++ b/cuminstile/shutdown/scheduler_role.py
@@ -56,7 +56,7 @@
         """
 
     @property
-    def ready(self) -> bool:
+    def can_schedule(self) -> bool:
         """Return whether it knows what it needs to schedule."""
 
 
@@ -67,7 +67,7 @@
     """Return the VM that schedules, None if all have handed over.
 
     It is the one that keeps the role while it shuts down; without one the first of
-    those that don't shut down and are ready; then the one that ends last; and only
+    those that don't shut down and can schedule; then the one that ends last; and only
     then one that has just started. Only values that a VM sends unchanged are compared,
     never times of arrival, so that all VMs choose the same.
     """
@@ -76,9 +76,9 @@
     if keeping:
         return max(keeping, key=last_to_end)
     staying = [member for member in known if not member.leaving]
-    ready = [member for member in staying if member.ready]
-    if ready:
-        return min(ready, key=first_for_duties)
+    prepared = [member for member in staying if member.can_schedule]
+    if prepared:
+        return min(prepared, key=first_for_duties)
     able = [member for member in known if member.ends_at_ms]
     if able:
         return max(able, key=last_to_end)
@@ -186,7 +186,7 @@
     if chosen is None:
         return None
     if not chosen.leaving:
-        return chosen if chosen.ready or time.is_overdue else None
+        return chosen if chosen.can_schedule or time.is_overdue else None
     gain_ms = chosen.ends_at_ms - own.ends_at_ms
     early_ms = KEEP_MS - gain_ms
     if not 0.0 <= early_ms <= MOST_EARLY_MS:
--- a/tests/shutdown/test_scheduler_role.py
+++ b/tests/shutdown/test_scheduler_role.py
@@ -37,7 +37,7 @@
     leaving: bool = False
     schedules: bool = False
     ends_at_ms: int = 0
-    ready: bool = True
+    can_schedule: bool = True
 
 
 def leaving(name: str, ends_ms: int = 0, schedules: bool = False) -> Vm:
@@ -60,9 +60,9 @@
         ([leaving("k", 0), leaving("l", 9)], "l"),
         ([leaving("k"), Vm("older build", leaving=True)], "k"),
         ([Vm("handed over", leaving=True)], ""),
-        ([Vm("a", 1, ready=False), Vm("b", 2)], "b"),
-        ([Vm("a", 1, ready=False), leaving("l")], "l"),
-        ([Vm("a", 1, ready=False), Vm("b", 2, ready=False)], "a"),
+        ([Vm("a", 1, can_schedule=False), Vm("b", 2)], "b"),
+        ([Vm("a", 1, can_schedule=False), leaving("l")], "l"),
+        ([Vm("a", 1, can_schedule=False), Vm("b", 2, can_schedule=False)], "a"),
     ],
 )
 def test_all_vms_choose_the_same_scheduler(vms: list[Vm], chosen: str) -> None:
@@ -76,8 +76,14 @@
         (leaving("k", 0, True), [Vm("a")], EARLY, StepKind.WAIT, ""),
         (leaving("k", 0, True), [Vm("a")], DUE, StepKind.HAND_OVER, "a"),
         (leaving("k", 0, True), [], LATEST, StepKind.WAIT, ""),
-        (leaving("k", 0, True), [Vm("a", ready=False)], DUE, StepKind.WAIT, ""),
-        (leaving("k", 0, True), [Vm("a", ready=False)], LATEST, "hand_over", "a"),
+        (leaving("k", 0, True), [Vm("a", can_schedule=False)], DUE, StepKind.WAIT, ""),
+        (
+            leaving("k", 0, True),
+            [Vm("a", can_schedule=False)],
+            LATEST,
+            "hand_over",
+            "a",
+        ),
         (leaving("k", 0), [Vm("a")], EARLY, StepKind.HAND_OVER, "a"),
         (leaving("k", 9), [leaving("l", 0)], EARLY, StepKind.KEEP, ""),
         (leaving("k", 0, True), [leaving("l", 9, True)], EARLY, "hand_over", "l"),
