Send a heartbeat at once when a VM can schedule

Seen in tests/platform/test_program.py: of two VMs that had just started and heard each other, each one scheduled for itself until the next heartbeat (300 ms), as the first one had said that its sender knew no routes yet. The news is sent within 20 ms now. test_heartbeat_is_due_at_once_when_a_vm_can_schedule can't run on the code before, which has no such wait.

--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -29,6 +29,8 @@
 """Interval of heartbeats to each VM in a small fleet."""
 DATAGRAMS_PER_S = 60.0
 """Maximum rate of heartbeats that a VM sends; a large fleet uses a longer interval."""
+START_CHECK_MS = 20.0
+"""Interval at which a VM that has just started looks whether it can schedule."""
 MAX_INTERVAL_MS = 1_000.0
 """Longest interval, so that two lost datagrams do not make a VM look lost."""
 
@@ -130,4 +132,16 @@
         for address in vm.membership.remove_silent(now_ms):
             vm.journal.record(Event.VM_FORGOTTEN, address=address)
         socket.send_round()
-        await vm.clock.sleep_ms(interval_ms(len(vm.membership.peers)))
+        await sleep_until_due(vm, interval_ms(len(vm.membership.peers)))
+
+
+async def sleep_until_due(vm: Gateway, interval_ms: float) -> None:
+    """Sleep until the next heartbeat; it is due at once when the VM can schedule."""
+    due_ms = vm.clock.now_ms() + interval_ms
+    could_schedule = vm.can_schedule
+    while could_schedule == vm.can_schedule:
+        left_ms = due_ms - vm.clock.now_ms()
+        if left_ms <= 0.0:
+            return
+        step_ms = interval_ms if could_schedule else START_CHECK_MS
+        await vm.clock.sleep_ms(min(left_ms, step_ms))
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -191,10 +191,15 @@
         """Return the limits for callers."""
         return Limits() if self.index is None else self.index.manifest.limits
 
+    @property
+    def can_schedule(self) -> bool:
+        """Return whether this VM knows the routes and upstreams."""
+        return self.index is not None and self.upstreams_known
+
     @property
     def ready(self) -> bool:
         """Return whether this VM accepts new connections of callers."""
-        return self.index is not None and self.upstreams_known and not self.leaving
+        return self.can_schedule and not self.leaving
 
     def own_heartbeat(self) -> Heartbeat:
         """Return this VM's heartbeat."""
@@ -212,7 +217,7 @@
             tuple(some),
             self.role.keeps,
             self.role.ends_at_ms,
-            can_schedule=self.index is not None and self.upstreams_known,
+            can_schedule=self.can_schedule,
         )
 
     def heartbeat_message(self) -> Heartbeat:
--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -1,12 +1,15 @@
-"""Test cuminstile.gateway.heartbeats with malformed datagrams."""
+"""Test cuminstile.gateway.heartbeats: malformed datagrams, and when one is due."""
 
 from __future__ import annotations
 
+import asyncio
+from typing import Any
+
 import pytest
 
-from cuminstile.clock import VirtualClock
+from cuminstile.clock import Clock, VirtualClock
 from cuminstile.events import Event
-from cuminstile.gateway.heartbeats import HeartbeatSocket
+from cuminstile.gateway.heartbeats import HeartbeatSocket, sleep_until_due
 from cuminstile.gateway.messages import CODEC, Heartbeat
 
 from .test_state import make_vm
@@ -66,3 +69,14 @@
     assert transport.sent == []
     events = [entry.event for entry in socket.vm.journal.ring]
     assert events == [Event.PEER_MESSAGE_REFUSED]
+
+
+@pytest.mark.anyio
+async def test_heartbeat_is_due_at_once_when_a_vm_can_schedule() -> None:
+    """Guards against VMs that start together and each schedule for themselves."""
+    vm: Any = make_vm(Clock())
+    sleeping = asyncio.create_task(sleep_until_due(vm, 60_000.0))
+    await asyncio.sleep(0.05)
+    assert not sleeping.done()
+    vm.index, vm.upstreams_known = object(), True
+    await asyncio.wait_for(sleeping, 5.0)
