Ask in one place until when a process that ends answers

The product's path had answer_by_ms(vm), infinite without a planned stop; the gateway wrote the same check out at a trial and at staged work. Both call shutdown.schedule.answer_by_ms now. The send loop keeps its own check, as it spares the usual time of a route on each send. No behaviour changes; tests/shutdown, caller, claims and the affected files of vm and gateway pass.

--- a/cuminstile/caller/app.py
+++ b/cuminstile/caller/app.py
@@ -26,7 +26,8 @@
 from ..pipeline import Request, internal_error
 from ..readiness import unready_reason
 from ..shutdown.in_progress import Phase, RequestInProgress
-from ..vm.ending import answer_by_ms, shutting_down
+from ..shutdown.schedule import answer_by_ms
+from ..vm.ending import shutting_down
 from .bodies import RunBody, error_body, parse_run_body
 from .serving import TokenStream, answer_with_json, count_refusal
 
@@ -170,11 +171,11 @@
         pipeline=pipeline,
         input=body.input,
         stream=body.stream,
-        deadline_ms=min(deadline_ms, answer_by_ms(vm)),
+        deadline_ms=min(deadline_ms, answer_by_ms(vm.shutdown)),
         idempotency_key=body.idempotency_key,
         issued_at_ms=body.issued_at_ms,
         is_resend=body.resend,
-        ends_with_vm=answer_by_ms(vm) < deadline_ms,
+        ends_with_vm=answer_by_ms(vm.shutdown) < deadline_ms,
     )
     vm.journal.record(
         Event.REQUEST_STARTED,
--- a/cuminstile/gateway/crash_guard.py
+++ b/cuminstile/gateway/crash_guard.py
@@ -17,6 +17,7 @@
 from ..exceptions import ErrorCode
 from ..rendezvous import weight
 from ..shutdown.in_progress import Phase
+from ..shutdown.schedule import answer_by_ms
 from .crash_evidence import (
     end_trial,
     is_gone,
@@ -157,9 +158,8 @@
             "a request like this runs on trial after crashes of upstreams",
             min(MAX_RETRY_MS, left_ms),
         )
-    until_ms = min(call.expires_at_ms, now_ms + TRIAL_MS)
-    if vm.shutdown is not None:
-        until_ms = min(until_ms, vm.shutdown.answer_by_ms)
+    end_ms = answer_by_ms(vm.shutdown)
+    until_ms = min(call.expires_at_ms, now_ms + TRIAL_MS, end_ms)
     for name in suspected:
         table.begin_trial(name, until_ms)
         vm.crash_guard.unsent[name] = None
--- a/cuminstile/gateway/staged_work.py
+++ b/cuminstile/gateway/staged_work.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ..exceptions import ErrorCode
+from ..shutdown.schedule import answer_by_ms
 from ..shutdown.waits import ShutdownReachedError, limited_wait
 from .accepting import next_event_by_ms
 from .chain import ChainSpec, ChainStage, Result
@@ -101,9 +102,8 @@
     """
     preferred = preferred_upstream(vm, call, (), ())
     engine_ms = ENGINE_BASE_MS + call.fields.prompt_tokens * ENGINE_READ_MS_PER_TOKEN
-    if vm.shutdown is not None:
-        rest_ms = max(0.0, usual_ms - engine_ms)
-        expires_ms = min(expires_ms, vm.shutdown.answer_by_ms - rest_ms)
+    rest_ms = max(0.0, usual_ms - engine_ms)
+    expires_ms = min(expires_ms, answer_by_ms(vm.shutdown) - rest_ms)
     return ChainSpec(
         id=f"own:{id(call)}:{recomputed}:{vm.random.random()}",
         request_id=call.fields.attempt_id,
--- a/cuminstile/shutdown/schedule.py
+++ b/cuminstile/shutdown/schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 
 HAND_OVER_MARGIN_MS = 3_000.0
 """How long before its forced end a VM hands on the staged work that it schedules: its
@@ -50,3 +51,8 @@
         max(began_ms, forced_at_ms - ANSWER_MARGIN_MS),
         max(began_ms, forced_at_ms - EXIT_MARGIN_MS),
     )
+
+
+def answer_by_ms(times: ShutdownTimes | None) -> float:
+    """Return when the last answers are written; infinite without a planned stop."""
+    return inf if times is None else times.answer_by_ms
