Ask once whether an answer is of one run alone

The time of a whole answer and the record of a run asked the same condition one after the other. No behaviour changes; tests/gateway/test_sending.py and tests/scaling pass.

--- a/cuminstile/gateway/sending.py
+++ b/cuminstile/gateway/sending.py
@@ -215,8 +215,8 @@
         record_success(state, took_ms)
         if dispatch.last_event is None:
             vm.answer_times.record(call.route.name, took_ms)
-        if call.service.scaling is not None and dispatch.last_event is None:
-            record_run(vm, call, state, send, now_ms)
+            if call.service.scaling is not None:
+                record_run(vm, call, state, send, now_ms)
 
 
 def record_run(
