List the requests of a process that ends once

The requests in progress were sorted and cut to their limit twice, for the log and for the metric. record_requests returns those that it named. No behaviour changes; tests/shutdown and test_unfinished, test_leaving pass.

--- a/cuminstile/gateway/unfinished.py
+++ b/cuminstile/gateway/unfinished.py
@@ -11,8 +11,7 @@
 def record_unfinished(vm: Gateway, server: Server) -> None:
     """Log each request without a complete answer, and each that still comes."""
     now_ms = vm.clock.now_ms()
-    record_requests(vm.journal, vm.in_progress, now_ms)
-    for request in list(vm.in_progress)[:MAX_NAMED]:
+    for request in record_requests(vm.journal, vm.in_progress, now_ms):
         labels = {"route": request.route, "result": "unfinished"}
         vm.metrics.requests_total.inc(labels)
     for connection in server.unread()[:MAX_NAMED]:
--- a/cuminstile/shutdown/unfinished.py
+++ b/cuminstile/shutdown/unfinished.py
@@ -5,7 +5,7 @@
 from itertools import islice
 
 from ..events import Event, Journal
-from .in_progress import RequestsInProgress
+from .in_progress import RequestInProgress, RequestsInProgress
 
 MAX_NAMED = 200
 """Requests that are named at most; more hardly wait in a VM at its capacity."""
@@ -13,9 +13,13 @@
 
 def record_requests(
     journal: Journal, requests: RequestsInProgress, now_ms: float
-) -> None:
-    """Log what each request waits for, the oldest ones if there are many."""
-    for request in islice(requests, MAX_NAMED):
+) -> list[RequestInProgress]:
+    """Log what each request waits for, and return those that the log names.
+
+    They are the oldest ones if there are many.
+    """
+    named = list(islice(requests, MAX_NAMED))
+    for request in named:
         journal.record(
             Event.REQUEST_UNFINISHED,
             request=request.id,
@@ -27,3 +31,4 @@
             at_ms=round(now_ms - request.arrived_ms),
             left_ms=round(request.expires_at_ms - now_ms),
         )
+    return named
