--- a/review/site_2.py
+++ b/review/site_2.py
@@ -31,6 +31,8 @@
 HEARTBEAT_S = 1.2
 STORE_ANSWER_S = 0.004
 BROKEN, HELD, NO_RUN = 1, 0, 2
+LONGEST_S = 105.0
+"""How long a run may take; one that takes longer could not run."""
 DEFAULT_SEAL = "3e1b.07"
 BOUNDS = {
     "seed_lag_s": 3,
@@ -815,8 +817,9 @@
         for name, value in site.items():
             setattr(place, name, value)
         try:
-            broken = await play(place)
-        except (CannotRunError, OSError) as error:
+            async with asyncio.timeout(LONGEST_S):
+                broken = await play(place)
+        except (CannotRunError, OSError, TimeoutError) as error:
             record.line(f"could not run: {error!r}")
             return NO_RUN
         finally:
