Order what VMs know of the store by era and offset

Cause: a bare offset stood for "how new". After a return offsets go back and are given out again: whole pages were dropped as old ones, the topic stayed trimmed, and the loop has no pause there. Where the log had grown past the known end first, no 410 comes and the VM read on in the middle of another log.

Change: Position (era, offset; ordered) in place of the number in topics, deltas, updates, heartbeats, outages and the upstream list; the store's client reads Store-Era in each answer and refuses answers of an earlier era. Follower loops pause after every kind of answer. Messages keep their form; the era is a further field with a default, so older builds read them.

The tests of topics and of the store's client compare positions in place of offsets.

--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -4,10 +4,11 @@
 
 from typing import Protocol
 
+from ..eras.position import Position
 from ..events import Event
 from ..exceptions import PlatformUnavailableError, TrimmedError
 from .readers import ReaderRole, standby_ms
-from .sharing import fetch_first_records
+from .sharing import fetch_first_records, record_return
 from .state import FollowedTopic, Gateway
 from .topics import (
     TopicPage,
@@ -15,6 +16,7 @@
     apply_records,
     apply_snapshot,
     record_confirmation,
+    settle,
 )
 from .updates import push_update
 
@@ -29,6 +31,8 @@
 included."""
 STANDBY_CHECK_MS = 300.0
 """Longest pause between checks whether others still pass on what they read."""
+MIN_READ_INTERVAL_MS = 25.0
+"""Shortest time between two calls, however fast the store answers them."""
 PAUSED_MS = 1_000.0
 """A check that is later by this means that the process was paused."""
 
@@ -53,13 +57,14 @@
     async def newest(self, topic: str) -> TopicPage:
         """Return the latest record of each key."""
 
-    async def read(self, topic: str, start: int, wait_ms: float) -> TopicPage:
-        """Return the records from an offset on; wait for the first one up to `wait_ms`.
+    async def read(self, topic: str, start: Position, wait_ms: float) -> TopicPage:
+        """Return the records from a position on; wait for the first up to `wait_ms`.
 
         Raises
         ------
         TrimmedError
-            If records from that offset on have been trimmed.
+            If the store doesn't have the records from that position on: they have been
+            trimmed, or are of an era before its return from a copy.
         """
 
 
@@ -99,11 +104,20 @@
     while True:
         await wait_until_due(topic, vm)
         wait_ms, began_ms = topic.wait_ms(), vm.clock.now_ms()
+        known = state.end
         try:
-            keys = await read_once(state, store, wait_ms)
-        except TrimmedError:
-            vm.journal.record(Event.STORE_TRIMMED, topic=state.name)
+            keys = await read_once(state, store, wait_ms, vm)
+        except TrimmedError as error:
+            vm.journal.record(
+                Event.STORE_TRIMMED,
+                topic=state.name,
+                error=error.message,
+                known_era=known.era,
+                known_end=known.offset,
+            )
             state.trimmed = True
+            await vm.clock.sleep_ms(retry_ms)
+            retry_ms = min(longest_retry_ms(topic), retry_ms * 2)
             continue
         except StoreCallError as error:
             record_failed_call(state, vm, error, retry_ms)
@@ -115,12 +129,18 @@
         state.waited_in_full = vm.clock.now_ms() - began_ms >= wait_ms
         topic.apply_changes(keys, STORE)
         push_update(vm, state)
-        await vm.clock.sleep_ms(topic.pause_ms())
+        pause_ms = max(MIN_READ_INTERVAL_MS, topic.pause_ms())
+        if state.end == known and not state.waited_in_full:
+            pause_ms = max(RETRY_MIN_MS, pause_ms)
+        await vm.clock.sleep_ms(pause_ms)
 
 
 async def wait_until_due(topic: FollowedTopic, vm: Gateway) -> None:
     """Wait until this VM has to read a topic itself, or was paused."""
     while True:
+        settled = settle(topic.state, vm.clock.now_ms())
+        if settled:
+            topic.apply_changes(settled, STORE)
         role = vm.reader_role()
         record_role(topic, role, vm)
         began_ms = vm.clock.now_ms()
@@ -164,19 +184,43 @@
     return RETRY_MAX_MS if topic.state.always_read else STANDBY_RETRY_MAX_MS
 
 
-async def read_once(state: TopicState, store: KeyedStore, wait_ms: float) -> set[str]:
+async def read_once(
+    state: TopicState, store: KeyedStore, wait_ms: float, vm: Gateway
+) -> set[str]:
     """Read and apply the new records of a topic; return the keys that changed.
 
     Raises
     ------
     StoreCallError
-        If the store doesn't answer.
+        If the store doesn't answer, or answers with what is older than known.
     TrimmedError
-        If the next records have been trimmed.
+        If the store doesn't have the next records.
+    """
+    if state.must_read_all:
+        return apply_newest(state, await store.newest(state.name), vm)
+    start = state.end
+    page = await store.read(state.name, start, wait_ms)
+    if page.end.era > start.era:
+        raise TrimmedError(state.name, start.offset)
+    if page.end.era < state.end.era:
+        raise StoreCallError(f"read of {state.name}: an earlier era", None)
+    return apply_records(state, page)
+
+
+def apply_newest(state: TopicState, page: TopicPage, vm: Gateway) -> set[str]:
+    """Apply the newest records of a topic; log if the store came back from a copy.
+
+    Raises
+    ------
+    StoreCallError
+        If the page is older than what is known, and so doesn't help.
     """
+    known = state.end
+    keys = apply_snapshot(state, page, vm.clock.now_ms())
     if state.must_read_all:
-        return apply_snapshot(state, await store.newest(state.name))
-    return apply_records(state, await store.read(state.name, state.end, wait_ms))
+        raise StoreCallError(f"newest of {state.name}: older than known", None)
+    record_return(state, known, vm, STORE)
+    return keys
 
 
 def record_failed_call(
--- a/cuminstile/gateway/gateway_metrics.py
+++ b/cuminstile/gateway/gateway_metrics.py
@@ -21,6 +21,7 @@
     manifest_version: Gauge
     live_vms: Gauge
     store_calls_total: Counter
+    store_returns_total: Counter
     upstream_list_age_ms: Gauge
     store_reader: Gauge
     crashes_total: Counter
@@ -82,6 +83,11 @@
             "Calls that follow the platform's store by topic and result",
             registry=registry,
         ),
+        Counter(
+            "cuminstile_gateway_store_returns_total",
+            "Returns of the platform's store from an older copy by topic",
+            registry=registry,
+        ),
         Gauge(
             "cuminstile_gateway_upstream_list_age_ms",
             "Time since the list of upstreams was last known to be the newest",
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -16,10 +16,17 @@
 
 @dataclass(frozen=True)
 class TopicEnd(Message):
-    """Offset up to which the sender has read a topic of the store."""
+    """Position up to which the sender has read a topic of the store.
+
+    Parameters
+    ----------
+    era : int
+        See `Position`; 0 from a build that doesn't tell.
+    """
 
     name: str
     end: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -218,7 +225,7 @@
 
 @dataclass(frozen=True)
 class TopicRequest(Message):
-    """Request the records of a topic after an offset, -1 for all.
+    """Request the records of a topic after a position, offset -1 for all.
 
     Parameters
     ----------
@@ -229,6 +236,7 @@
     call: int
     name: str
     end: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -250,6 +258,8 @@
         Time since the store recovered from its last outage, 0 for none.
     back_end : int
         The topic's end at that time.
+    era : int
+        The era of all offsets.
     """
 
     call: int
@@ -259,6 +269,7 @@
     age_ms: float
     back_age_ms: float
     back_end: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -274,6 +285,8 @@
         that knows less requests the rest.
     records : tuple of RecordEntry
         The changes from `start` to `end`; see `topics.TopicDelta` for the other fields.
+    era : int
+        The era of all offsets.
     """
 
     name: str
@@ -284,6 +297,7 @@
     age_ms: float
     back_age_ms: float
     back_end: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/cuminstile/gateway/sharing.py
+++ b/cuminstile/gateway/sharing.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Sequence
 
+from ..eras.position import UNREAD, Position
 from ..events import Event
 from .conversions import records_from_entries, records_to_entries
 from .messages import Heartbeat, TopicRequest, TopicResponse
@@ -60,10 +61,10 @@
     state = topic.state
     spread_ms = vm.random.uniform(0.0, FIRST_WAIT_SPREAD_MS)
     end_ms = vm.clock.now_ms() + FIRST_WAIT_MS + spread_ms
-    while state.end < 0 and vm.clock.now_ms() < end_ms:
+    while not state.end.is_read and vm.clock.now_ms() < end_ms:
         await vm.clock.sleep_ms(FIRST_CHECK_MS)
         live = vm.membership.live(vm.clock.now_ms())
-        known = [peer for peer in live if reported_end(peer, state.name) >= 0]
+        known = [peer for peer in live if reported_end(peer, state.name).is_read]
         if known:
             await fetch_delta(vm, topic, vm.random.choice(known))
 
@@ -89,9 +90,12 @@
     return ahead
 
 
-def reported_end(heartbeat: Heartbeat, name: str) -> int:
-    """Return the offset up to which a VM knows a topic, -1 if it doesn't."""
-    return next((topic.end for topic in heartbeat.topics if topic.name == name), -1)
+def reported_end(heartbeat: Heartbeat, name: str) -> Position:
+    """Return the position up to which a VM knows a topic, `UNREAD` if it doesn't."""
+    return next(
+        (Position(one.era, one.end) for one in heartbeat.topics if one.name == name),
+        UNREAD,
+    )
 
 
 async def fetch_delta(vm: Gateway, topic: FollowedTopic, heartbeat: Heartbeat) -> None:
@@ -105,7 +109,8 @@
             Event.RECORDS_NOT_GIVEN,
             peer=heartbeat.name,
             topic=state.name,
-            end=known,
+            era=known.era,
+            end=known.offset,
             error=repr(error),
         )
         return
@@ -116,23 +121,58 @@
 
 
 def record_taken(
-    vm: Gateway, state: TopicState, peer: str, known_end: int, changed: int, whole: bool
+    vm: Gateway,
+    state: TopicState,
+    peer: str,
+    known: Position,
+    changed: int,
+    whole: bool,
 ) -> None:
     """Log that records of another VM were applied to a topic."""
+    record_return(state, known, vm, peer)
     vm.journal.record(
         Event.RECORDS_TAKEN,
         peer=peer,
         topic=state.name,
-        known_end=known_end,
-        end=state.end,
+        era=state.end.era,
+        known_end=known.offset,
+        end=state.end.offset,
         changed=changed,
         whole=whole,
         age_ms=state.age_ms(vm.clock.now_ms()),
     )
 
 
-async def request_delta(vm: Gateway, address: str, name: str, end: int) -> TopicDelta:
-    """Return what another VM knows of a topic after an offset.
+def record_return(state: TopicState, known: Position, vm: Gateway, source: str) -> None:
+    """Log that the store came back from a copy, if the records just applied say so.
+
+    Parameters
+    ----------
+    known : Position
+        The position up to which the topic was known before.
+    source : str
+        Who gave the records.
+    """
+    if not known.is_read or state.end.era == known.era:
+        return
+    vm.metrics.store_returns_total.inc({"topic": state.name})
+    vm.journal.record(
+        Event.STORE_RETURNED,
+        topic=state.name,
+        source=source,
+        known_era=known.era,
+        known_end=known.offset,
+        era=state.end.era,
+        end=state.end.offset,
+        lost=len(state.lost),
+        revived=len(state.revived),
+    )
+
+
+async def request_delta(
+    vm: Gateway, address: str, name: str, end: Position
+) -> TopicDelta:
+    """Return what another VM knows of a topic after a position.
 
     Raises
     ------
@@ -142,7 +182,7 @@
     session = await vm.sessions.get_session(address)
     call = session.begin_call()
     try:
-        session.send(TopicRequest(call, name, end))
+        session.send(TopicRequest(call, name, end.offset, end.era))
         async with asyncio.timeout(DELTA_TIMEOUT_MS / 1000.0):
             message = await session.reply(call)
     finally:
@@ -151,11 +191,11 @@
         raise SessionLostError(f"{address} sent {type(message).__name__} for a topic")
     return TopicDelta(
         records_from_entries(message.records),
-        message.end,
+        Position(message.era, message.end),
         message.whole,
         message.age_ms,
         message.back_age_ms,
-        message.back_end,
+        Position(message.era, message.back_end),
     )
 
 
@@ -163,15 +203,17 @@
     state: TopicState | None, asked: TopicRequest, now_ms: float
 ) -> TopicResponse:
     """Return the response to a VM's request for records of a topic."""
-    delta = None if state is None else delta_since(state, asked.end, now_ms)
+    known = Position(asked.era, asked.end)
+    delta = None if state is None else delta_since(state, known, now_ms)
     if delta is None:
-        return TopicResponse(asked.call, (), asked.end, False, 0.0, 0.0, -1)
+        return TopicResponse(asked.call, (), asked.end, False, 0.0, 0.0, -1, asked.era)
     return TopicResponse(
         asked.call,
         records_to_entries(delta.records),
-        delta.end,
+        delta.end.offset,
         delta.whole,
         delta.age_ms,
         delta.back_age_ms,
-        delta.back_end,
+        delta.back_end.offset,
+        delta.end.era,
     )
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..duties.desk import DutyDesk
+from ..eras.store_era import StoreEra
 from ..estimates.sharing import SpeedSharing
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
@@ -131,6 +132,8 @@
         The manifest in force, None before the first one.
     topics : dict of str to FollowedTopic
         The topics of the store, by name.
+    store_era : StoreEra
+        The newest era of the store.
     wanted_records : dict of str to str
         By topic, the address of a VM that knows changes which are missing here.
     send_datagram : callable
@@ -167,6 +170,7 @@
     demand: LocalDemand = field(default_factory=LocalDemand)
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
+    store_era: StoreEra = field(default_factory=StoreEra)
     wanted_records: dict[str, str] = field(default_factory=dict)
     send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
     duties: DutyDesk | None = None
@@ -213,7 +217,10 @@
             self.incarnation,
             duty_order(self.started_ms, self.settings.cores, self.settings.link_mbps),
             self.leaving,
-            tuple(TopicEnd(topic.name, topic.end) for topic in topics),
+            tuple(
+                TopicEnd(topic.name, topic.end.offset, topic.end.era)
+                for topic in topics
+            ),
             tuple(some),
             self.role.keeps,
             self.role.ends_at_ms,
@@ -291,7 +298,9 @@
         for name in self.table.replace(kept.values(), unconfirmed, now_ms):
             self.pool.drop(name)
             self.journal.record(
-                Event.UPSTREAM_GONE, upstream=name, list_version=self.table.version
+                Event.UPSTREAM_GONE,
+                upstream=name,
+                list_version=self.table.version.offset,
             )
         for name, info in kept.items():
             if before.get(name) != info:
@@ -304,7 +313,7 @@
                     version=info.version,
                     leaving=info.leaving,
                     cold_ms=info.cold_ms,
-                    list_version=self.table.version,
+                    list_version=self.table.version.offset,
                 )
         self.record_ends(before, now_ms)
         self.upstreams_known = True
--- a/cuminstile/gateway/upstreams.py
+++ b/cuminstile/gateway/upstreams.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
+from ..eras.position import UNREAD, Position
 from ..estimates.estimate import Estimate
 from ..estimates.report import LoadReport
 from ..recency import remember
@@ -96,8 +97,8 @@
 
     Parameters
     ----------
-    version : int
-        The offset in the store's log after the last record read, -1 before the first.
+    version : Position
+        The position in the store's log after the last record read.
     confirmed_ms : float
         Monotonic time at which that was last known to be the newest.
     left : OrderedDict of str to float
@@ -111,21 +112,21 @@
     """
 
     states: dict[str, UpstreamState] = field(default_factory=dict)
-    version: int = -1
+    version: Position = UNREAD
     confirmed_ms: float = 0.0
     left: OrderedDict[str, float] = field(default_factory=OrderedDict)
     closed_until_ms: OrderedDict[str, float] = field(default_factory=OrderedDict)
     taken_out: frozenset[str] = frozenset()
     held_back: dict[str, frozenset[str]] = field(default_factory=dict)
 
-    def confirm(self, version: int, at_ms: float) -> None:
-        """Record that the list was read up to an offset at a monotonic time in ms."""
+    def confirm(self, version: Position, at_ms: float) -> None:
+        """Record that the list was read up to a position at a monotonic time in ms."""
         self.version = version
         self.confirmed_ms = at_ms
 
     def age(self, now_ms: float) -> UpstreamListAge:
         """Return the version and age of the list."""
-        return UpstreamListAge(self.version, round(now_ms - self.confirmed_ms))
+        return UpstreamListAge(self.version.offset, round(now_ms - self.confirmed_ms))
 
     def versions(self, service: str) -> set[str]:
         """Return the versions that the upstreams of a service run."""
--- a/cuminstile/platform/duties.py
+++ b/cuminstile/platform/duties.py
@@ -266,7 +266,7 @@
         own.peer_address,
         vm.incarnation,
         GatewayFleet(vm),
-        LeaseLog(StoreClient(settings.store_address, vm.clock)),
+        LeaseLog(StoreClient(settings.store_address, vm.clock, vm.store_era)),
         PlatformCalls(settings.duties_address, own.name, vm.clock),
         lambda: vm.leaving,
         lambda token: vm.metrics.duty_token.set({}, token),
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -22,6 +22,7 @@
     decode_manifest,
     decode_move_target,
     decode_upstream,
+    manifest_order,
     without_sequence,
     writing_order,
 )
@@ -82,7 +83,9 @@
 
     vm: Gateway
     store: StoreClient
-    operator: TopicState = field(default_factory=lambda: TopicState(OPERATOR_TOPIC))
+    operator: TopicState = field(
+        default_factory=lambda: TopicState(OPERATOR_TOPIC, order=manifest_order)
+    )
     upstreams: TopicState = field(
         default_factory=lambda: TopicState(
             UPSTREAM_TOPIC, canonical=without_sequence, order=writing_order
@@ -156,10 +159,14 @@
             self.vm.scheduler.configure(self.vm.manifest, self.vm.table)
 
     def apply_evacuations(self) -> bool:
-        """Update which data centres are taken out; return whether that changed."""
+        """Update which data centres are taken out; return whether that changed.
+
+        An order that the store lost at its return holds until the operator had time to
+        write it again.
+        """
         data_centres = frozenset(
             key.removeprefix(EVACUATION_PREFIX)
-            for key in self.operator.values
+            for key in (*self.operator.values, *self.operator.lost)
             if key.startswith(EVACUATION_PREFIX)
         )
         if data_centres == self.vm.table.taken_out:
--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -91,7 +91,7 @@
     vm.duties = make_duties(settings, vm)
     if vm.duties is not None:
         vm.duties.local_demand = lambda: own_demand(vm)
-    follower = Follower(vm, StoreClient(settings.store_address, clock))
+    follower = Follower(vm, StoreClient(settings.store_address, clock, vm.store_era))
 
     def reload() -> None:
         try:
--- a/cuminstile/platform/records.py
+++ b/cuminstile/platform/records.py
@@ -91,6 +91,16 @@
     return manifest
 
 
+def manifest_order(payload: bytes) -> tuple[int, ...]:
+    """Return the version of a manifest, empty for other records of the operator."""
+    try:
+        raw = orjson.loads(payload)
+    except orjson.JSONDecodeError:
+        return ()
+    version = raw.get("version") if isinstance(raw, dict) else None
+    return (version,) if type(version) is int and "routes" in raw else ()
+
+
 def manifest_of(raw: dict[str, Any]) -> Manifest:
     """Return a manifest; missing or mistyped fields raise Python's own errors."""
     services = [service_of(item) for item in items_at(raw, "services")]
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -10,6 +10,8 @@
 import orjson
 
 from ..clock import Clock
+from ..eras.position import Position
+from ..eras.store_era import StoreEra
 from ..exceptions import TrimmedError
 from ..gateway.answers import AnswerHead, ConnectionLostError
 from ..gateway.connection_pool import ConnectionPool
@@ -28,6 +30,9 @@
 HEAD_BYTES = 16
 """End offset and first retained offset ahead of the records, 8 bytes each."""
 LENGTH_BYTES = 4
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 15
+"""Longest number of an era; a longer one is malformed."""
 
 
 @dataclass
@@ -38,6 +43,8 @@
     ----------
     address : str
         `host:port`.
+    era : StoreEra
+        The newest era of the store, common to all clients of a process.
     calls : int
         Calls made so far; the platform charges for each.
     in_progress : set of HttpConnection
@@ -46,6 +53,7 @@
 
     address: str
     clock: Clock
+    era: StoreEra = field(default_factory=StoreEra)
     pool: ConnectionPool = field(default_factory=lambda: ConnectionPool({}))
     calls: int = 0
     in_progress: set[HttpConnection] = field(default_factory=set)
@@ -78,8 +86,8 @@
         Raises
         ------
         StoreCallError
-            If the call is not answered, or answered with an error status; it may have
-            taken effect.
+            If the call is not answered, or answered with an error status or from an
+            era before the newest known one; it may have taken effect.
         """
         self.calls += 1
         target = f"{path}?{urlencode(query)}" if query else path
@@ -116,6 +124,8 @@
                 if alone:
                     connection.close("the call had a connection of its own")
                 self.pool.release(topic, connection, self.clock.now_ms())
+        if not self.era.observe(named_era(head), self.clock.now_ms()):
+            raise StoreCallError(f"{path}: answer of an earlier era", calls_before)
         if head.status in (429, 500, 502, 503, 504, 507):
             raise StoreCallError(f"{path}: status {head.status}", calls_before)
         return head, answer
@@ -134,25 +144,33 @@
         """Return the newest record of each key of a topic."""
         records: list[KeyedRecord] = []
         query: dict[str, object] = {"topic": topic, "part": 0}
-        first_end: int | None = None
+        first_end: Position | None = None
         while True:
             head, body = await self.call(b"GET", "/api/log-newest", query, alone=True)
             if head.status != 200:
                 raise StoreCallError(f"newest of {topic}: status {head.status}", None)
             page = decode_page(topic, body)
             records += page.records
+            end = self.position(head, page.end)
             # Pages are no snapshot: later changes are read from the first page's end.
-            first_end = page.end if first_end is None else first_end
+            first_end = end if first_end is None else first_end
+            if end.era != first_end.era:
+                raise StoreCallError(f"newest of {topic}: pages of two eras", None)
             if page.next_key is None:
                 return TopicPage(tuple(records), first_end)
             query["after"] = page.next_key
 
-    async def read(self, topic: str, start: int, wait_ms: float) -> TopicPage:
-        """Return the records of a topic from an offset on, waiting up to `wait_ms`."""
+    def position(self, head: AnswerHead, offset: int) -> Position:
+        """Return the position of an offset in an answer."""
+        named = named_era(head)
+        return Position(self.era.number if named is None else named, offset)
+
+    async def read(self, topic: str, start: Position, wait_ms: float) -> TopicPage:
+        """Return the records of a topic from a position on, waiting up to `wait_ms`."""
         query: dict[str, object] = {
             "topic": topic,
             "part": 0,
-            "from": start,
+            "from": start.offset,
             "max_kb": MAX_PAGE_KB,
             "wait_ms": int(wait_ms),
         }
@@ -161,13 +179,15 @@
             "/api/log-read",
             query,
             wait_ms=wait_ms,
-            may_answer=lambda body: can_follow(body, start),
+            may_answer=lambda body: can_follow(body, start.offset),
         )
-        if head.status == 410:
-            raise TrimmedError(topic, start)
+        if head.status == 410 or self.position(head, 0).era > start.era:
+            raise TrimmedError(topic, start.offset)
         if head.status != 200 or len(body) < HEAD_BYTES:
             raise StoreCallError(f"read of {topic}: status {head.status}", None)
-        return decode_records(body, start)
+        records = decode_records(body, start.offset)
+        end = start.offset + len(records)
+        return TopicPage(records, self.position(head, end))
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
         """Append one record; a call without an answer may still take effect later."""
@@ -212,7 +232,15 @@
         raise StoreCallError(message, None) from error
 
 
-def decode_records(body: bytes, start: int) -> TopicPage:
+def named_era(head: AnswerHead) -> int | None:
+    """Return the era that an answer names, None if it names none."""
+    value = head.get(ERA_HEADER)
+    if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    return int(value)
+
+
+def decode_records(body: bytes, start: int) -> tuple[KeyedRecord, ...]:
     """Return the records after the 16 bytes of offsets, without a truncated last one.
 
     A record of a keyed topic is the length of its key in one byte, the key, and the
@@ -228,7 +256,7 @@
         records.append(decode_keyed(content, offset))
         position += LENGTH_BYTES + size
         offset += 1
-    return TopicPage(tuple(records), offset)
+    return tuple(records)
 
 
 def can_follow(body: bytes, start: int) -> bool:
@@ -240,7 +268,7 @@
     if len(body) < HEAD_BYTES:
         return False
     end = int.from_bytes(body[: HEAD_BYTES // 2], "big")
-    return start <= decode_records(body, start).end <= end
+    return start <= start + len(decode_records(body, start)) <= end
 
 
 def decode_keyed(content: bytes, offset: int) -> KeyedRecord:
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -47,6 +47,8 @@
         hosts.
     calls : int
         Number of calls received.
+    era : int or None
+        The era that all answers name, None for a store that names none.
     """
 
     topics: dict[str, StoreTopic] = field(default_factory=dict)
@@ -55,6 +57,7 @@
     silent: bool = False
     affected_hosts: set[str] = field(default_factory=set)
     calls: int = 0
+    era: int | None = None
 
     def is_affected(self, request: Request) -> bool:
         """Return whether the faults affect a call."""
@@ -99,6 +102,22 @@
         if self.is_unanswered(request):
             await asyncio.Event().wait()
 
+    async def return_from_copy(self, ends: dict[str, int]) -> None:
+        """Lose the records of topics behind offsets, and begin a new era."""
+        for name, end in ends.items():
+            del self.topic(name).records[end:]
+        self.era = (self.era or 0) + 1
+        async with self.changed:
+            self.changed.notify_all()
+
+    def era_headers(self) -> dict[str, str]:
+        """Return the headers that name the era."""
+        return {} if self.era is None else {"Store-Era": str(self.era)}
+
+    def refusal(self) -> Response:
+        """Return the answer to a refused call."""
+        return Response(status_code=self.status or 503, headers=self.era_headers())
+
     def trim(self, topic: str) -> None:
         """Trim a topic up to its end; the newest record of each key stays available."""
         known = self.topic(topic)
@@ -109,7 +128,7 @@
         self.calls += 1
         await self.hang_if_unanswered(request)
         if self.is_refused(request):
-            return Response(status_code=self.status or 503)
+            return self.refusal()
         topic = self.topic(request.query_params["topic"])
         values: dict[str, tuple[bytes, int]] = {}
         for offset, (key, value) in enumerate(topic.records):
@@ -121,19 +140,22 @@
             for key, (value, offset) in values.items()
         ]
         end = len(topic.records)
-        return JSONResponse({"items": items, "has_more": False, "end": end})
+        return JSONResponse(
+            {"items": items, "has_more": False, "end": end}, headers=self.era_headers()
+        )
 
     async def read(self, request: Request) -> Response:
         """Return the records from an offset; long-poll at the end, 410 if trimmed."""
         self.calls += 1
         await self.hang_if_unanswered(request)
         if self.is_refused(request):
-            return Response(status_code=self.status or 503)
+            return self.refusal()
         topic = self.topic(request.query_params["topic"])
         start = int(request.query_params["from"])
         wait_s = int(request.query_params.get("wait_ms", "0")) / 1000.0
-        if start < topic.first:
-            return JSONResponse({"first": topic.first}, status_code=410)
+        era = self.era
+        if not topic.first <= start <= len(topic.records):
+            return self.trimmed(topic)
         try:
             async with asyncio.timeout(wait_s), self.changed:
                 await self.changed.wait_for(
@@ -141,19 +163,28 @@
                         len(topic.records) > start
                         or self.is_refused(request)
                         or self.is_unanswered(request)
+                        or self.era != era
                     )
                 )
         except TimeoutError:
             pass
         await self.hang_if_unanswered(request)
         if self.is_refused(request):
-            return Response(status_code=self.status or 503)
+            return self.refusal()
+        if start > len(topic.records):
+            return self.trimmed(topic)
         body = struct.pack(">QQ", len(topic.records), topic.first)
         for key, value in topic.records[start:]:
             name = key.encode()
             content = bytes([len(name)]) + name + (value or b"")
             body += struct.pack(">I", len(content)) + content
-        return Response(body)
+        return Response(body, headers=self.era_headers())
+
+    def trimmed(self, topic: StoreTopic) -> Response:
+        """Return the answer to a read of records that the store doesn't have."""
+        return JSONResponse(
+            {"first": topic.first}, status_code=410, headers=self.era_headers()
+        )
 
     def app(self) -> Starlette:
         """Return the web application."""
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -9,6 +9,7 @@
 import anyio
 
 from cuminstile.clock import VirtualClock
+from cuminstile.eras.position import Position
 from cuminstile.gateway.crash_sharing import on_suspect_update, send_suspects
 from cuminstile.gateway.following import StoreCallError, follow_topic
 from cuminstile.gateway.hubs import heartbeat_targets
@@ -41,11 +42,14 @@
     ----------
     refused : set of str
         Names of the VMs that it turns away.
+    era : int
+        The era that its answers name, 0 for none.
     """
 
     records: list[KeyedRecord] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     calls: list[str] = field(default_factory=list)
+    era: int = 0
 
     def put(self, key: str, value: bytes | None) -> None:
         """Append a record."""
@@ -56,7 +60,9 @@
         self.calls.append(name)
         if name in self.refused:
             raise StoreCallError("refused", calls_before=1)
-        return TopicPage(tuple(self.records[max(0, start) :]), len(self.records))
+        return TopicPage(
+            tuple(self.records[max(0, start) :]), Position(self.era, len(self.records))
+        )
 
 
 @dataclass
@@ -71,10 +77,10 @@
         del topic
         return self.store.page(self.name, 0)
 
-    async def read(self, topic: str, start: int, wait_ms: float) -> TopicPage:
-        """Return the records from an offset on."""
+    async def read(self, topic: str, start: Position, wait_ms: float) -> TopicPage:
+        """Return the records from a position on."""
         del topic, wait_ms
-        return self.store.page(self.name, start)
+        return self.store.page(self.name, start.offset)
 
 
 @dataclass
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -7,9 +7,12 @@
 import pytest
 
 from cuminstile.clock import VirtualClock
+from cuminstile.eras.position import Position
 from cuminstile.events import Event, EventRecord
+from cuminstile.exceptions import TrimmedError
 from cuminstile.gateway.following import (
     RETRY_MAX_MS,
+    RETRY_MIN_MS,
     STORE,
     StoreCallError,
     follow_topic,
@@ -36,14 +39,16 @@
 
     async def newest(self, topic: str) -> TopicPage:
         """Return all records."""
-        return await self.read(topic, 0, 0.0)
+        return await self.read(topic, Position(0, 0), 0.0)
 
-    async def read(self, topic: str, start: int, wait_ms: float) -> TopicPage:
+    async def read(self, topic: str, start: Position, wait_ms: float) -> TopicPage:
         """Return the records from an offset on at once."""
         self.calls += 1
         if self.unavailable:
             raise StoreCallError("no answer", calls_before=7)
-        return TopicPage(tuple(self.records[start:]), len(self.records))
+        return TopicPage(
+            tuple(self.records[start.offset :]), Position(0, len(self.records))
+        )
 
     def put(self, key: str, value: bytes | None) -> None:
         """Append a record."""
@@ -147,3 +152,57 @@
     each_ms = shared_interval_ms(1_000.0, 20_000.0, vms)
     assert each_ms <= 20_000.0
     assert vms / each_ms <= max(1 / 1_000.0, vms / 20_000.0)
+
+
+@dataclass
+class HastyStore:
+    """A store that answers each call at once, with nothing that helps.
+
+    Parameters
+    ----------
+    kind : str
+        `empty`: reads find no record, whatever they wait. `trimmed`: reads are told
+        that their records are gone. `behind`: so are they, and the newest records are
+        older than known. `earlier`: all answers are of an era before.
+    """
+
+    kind: str
+    calls: int = 0
+
+    async def newest(self, topic: str) -> TopicPage:
+        """Return the newest records."""
+        self.calls += 1
+        end = 3 if self.kind == "behind" and self.calls > 1 else 5
+        return TopicPage((), Position(1 if self.kind == "earlier" else 2, end))
+
+    async def read(self, topic: str, start: Position, wait_ms: float) -> TopicPage:
+        """Return no records."""
+        self.calls += 1
+        if self.kind in ("trimmed", "behind"):
+            raise TrimmedError(topic, start.offset)
+        return TopicPage((), Position(1 if self.kind == "earlier" else 2, 5))
+
+
+# Guards against a loop without a pause, whatever the store answers.
+@pytest.mark.parametrize("kind", ["empty", "trimmed", "behind", "earlier"])
+async def test_no_answer_makes_a_follower_call_without_a_pause(kind: str) -> None:
+    vm = make_vm(VirtualClock(at_ms=100_000.0))
+    store = HastyStore(kind)
+    state = TopicState(TOPIC)
+    if kind == "earlier":
+        state.end = Position(2, 5)
+    topic = FollowedTopic(
+        state,
+        lambda keys, source: None,
+        wait_ms=lambda: 1_000.0,
+        pause_ms=lambda: 0.0,
+        lag_ms=POLL_MS,
+        always_read=lambda role: True,
+        max_age_ms=lambda: POLL_MS,
+    )
+    assert isinstance(vm.clock, VirtualClock)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow_topic, topic, store, vm)
+        await vm.clock.advance_ms(OUTAGE_MS)
+        tasks.cancel_scope.cancel()
+    assert store.calls <= 2 + OUTAGE_MS / RETRY_MIN_MS
--- a/tests/gateway/test_peer_sessions.py
+++ b/tests/gateway/test_peer_sessions.py
@@ -15,6 +15,7 @@
 from websockets.frames import Frame, Opcode
 
 from cuminstile.clock import Clock, VirtualClock
+from cuminstile.eras.position import Position
 from cuminstile.events import Event
 from cuminstile.gateway import sharing
 from cuminstile.gateway.chain import ChainSpec, ChainStage
@@ -304,9 +305,9 @@
 
     async with running_peer(answer_late) as peer:
         with pytest.raises(TimeoutError):
-            await sharing.request_delta(vm, peer.address, "first", 5)
-        delta = await sharing.request_delta(vm, peer.address, "second", 5)
-    assert delta.end == 7
+            await sharing.request_delta(vm, peer.address, "first", Position(0, 5))
+        delta = await sharing.request_delta(vm, peer.address, "second", Position(0, 5))
+    assert delta.end == Position(0, 7)
 
 
 def in_frame(data: bytes) -> bytes:
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -115,7 +115,7 @@
                 tasks.start_soon(fleet.follow, vm)
             fleet.exchange_heartbeats()
             await fleet.clock.advance_ms(400.0)
-            assert all(vm.topics[TOPIC].state.end >= 0 for vm in late)
+            assert all(vm.topics[TOPIC].state.end.is_read for vm in late)
             names = {vm.settings.name for vm in late}
             assert not names & set(fleet.store.calls)
             tasks.cancel_scope.cancel()
--- a/tests/gateway/test_topics.py
+++ b/tests/gateway/test_topics.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cuminstile.eras.position import Position
 from cuminstile.gateway.topics import (
     CONFIRMED_MAX_AGE_MS,
     MAX_DROPS,
@@ -48,18 +49,20 @@
 
     def page(self, start: int) -> TopicPage:
         """Return all records from an offset on."""
-        return TopicPage(tuple(self.records[max(0, start) :]), len(self.records))
+        return TopicPage(
+            tuple(self.records[max(0, start) :]), Position(0, len(self.records))
+        )
 
     def newest(self) -> TopicPage:
         """Return the newest record of each key that has a value."""
         newest = {record.key: record for record in self.records}
         kept = (record for record in newest.values() if record.value is not None)
-        return TopicPage(tuple(kept), len(self.records))
+        return TopicPage(tuple(kept), Position(0, len(self.records)))
 
 
 def read(state: TopicState, log: Log, now_ms: float = NOW_MS) -> set[str]:
     """Apply the next records of the log."""
-    keys = apply_records(state, log.page(state.end))
+    keys = apply_records(state, log.page(state.end.offset))
     record_confirmation(state, now_ms)
     return keys
 
@@ -87,13 +90,13 @@
         elif step[0] == "read":
             read(states[step[1]], log)
         elif step[0] == "newest":
-            apply_snapshot(states[step[1]], log.newest())
+            apply_snapshot(states[step[1]], log.newest(), NOW_MS)
             record_confirmation(states[step[1]], NOW_MS)
         else:
             others = [n for n in range(3) if n != step[1]]
             send_delta(states[step[1]], states[others[step[2]]])
         for state in states:
-            assert state.values == log.values(max(0, state.end))
+            assert state.values == log.values(max(0, state.end.offset))
 
 
 def test_vm_that_lost_the_store_receives_changed_and_dropped_keys() -> None:
@@ -122,7 +125,7 @@
     read(other, log)
     send_delta(other, state)
     assert apply_records(state, late) == set()
-    assert apply_snapshot(state, TopicPage(late.records, late.end)) == set()
+    assert apply_snapshot(state, TopicPage(late.records, late.end), NOW_MS) == set()
     assert state.values == {"a": b"draining"}
 
 
@@ -153,7 +156,7 @@
     known = {} if dropped else {"a": b"draining"}
     assert read(state, log) == set()
     assert state.values == known
-    assert apply_snapshot(other, log.newest()) == set()
+    assert apply_snapshot(other, log.newest(), NOW_MS) == set()
     assert other.values == known
     send_delta(state, starting)
     assert starting.values == known
@@ -263,10 +266,12 @@
 def test_other_vms_are_asked_for_what_the_store_does_not_return_in_time(
     unavailable_since_ms: float | None, waited_ms: float, expected: bool
 ) -> None:
-    state = TopicState("t", end=5, unavailable_since_ms=unavailable_since_ms)
+    state = TopicState(
+        "t", end=Position(0, 5), unavailable_since_ms=unavailable_since_ms
+    )
     assert not is_lagging(state, NOW_MS, LAG_MS)
-    record_reported_end(state, 7, NOW_MS)
-    record_reported_end(state, 9, NOW_MS + waited_ms)
+    record_reported_end(state, Position(0, 7), NOW_MS)
+    record_reported_end(state, Position(0, 9), NOW_MS + waited_ms)
     assert is_lagging(state, NOW_MS + waited_ms, LAG_MS) is expected
-    state.end = 7
+    state.end = Position(0, 7)
     assert not is_lagging(state, NOW_MS + 10 * LAG_MS, LAG_MS)
--- a/tests/gateway/test_updates.py
+++ b/tests/gateway/test_updates.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from cuminstile.clock import VirtualClock
+from cuminstile.eras.position import Position
 from cuminstile.gateway.messages import CODEC, TopicUpdate
 from cuminstile.gateway.topics import (
     TopicPage,
@@ -30,10 +31,10 @@
 )
 
 
-def expected(store: CountedStore, end: int) -> dict[str, bytes]:
-    """Return the canonical values of all keys at an offset."""
+def expected(store: CountedStore, end: Position) -> dict[str, bytes]:
+    """Return the canonical values of all keys at a position."""
     values: dict[str, bytes] = {}
-    for record in store.records[: max(0, end)]:
+    for record in store.records[: max(0, end.offset)]:
         values.pop(record.key, None)
         if record.value is not None:
             values[record.key] = record.value.partition(b"#")[0]
@@ -44,7 +45,7 @@
     """Return the newest record of each key that has a value."""
     last = {record.key: record for record in store.records}
     kept = (record for record in last.values() if record.value is not None)
-    return TopicPage(tuple(kept), len(store.records))
+    return TopicPage(tuple(kept), Position(store.era, len(store.records)))
 
 
 @settings(max_examples=300, deadline=None)
@@ -61,12 +62,12 @@
         else:
             state = vms[step[1]].topics[TOPIC].state
             if step[0] == "read":
-                apply_records(state, store.page("vm", state.end))
+                apply_records(state, store.page("vm", state.end.offset))
                 record_confirmation(state, 1.0)
             elif step[0] == "newest":
-                apply_snapshot(state, newest(store))
+                apply_snapshot(state, newest(store), 1.0)
                 record_confirmation(state, 1.0)
-            elif step[0] == "push" and state.end >= 0:
+            elif step[0] == "push" and state.end.is_read:
                 message = CODEC.decode(encode_update(state, "10.0.0.1:1", 1.0))
                 assert isinstance(message, TopicUpdate)
                 for target in step[2]:
@@ -105,7 +106,7 @@
     fleet = Fleet(VirtualClock(at_ms=100_000.0), CountedStore())
     vm = fleet.add(0, "a")
     state = vm.topics[TOPIC].state
-    state.end = 5
+    state.end = Position(0, 5)
     on_update(vm, TopicUpdate(TOPIC, "10.0.0.1:1", 5, (), 9, -1e9, 0.0, -1))
-    assert state.end == 9
+    assert state.end == Position(0, 9)
     assert state.confirmed_ms == 100_000.0
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cuminstile.clock import VirtualClock
+from cuminstile.eras.position import Position
 from cuminstile.gateway.following import StoreCallError, follow_topic
 from cuminstile.gateway.sharing import run_topic_sync_loop
 from cuminstile.gateway.topics import TopicPage
@@ -54,17 +55,17 @@
 
     async def newest(self, topic: str) -> TopicPage:
         """Return all records."""
-        return await self.read(topic, 0, 0.0)
+        return await self.read(topic, Position(0, 0), 0.0)
 
-    async def read(self, topic: str, start: int, wait_ms: float) -> TopicPage:
-        """Return the records from an offset on as soon as there is one."""
+    async def read(self, topic: str, start: Position, wait_ms: float) -> TopicPage:
+        """Return the records from a position on as soon as there is one."""
         del topic
         end_ms = self.clock.now_ms() + wait_ms
-        while len(self.store.records) <= start and self.clock.now_ms() < end_ms:
+        while len(self.store.records) <= start.offset and self.clock.now_ms() < end_ms:
             await self.meet_trouble(end_ms)
             await self.clock.sleep_ms(STEP_MS)
         await self.meet_trouble(end_ms)
-        return self.store.page(self.name, start)
+        return self.store.page(self.name, start.offset)
 
     async def meet_trouble(self, end_ms: float) -> None:
         """Let the trouble act on a call that waits until a time.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cuminstile.clock import Clock
+from cuminstile.eras.position import Position
 from cuminstile.gateway.following import StoreCallError
 from cuminstile.platform import store as store_module
 from cuminstile.platform.store import StoreClient
@@ -47,8 +48,8 @@
     monkeypatch.setattr(store_module, "CALL_TIMEOUT_MS", 100.0)
     async with store_of(never_answer, answer_all) as (client, accepted):
         with pytest.raises(StoreCallError):
-            await client.read(TOPIC, 0, 0.0)
-        assert (await client.read(TOPIC, 0, 0.0)).end == 0
+            await client.read(TOPIC, Position(0, 0), 0.0)
+        assert (await client.read(TOPIC, Position(0, 0), 0.0)).end.offset == 0
         assert len(accepted) == 2
 
 
@@ -58,10 +59,10 @@
     """Guards against a long poll that is never answered and so misses all changes."""
     monkeypatch.setattr(store_module, "CALL_TIMEOUT_MS", 100.0)
     async with store_of(never_answer) as (client, _):
-        waiting = asyncio.create_task(client.read(TOPIC, 0, 20_000.0))
+        waiting = asyncio.create_task(client.read(TOPIC, Position(0, 0), 20_000.0))
         await asyncio.sleep(0.05)
         with pytest.raises(StoreCallError):
-            await client.read(TOPIC, 0, 0.0)
+            await client.read(TOPIC, Position(0, 0), 0.0)
         async with asyncio.timeout(0.1):
             with pytest.raises(StoreCallError):
                 await waiting
@@ -107,9 +108,9 @@
         repeating_first(page_of(40, 1)),
     )
     async with store_of(*sessions) as (client, _):
-        assert (await client.read(TOPIC, 5, 0.0)).end == 7
-        page = await client.read("other", 39, 0.0)
-    assert (len(page.records), page.end) == (1, 40)
+        assert (await client.read(TOPIC, Position(0, 5), 0.0)).end.offset == 7
+        page = await client.read("other", Position(0, 39), 0.0)
+    assert (len(page.records), page.end) == (1, Position(0, 40))
 
 
 @pytest.mark.parametrize(
@@ -123,17 +124,17 @@
     """Guards against records of before that are numbered as those after them."""
     sessions = repeating_first(first, page_of(8, 1)), repeating_first(page_of(8, 1))
     async with store_of(*sessions) as (client, accepted):
-        await client.read(TOPIC, 5, 0.0)
+        await client.read(TOPIC, Position(0, 5), 0.0)
         with pytest.raises(StoreCallError):
-            await client.read(TOPIC, second_from, 0.0)
-        assert (await client.read(TOPIC, 7, 0.0)).end == 8
+            await client.read(TOPIC, Position(0, second_from), 0.0)
+        assert (await client.read(TOPIC, Position(0, 7), 0.0)).end.offset == 8
         assert len(accepted) == 2
 
 
 async def test_answer_to_a_read_on_a_new_connection_is_the_stores_own() -> None:
     """Guards against a store that began anew and is refused without end."""
     async with store_of(repeating_first(page_of(0, 0))) as (client, _):
-        assert (await client.read(TOPIC, 5, 0.0)).records == ()
+        assert (await client.read(TOPIC, Position(0, 5), 0.0)).records == ()
 
 
 async def test_second_answer_is_not_the_snapshot_of_another_topic() -> None:
@@ -143,8 +144,8 @@
         repeating_first(newest_of(40)),
     )
     async with store_of(*sessions) as (client, _):
-        assert (await client.newest(TOPIC)).end == 7
-        assert (await client.newest("other")).end == 40
+        assert (await client.newest(TOPIC)).end.offset == 7
+        assert (await client.newest("other")).end.offset == 40
 
 
 async def test_second_answer_does_not_confirm_an_append() -> None:
@@ -172,9 +173,9 @@
 
     sessions = twice, repeating_first(page_of(8, 1))
     async with store_of(*sessions) as (client, accepted):
-        await client.read(TOPIC, 5, 0.0)
+        await client.read(TOPIC, Position(0, 5), 0.0)
         await asyncio.sleep(0.05)
-        assert (await client.read(TOPIC, 7, 0.0)).end == 8
+        assert (await client.read(TOPIC, Position(0, 7), 0.0)).end.offset == 8
         assert len(accepted) == 2
 
 
@@ -192,21 +193,21 @@
 
     async with store_of(part, answer_all) as (client, accepted):
         with pytest.raises(StoreCallError):
-            await client.read(TOPIC, 0, 0.0)
-        assert (await client.read(TOPIC, 0, 0.0)).end == 0
+            await client.read(TOPIC, Position(0, 0), 0.0)
+        assert (await client.read(TOPIC, Position(0, 0), 0.0)).end.offset == 0
         assert len(accepted) == 2
 
 
 async def test_hundred_reads_of_two_topics_open_two_connections() -> None:
     async with store_of(answer_all) as (client, accepted):
         for _ in range(50):
-            await client.read(TOPIC, 0, 0.0)
-            await client.read("other", 0, 0.0)
+            await client.read(TOPIC, Position(0, 0), 0.0)
+            await client.read("other", Position(0, 0), 0.0)
         assert len(accepted) <= 2
 
 
 async def test_answered_calls_share_a_connection() -> None:
     async with store_of(answer_all) as (client, accepted):
         for _ in range(3):
-            await client.read(TOPIC, 0, 0.0)
+            await client.read(TOPIC, Position(0, 0), 0.0)
         assert len(accepted) == 1
--- a/tests/platform/test_store_answers.py
+++ b/tests/platform/test_store_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cuminstile.clock import Clock
+from cuminstile.eras.position import Position
 from cuminstile.exceptions import TrimmedError
 from cuminstile.gateway.following import StoreCallError
 from cuminstile.gateway.topics import TopicPage
@@ -44,7 +45,7 @@
 
 
 async def read(client: StoreClient) -> object:
-    return await client.read(TOPIC, 5, 0.0)
+    return await client.read(TOPIC, Position(0, 5), 0.0)
 
 
 async def newest(client: StoreClient) -> object:
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -8,6 +8,7 @@
 PACKAGE = Path(__file__).parent.parent / "cuminstile"
 ALLOWED_GATEWAY_IMPORTS = {
     "clock",
+    "eras",
     "estimates",
     "events",
     "exceptions",
@@ -110,6 +111,12 @@
     assert imports(path, depth) <= ALLOWED_GATEWAY_IMPORTS
 
 
+@pytest.mark.parametrize("path", modules("eras"), ids=lambda path: path.stem)
+def test_eras_of_the_store_use_nothing_else(path: Path) -> None:
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) | imports(path, 2) == set()
+
+
 @pytest.mark.parametrize("name", ["account", "descriptors"])
 def test_decisions_on_memory_use_no_network_and_no_gateway(name: str) -> None:
     path = PACKAGE / "memory" / f"{name}.py"
