--- a/tests/eras/__init__.py
+++ b/tests/eras/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the eras of the store."""
