Remember over restarts which versions are held back

Cause: the store keeps the newest order of a service alone. Which versions the orders before had held back lay in each process; nothing wrote it, and no VM told another.

Evidence: versions_held_back names v2 and v3 before the restart and v3 alone after it.

Change: a mark for each version that an order has named or that served before the first order (cuminstile/rollouts/): merged by version, the one whose VM knew the earlier order counts. Heartbeats carry the marks, the store has them in keyed.versions, written under a condition by one VM at a time and again in each era. A VM that starts while there are orders serves nobody before it knows the marks. An order that vanishes sets nothing free. That works whoever is left: other VMs, or the store, and both were asked.

--- a/cuminstile/gateway/conversions.py
+++ b/cuminstile/gateway/conversions.py
@@ -7,10 +7,13 @@
 
 from collections.abc import Iterable
 
+from ..eras.position import Position
+from ..rollouts.marks import VersionMark
 from .chain import ChainSpec, ChainStage, CompletedItem, Result
 from .handover import StoredResultLoad, WorkerLoad
 from .messages import (
     CompletedItemEntry,
+    MarkEntry,
     RecordEntry,
     ResultEntry,
     RunChain,
@@ -31,6 +34,22 @@
     return tuple(KeyedRecord(r.key, r.value, r.offset) for r in entries)
 
 
+def marks_to_entries(marks: Iterable[VersionMark]) -> tuple[MarkEntry, ...]:
+    """Return the message form of marks of versions."""
+    return tuple(
+        MarkEntry(m.service, m.version, m.since.era, m.since.offset, m.in_service)
+        for m in marks
+    )
+
+
+def marks_from_entries(entries: Iterable[MarkEntry]) -> tuple[VersionMark, ...]:
+    """Return the marks of versions in a message."""
+    return tuple(
+        VersionMark(e.service, e.version, Position(e.era, e.offset), e.in_service)
+        for e in entries
+    )
+
+
 def result_to_entry(result: Result) -> ResultEntry:
     """Return a result as an entry of a message."""
     return ResultEntry(
--- a/cuminstile/gateway/heartbeats.py
+++ b/cuminstile/gateway/heartbeats.py
@@ -21,6 +21,7 @@
     SuspectUpdate,
     TopicUpdate,
 )
+from .rollout_sharing import learn_marks
 from .speeds import on_speeds, send_speeds
 from .state import Gateway
 from .updates import on_update
@@ -75,6 +76,7 @@
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat; answer it if the VM is new, restarted or back."""
         now_ms = self.vm.clock.now_ms()
+        learn_marks(self.vm, heartbeat)
         if self.vm.membership.record_heartbeat(heartbeat, now_ms):
             self.vm.journal.record(
                 Event.VM_HEARD,
--- a/cuminstile/gateway/messages.py
+++ b/cuminstile/gateway/messages.py
@@ -7,6 +7,7 @@
 from ..duties.messages import DutyBeat, DutyReport
 from ..estimates.sharing import Speed
 from ..message_codec import bad_message, make_data_codec
+from ..rollouts.marks import NOT_STORED
 
 
 @dataclass(frozen=True)
@@ -29,6 +30,17 @@
     era: int = 0
 
 
+@dataclass(frozen=True)
+class MarkEntry(Message):
+    """Whether a version of a service gets traffic; see `marks.VersionMark`."""
+
+    service: str
+    version: str
+    era: int
+    offset: int
+    in_service: bool
+
+
 @dataclass(frozen=True)
 class Heartbeat(Message):
     """Report that the sender is alive; sent as one datagram.
@@ -50,6 +62,10 @@
         build that doesn't tell.
     can_schedule : bool
         Whether the sender knows the routes and upstreams.
+    marks : tuple of MarkEntry
+        What the sender knows of versions; see `rollouts.marks`.
+    marks_known, marks_era : bool, int
+        `VersionMarks.known` and `VersionMarks.stored_era` of the sender.
     """
 
     name: str
@@ -64,6 +80,9 @@
     ends_at_ms: int = 0
     scheduler: str = ""
     can_schedule: bool = True
+    marks: tuple[MarkEntry, ...] = ()
+    marks_known: bool = False
+    marks_era: int = NOT_STORED
 
 
 @dataclass(frozen=True)
--- a/cuminstile/gateway/state.py
+++ b/cuminstile/gateway/state.py
@@ -12,12 +12,14 @@
 from ..estimates.sharing import SpeedSharing
 from ..events import Event, Journal
 from ..hedging.limits import HedgeLimits, Hedging
+from ..rollouts.marks import VersionMarks
 from ..scaling.demand import LocalDemand
 from ..shutdown.answer_times import AnswerTimes
 from ..shutdown.in_progress import RequestsInProgress
 from ..shutdown.schedule import ShutdownTimes
 from ..shutdown.scheduler_role import SchedulerRole
 from .connection_pool import ConnectionPool
+from .conversions import marks_to_entries
 from .crash_state import CrashGuard
 from .duties import duty_order
 from .gateway_metrics import GatewayMetrics
@@ -134,6 +136,8 @@
         The topics of the store, by name.
     store_era : StoreEra
         The newest era of the store.
+    rollouts : VersionMarks
+        Which versions get traffic, from the orders to move it.
     wanted_records : dict of str to str
         By topic, the address of a VM that knows changes which are missing here.
     send_datagram : callable
@@ -171,6 +175,7 @@
     index: RouteIndex | None = None
     topics: dict[str, FollowedTopic] = field(default_factory=dict)
     store_era: StoreEra = field(default_factory=StoreEra)
+    rollouts: VersionMarks = field(default_factory=VersionMarks)
     wanted_records: dict[str, str] = field(default_factory=dict)
     send_datagram: Callable[[str, bytes], None] = field(default=lambda *_: None)
     duties: DutyDesk | None = None
@@ -231,7 +236,13 @@
         """Return this VM's heartbeat with the scheduler that it has chosen."""
         own = self.own_heartbeat()
         chosen = self.membership.scheduler(own, self.clock.now_ms())
-        return replace(own, scheduler=chosen.address)
+        return replace(
+            own,
+            scheduler=chosen.address,
+            marks=marks_to_entries(self.rollouts.all()),
+            marks_known=self.rollouts.known,
+            marks_era=self.rollouts.stored_era,
+        )
 
     def reader_role(self) -> ReaderRole:
         """Return this VM's role in following the store."""
--- a/cuminstile/platform/duties.py
+++ b/cuminstile/platform/duties.py
@@ -25,7 +25,7 @@
 from ..gateway.messages import CODEC
 from ..gateway.state import Gateway
 from .settings import PlatformSettings
-from .store import LENGTH_BYTES, StoreClient
+from .store import StoreClient, framed
 
 LEASE_TOPIC = "keyed.duties"
 LEASE_KEY = "lease"
@@ -50,13 +50,6 @@
     return duty_call(ORDER_PATH, fields)
 
 
-def framed(key: str, value: bytes) -> bytes:
-    """Return a record of a keyed topic with its length."""
-    name = key.encode()
-    record = bytes([len(name)]) + name + value
-    return len(record).to_bytes(LENGTH_BYTES, "big") + record
-
-
 def encode_lease(record: LeaseRecord) -> bytes:
     """Return the value of a record of the lease."""
     return orjson.dumps(record)
--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ..eras.position import Position
 from ..events import Event
 from ..gateway.following import (
     follow_topic,
@@ -66,6 +67,20 @@
     return role.is_reader or role.is_first_in_data_centre
 
 
+@dataclass(frozen=True, slots=True)
+class MoveOrder:
+    """An order to move the traffic of a service to a version.
+
+    Parameters
+    ----------
+    position : Position
+        Where it lies in the store.
+    """
+
+    target: str
+    position: Position
+
+
 @dataclass
 class Follower:
     """State read from the store, and its decoded form.
@@ -75,8 +90,10 @@
     decoded : dict of str to tuple
         Record and decoded upstream by upstream id; the upstream is None if its record
         is invalid.
-    targets : dict of str to str
-        By service, the version to which the last order moves the traffic.
+    orders : dict of str to MoveOrder
+        By service, the last order to move its traffic.
+    manifest_source : str
+        Who gave the manifest that is not applied yet, empty if there is none.
     applied : dict of str to Upstream or None
         The upstreams that the VM was given last, None before the first time.
     """
@@ -92,11 +109,13 @@
         )
     )
     decoded: dict[str, tuple[bytes, Upstream | None]] = field(default_factory=dict)
-    targets: dict[str, str] = field(default_factory=dict)
+    orders: dict[str, MoveOrder] = field(default_factory=dict)
+    manifest_source: str = ""
     applied: dict[str, Upstream] | None = None
 
     def __post_init__(self) -> None:
         """Register the topics with the VM, so that it can share them with other VMs."""
+        self.vm.rollouts.on_change = self.apply_known
         self.vm.topics = {
             OPERATOR_TOPIC: FollowedTopic(
                 self.operator,
@@ -150,14 +169,33 @@
         """Apply a changed manifest and changed orders."""
         if not keys:
             return
-        payload = self.operator.values.get(MANIFEST_KEY)
-        if MANIFEST_KEY in keys and payload is not None:
-            self.apply_manifest(payload, source)
+        if MANIFEST_KEY in keys:
+            self.manifest_source = source
+        if any(key.startswith(ROLLOUT_PREFIX) for key in keys):
+            self.orders = self.move_orders()
+        self.apply_known()
+
+    def apply_known(self) -> None:
+        """Apply what is known of the operator, once that is enough to serve by."""
+        if self.awaits_marks():
+            return
         changed = self.apply_evacuations()
         changed |= self.apply_move_orders()
+        payload = self.operator.values.get(MANIFEST_KEY)
+        if self.manifest_source and payload is not None:
+            self.apply_manifest(payload, self.manifest_source)
+        self.manifest_source = ""
         if changed and self.vm.manifest is not None:
             self.vm.scheduler.configure(self.vm.manifest, self.vm.table)
 
+    def awaits_marks(self) -> bool:
+        """Return whether this VM starts and waits for what is known of versions.
+
+        Until it knows which ones earlier orders held back, it serves nobody.
+        """
+        known = self.vm.rollouts.known or self.vm.manifest is not None
+        return bool(self.orders) and not known
+
     def apply_evacuations(self) -> bool:
         """Update which data centres are taken out; return whether that changed.
 
@@ -183,12 +221,14 @@
         New versions are not evaluated on this platform yet, and one that was not
         evaluated may be bad.
         """
-        targets = self.move_targets()
-        held_back = {
-            service: self.versions_to_hold_back(service, target)
-            for service, target in targets.items()
-        }
-        self.targets = targets
+        now_ms = self.vm.clock.now_ms()
+        for service, order in self.orders.items():
+            if self.vm.upstreams_known:
+                listed = self.vm.table.versions(service)
+                self.vm.rollouts.apply_order(
+                    service, order.target, order.position, listed, now_ms
+                )
+        held_back = self.vm.rollouts.held_back()
         if held_back == self.vm.table.held_back:
             return False
         self.vm.table.held_back = held_back
@@ -200,33 +240,22 @@
         self.vm.journal.record(Event.VERSIONS_HELD_BACK, versions=versions)
         return True
 
-    def move_targets(self) -> dict[str, str]:
-        """Return by service to which version the newest order moves the traffic."""
-        targets: dict[str, str] = {}
+    def move_orders(self) -> dict[str, MoveOrder]:
+        """Return the newest order of each service to move its traffic."""
+        orders: dict[str, MoveOrder] = {}
         for key, payload in self.operator.values.items():
             if not key.startswith(ROLLOUT_PREFIX):
                 continue
             try:
-                targets[key.removeprefix(ROLLOUT_PREFIX)] = decode_move_target(payload)
+                target = decode_move_target(payload)
             except InvalidRecordError as error:
                 self.vm.journal.record(
                     Event.CONFIG_RECORD_REFUSED, source=key, error=str(error)
                 )
-        return targets
-
-    def versions_to_hold_back(self, service: str, target: str) -> frozenset[str]:
-        """Return the versions of a service to hold back once an order is in force.
-
-        Those of earlier orders have not been judged either. An order back to the
-        version that alone got requests until now holds back no more than before.
-        """
-        held = self.vm.table.held_back.get(service, frozenset())
-        if target == self.targets.get(service):
-            return held
-        ordered = held | {target}
-        listed = self.vm.table.versions(service)
-        is_order_back = bool(held) and bool(listed) and listed <= ordered
-        return held if is_order_back else ordered
+                continue
+            position = self.operator.end.at(self.operator.offsets[key])
+            orders[key.removeprefix(ROLLOUT_PREFIX)] = MoveOrder(target, position)
+        return orders
 
     def apply_manifest(self, payload: bytes, source: str) -> None:
         """Apply a manifest; an invalid one is logged and ignored."""
@@ -256,6 +285,7 @@
             return
         self.applied = upstreams
         self.vm.apply_upstreams(upstreams, back_ms, expired_keys(state))
+        self.apply_known()
 
     def decode(self, key: str) -> None:
         """Decode the record of one upstream."""
--- a/cuminstile/platform/program.py
+++ b/cuminstile/platform/program.py
@@ -27,11 +27,13 @@
 from ..gateway.stage_calls import StageCaller
 from ..gateway.staging import Scheduler
 from ..gateway.state import Gateway
+from ..rollouts.keeper import FIRST_WAIT_MS, FIRST_WAIT_SPREAD_MS, MarkKeeper
 from ..scaling.orders import own_demand, run_orders
 from .duties import make_duties, order_call
 from .follow import Follower
 from .headers import PROTOCOL
 from .reloading import apply_settings
+from .rollouts import MarkLog
 from .settings import PlatformSettings, load_platform_settings
 from .stage_calls import STAGE_PROTOCOL
 from .store import StoreClient
@@ -74,6 +76,22 @@
     return vm
 
 
+def make_mark_keeper(
+    settings: PlatformSettings, vm: Gateway, follower: Follower
+) -> MarkKeeper:
+    """Return what keeps the marks of versions in the store."""
+    return MarkKeeper(
+        vm.rollouts,
+        MarkLog(StoreClient(settings.store_address, vm.clock, vm.store_era)),
+        vm.store_era,
+        vm.clock,
+        vm.journal,
+        lambda: vm.reader_role().rank,
+        follower.awaits_marks,
+        FIRST_WAIT_MS + vm.random.uniform(0.0, FIRST_WAIT_SPREAD_MS),
+    )
+
+
 def order_jobs(vm: Gateway) -> tuple[Job, ...]:
     """Return the loop that orders upstreams; none where that is no duty."""
     desk = vm.duties
@@ -109,7 +127,12 @@
     await run_gateway(
         vm,
         log,
-        (follower.follow_operator, follower.follow_upstreams, *order_jobs(vm)),
+        (
+            follower.follow_operator,
+            follower.follow_upstreams,
+            make_mark_keeper(settings, vm, follower).run,
+            *order_jobs(vm),
+        ),
         reload,
         early,
     )
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -140,13 +140,21 @@
         for connection in self.in_progress:
             connection.close("another call of the store timed out")
 
-    async def newest(self, topic: str) -> TopicPage:
-        """Return the newest record of each key of a topic."""
+    async def newest(self, topic: str, may_be_missing: bool = False) -> TopicPage:
+        """Return the newest record of each key of a topic.
+
+        Parameters
+        ----------
+        may_be_missing : bool
+            Whether a topic that the store doesn't know counts as empty.
+        """
         records: list[KeyedRecord] = []
         query: dict[str, object] = {"topic": topic, "part": 0}
         first_end: Position | None = None
         while True:
             head, body = await self.call(b"GET", "/api/log-newest", query, alone=True)
+            if head.status == 404 and may_be_missing:
+                return TopicPage((), self.position(head, 0))
             if head.status != 200:
                 raise StoreCallError(f"newest of {topic}: status {head.status}", None)
             page = decode_page(topic, body)
@@ -191,9 +199,7 @@
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
         """Append one record; a call without an answer may still take effect later."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
-        body = len(record).to_bytes(LENGTH_BYTES, "big") + record
+        body = framed(key, value)
         query: dict[str, object] = {"topic": topic, "part": 0}
         head, _ = await self.call(b"POST", "/api/log-append", query, body, alone=True)
         if head.status != 200:
@@ -271,6 +277,13 @@
     return start <= start + len(decode_records(body, start)) <= end
 
 
+def framed(key: str, value: bytes) -> bytes:
+    """Return a record of a keyed topic with its length."""
+    name = key.encode()
+    record = bytes([len(name)]) + name + value
+    return len(record).to_bytes(LENGTH_BYTES, "big") + record
+
+
 def decode_keyed(content: bytes, offset: int) -> KeyedRecord:
     """Return one record of a keyed topic."""
     length = content[0] if content else 0
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -186,10 +186,34 @@
             {"first": topic.first}, status_code=410, headers=self.era_headers()
         )
 
+    async def append(self, request: Request) -> Response:
+        """Append keyed records if the topic ends where the caller says."""
+        self.calls += 1
+        await self.hang_if_unanswered(request)
+        if self.is_refused(request):
+            return self.refusal()
+        body = await request.body()
+        topic = self.topic(request.query_params["topic"])
+        start = len(topic.records)
+        if int(request.query_params.get("at", start)) != start:
+            return JSONResponse(
+                {"end": start}, status_code=412, headers=self.era_headers()
+            )
+        while body:
+            size = int.from_bytes(body[:4], "big")
+            content, body = body[4 : 4 + size], body[4 + size :]
+            key, value = content[1 : 1 + content[0]], content[1 + content[0] :]
+            topic.records.append((key.decode(), value or None))
+        async with self.changed:
+            self.changed.notify_all()
+        end = len(topic.records)
+        return JSONResponse({"offset": start, "end": end}, headers=self.era_headers())
+
     def app(self) -> Starlette:
         """Return the web application."""
         routes = [
             Route("/api/log-newest", self.newest),
             Route("/api/log-read", self.read),
+            Route("/api/log-append", self.append, methods=["POST"]),
         ]
         return Starlette(routes=routes)
--- /dev/null
+++ b/tests/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what VMs remember of versions."""
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -16,6 +16,7 @@
     "hedging",
     "recency",
     "rendezvous",
+    "rollouts",
     "request_bounds",
     "request_window",
     "status_lines",
@@ -117,6 +118,13 @@
     assert imports(path, 1) | imports(path, 2) == set()
 
 
+def test_what_is_known_of_versions_uses_no_network_and_no_gateway() -> None:
+    path = PACKAGE / "rollouts" / "marks.py"
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) == set()
+    assert imports(path, 2) == {"eras"}
+
+
 @pytest.mark.parametrize("name", ["account", "descriptors"])
 def test_decisions_on_memory_use_no_network_and_no_gateway(name: str) -> None:
     path = PACKAGE / "memory" / f"{name}.py"
