Let the soak play drills: returns of the store, orders, restarts of all VMs

A new check: an upstream of a version that nobody judged gets nothing, whatever restarts later.

The marks' keeper looks every 0.4 s in place of 0.05 s once a VM has started.

--- a/cuminstile/rollouts/keeper.py
+++ b/cuminstile/rollouts/keeper.py
@@ -18,8 +18,12 @@
 from ..exceptions import PlatformUnavailableError
 from .marks import VersionMark, VersionMarks
 
-CHECK_MS = 50.0
+CHECK_MS = 400.0
 """Pause between checks whether something is due."""
+START_CHECK_MS = 50.0
+"""That pause while a VM starts, as it may wait for the marks."""
+START_MS = 3_000.0
+"""How long a VM counts as starting."""
 FIRST_WAIT_MS = 100.0
 """How long a VM that starts waits for what other VMs know; then it reads the store."""
 FIRST_WAIT_SPREAD_MS = 200.0
@@ -78,8 +82,10 @@
 
     async def run(self) -> None:
         """Read and write the marks when that is due, without end."""
+        started_ms = self.clock.now_ms()
         while True:
-            await self.clock.sleep_ms(CHECK_MS)
+            starts = self.clock.now_ms() - started_ms < START_MS
+            await self.clock.sleep_ms(START_CHECK_MS if starts else CHECK_MS)
             if self.is_due(self.clock.now_ms()):
                 await self.synchronise()
 
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -15,6 +15,7 @@
 from .callers import HABITS
 from .checks import Finding
 from .drawing import STAGE_WEIGHTS, WEIGHTS
+from .drills import DRILLS
 from .faults import FAULTS
 from .fleet import ROOT
 from .observations import Record
@@ -77,7 +78,7 @@
 def parse_name(text: str) -> str:
     """Return the name of a fault, a way to answer or a habit of callers."""
     ways = {way.__name__ for way in (*WEIGHTS, *STAGE_WEIGHTS)}
-    known = {*FAULTS, *ways, *HABITS}
+    known = {*FAULTS, *DRILLS, *ways, *HABITS}
     if text not in known:
         names = ", ".join(sorted(known))
         raise argparse.ArgumentTypeError(f"{text!r} is none of {names}")
@@ -97,6 +98,9 @@
     parser.add_argument(
         "--stops", action="store_true", help="stop VMs in series with each seed"
     )
+    parser.add_argument(
+        "--drills", action="store_true", help="have drills with each seed"
+    )
     parser.add_argument(
         "--without", type=parse_name, action="append", default=[], metavar="NAME"
     )
@@ -167,6 +171,7 @@
             options.program,
             left_out,
             options.stops or None,
+            options.drills or None,
         )
 
     outcome = await run_without(without, folder)
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -228,6 +228,7 @@
 }
 
 
+RESTARTS = frozenset({"restart_all", "restart_each"})
 TROUBLES = frozenset(
     {
         "stop_vm",
@@ -240,6 +241,8 @@
         "refuse_store_calls",
         "silence_store",
         "stop_series",
+        "return_store",
+        *RESTARTS,
     }
 )
 """Faults in which VMs are late; the others are planned work."""
--- a/standins/soak/fleet.py
+++ b/standins/soak/fleet.py
@@ -120,6 +120,10 @@
         Time of the record at which callers end.
     poisoned : bool
         Whether requests come that end upstreams.
+    ordered : int
+        How many versions were ordered.
+    store_returns : bool
+        Whether the store is about to come back from a copy.
     stops : bool
         Whether VMs are stopped in series, and requests wait for a slow stage.
     """
@@ -143,6 +147,8 @@
     version: int = 1
     ends_s: float = math.inf
     poisoned: bool = False
+    ordered: int = 0
+    store_returns: bool = False
     returning: set[asyncio.Task[None]] = field(default_factory=set)
     web: uvicorn.Server | None = None
     web_task: asyncio.Task[None] | None = None
@@ -179,14 +185,16 @@
         for vm in self.vms:
             await wait_ready(vm)
 
-    async def add_upstream(self, place: str, service: str) -> None:
+    async def add_upstream(self, place: str, service: str, version: str = "v1") -> None:
         """Start an upstream behind a link and write its record."""
         link = Link(place, "")
         await link.start(f"{self.network}.220")
         self.upstream_links[place] = link
-        await self.start_upstream(place, place, service)
+        await self.start_upstream(place, place, service, version)
 
-    async def start_upstream(self, place: str, name: str, service: str) -> None:
+    async def start_upstream(
+        self, place: str, name: str, service: str, version: str = "v1"
+    ) -> None:
         """Start an upstream process at the address of a place."""
         link = self.upstream_links[place]
         upstream = SoakUpstream(
@@ -205,9 +213,11 @@
         link.target = upstream.address
         await link.accept()
         self.upstreams[place] = upstream
-        await self.register(place)
+        await self.register(place, version=version)
 
-    async def register(self, place: str, state: str = "ready") -> None:
+    async def register(
+        self, place: str, state: str = "ready", version: str = "v1"
+    ) -> None:
         """Write the record of the upstream at a place."""
         upstream = self.upstreams[place]
         zone = DATA_CENTRES[list(self.upstream_links).index(place) % 2]
@@ -215,7 +225,7 @@
             "service": upstream.service,
             "address": upstream.shown_address,
             "zone": zone,
-            "version": "v1",
+            "version": version,
             "slots": 16,
             "state": state,
             "cold_remaining_ms": 0,
--- a/standins/soak/fleet_checks.py
+++ b/standins/soak/fleet_checks.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 from .evidence import TROUBLE_S, Wrong, is_troubled, successes
+from .faults import RESTARTS, TROUBLES
 from .manifest import DRAIN_MS, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S, SERVICES
 from .observations import Record
 
@@ -20,6 +21,9 @@
 MOST_MEMORY_MB = 150.0
 """Memory of a process of a VM, with the buffers of 16 callers."""
 
+HIDE_ORDERS = TROUBLES - {"stop_vm", "kill_vm", "stop_series"} - RESTARTS
+"""Faults that can keep an order from VMs that go on."""
+
 
 def retries_are_bounded(record: Record) -> Wrong:
     """Check that each service gets few repeats in any window of the limit's length."""
@@ -69,6 +73,26 @@
             yield run.at_s, run.attempt, f"ran {late_s:.3f} s after {drained}"
 
 
+def orders_hold(record: Record) -> Wrong:
+    """Check that an upstream of a version that nobody judged gets no requests.
+
+    Whatever happens later; only if nothing kept the order from the VMs at first. A
+    restart does not.
+    """
+    for run in record.runs.values():
+        ordered = record.ordered.get(run.upstream)
+        if ordered is None:
+            continue
+        hidden = any(
+            disturbed.fault in HIDE_ORDERS
+            and abs(disturbed.at_s - ordered.at_s) <= TROUBLE_S
+            for disturbed in record.disturbed
+        )
+        if not hidden:
+            late_s = run.at_s - ordered.at_s
+            yield run.at_s, run.attempt, f"ran {late_s:.3f} s after {ordered}"
+
+
 def few_upstreams_end(record: Record) -> Wrong:
     """Check that a part of a prompt is kept back soon after it has ended a few."""
     ends: dict[str, list[float]] = {}
--- a/standins/soak/observations.py
+++ b/standins/soak/observations.py
@@ -151,6 +151,14 @@
     upstream: str
 
 
+@dataclass(frozen=True)
+class Ordered:
+    """The store confirmed an order to move traffic to the version of an upstream."""
+
+    at_s: float
+    upstream: str
+
+
 @dataclass(frozen=True)
 class KeysChanged:
     """The store confirmed a manifest in which the callers' key is valid or not."""
@@ -199,6 +207,7 @@
     | StageItem
     | Disturbed
     | Drained
+    | Ordered
     | KeysChanged
     | Crashed
     | MemoryUsed
@@ -232,6 +241,7 @@
     stage_items: list[StageItem] = field(default_factory=list)
     disturbed: list[Disturbed] = field(default_factory=list)
     drained: dict[str, Drained] = field(default_factory=dict)
+    ordered: dict[str, Ordered] = field(default_factory=dict)
     keys_changed: list[KeysChanged] = field(default_factory=list)
     crashed: list[Crashed] = field(default_factory=list)
     memory_used: list[MemoryUsed] = field(default_factory=list)
@@ -284,6 +294,8 @@
                 self.unasked.append(observation)
             case Disturbed():
                 self.disturbed.append(observation)
+            case Ordered():
+                self.ordered[observation.upstream] = observation
             case Drained():
                 self.drained.setdefault(observation.upstream, observation)
 
--- a/standins/soak/shrink.py
+++ b/standins/soak/shrink.py
@@ -7,6 +7,7 @@
 
 from .callers import HABITS
 from .drawing import STAGE_WEIGHTS, WEIGHTS
+from .drills import DRILLS
 from .faults import FAULTS
 from .soak import Outcome
 
@@ -21,7 +22,12 @@
     """Return the names that a soak can do without, in a fixed sequence."""
     ways = [way.__name__ for weights in (WEIGHTS, STAGE_WEIGHTS) for way in weights]
     always = {next(iter(weights)).__name__ for weights in (WEIGHTS, STAGE_WEIGHTS)}
-    return [*FAULTS, *(way for way in ways if way not in always), *sorted(HABITS)]
+    return [
+        *FAULTS,
+        *DRILLS,
+        *(way for way in ways if way not in always),
+        *sorted(HABITS),
+    ]
 
 
 async def shrink_names(names: list[str], stays_found: StaysFound) -> list[str]:
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -12,6 +12,7 @@
 
 from .callers import Caller
 from .checks import Finding, find
+from .drills import AFTER_DRILLS, DRILLS, add_drills, has_drills
 from .faults import FAULTS, Planned, faulty_seconds, make_schedule
 from .fleet import ROOT, Fleet
 from .observations import Disturbed, Record
@@ -54,6 +55,7 @@
     program: Path = ROOT,
     without: frozenset[str] = frozenset(),
     stops: bool | None = None,
+    drills: bool | None = None,
 ) -> Outcome:
     """Run the program under the faults of a seed, and judge what was seen.
 
@@ -70,6 +72,8 @@
     stops : bool or None
         Whether VMs are stopped in series, beside planned work alone; None: as is the
         seed's.
+    drills : bool or None
+        Whether there are drills; None: as is the seed's.
     """
     folder.mkdir(parents=True, exist_ok=True)
     rng = Random(seed)
@@ -77,6 +81,8 @@
     schedule = make_schedule(rng, seconds, without)
     if stops:
         schedule = add_series(schedule, seed, faulty_seconds(seconds))
+    if has_drills(seed) if drills is None else drills:
+        schedule = add_drills(schedule, seed, faulty_seconds(seconds), without)
     plan = [asdict(planned) for planned in schedule]
     (folder / "schedule.json").write_text(json.dumps(plan, indent=1))
     with (folder / "observations.jsonl").open("w") as file:
@@ -143,7 +149,9 @@
     await asyncio.sleep(planned.at_s)
     record = fleet.record
     record.add(Disturbed(record.now_s(), planned.fault, str(planned.seed)))
-    await {**FAULTS, **STOPS}[planned.fault](fleet, Random(planned.seed))
+    await {**FAULTS, **STOPS, **DRILLS, **AFTER_DRILLS}[planned.fault](
+        fleet, Random(planned.seed)
+    )
 
 
 async def watch(fleet: Fleet) -> None:
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -26,6 +26,7 @@
     KeysChanged,
     MemoryUsed,
     Observation,
+    Ordered,
     Received,
     Record,
     Reused,
@@ -248,6 +249,14 @@
     "whole_answers_are_served": [odd_observations(14)],
     "begun_connections_are_left": [[Reused(3.0, "b1", 0.5)]],
     "drains_hold": [[*booking_observations(), Drained(-1.0, "desk-1")]],
+    "orders_hold": [
+        [*booking_observations(), Ordered(-1.0, "desk-1")],
+        [
+            *booking_observations(),
+            Ordered(-1.0, "desk-1"),
+            Disturbed(0.0, "restart_all", "1"),
+        ],
+    ],
     "idle_connections_are_quiet": [[Unasked(3.0, "vm-0")]],
     "few_upstreams_end": [
         [Crashed(float(at_s), "engine-1", "poison1") for at_s in range(10)]
@@ -301,6 +310,11 @@
     assert judge([*drained, Disturbed(0.0, "evacuate", "1")]) == {"drains_hold"}
 
 
+def test_order_that_the_store_hid_has_no_finding():
+    ordered = [*booking_observations(), Ordered(-1.0, "desk-1")]
+    assert judge([*ordered, Disturbed(0.0, "refuse_store_calls", "1")]) == set()
+
+
 def test_kind_that_is_served_after_faults_has_no_finding():
     assert judge(late_requests(served=True)) == set()
 
@@ -457,20 +471,57 @@
 def test_soak_finds_requests_that_are_cut_at_a_stop(tmp_path):
     """Guards against a soak that passes a program which cuts what waits at its end."""
     name = "requests at the end of a process get no answer"
+    find_planted(
+        tmp_path, name, "stops_answer_requests", range(SEEDS_TO_FIND), STOPS_SECONDS
+    )
+
+
+def find_planted(folder, name, check, seeds, seconds, drills=False):
+    """Fail unless a check finds a planted fault within some seeds."""
     (fault,) = [fault for fault in FAULTS if fault.name == name]
-    fault.plant(tmp_path)
+    fault.plant(folder)
     found: set[str] = set()
-    for seed in range(SEEDS_TO_FIND):
-        folder = tmp_path / f"soak-{seed}"
+    for seed in seeds:
+        out = folder / f"soak-{seed}"
         outcome = asyncio.run(
-            soak(seed, STOPS_SECONDS, folder, program=tmp_path, stops=True)
+            soak(seed, seconds, out, program=folder, stops=not drills, drills=drills)
         )
         found |= {finding.check for finding in outcome.findings}
-        if "stops_answer_requests" in found:
+        if check in found:
             return
     pytest.fail(f"found {sorted(found)} only")
 
 
+DRILLS_SECONDS = 24.0
+DRILL_SEEDS = (205, 209)
+"""The first restarts no VM; the second one does."""
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("seed", DRILL_SEEDS)
+def test_soak_with_drills_finds_nothing(tmp_path, seed):
+    """Guards against what VMs lose at a restart, or when the store comes back."""
+    outcome = asyncio.run(soak(seed, DRILLS_SECONDS, tmp_path, drills=True))
+    assert outcome.findings == []
+
+
+@pytest.mark.process
+@pytest.mark.parametrize(
+    ("name", "check", "seed"),
+    [
+        ("the era of the store is not read", "key_changes_hold", 205),
+        (
+            "a process that starts learns of no version that is held back",
+            "orders_hold",
+            209,
+        ),
+    ],
+)
+def test_soak_finds_what_drills_break(tmp_path, name, check, seed):
+    """Guards against a soak that passes a program which forgets, or reads on."""
+    find_planted(tmp_path, name, check, [seed], DRILLS_SECONDS, drills=True)
+
+
 @pytest.mark.parametrize(
     "options",
     [
--- a/trials/planted_faults/faults.py
+++ b/trials/planted_faults/faults.py
@@ -163,4 +163,16 @@
         "if self.framed or not self.receiving_body:",
         "if not self.receiving_body:",
     ),
+    PlantedFault(
+        "the era of the store is not read",
+        "cuminstile/platform/store.py",
+        "    return int(value)\n",
+        "    return None\n",
+    ),
+    PlantedFault(
+        "a process that starts learns of no version that is held back",
+        "cuminstile/rollouts/marks.py",
+        "news = [self.put(mark, now_ms) for mark in marks]",
+        "news: list[bool] = []",
+    ),
 )
