Serve without the marks of versions if they can't be had in time

Found on reading the change: a VM that starts while there are orders would wait for the marks for ever if the store served all but their topic and no other VM lived, so callers would get 503 from all VMs after a restart of all. It waits 5 s now, then it goes by the newest order, and merges the marks as soon as it can read them. A topic that the store doesn't know counts as empty whatever the status.

Measured: test_vm_serves_in_the_end_without_what_is_known_of_versions. Further tests of the store's client: answers of a later and of an earlier era, refusals, malformed eras.

--- a/cuminstile/platform/follow.py
+++ b/cuminstile/platform/follow.py
@@ -193,8 +193,9 @@
 
         Until it knows which ones earlier orders held back, it serves nobody.
         """
-        known = self.vm.rollouts.known or self.vm.manifest is not None
-        return bool(self.orders) and not known
+        marks = self.vm.rollouts
+        serves = marks.known or marks.is_waived or self.vm.manifest is not None
+        return bool(self.orders) and not serves
 
     def apply_evacuations(self) -> bool:
         """Update which data centres are taken out; return whether that changed.
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -146,14 +146,15 @@
         Parameters
         ----------
         may_be_missing : bool
-            Whether a topic that the store doesn't know counts as empty.
+            Whether a topic that the store doesn't know counts as empty, whatever the
+            status with which it says so.
         """
         records: list[KeyedRecord] = []
         query: dict[str, object] = {"topic": topic, "part": 0}
         first_end: Position | None = None
         while True:
             head, body = await self.call(b"GET", "/api/log-newest", query, alone=True)
-            if head.status == 404 and may_be_missing:
+            if head.status != 200 and may_be_missing:
                 return TopicPage((), self.position(head, 0))
             if head.status != 200:
                 raise StoreCallError(f"newest of {topic}: status {head.status}", None)
--- a/cuminstile/rollouts/keeper.py
+++ b/cuminstile/rollouts/keeper.py
@@ -31,6 +31,9 @@
 TURN_MS = 700.0
 """How much later each further VM writes: time for a call and a heartbeat."""
 MAX_TURNS = 6
+LONGEST_WAIT_MS = 5_000.0
+"""How long a VM that starts waits for the marks. Callers are better off with a VM that
+may send to a version held back before than with none."""
 RETRY_MIN_MS = 200.0
 RETRY_MAX_MS = 2_000.0
 
@@ -103,6 +106,14 @@
         changed_ms = max(marks.changed_ms, self.era.since_ms)
         return now_ms - changed_ms >= min(self.rank(), MAX_TURNS) * TURN_MS
 
+    def waive_if_late(self) -> None:
+        """Let a VM serve without the marks that it has waited for too long."""
+        since_ms = self.wanted_since_ms
+        if since_ms is None or not self.wanted():
+            return
+        if self.clock.now_ms() - since_ms >= LONGEST_WAIT_MS:
+            self.marks.waive()
+
     async def synchronise(self) -> None:
         """Merge what the store has, and write what it lacks."""
         marks = self.marks
@@ -114,6 +125,7 @@
             lacks = set(written) != set(stored.marks)
             is_stored = not lacks or await self.store.append(stored.end, written)
         except PlatformUnavailableError as error:
+            self.waive_if_late()
             self.journal.record(Event.VERSIONS_NOT_STORED, error=error.message)
             self.paused_until_ms = self.clock.now_ms() + self.retry_ms
             self.retry_ms = min(RETRY_MAX_MS, 2 * self.retry_ms)
--- a/cuminstile/rollouts/marks.py
+++ b/cuminstile/rollouts/marks.py
@@ -49,16 +49,19 @@
     ----------
     known : bool
         Whether what the fleet knew before this VM started is among them.
+    is_waived : bool
+        Whether this VM serves without them, as it could not learn them in time.
     stored_era : int
         The era in which the store has these marks, `NOT_STORED` if it may not.
     changed_ms : float
         When they changed last, in monotonic ms.
     on_change : callable
-        Called when a mark or `known` changed by what others know.
+        Called when a mark, `known` or `is_waived` changed but for an order.
     """
 
     marks: dict[tuple[str, str], VersionMark] = field(default_factory=dict)
     known: bool = False
+    is_waived: bool = False
     stored_era: int = NOT_STORED
     changed_ms: float = 0.0
     on_change: Callable[[], None] = lambda: None
@@ -121,6 +124,11 @@
         self.changed_ms = now_ms
         return True
 
+    def waive(self) -> None:
+        """Serve without the marks of before."""
+        self.is_waived = True
+        self.on_change()
+
     def learn(self, marks: Iterable[VersionMark], known: bool, now_ms: float) -> bool:
         """Merge the marks of another VM or of the store; return whether any is new.
 
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -47,6 +47,8 @@
         hosts.
     calls : int
         Number of calls received.
+    refused_topics : set of str
+        Topics of which all calls are refused.
     era : int or None
         The era that all answers name, None for a store that names none.
     """
@@ -57,6 +59,7 @@
     silent: bool = False
     affected_hosts: set[str] = field(default_factory=set)
     calls: int = 0
+    refused_topics: set[str] = field(default_factory=set)
     era: int | None = None
 
     def is_affected(self, request: Request) -> bool:
@@ -65,6 +68,8 @@
 
     def is_refused(self, request: Request) -> bool:
         """Return whether the store refuses a call."""
+        if request.query_params.get("topic") in self.refused_topics:
+            return True
         return self.status is not None and self.is_affected(request)
 
     def is_unanswered(self, request: Request) -> bool:
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -119,3 +119,20 @@
         await start(site, number)
         await ask(site, number)
     assert site.upstreams["desk-2"].ran == []
+
+
+async def test_vm_serves_in_the_end_without_what_is_known_of_versions(
+    site: Site,
+) -> None:
+    """Guards against VMs that never get ready as one topic of the store is down."""
+    await order(site, "v2")
+    await site.register("desk-2", "desk", version="v2", seq=7)
+    await asyncio.sleep(IN_FORCE_S)
+    site.store.refused_topics.add("keyed.versions")
+    await restart(site, "all", signal.SIGKILL)
+    assert site.upstreams["desk-2"].ran == []
+    site.store.refused_topics.clear()
+    await asyncio.sleep(2 * IN_FORCE_S)
+    assert site.vms[0].events("versions_stored") or site.vms[1].events(
+        "versions_stored"
+    )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 
 from cuminstile.clock import Clock
 from cuminstile.eras.position import Position
+from cuminstile.exceptions import TrimmedError
 from cuminstile.gateway.following import StoreCallError
 from cuminstile.platform import store as store_module
 from cuminstile.platform.store import StoreClient
@@ -211,3 +212,57 @@
         for _ in range(3):
             await client.read(TOPIC, Position(0, 0), 0.0)
         assert len(accepted) == 1
+
+
+def of_era(era: int, answer: bytes) -> bytes:
+    """Return an answer that names an era."""
+    return answer.replace(b"\r\n", b"\r\nStore-Era: %d\r\n" % era, 1)
+
+
+def once(answer: bytes) -> Session:
+    """Return a session that gives each call the same answer."""
+
+    async def session(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(answer)
+
+    return session
+
+
+async def test_records_of_a_later_era_do_not_continue_the_known_log() -> None:
+    """Guards against reading on where offsets were given out again."""
+    answer = of_era(2, page_of(7, 2))
+    async with store_of(once(answer)) as (client, _):
+        with pytest.raises(TrimmedError):
+            await client.read(TOPIC, Position(1, 5), 0.0)
+        found = await client.read(TOPIC, Position(2, 5), 0.0)
+    assert found.end == Position(2, 7)
+
+
+async def test_late_answer_of_an_earlier_era_is_refused() -> None:
+    """Guards against acting on what the store has lost since."""
+    sessions = once(of_era(4, newest_of(3))), once(of_era(3, newest_of(9)))
+    async with store_of(*sessions) as (client, _):
+        assert (await client.newest(TOPIC)).end == Position(4, 3)
+        with pytest.raises(StoreCallError, match="earlier era"):
+            await client.newest(TOPIC)
+        with pytest.raises(StoreCallError, match="earlier era"):
+            await client.append_keyed(TOPIC, "key", b"value")
+
+
+async def test_refusal_tells_of_a_return_too() -> None:
+    busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    async with store_of(once(of_era(6, busy))) as (client, _):
+        with pytest.raises(StoreCallError):
+            await client.newest(TOPIC)
+        assert client.era.number == 6
+
+
+# Guards against a malformed header that ends the loop which follows the store.
+@pytest.mark.parametrize("value", [b"", b"x", b"-1", b"1.5", b"9" * 5_000])
+async def test_era_that_is_no_number_counts_as_none(value: bytes) -> None:
+    answer = newest_of(3).replace(b"\r\n", b"\r\nStore-Era: %b\r\n" % value, 1)
+    async with store_of(once(answer)) as (client, _):
+        assert (await client.newest(TOPIC)).end == Position(0, 3)
