Give what VMs know of topics a package of its own

The test of import layers asks the same of each module: no network, no state of a VM, nothing but the package itself and the eras.

--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -52,7 +52,6 @@
     "returning_callers",
     "routing",
     "stage_queue",
-    "topics",
     "upstream_costs",
     "upstreams",
 )
@@ -139,6 +138,16 @@
     assert imports(path, 1) <= ALLOWED_DECISION_IMPORTS
 
 
+@pytest.mark.parametrize("path", modules("gateway/topics"), ids=lambda path: path.stem)
+def test_what_is_known_of_topics_uses_no_network_and_no_state_of_a_vm(
+    path: Path,
+) -> None:
+    assert imports(path, 0) & NETWORK == set()
+    assert imports(path, 1) <= {"applying", "deltas", "returns", "state"}
+    assert imports(path, 2) == set()
+    assert imports(path, 3) <= {"eras"}
+
+
 @pytest.mark.parametrize("name", SCALING_DECISIONS)
 def test_number_of_upstreams_is_decided_without_network_or_gateway(name: str) -> None:
     path = PACKAGE / "scaling" / f"{name}.py"
