End the time for writing again whether or not a call waits

Found on reading the change: a VM whose long poll waits for up to 20 s went on counting an evacuation that the store had lost until a record came, since that was looked at between two calls alone. The loop that looks at other VMs does it each 0.2 s now. The loop that follows the store is shorter: what is done about an answer that doesn't help stands in one place. test_evacuation_that_is_not_written_again_ends.

--- a/cuminstile/gateway/following.py
+++ b/cuminstile/gateway/following.py
@@ -16,7 +16,6 @@
     apply_records,
     apply_snapshot,
     record_confirmation,
-    settle,
 )
 from .updates import push_update
 
@@ -107,20 +106,11 @@
         known = state.end
         try:
             keys = await read_once(state, store, wait_ms, vm)
-        except TrimmedError as error:
-            vm.journal.record(
-                Event.STORE_TRIMMED,
-                topic=state.name,
-                error=error.message,
-                known_era=known.era,
-                known_end=known.offset,
-            )
-            state.trimmed = True
-            await vm.clock.sleep_ms(retry_ms)
-            retry_ms = min(longest_retry_ms(topic), retry_ms * 2)
-            continue
-        except StoreCallError as error:
-            record_failed_call(state, vm, error, retry_ms)
+        except (TrimmedError, StoreCallError) as error:
+            if isinstance(error, StoreCallError):
+                record_failed_call(state, vm, error, retry_ms)
+            else:
+                record_trimmed(state, vm, known)
             await vm.clock.sleep_ms(retry_ms)
             retry_ms = min(longest_retry_ms(topic), retry_ms * 2)
             continue
@@ -129,18 +119,14 @@
         state.waited_in_full = vm.clock.now_ms() - began_ms >= wait_ms
         topic.apply_changes(keys, STORE)
         push_update(vm, state)
-        pause_ms = max(MIN_READ_INTERVAL_MS, topic.pause_ms())
-        if state.end == known and not state.waited_in_full:
-            pause_ms = max(RETRY_MIN_MS, pause_ms)
-        await vm.clock.sleep_ms(pause_ms)
+        brought_nothing = state.end == known and not state.waited_in_full
+        least_ms = RETRY_MIN_MS if brought_nothing else MIN_READ_INTERVAL_MS
+        await vm.clock.sleep_ms(max(least_ms, topic.pause_ms()))
 
 
 async def wait_until_due(topic: FollowedTopic, vm: Gateway) -> None:
     """Wait until this VM has to read a topic itself, or was paused."""
     while True:
-        settled = settle(topic.state, vm.clock.now_ms())
-        if settled:
-            topic.apply_changes(settled, STORE)
         role = vm.reader_role()
         record_role(topic, role, vm)
         began_ms = vm.clock.now_ms()
@@ -223,6 +209,17 @@
     return keys
 
 
+def record_trimmed(state: TopicState, vm: Gateway, known: Position) -> None:
+    """Log that the store lacks the records behind what is known; read all next."""
+    vm.journal.record(
+        Event.STORE_TRIMMED,
+        topic=state.name,
+        known_era=known.era,
+        known_end=known.offset,
+    )
+    state.trimmed = True
+
+
 def record_failed_call(
     state: TopicState, vm: Gateway, error: StoreCallError, retry_ms: float
 ) -> None:
--- a/cuminstile/gateway/sharing.py
+++ b/cuminstile/gateway/sharing.py
@@ -22,6 +22,7 @@
     delta_since,
     is_lagging,
     record_reported_end,
+    settle,
 )
 
 CHECK_INTERVAL_MS = 200.0
@@ -39,12 +40,18 @@
 
 
 async def run_topic_sync_loop(vm: Gateway) -> None:
-    """Fetch from other VMs what the store does not return in time, without end."""
+    """Fetch from other VMs what the store does not return in time, without end.
+
+    Ends the time in which what the store lost at a return still counts, too.
+    """
     while True:
         await vm.clock.sleep_ms(CHECK_INTERVAL_MS)
         now_ms = vm.clock.now_ms()
         heartbeats = vm.membership.live(now_ms)
         for topic in vm.topics.values():
+            settled = settle(topic.state, now_ms)
+            if settled:
+                topic.apply_changes(settled, vm.settings.name)
             wanted = wanted_from(vm, topic.state)
             if wanted is not None:
                 await fetch_delta(vm, topic, wanted)
--- a/standins/soak/drills.py
+++ b/standins/soak/drills.py
@@ -41,21 +41,17 @@
         return
     fleet.store_returns = True
     store = fleet.store
-    ends = {name: len(topic.records) for name, topic in store.topics.items()}
+    copied = {name: len(topic.records) for name, topic in store.topics.items()}
     for _ in range(rng.randint(0, MOST_LOST)):
         await change_manifest(fleet, rng)
         await asyncio.sleep(rng.uniform(0.05, 0.4))
     await store.refuse_calls()
     await asyncio.sleep(rng.uniform(0.1, 1.0))
-    lost = {
-        name: dict(store.topic(name).records[ends[name] :])
-        for name in WRITERS_TOPICS
-        if name in ends
-    }
+    lost = {name: store.topic(name).records[copied[name] :] for name in WRITERS_TOPICS}
     store.status = None
-    await store.return_from_copy(ends)
+    await store.return_from_copy(copied)
     for name, records in lost.items():
-        for key, value in records.items():
+        for key, value in dict(records).items():
             await store.put(name, key, value)
     fleet.store_returns = False
 
--- a/tests/platform/test_store_returns.py
+++ b/tests/platform/test_store_returns.py
@@ -132,3 +132,20 @@
     await publish(site, 5, OTHER_KEY)
     await asyncio.sleep(IN_FORCE_S)
     assert await statuses(site) == [401, 401, 401]
+
+
+async def test_evacuation_that_is_not_written_again_ends(site: Site) -> None:
+    """Guards against one that holds for as long as a call waits for a record."""
+    site.store.era = 1
+    before = ends(site)
+    await site.store.put_json(OPERATOR_TOPIC, "evacuate/b", {})
+    await asyncio.sleep(IN_FORCE_S)
+    await site.store.return_from_copy(before)
+    await asyncio.sleep(1.0)
+    taken_out = [vm.events("data_centres_taken_out") for vm in site.vms]
+    assert [[e["data_centres"] for e in events] for events in taken_out] == [["b"]] * 2
+    await asyncio.sleep(2.0)
+    taken_out = [vm.events("data_centres_taken_out") for vm in site.vms]
+    assert [[e["data_centres"] for e in events] for events in taken_out] == [
+        ["b", ""]
+    ] * 2
