--- a/cuminstile/platform/duties.py
+++ b/cuminstile/platform/duties.py
@@ -105,23 +105,7 @@
         body = framed(LEASE_KEY, encode_lease(record))
         if ledger is not None:
             body += framed(LEDGER_KEY, encode_ledger(ledger))
-        query: dict[str, object] = {"topic": LEASE_TOPIC, "part": 0, "at": at.offset}
-        head, answer = await self.store.call(
-            b"POST",
-            "/api/log-append",
-            query,
-            body,
-            alone=True,
-            timeout_ms=STORE_TIMEOUT_MS,
-        )
-        if head.status == 412 or self.store.position(head, 0).era != at.era:
-            return None
-        if head.status != 200:
-            raise StoreCallError(f"append to {LEASE_TOPIC}: {head.status}", None)
-        try:
-            return at.at(int(orjson.loads(answer)["end"]))
-        except (KeyError, TypeError, ValueError) as error:
-            raise StoreCallError(f"append to {LEASE_TOPIC}: {error!r}", None) from error
+        return await self.store.append(LEASE_TOPIC, body, at, STORE_TIMEOUT_MS)
 
 
 def decode_lease_page(body: bytes) -> LeasePage:
--- a/cuminstile/platform/store.py
+++ b/cuminstile/platform/store.py
@@ -198,6 +198,42 @@
         end = start.offset + len(records)
         return TopicPage(records, self.position(head, end))
 
+    async def append(
+        self,
+        topic: str,
+        records: bytes,
+        at: Position,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+    ) -> Position | None:
+        """Append framed records if a topic ends at a position.
+
+        Returns the new end, None if the topic ends elsewhere. None too if the store is
+        in another era than that of `at`: what it may have appended then stands behind
+        other records.
+
+        Raises
+        ------
+        StoreCallError
+            If the store doesn't answer; the records may still be appended later.
+        """
+        query: dict[str, object] = {"topic": topic, "part": 0, "at": at.offset}
+        head, answer = await self.call(
+            b"POST",
+            "/api/log-append",
+            query,
+            records,
+            alone=True,
+            timeout_ms=timeout_ms,
+        )
+        if head.status == 412 or self.position(head, 0).era != at.era:
+            return None
+        if head.status != 200:
+            raise StoreCallError(f"append to {topic}: status {head.status}", None)
+        try:
+            return at.at(int(orjson.loads(answer)["end"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise StoreCallError(f"append to {topic}: {error!r}", None) from error
+
     async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
         """Append one record; a call without an answer may still take effect later."""
         body = framed(key, value)
