Drop what the eras made twice or dead

An update needs no look at the era of its start: from an earlier era the changes are the whole topic, which isn't pushed. A heartbeat without marks, which is each one where there are no orders, is no longer converted and compared.

--- a/cuminstile/duties/lease.py
+++ b/cuminstile/duties/lease.py
@@ -167,14 +167,20 @@
         A VM that is named in `recent` waits even if the lease was given back, so that
         it never acts again within the lease's length after another one.
         """
-        record = self.record
+        if not self.is_free():
+            since_ms = self.seen_ms
+        elif self.end.era:
+            since_ms = self.era_since_ms
+        else:
+            return 0.0
         longest_ms = self.lease_ms * (1.0 + WAIT_LONGER_SHARE)
-        in_era_ms = self.era_since_ms + longest_ms if self.end.era else now_ms
-        if record is None and self.end.offset == 0:
-            return max(0.0, in_era_ms - now_ms)
-        if record is not None and record.released and not self.is_recent(record):
-            return max(0.0, in_era_ms - now_ms)
-        return max(0.0, self.seen_ms + longest_ms - now_ms)
+        return max(0.0, since_ms + longest_ms - now_ms)
+
+    def is_free(self) -> bool:
+        """Return whether, by the log alone, this VM may take the lease."""
+        if self.record is None:
+            return self.end.offset == 0
+        return self.record.released and not self.is_recent(self.record)
 
     def is_recent(self, record: LeaseRecord) -> bool:
         """Return whether this VM may have acted shortly before a record."""
--- a/cuminstile/gateway/rollout_sharing.py
+++ b/cuminstile/gateway/rollout_sharing.py
@@ -10,6 +10,8 @@
 
 def learn_marks(vm: Gateway, heartbeat: Heartbeat) -> None:
     """Merge what another VM knows of versions, and whether the store has it."""
+    if not heartbeat.marks and not heartbeat.marks_known:
+        return
     marks = marks_from_entries(heartbeat.marks)
     if vm.rollouts.learn(marks, heartbeat.marks_known, vm.clock.now_ms()):
         vm.journal.record(Event.VERSIONS_LEARNED, source=heartbeat.name)
--- a/cuminstile/gateway/updates.py
+++ b/cuminstile/gateway/updates.py
@@ -35,8 +35,6 @@
 def encode_update(state: TopicState, address: str, now_ms: float) -> bytes:
     """Return the next update of a topic that this VM has just read."""
     start = state.pushed_ends[0] if state.pushed_ends else state.changed_end
-    if start.era != state.end.era:
-        start = state.changed_end
     state.pushed_ends.append(state.changed_end)
     delta = delta_since(state, start, now_ms)
     if delta is not None and not delta.whole and delta.records:
