Ask in one place whether a fault of the soak explains an observation

is_troubled had two twins with other faults and times, one of them new with the check of orders; it takes the faults now. The stand-in of the store names its era in one place. Two leftovers of the model test of returns are gone. No check or bound is changed.

--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -119,6 +119,10 @@
         """Return the headers that name the era."""
         return {} if self.era is None else {"Store-Era": str(self.era)}
 
+    def answer(self, content: object, status: int = 200) -> Response:
+        """Return an answer with a JSON body."""
+        return JSONResponse(content, status, headers=self.era_headers())
+
     def refusal(self) -> Response:
         """Return the answer to a refused call."""
         return Response(status_code=self.status or 503, headers=self.era_headers())
@@ -145,9 +149,7 @@
             for key, (value, offset) in values.items()
         ]
         end = len(topic.records)
-        return JSONResponse(
-            {"items": items, "has_more": False, "end": end}, headers=self.era_headers()
-        )
+        return self.answer({"items": items, "has_more": False, "end": end})
 
     async def read(self, request: Request) -> Response:
         """Return the records from an offset; long-poll at the end, 410 if trimmed."""
@@ -187,9 +189,7 @@
 
     def trimmed(self, topic: StoreTopic) -> Response:
         """Return the answer to a read of records that the store doesn't have."""
-        return JSONResponse(
-            {"first": topic.first}, status_code=410, headers=self.era_headers()
-        )
+        return self.answer({"first": topic.first}, 410)
 
     async def append(self, request: Request) -> Response:
         """Append keyed records if the topic ends where the caller says."""
@@ -201,9 +201,7 @@
         topic = self.topic(request.query_params["topic"])
         start = len(topic.records)
         if int(request.query_params.get("at", start)) != start:
-            return JSONResponse(
-                {"end": start}, status_code=412, headers=self.era_headers()
-            )
+            return self.answer({"end": start}, 412)
         while body:
             size = int.from_bytes(body[:4], "big")
             content, body = body[4 : 4 + size], body[4 + size :]
@@ -212,7 +210,7 @@
         async with self.changed:
             self.changed.notify_all()
         end = len(topic.records)
-        return JSONResponse({"offset": start, "end": end}, headers=self.era_headers())
+        return self.answer({"offset": start, "end": end})
 
     def app(self) -> Starlette:
         """Return the web application."""
--- a/standins/soak/evidence.py
+++ b/standins/soak/evidence.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from .faults import TROUBLES
 from .observations import Received, Record, Run, get_field
@@ -27,9 +27,14 @@
     return (received for received in record.received if 200 <= received.status < 300)
 
 
-def is_troubled(record: Record, since_s: float, until_s: float) -> bool:
-    """Return whether a fault that makes VMs late began in a span of time."""
+def is_troubled(
+    record: Record,
+    since_s: float,
+    until_s: float,
+    faults: Collection[str] = TROUBLES,
+) -> bool:
+    """Return whether a fault that makes VMs late, or one of some, began in a time."""
     return any(
-        disturbed.fault in TROUBLES and since_s <= disturbed.at_s <= until_s
+        disturbed.fault in faults and since_s <= disturbed.at_s <= until_s
         for disturbed in record.disturbed
     )
--- a/standins/soak/fleet_checks.py
+++ b/standins/soak/fleet_checks.py
@@ -83,12 +83,8 @@
         ordered = record.ordered.get(run.upstream)
         if ordered is None:
             continue
-        hidden = any(
-            disturbed.fault in HIDE_ORDERS
-            and abs(disturbed.at_s - ordered.at_s) <= TROUBLE_S
-            for disturbed in record.disturbed
-        )
-        if not hidden:
+        since_s, until_s = ordered.at_s - TROUBLE_S, ordered.at_s + TROUBLE_S
+        if not is_troubled(record, since_s, until_s, HIDE_ORDERS):
             late_s = run.at_s - ordered.at_s
             yield run.at_s, run.attempt, f"ran {late_s:.3f} s after {ordered}"
 
--- a/standins/soak/run_checks.py
+++ b/standins/soak/run_checks.py
@@ -182,11 +182,8 @@
     Only while no link is held back: there that start comes late, after the request.
     """
     for reused in record.reused:
-        held_back = any(
-            disturbed.fault in LINK_FAULTS
-            and reused.at_s - LINK_FAULT_S <= disturbed.at_s <= reused.at_s
-            for disturbed in record.disturbed
-        )
+        since_s = reused.at_s - LINK_FAULT_S
+        held_back = is_troubled(record, since_s, reused.at_s, LINK_FAULTS)
         if reused.after_s > REUSE_SLACK_S and not held_back:
             text = f"sent {reused.after_s:.3f} s behind the start of another answer"
             yield reused.at_s, reused.attempt, text
--- a/tests/gateway/test_returns.py
+++ b/tests/gateway/test_returns.py
@@ -34,7 +34,6 @@
 VMS = 3
 KEYS = "abc"
 TOPIC = "upstreams"
-CALM_MS = 20_000.0
 MESSAGES = ("delta", "push", "late")
 KINDS = (
     "put",
@@ -49,8 +48,6 @@
     *MESSAGES,
 )
 
-pytestmark = pytest.mark.anyio
-
 
 def number_of(value: bytes) -> tuple[int, ...]:
     """Return the number that a value begins with."""
