--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -14,6 +14,7 @@
     RETRY_MAX_MS,
     RETRY_MIN_MS,
     STORE,
+    KeyedStore,
     StoreCallError,
     follow_topic,
     shared_interval_ms,
@@ -72,21 +73,41 @@
         assert source == STORE
         changes.append(keys)
 
-    topic = FollowedTopic(
+    topic = followed(state, apply_changes, 0.0, POLL_MS)
+    await run_follower(vm, topic, store, play)
+    return changes
+
+
+def followed(
+    state: TopicState,
+    apply_changes: Callable[[set[str], str], None],
+    wait_ms: float,
+    pause_ms: float,
+) -> FollowedTopic:
+    """Return a topic that this VM always reads."""
+    return FollowedTopic(
         state,
         apply_changes,
-        wait_ms=lambda: 0.0,
-        pause_ms=lambda: POLL_MS,
+        wait_ms=lambda: wait_ms,
+        pause_ms=lambda: pause_ms,
         lag_ms=POLL_MS,
         always_read=lambda role: True,
         max_age_ms=lambda: POLL_MS,
     )
+
+
+async def run_follower(
+    vm: Gateway,
+    topic: FollowedTopic,
+    store: KeyedStore,
+    play: Callable[[VirtualClock], object],
+) -> None:
+    """Follow a topic while `play` advances the clock."""
     assert isinstance(vm.clock, VirtualClock)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(follow_topic, topic, store, vm)
         await play(vm.clock)  # type: ignore[misc]
         tasks.cancel_scope.cancel()
-    return changes
 
 
 async def test_each_failed_call_logs_its_connection_and_the_age_of_the_list() -> None:
@@ -191,18 +212,6 @@
     state = TopicState(TOPIC)
     if kind == "earlier":
         state.end = Position(2, 5)
-    topic = FollowedTopic(
-        state,
-        lambda keys, source: None,
-        wait_ms=lambda: 1_000.0,
-        pause_ms=lambda: 0.0,
-        lag_ms=POLL_MS,
-        always_read=lambda role: True,
-        max_age_ms=lambda: POLL_MS,
-    )
-    assert isinstance(vm.clock, VirtualClock)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follow_topic, topic, store, vm)
-        await vm.clock.advance_ms(OUTAGE_MS)
-        tasks.cancel_scope.cancel()
+    topic = followed(state, lambda keys, source: None, 1_000.0, 0.0)
+    await run_follower(vm, topic, store, lambda clock: clock.advance_ms(OUTAGE_MS))
     assert store.calls <= 2 + OUTAGE_MS / RETRY_MIN_MS
--- a/tests/platform/own_upstreams.py
+++ b/tests/platform/own_upstreams.py
@@ -1,4 +1,4 @@
-"""Let an upstream of a test's own serve in place of the stand-in's."""
+"""Let an upstream of a test's own serve in place of the stand-in's, and ask it."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
@@ -6,7 +6,8 @@
 
 from standins.keyed_store import SERVER_TOPIC
 
-from .site import Site
+from .crash_site import headers_for
+from .site import Answer, Site, call
 
 Session = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 """Serves one connection."""
@@ -30,3 +31,14 @@
     for name, service in services.items():
         site.upstreams[name] = SimpleNamespace(address=address)  # type: ignore[assignment]
         await site.register(name, service, slots=1_000)
+
+
+async def send(
+    site: Site, target: str, number: int, body: bytes = b"body"
+) -> Answer | None:
+    """Send one request; None is a connection that ends without an answer."""
+    headers = headers_for(target, f"a{number}")
+    try:
+        return await call(site.vms[0].address, "POST", target, headers, body)
+    except (OSError, asyncio.IncompleteReadError):
+        return None
--- a/tests/platform/test_broken_promises.py
+++ b/tests/platform/test_broken_promises.py
@@ -7,9 +7,8 @@
 
 from standins.gateway_upstream import read_request
 
-from .crash_site import headers_for
-from .own_upstreams import replace_upstreams
-from .site import Answer, Site, call
+from .own_upstreams import replace_upstreams, send
+from .site import Site
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 PROMISES = (408, 421, 429, 503)
@@ -71,15 +70,6 @@
     await asyncio.sleep(1.5)
 
 
-async def send(site: Site, target: str, number: int) -> Answer | None:
-    """Send one request; None is a connection that ends without an answer."""
-    headers = headers_for(target, f"a{number}")
-    try:
-        return await call(site.vms[0].address, "POST", target, headers, b"body")
-    except (OSError, asyncio.IncompleteReadError):
-        return None
-
-
 # Guards against assuring a caller that its request never ran though it did, by passing
 # on the status with which its upstream answered after the run.
 async def test_status_of_a_run_is_no_promise_that_there_was_none(site: Site) -> None:
--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -12,9 +12,8 @@
 
 from ..early_answers import UNREADABLE_STATUSES, UPLOAD, Ending, early, with_status
 from ..gateway.servers import Session
-from .crash_site import headers_for
-from .own_upstreams import replace_upstreams
-from .site import Answer, Site, call, make_manifest
+from .own_upstreams import replace_upstreams, send
+from .site import Site, make_manifest
 
 pytestmark = [pytest.mark.anyio, pytest.mark.process]
 TARGETS = ("/look/x", "/book/x", "/note/x")
@@ -54,15 +53,6 @@
     await asyncio.sleep(1.5)
 
 
-async def send(site: Site, target: str, number: int) -> Answer | None:
-    """Send one upload; None is a connection that ends without an answer."""
-    headers = headers_for(target, f"a{number}")
-    try:
-        return await call(site.vms[0].address, "POST", target, headers, UPLOAD)
-    except (OSError, asyncio.IncompleteReadError):
-        return None
-
-
 # Guards against the part of an answer that callers take for all of it.
 @pytest.mark.parametrize("target", TARGETS)
 async def test_early_answer_that_is_reset_does_not_look_complete(
@@ -74,7 +64,7 @@
     data = EVENTS if target == "/note/x" else PLAIN
     for number, (ending, read, pause_s) in enumerate(WAYS):
         upstream.next = early(data, ending, read, pause_s)
-        answer = await send(site, target, number)
+        answer = await send(site, target, number, UPLOAD)
         if answer is not None and answer.status < 300 and answer.complete:
             passed.append((ending, read, pause_s))
     assert passed == []
@@ -88,7 +78,7 @@
     statuses = {}
     for number, status in enumerate(UNREADABLE_STATUSES):
         upstream.next = early(with_status(status, b"body"), Ending.CLOSED, 100, 0.05)
-        answer = await send(site, target, number)
+        answer = await send(site, target, number, UPLOAD)
         if answer is not None:
             statuses[status] = answer.status
     assert {status for status in statuses.values() if status not in (502, 503)} == set()
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -29,6 +29,12 @@
     await asyncio.sleep(IN_FORCE_S)
 
 
+async def order_second_version(site: Site) -> None:
+    """Order to move the traffic to a version that one of the upstreams has then."""
+    await order(site, "v2")
+    await site.register("desk-2", "desk", version="v2", seq=7)
+
+
 async def ended(vm: RunningVm, how: signal.Signals) -> None:
     """Stop a VM and wait for its end."""
     vm.process.send_signal(how)
@@ -71,8 +77,7 @@
 async def test_version_that_was_held_back_gets_nothing_after_a_restart(
     site: Site, second: str, which: str, how: signal.Signals
 ) -> None:
-    await order(site, "v2")
-    await site.register("desk-2", "desk", version="v2", seq=7)
+    await order_second_version(site)
     await order(site, second)
     await ask(site, 0)
     await restart(site, which, how)
@@ -84,8 +89,7 @@
     """Guards against a return of the store before all VMs restart at once."""
     site.store.era = 1
     before = {"keyed.versions": 0}
-    await order(site, "v2")
-    await site.register("desk-2", "desk", version="v2", seq=7)
+    await order_second_version(site)
     await order(site, "v3")
     await site.store.return_from_copy(before)
     await asyncio.sleep(IN_FORCE_S)
@@ -94,8 +98,7 @@
 
 
 async def test_vm_learns_from_others_while_the_store_turns_it_away(site: Site) -> None:
-    await order(site, "v2")
-    await site.register("desk-2", "desk", version="v2", seq=7)
+    await order_second_version(site)
     await order(site, "v3")
     site.store.affected_hosts.add(site.store_host(1))
     site.store.status = 503
@@ -108,8 +111,7 @@
 async def test_order_while_no_vm_runs_does_not_set_the_version_before_free(
     site: Site,
 ) -> None:
-    await order(site, "v2")
-    await site.register("desk-2", "desk", version="v2", seq=7)
+    await order_second_version(site)
     await asyncio.sleep(IN_FORCE_S)
     for vm in site.vms:
         await ended(vm, signal.SIGTERM)
@@ -125,14 +127,11 @@
     site: Site,
 ) -> None:
     """Guards against VMs that never get ready as one topic of the store is down."""
-    await order(site, "v2")
-    await site.register("desk-2", "desk", version="v2", seq=7)
+    await order_second_version(site)
     await asyncio.sleep(IN_FORCE_S)
     site.store.refused_topics.add("keyed.versions")
     await restart(site, "all", signal.SIGKILL)
     assert site.upstreams["desk-2"].ran == []
     site.store.refused_topics.clear()
     await asyncio.sleep(2 * IN_FORCE_S)
-    assert site.vms[0].events("versions_stored") or site.vms[1].events(
-        "versions_stored"
-    )
+    assert any(vm.events("versions_stored") for vm in site.vms)
