Let a cold runner of two review cases crash under what it can't bear

Cause: a cold runner that gets too much is said to crash; the stand-in went on, so that the cases showed no request lost.

--- a/review/site_3.py
+++ b/review/site_3.py
@@ -280,6 +280,10 @@
         Events of a stream; 0 for a plain answer.
     cold_until_s : float
         Until when it is cold, in monotonic seconds.
+    cold_most : float
+        It crashes while it is cold if more requests come in one second.
+    overloaded : bool
+        Whether it has crashed so.
     """
 
     name: str
@@ -292,6 +296,8 @@
     work_s: float = 0.01
     events: int = 0
     cold_until_s: float = 0.0
+    cold_most: float = float("inf")
+    overloaded: bool = False
     state: str = "ready"
     seq: int = 0
     address: str = ""
@@ -369,8 +375,15 @@
 
     def arrive(self, attempt: str, outcome: str) -> None:
         """Note that a request has come."""
-        self.arrivals.append(Arrival(time.monotonic(), attempt, self.name, outcome))
+        now_s = time.monotonic()
+        self.arrivals.append(Arrival(now_s, attempt, self.name, outcome))
         self.record.line(f"runner {self.name}", attempt=attempt, outcome=outcome)
+        if now_s < self.cold_until_s and not self.overloaded:
+            lately = sum(one.at_s > now_s - 1.0 for one in self.arrivals[-200:])
+            if lately > self.cold_most:
+                self.overloaded = True
+                self.crash()
+                self.beats = asyncio.create_task(self.lapse())
 
     async def connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -836,6 +849,20 @@
     }
 
 
+def most_in_a_second(runner: Runner, since_s: float) -> int:
+    """Return the most requests that reached a cold runner in any one second."""
+    times = [
+        a.at_s for a in runner.arrivals if since_s <= a.at_s <= runner.cold_until_s
+    ]
+    return max((sum(s <= t < s + 1.0 for t in times) for s in times), default=0)
+
+
+def lost_at(runner: Runner, outcomes: Iterable[Outcome]) -> int:
+    """Return how many requests that a runner began on ended without a success."""
+    begun = {one.attempt for one in runner.arrivals if one.outcome == "run"}
+    return sum(one.attempt in begun and one.status != 200 for one in outcomes)
+
+
 def has_trouble() -> bool:
     """Return whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
